--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+SHELL := /bin/bash
+
+.PHONY: build test demo failures bench lint generate check-generated fuzz
+
+build:
+	go build -o bin/ ./cmd/...
+
+# All tests.
+test:
+	go test -race -count=1 ./...
+
+# A fleet at work on this machine, in under a minute.
+demo: build
+	./scripts/demo.sh
+
+# Kills, freezes, cuts and outages on real processes.
+failures: build
+	./scripts/failures.sh
+
+# The policy and its baselines at the users' sizes and the design size.
+bench: build
+	./bin/auburntray bench
+
+lint:
+	./scripts/lint.sh
+
+generate:
+	go generate ./...
+
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./internal/parser
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./internal/messenger
--- /dev/null
+++ b/cmd/auburntray-standin/main.go
@@ -0,0 +1,17 @@
+// The auburntray-standin program runs stand-ins of model engines, plain
+// services and the platform, for demonstrations and tests.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/auburntray/auburntray/internal/standin/commander"
+)
+
+func main() {
+	if err := commander.New().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "auburntray-standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/auburntray/main.go
@@ -0,0 +1,16 @@
+// The auburntray program runs routers and is the operators' client.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/auburntray/auburntray/internal/commander"
+)
+
+func main() {
+	if err := commander.New().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "auburntray:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/asker/asker.go
@@ -0,0 +1,338 @@
+// Package asker asks the homes of cells for places, on behalf of the requests
+// that came in at this router.
+package asker
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/granter"
+	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const (
+	// tries is how many homes are asked before this router decides itself.
+	tries = 2
+	// syncEvery is the time between two lists of all grants to their homes.
+	syncEvery   = 5 * time.Second
+	sendTimeout = time.Second
+)
+
+// ErrNoPlace means that no home could be asked and this router could not decide
+// either.
+var ErrNoPlace = errors.New("no place could be asked for")
+
+// messenger talks to peers.
+type messenger interface {
+	Call(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error
+	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
+}
+
+// members says which routers are live.
+type members interface {
+	Home(key uint64, centres []string) (gossiper.Member, bool)
+	Suspect(id uint64)
+	Self() gossiper.Member
+}
+
+// keeper decides for the cells that this router is home to.
+type keeper interface {
+	Ask(now time.Time, w wire.Ask) (wire.Verdict, error)
+	Release(now time.Time, w wire.Release)
+	Sync(now time.Time, w wire.Sync)
+}
+
+// Request is what a place is asked for.
+type Request struct {
+	Cell     *matcher.Cell
+	Rule     uint32
+	Customer uint32
+	Chat     uint64
+	Prompt   int
+	Output   int
+	Hint     uint32
+	Excluded []uint32
+}
+
+// Place is the answer, with what is needed to give the place back.
+type Place struct {
+	Reason     granter.Reason
+	Target     uint32
+	Returned   bool
+	RetryAfter time.Duration
+
+	cell *matcher.Cell
+	seq  uint32
+}
+
+// Asker keeps the list of this router's grants. It is safe for concurrent use.
+type Asker struct {
+	messenger messenger
+	members   members
+	keeper    keeper
+	counter   *counter.Counter
+	timeout   time.Duration
+
+	mu     sync.Mutex
+	seq    uint32
+	asking map[uint32]bool
+	cells  map[uint32]*cell
+}
+
+// cell holds this router's grants in one cell, and the home that knows them.
+type cell struct {
+	cell   *matcher.Cell
+	home   uint64
+	grants map[uint32]wire.Grant
+}
+
+// New returns an Asker without grants. The timeout bounds one ask.
+func New(m messenger, l members, k keeper, n *counter.Counter, timeout time.Duration) *Asker {
+	return &Asker{
+		messenger: m, members: l, keeper: k, counter: n, timeout: timeout,
+		asking: make(map[uint32]bool), cells: make(map[uint32]*cell),
+	}
+}
+
+// Run sends each cell's home the list of this router's grants from time to
+// time, until the context ends.
+func (a *Asker) Run(c context.Context) {
+	t := time.NewTicker(syncEvery)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			a.SyncAll(c)
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+// Ask asks the cell's home for a place. When the home can't be asked it asks
+// the next one, and then decides by what this router knows itself: its own
+// requests and the targets' reports.
+func (a *Asker) Ask(c context.Context, r Request) (Place, error) {
+	w := a.number(r)
+	defer a.numbered(w.Seq)
+
+	for range tries {
+		h, ok := a.members.Home(uint64(r.Cell.ID), r.Cell.DataCentres)
+		if !ok || h.ID == a.members.Self().ID {
+			break
+		}
+
+		a.moved(c, r.Cell, h)
+
+		v, err := a.call(c, h, w)
+		if err == nil {
+			return a.take(r, w, v), nil
+		}
+
+		if c.Err() != nil {
+			return Place{}, errors.Mark(c.Err(), ErrNoPlace)
+		}
+
+		a.counter.Add(counter.AsksFailed, 1)
+		logrus.WithFields(logrus.Fields{"event": "askFailed", "peer": h.Address, "error": err}).Warn()
+		a.members.Suspect(h.ID)
+	}
+
+	a.counter.Add(counter.AskedHere, 1)
+
+	v, err := a.keeper.Ask(time.Now(), w)
+	if err != nil {
+		return Place{}, errors.Mark(err, ErrNoPlace)
+	}
+
+	a.moved(c, r.Cell, a.members.Self())
+
+	return a.take(r, w, v), nil
+}
+
+// Release gives a place back with what the target's answer told.
+func (a *Asker) Release(p Place, o granter.Outcome) {
+	a.mu.Lock()
+	x, ok := a.cells[p.cell.ID]
+
+	if ok {
+		delete(x.grants, p.seq)
+	}
+
+	a.mu.Unlock()
+
+	w := wire.Release{
+		Entry: a.members.Self().ID, Seq: p.seq, Cell: p.cell.ID, Target: p.Target,
+		OK: o.OK, NeverSent: o.NeverSent, Requests: int32(min(o.Requests, math.MaxInt32)), //nolint:gosec // Bounded.
+		Incarnation: o.State.Incarnation, Leaving: o.State.Leaving,
+	}
+
+	h, ok := a.members.Home(uint64(p.cell.ID), p.cell.DataCentres)
+	if !ok || h.ID == a.members.Self().ID {
+		a.keeper.Release(time.Now(), w)
+
+		return
+	}
+
+	c, stop := context.WithTimeout(context.Background(), sendTimeout)
+	defer stop()
+
+	// A lost release is made good by the next list of grants.
+	if err := a.messenger.Send(c, h.Address, wire.KindRelease, &w); err != nil {
+		a.members.Suspect(h.ID)
+	}
+}
+
+// SyncAll sends all homes their list of grants now.
+func (a *Asker) SyncAll(c context.Context) {
+	a.mu.Lock()
+	l := make([]*matcher.Cell, 0, len(a.cells))
+
+	for _, x := range a.cells {
+		l = append(l, x.cell)
+	}
+
+	a.mu.Unlock()
+
+	for _, x := range l {
+		if h, ok := a.members.Home(uint64(x.ID), x.DataCentres); ok {
+			a.sync(c, x, h)
+		}
+	}
+}
+
+// number gives a request its number among this router's.
+func (a *Asker) number(r Request) wire.Ask {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.seq++
+	a.asking[a.seq] = true
+
+	return wire.Ask{
+		Entry: a.members.Self().ID, Seq: a.seq, Cell: r.Cell.ID, Rule: r.Rule, Customer: r.Customer,
+		Chat: r.Chat, Prompt: clamp(r.Prompt), Output: clamp(r.Output), Hint: r.Hint, Excluded: r.Excluded,
+	}
+}
+
+func (a *Asker) numbered(seq uint32) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	delete(a.asking, seq)
+}
+
+func (a *Asker) call(c context.Context, h gossiper.Member, w wire.Ask) (wire.Verdict, error) {
+	x, stop := context.WithTimeout(c, a.timeout)
+	defer stop()
+
+	var v wire.Verdict
+
+	err := a.messenger.Call(x, h.Address, wire.KindAsk, &w, &v)
+
+	return v, err
+}
+
+// moved tells a new home of the grants that the former one knew. Without it
+// the new home would take the cell for idle and bury the targets that are not.
+func (a *Asker) moved(c context.Context, x *matcher.Cell, h gossiper.Member) {
+	a.mu.Lock()
+	e := a.entry(x)
+	m := e.home != h.ID && e.home != 0
+	e.home = h.ID
+	a.mu.Unlock()
+
+	if m {
+		a.sync(c, x, h)
+	}
+}
+
+func (a *Asker) sync(c context.Context, x *matcher.Cell, h gossiper.Member) {
+	w := a.list(x)
+
+	if h.ID == a.members.Self().ID {
+		a.keeper.Sync(time.Now(), w)
+
+		return
+	}
+
+	t, stop := context.WithTimeout(c, sendTimeout)
+	defer stop()
+
+	if err := a.messenger.Send(t, h.Address, wire.KindSync, &w); err != nil {
+		logrus.WithFields(logrus.Fields{"event": "syncFailed", "peer": h.Address, "error": err}).Debug()
+	}
+}
+
+// list returns this router's grants in a cell.
+func (a *Asker) list(x *matcher.Cell) wire.Sync {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	e := a.entry(x)
+	w := wire.Sync{Entry: a.members.Self().ID, Cell: x.ID, UpTo: a.upTo()}
+
+	for _, g := range e.grants {
+		w.Grants = append(w.Grants, g)
+	}
+
+	return w
+}
+
+// upTo returns the highest number below which no ask is under way: the home may
+// drop what it holds up to there and the list does not name.
+func (a *Asker) upTo() uint32 {
+	n := a.seq
+
+	for s := range a.asking {
+		n = min(n, s-1)
+	}
+
+	return n
+}
+
+func (a *Asker) entry(x *matcher.Cell) *cell {
+	e, ok := a.cells[x.ID]
+	if !ok {
+		e = &cell{grants: make(map[uint32]wire.Grant)}
+		a.cells[x.ID] = e
+	}
+
+	e.cell = x
+
+	return e
+}
+
+// take notes a grant.
+func (a *Asker) take(r Request, w wire.Ask, v wire.Verdict) Place {
+	p := Place{
+		Reason: granter.Reason(v.Reason), Target: v.Target, Returned: v.Returned,
+		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, cell: r.Cell, seq: w.Seq,
+	}
+
+	if p.Reason != granter.Granted {
+		return p
+	}
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.entry(r.Cell).grants[w.Seq] = wire.Grant{Seq: w.Seq, Target: v.Target, Customer: w.Customer, Work: max(w.Output, 1)}
+
+	return p
+}
+
+func clamp(n int) uint32 {
+	return uint32(min(max(n, 0), math.MaxInt32)) //nolint:gosec // Bounded.
+}
--- /dev/null
+++ b/internal/commander/router.go
@@ -0,0 +1,87 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"go.uber.org/fx"
+
+	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/resolver"
+	"github.com/auburntray/auburntray/internal/router"
+)
+
+func newRouter() *cobra.Command {
+	var (
+		s     resolver.Router
+		check bool
+	)
+
+	t := s.Table()
+	c := &cobra.Command{
+		Use:   "router",
+		Short: "Run an entry instance until SIGTERM, then stop as planned",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := t.Read(c.Flags()); err != nil {
+				return err
+			}
+
+			if check {
+				_, err := fmt.Fprintln(c.OutOrStdout(), "the settings are valid")
+
+				return err
+			}
+
+			return runRouter(s)
+		},
+	}
+
+	t.AddFlags(c.Flags())
+	c.Flags().BoolVar(&check, "check", false, "check the settings and end")
+
+	return c
+}
+
+func runRouter(s resolver.Router) error {
+	if err := SetUpLogs(s.LogLevel); err != nil {
+		return errors.Mark(err, ErrUsage)
+	}
+
+	a := fx.New(router.Options(s), fx.Invoke(func(n *counter.Counter) { n.Publish() }))
+	if err := a.Err(); err != nil {
+		return err
+	}
+
+	x, stop := context.WithTimeout(context.Background(), a.StartTimeout())
+	defer stop()
+
+	if err := a.Start(x); err != nil {
+		return err
+	}
+
+	<-a.Done()
+
+	y, end := context.WithTimeout(context.Background(), a.StopTimeout())
+	defer end()
+
+	return a.Stop(y)
+}
+
+func newSettings() *cobra.Command {
+	return &cobra.Command{
+		Use:    "settings",
+		Short:  "Print the table of settings as a page",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var s resolver.Router
+
+			_, err := fmt.Fprint(c.OutOrStdout(), s.Table().Page())
+
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/driver/chat.go
@@ -0,0 +1,133 @@
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/exchanger"
+	"github.com/auburntray/auburntray/internal/sender"
+	"github.com/auburntray/auburntray/internal/standin/engine"
+)
+
+const (
+	chartLines   = 60
+	historyLimit = 24
+)
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chat is a chat that returns, longer each time.
+type chat struct {
+	name     string
+	customer string
+	place    string
+	turn     int
+	messages []message
+}
+
+func newChat(i int, s Settings) *chat {
+	c := s.Customers[i%len(s.Customers)]
+	// The chats of a customer share the beginning of their prompts.
+	p := strings.Repeat("Line of the chart of accounts of "+c+". ", chartLines)
+
+	return &chat{name: fmt.Sprintf("chat-%d", i), customer: c, messages: []message{{Role: "system", Content: p}}}
+}
+
+// talk sends the chat's next message and checks the answer.
+func (d *Driver) talk(c context.Context, h *chat) {
+	h.turn++
+	n := 1 + d.intN(max(d.settings.Tokens, 1))
+	q := fmt.Sprintf("%s asks question %d: %s", h.name, h.turn, strings.Repeat("Which cells fit? ", 1+d.intN(20))) //nolint:mnd // A spread of lengths.
+	h.messages = append(h.messages, message{Role: "user", Content: q})
+
+	b, err := json.Marshal(map[string]any{
+		"model": d.settings.Model, "messages": h.messages, "stream": true, "max_tokens": n,
+	})
+	if err != nil {
+		d.result.add(Failed, "request", 0, 0)
+
+		return
+	}
+
+	x := http.Header{"Content-Type": {"application/json"}}
+	x.Set(exchanger.HeaderCustomer, h.customer)
+	x.Set(exchanger.HeaderChat, h.name)
+	x.Set(exchanger.HeaderDeadline, d.settings.Deadline.String())
+
+	if h.place != "" {
+		x.Set(exchanger.HeaderPlace, h.place)
+	}
+
+	a := d.send(c, call{path: "/v1/chat/completions", body: b, header: x}, d.readStream)
+	if a.outcome == Served && string(a.body) != strings.Join(engine.Answer(q, n), "") {
+		a.outcome = Wrong
+	}
+
+	d.result.add(a.outcome, a.code, a.first, a.total)
+	h.note(a)
+}
+
+// note takes the answer into the chat, or the question out of it.
+func (h *chat) note(a answer) {
+	if a.outcome != Served {
+		h.messages = h.messages[:len(h.messages)-1]
+
+		return
+	}
+
+	h.place = a.header.Get(exchanger.HeaderPlace)
+	h.messages = append(h.messages, message{Role: "assistant", Content: string(a.body)})
+
+	if len(h.messages) > historyLimit {
+		h.messages = h.messages[:1]
+	}
+}
+
+// readStream reads a streamed answer. One that ends without its end is cut.
+func (d *Driver) readStream(r *http.Response) ([]byte, time.Time, error) {
+	var (
+		b     strings.Builder
+		first time.Time
+	)
+
+	e := sender.NewEventReader(r.Body)
+
+	for {
+		v, err := e.Next()
+		if err != nil {
+			return nil, first, errors.Mark(err, errCut)
+		}
+
+		if v.Prompt > 0 {
+			d.result.tokens(v.Prompt, v.Cached)
+		}
+
+		if v.Done {
+			// Reading on to the end tells a normal end from a connection
+			// that was closed behind the last event.
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return nil, first, errors.Mark(err, errCut)
+			}
+
+			return []byte(b.String()), first, nil
+		}
+
+		if v.Content {
+			if first.IsZero() {
+				first = time.Now()
+			}
+
+			b.WriteString(v.Text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,385 @@
+// Package gossiper decides which routers are live, from signs of life that they
+// pass on to each other.
+package gossiper
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sort"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// Settings bounds the gossip.
+type Settings struct {
+	// Fanout is to how many routers a tick sends.
+	Fanout int
+	// Near and Far are how many beats of the own data centre and of others a
+	// message carries.
+	Near, Far int
+	// NearTimeout and FarTimeout are how long after its last new beat a router
+	// of the own data centre, or of another, counts as live.
+	NearTimeout, FarTimeout time.Duration
+	// SuspectFor is how long a router that could not be reached is passed over.
+	SuspectFor time.Duration
+}
+
+// DefaultSettings returns the settings that routers use with a tick a second.
+func DefaultSettings() Settings {
+	return Settings{
+		Fanout: 2, Near: 16, Far: 8, //nolint:mnd // Named by the fields.
+		NearTimeout: 6 * time.Second,  //nolint:mnd // Named by the field.
+		FarTimeout:  20 * time.Second, //nolint:mnd // Named by the field.
+		SuspectFor:  3 * time.Second,  //nolint:mnd // Named by the field.
+	}
+}
+
+// forgetAfter is how long a dead router is remembered, so that late gossip
+// can't bring it back.
+const forgetAfter = 10 * time.Minute
+
+// Member is a router as the others know it. Its ID is higher than that of any
+// earlier process at its address.
+type Member struct {
+	ID         uint64
+	Address    netip.AddrPort
+	Region     string
+	DataCentre string
+}
+
+type entry struct {
+	Member
+
+	count     uint32
+	leaving   bool
+	fresh     time.Time
+	suspected time.Time
+	sent      int
+}
+
+// Gossiper holds what one router knows of the others. It is not safe for
+// concurrent use.
+type Gossiper struct {
+	settings Settings
+	random   *rand.Rand
+	self     *entry
+	entries  map[uint64]*entry
+	unknown  map[uint64]bool
+	ticks    int
+}
+
+// Message is gossip with the address that it goes to.
+type Message struct {
+	To     netip.AddrPort
+	Gossip wire.Gossip
+}
+
+// New returns a Gossiper that knows only its own router.
+func New(s Settings, r *rand.Rand, self Member) *Gossiper {
+	e := &entry{Member: self, count: 1}
+
+	return &Gossiper{
+		settings: s,
+		random:   r,
+		self:     e,
+		entries:  map[uint64]*entry{self.ID: e},
+		unknown:  make(map[uint64]bool),
+	}
+}
+
+// Introduce makes a router known. It counts as live from now until its timeout
+// unless it is known already, or a newer process has its address.
+func (g *Gossiper) Introduce(now time.Time, m Member) {
+	if _, ok := g.entries[m.ID]; ok {
+		return
+	}
+
+	for id, e := range g.entries {
+		if e.Address != m.Address {
+			continue
+		}
+
+		if e.ID > m.ID || e == g.self {
+			return
+		}
+
+		delete(g.entries, id)
+	}
+
+	delete(g.unknown, m.ID)
+	g.entries[m.ID] = &entry{Member: m, fresh: now}
+}
+
+// Leave tells the others from the next tick on that this router is stopping.
+func (g *Gossiper) Leave() {
+	g.self.leaving = true
+}
+
+// Suspect passes a router over for a while because a call to it failed. A call
+// finds a dead router within milliseconds, where its missing beats take
+// seconds.
+func (g *Gossiper) Suspect(now time.Time, id uint64) {
+	if e, ok := g.entries[id]; ok && e != g.self {
+		e.suspected = now
+	}
+}
+
+// Tick counts this router's beat up and returns the gossip to send.
+func (g *Gossiper) Tick(now time.Time, revision uint64) []Message {
+	g.self.count++
+	g.self.fresh = now
+	g.ticks++
+	g.forget(now)
+
+	var o []Message
+
+	for _, e := range g.partners(now) {
+		o = append(o, Message{To: e.Address, Gossip: g.gossip(revision)})
+	}
+
+	return o
+}
+
+// Receive takes gossip and returns the routers to introduce to the sender.
+func (g *Gossiper) Receive(now time.Time, w wire.Gossip) []wire.Member {
+	for _, m := range w.Members {
+		a, err := netip.ParseAddrPort(m.Address)
+		if err == nil {
+			g.Introduce(now, Member{ID: m.ID, Address: a, Region: m.Region, DataCentre: m.DataCentre})
+		}
+	}
+
+	for _, b := range w.Beats {
+		g.beat(now, b)
+	}
+
+	var o []wire.Member
+
+	for _, id := range w.Unknown {
+		if e, ok := g.entries[id]; ok {
+			o = append(o, introduction(e.Member))
+		}
+	}
+
+	return o
+}
+
+// Live returns the routers that may be given work, in the order of their IDs.
+// The own router is among them until it leaves.
+func (g *Gossiper) Live(now time.Time) []Member {
+	o := make([]Member, 0, len(g.entries))
+
+	for _, e := range g.entries {
+		if !e.leaving && g.live(now, e) && !(now.Sub(e.suspected) < g.settings.SuspectFor) {
+			o = append(o, e.Member)
+		}
+	}
+
+	sort.Slice(o, func(a, b int) bool { return o[a].ID < o[b].ID })
+
+	return o
+}
+
+// Address returns the address of a router, and false when it is not known.
+func (g *Gossiper) Address(id uint64) (netip.AddrPort, bool) {
+	e, ok := g.entries[id]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+
+	return e.Address, true
+}
+
+// Home returns the router that is responsible for a key: the first by
+// rendezvous among the live ones in the given data centres, or among all live
+// ones when none is there. It fails only when this router leaves and knows no
+// other.
+func (g *Gossiper) Home(now time.Time, key uint64, centres []string) (Member, bool) {
+	l := g.Live(now)
+	n := l
+
+	if len(centres) > 0 {
+		n = within(l, centres)
+	}
+
+	if len(n) == 0 {
+		n = l
+	}
+
+	if len(n) == 0 {
+		return Member{}, false
+	}
+
+	r := hasher.Rank(key, len(n),
+		func(i int) uint64 { return n[i].ID },
+		func(int) float64 { return 1 })
+
+	return n[r[0]], true
+}
+
+func within(l []Member, centres []string) []Member {
+	var o []Member
+
+	for _, m := range l {
+		for _, c := range centres {
+			if m.DataCentre == c {
+				o = append(o, m)
+			}
+		}
+	}
+
+	return o
+}
+
+func (g *Gossiper) live(now time.Time, e *entry) bool {
+	if e == g.self {
+		return true
+	}
+
+	if e.DataCentre == g.self.DataCentre {
+		return now.Sub(e.fresh) < g.settings.NearTimeout
+	}
+
+	return now.Sub(e.fresh) < g.settings.FarTimeout
+}
+
+// beat takes a sign of life. Only a higher count is one: gossip that went
+// round for long carries counts already seen.
+func (g *Gossiper) beat(now time.Time, b wire.Beat) {
+	e, ok := g.entries[b.ID]
+	if !ok {
+		g.unknown[b.ID] = true
+
+		return
+	}
+
+	if e == g.self || b.Count <= e.count {
+		return
+	}
+
+	e.count = b.Count
+	e.fresh = now
+	e.suspected = time.Time{}
+	// Leaving is final for a process: its successor has another ID.
+	e.leaving = e.leaving || b.Leaving
+}
+
+// partners chooses whom to send to: one of the own data centre and the others
+// from everywhere, and now and then one that seems dead, so that two sides of
+// a cut find each other again.
+func (g *Gossiper) partners(now time.Time) []*entry {
+	var near, all, dead []*entry
+
+	for _, e := range g.sorted() {
+		switch {
+		case e == g.self || e.leaving:
+		case !g.live(now, e):
+			dead = append(dead, e)
+		default:
+			all = append(all, e)
+
+			if e.DataCentre == g.self.DataCentre {
+				near = append(near, e)
+			}
+		}
+	}
+
+	var o []*entry
+
+	o = g.choose(o, near, 1)
+	o = g.choose(o, all, g.settings.Fanout)
+
+	if g.ticks%2 == 0 || len(o) == 0 {
+		o = g.choose(o, dead, len(o)+1)
+	}
+
+	return o
+}
+
+// choose adds random ones of l to o until it has n.
+func (g *Gossiper) choose(o, l []*entry, n int) []*entry {
+	for _, i := range g.random.Perm(len(l)) {
+		if len(o) >= n {
+			break
+		}
+
+		d := false
+		for _, x := range o {
+			d = d || x == l[i]
+		}
+
+		if !d {
+			o = append(o, l[i])
+		}
+	}
+
+	return o
+}
+
+func (g *Gossiper) gossip(revision uint64) wire.Gossip {
+	w := wire.Gossip{From: g.self.ID, Revision: revision, Members: []wire.Member{introduction(g.self.Member)}}
+	w.Beats = append(w.Beats, g.stamp(g.self))
+
+	var near, far []*entry
+
+	for _, e := range g.sorted() {
+		switch {
+		case e == g.self:
+		case e.DataCentre == g.self.DataCentre:
+			near = append(near, e)
+		default:
+			far = append(far, e)
+		}
+	}
+
+	for _, e := range append(leastSent(near, g.settings.Near), leastSent(far, g.settings.Far)...) {
+		w.Beats = append(w.Beats, g.stamp(e))
+	}
+
+	for id := range g.unknown {
+		w.Unknown = append(w.Unknown, id)
+	}
+
+	clear(g.unknown)
+
+	return w
+}
+
+func (g *Gossiper) stamp(e *entry) wire.Beat {
+	e.sent++
+
+	return wire.Beat{ID: e.ID, Count: e.count, Leaving: e.leaving}
+}
+
+// forget drops routers that have been dead for long.
+func (g *Gossiper) forget(now time.Time) {
+	for id, e := range g.entries {
+		if e != g.self && now.Sub(e.fresh) > forgetAfter {
+			delete(g.entries, id)
+		}
+	}
+}
+
+func (g *Gossiper) sorted() []*entry {
+	o := make([]*entry, 0, len(g.entries))
+	for _, e := range g.entries {
+		o = append(o, e)
+	}
+
+	sort.Slice(o, func(a, b int) bool { return o[a].ID < o[b].ID })
+
+	return o
+}
+
+// leastSent returns the n entries that were passed on least often.
+func leastSent(l []*entry, n int) []*entry {
+	sort.SliceStable(l, func(a, b int) bool { return l[a].sent < l[b].sent })
+
+	return l[:min(n, len(l))]
+}
+
+func introduction(m Member) wire.Member {
+	return wire.Member{ID: m.ID, Address: m.Address.String(), Region: m.Region, DataCentre: m.DataCentre}
+}
--- /dev/null
+++ b/internal/granter/choose.go
@@ -0,0 +1,192 @@
+package granter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/picker"
+	"github.com/auburntray/auburntray/internal/placer"
+)
+
+const (
+	// reportWindow covers the lag of load reports: a report is compared with
+	// the highest own count of the last one to two windows.
+	reportWindow = 2 * time.Second
+	// reportTimeout is how long a report counts.
+	reportTimeout = 6 * time.Second
+	// The times at which refused callers are told to come back.
+	retryAtLeast = time.Second
+	retrySpread  = 2 * time.Second
+)
+
+// candidates fills the picker's view of the cell and counts the usable ones.
+func (g *Granter) candidates(now time.Time, a Ask) ([]picker.Candidate, int) {
+	c := g.scratch[:0]
+	n := 0
+	p := g.panic(now)
+
+	for _, t := range g.targets {
+		l, r := g.load(now, t)
+		s := a.Allowed == nil || a.Allowed(t.ID)
+		o := !s || g.tracker.Get(t.ID).Leaving || slices.Contains(a.Excluded, t.ID) || (!p && g.ejector.Out(now, t.ID))
+
+		if !o {
+			n++
+		}
+
+		c = append(c, picker.Candidate{
+			ID:      t.ID,
+			Weight:  float64(t.Capacity),
+			Load:    l,
+			Counted: !o,
+			Out:     o || r >= t.Capacity,
+		})
+	}
+
+	g.scratch = c
+
+	return c, n
+}
+
+func (g *Granter) panic(now time.Time) bool {
+	n := make([]uint32, len(g.targets))
+	for i, t := range g.targets {
+		n[i] = t.ID
+	}
+
+	return g.ejector.Panic(now, n)
+}
+
+// load returns the work and requests on a target: what this home granted, and
+// what others must have sent. Two routers that both believe to be the home each
+// see the other's part only in the target's reports; without it they would
+// bury the target together.
+func (g *Granter) load(now time.Time, t *target) (work float64, requests int) {
+	if t.reported < 0 || now.Sub(t.reportedAt) > reportTimeout {
+		return t.work, t.requests
+	}
+
+	f := t.reported - max(t.peak, t.before)
+	if f <= 0 {
+		return t.work, t.requests
+	}
+
+	return t.work + float64(f)*g.meanWork(), t.requests + f
+}
+
+// meanWork is the work of an average grant.
+func (g *Granter) meanWork() float64 {
+	var w float64
+
+	n := 0
+
+	for _, t := range g.targets {
+		w += t.work
+		n += t.requests
+	}
+
+	if n == 0 {
+		return 1
+	}
+
+	return w / float64(n)
+}
+
+// place returns the index of the target that holds the chat's prefix and the
+// length held there, or picker.NoTarget.
+func (g *Granter) place(a Ask) (index, tokens int) {
+	if a.Chat == 0 {
+		return picker.NoTarget, 0
+	}
+
+	p, ok := g.places.Get(a.Chat)
+	if !ok {
+		// The caller's token rebuilds what a lost home knew. The length is not
+		// known then, so the work is counted in full.
+		p = placer.Place{Target: a.Hint}
+	}
+
+	for i, t := range g.targets {
+		if t.ID == p.Target {
+			return i, p.Tokens
+		}
+	}
+
+	return picker.NoTarget, 0
+}
+
+func (g *Granter) work(prompt, output int) float64 {
+	return float64(prompt)*g.settings.PrefillCost + float64(max(output, 1))
+}
+
+// capacity sums the requests that the usable candidates run at once.
+func (g *Granter) capacity(c []picker.Candidate) float64 {
+	n := 0.0
+
+	for _, x := range c {
+		if x.Counted {
+			n += x.Weight
+		}
+	}
+
+	return n
+}
+
+func (g *Granter) grant(now time.Time, a Ask, t *target, w float64) {
+	g.ejector.Probe(now, t.ID)
+	g.start(now, Grant{ID: a.ID, Target: t.ID, Customer: a.Customer, Work: w}, a.Weight)
+
+	if a.Chat != 0 && t.Engine {
+		g.places.Put(now, a.Chat, placer.Place{Target: t.ID, Tokens: a.Prompt + a.Output})
+	}
+}
+
+func (g *Granter) start(now time.Time, x Grant, weight float64) {
+	g.grants[x.ID] = x
+	g.sharer.Start(now, x.Customer, weight, 1)
+
+	t, ok := g.byID[x.Target]
+	if !ok {
+		return
+	}
+
+	t.work += x.Work
+	t.requests++
+	t.peak = max(t.peak, t.requests)
+}
+
+func (g *Granter) drop(id ID) {
+	x, ok := g.grants[id]
+	if !ok {
+		return
+	}
+
+	delete(g.grants, id)
+	g.sharer.Finish(x.Customer, 1)
+
+	t, ok := g.byID[x.Target]
+	if !ok {
+		return
+	}
+
+	t.work = max(t.work-x.Work, 0)
+	t.requests--
+}
+
+// roll starts a new window of peaks when the present one is over.
+func (g *Granter) roll(now time.Time) {
+	if now.Sub(g.window) < reportWindow {
+		return
+	}
+
+	g.window = now
+
+	for _, t := range g.targets {
+		t.before = t.peak
+		t.peak = t.requests
+	}
+}
+
+func (g *Granter) refuse(r Reason) Verdict {
+	return Verdict{Reason: r, RetryAfter: retryAtLeast + time.Duration(g.random.Int64N(int64(retrySpread)))}
+}
--- /dev/null
+++ b/internal/granter/granter.go
@@ -0,0 +1,382 @@
+// Package granter decides, for one cell of targets, which target each request
+// goes to. One instance at a time, the cell's home, holds the cell's Granter,
+// so that the loads it decides on are exact and a place is granted once.
+package granter
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/ejector"
+	"github.com/auburntray/auburntray/internal/picker"
+	"github.com/auburntray/auburntray/internal/placer"
+	"github.com/auburntray/auburntray/internal/sharer"
+	"github.com/auburntray/auburntray/internal/tracker"
+)
+
+// Settings are the constants of a Granter.
+type Settings struct {
+	Picker  picker.Settings
+	Ejector ejector.Settings
+	// PrefillCost is the work of one uncached prompt token, in output tokens.
+	PrefillCost float64
+	// PlaceBytes bounds the memory for places.
+	PlaceBytes int
+	// EntryTimeout is how long the grants of an entry instance count after it
+	// was last heard of.
+	EntryTimeout time.Duration
+}
+
+// DefaultSettings returns the settings that routers use.
+func DefaultSettings() Settings {
+	return Settings{
+		Picker:       picker.DefaultSettings(),
+		Ejector:      ejector.DefaultSettings(),
+		PrefillCost:  0.1,              //nolint:mnd // Named by the field.
+		PlaceBytes:   32 << 20,         //nolint:mnd // Named by the field.
+		EntryTimeout: 15 * time.Second, //nolint:mnd // Named by the field.
+	}
+}
+
+// ID names a grant: the entry instance that asked and its own number for it.
+type ID struct {
+	Entry uint64
+	Seq   uint32
+}
+
+// Target is a target of the cell.
+type Target struct {
+	ID       uint32
+	Capacity int
+	Engine   bool
+}
+
+// Ask is a request for a place.
+type Ask struct {
+	ID       ID
+	Chat     uint64
+	Customer uint32
+	Weight   float64
+	// Prompt and Output are the prompt's length and the expected answer's, in
+	// tokens.
+	Prompt int
+	Output int
+	// Hint is the target that served the chat last by the caller's word; zero
+	// means that the caller has none. It is taken only for a chat that is not
+	// remembered, and never past the bound.
+	Hint uint32
+	// Allowed says which targets the rule selects; nil allows all.
+	Allowed func(target uint32) bool
+	// Excluded are targets that were tried already.
+	Excluded []uint32
+}
+
+// Reason says why an Ask was refused.
+type Reason uint8
+
+// The reasons.
+const (
+	// Granted is no refusal.
+	Granted Reason = iota
+	// Full means that no target has room.
+	Full
+	// OverShare means that the customer has its share and no capacity is idle.
+	OverShare
+	// NoTargets means that no target in service is selected.
+	NoTargets
+)
+
+// String returns the reason's name.
+func (r Reason) String() string {
+	return [...]string{"granted", "full", "overShare", "noTargets"}[r]
+}
+
+// Verdict is the answer to an Ask.
+type Verdict struct {
+	Reason Reason
+	Target uint32
+	// Returned says that the target holds the chat's prefix by what is known.
+	Returned bool
+	// RetryAfter is when to ask again after a refusal.
+	RetryAfter time.Duration
+}
+
+// Grant is one granted place.
+type Grant struct {
+	ID       ID
+	Target   uint32
+	Customer uint32
+	Work     float64
+}
+
+// Outcome is how a granted request ended.
+type Outcome struct {
+	// OK says that the target answered; a caller's own fault counts as OK.
+	OK bool
+	// NeverSent says that the target did not see the request and was not found
+	// failing either.
+	NeverSent bool
+	// Requests is the number of requests in flight that the target reported
+	// with its answer; negative means no report.
+	Requests int
+	State    tracker.State
+}
+
+type target struct {
+	Target
+
+	work     float64
+	requests int
+	// peak and before are the highest own counts of the present and the last
+	// window; a lagging report is compared with them.
+	peak, before int
+	reported     int
+	reportedAt   time.Time
+}
+
+// Granter holds the cell's counts. It is not safe for concurrent use.
+type Granter struct {
+	settings Settings
+	random   *rand.Rand
+	targets  []*target
+	byID     map[uint32]*target
+	grants   map[ID]Grant
+	entries  map[uint64]time.Time
+	places   *placer.Placer
+	sharer   *sharer.Sharer
+	ejector  *ejector.Ejector
+	tracker  *tracker.Tracker
+	window   time.Time
+	scratch  []picker.Candidate
+}
+
+// New returns a Granter without targets. The random source spreads the times
+// at which refused callers come back.
+func New(s Settings, r *rand.Rand) *Granter {
+	return &Granter{
+		settings: s,
+		random:   r,
+		byID:     make(map[uint32]*target),
+		grants:   make(map[ID]Grant),
+		entries:  make(map[uint64]time.Time),
+		places:   placer.New(s.PlaceBytes),
+		sharer:   sharer.New(),
+		ejector:  ejector.New(s.Ejector),
+		tracker:  tracker.New(),
+	}
+}
+
+// Update sets the targets of the cell and the bound that is in force.
+func (g *Granter) Update(t []Target, loadFactor float64) {
+	k := make(map[uint32]*target, len(t))
+	l := make([]*target, 0, len(t))
+
+	for _, x := range t {
+		o, ok := g.byID[x.ID]
+		if !ok {
+			o = &target{reported: -1}
+		}
+
+		o.Target = x
+		k[x.ID] = o
+		l = append(l, o)
+	}
+
+	for id := range g.byID {
+		if _, ok := k[id]; !ok {
+			g.ejector.Forget(id)
+			g.tracker.Forget(id)
+		}
+	}
+
+	g.byID = k
+	g.targets = l
+	g.settings.Picker.LoadFactor = loadFactor
+	g.settings.Picker.StickFactor = min(g.settings.Picker.StickFactor, loadFactor)
+}
+
+// Ask decides on a request for a place. A grant counts until Release, or until
+// its entry instance is forgotten. Asking twice with one ID returns the same
+// grant.
+func (g *Granter) Ask(now time.Time, a Ask) Verdict {
+	if o, ok := g.grants[a.ID]; ok {
+		return Verdict{Target: o.Target}
+	}
+
+	g.roll(now)
+	g.entries[a.ID.Entry] = now
+
+	c, n := g.candidates(now, a)
+	if n == 0 {
+		return g.refuse(NoTargets)
+	}
+
+	p, h := g.place(a)
+	w := g.work(a.Prompt, a.Output)
+	r := picker.Request{
+		Chat:      a.Chat,
+		Customer:  a.Customer,
+		Share:     g.sharer.Share(a.Customer),
+		Place:     p,
+		Work:      w,
+		PlaceWork: g.work(max(a.Prompt-h, 0), a.Output),
+	}
+
+	i := picker.Pick(g.settings.Picker, r, c)
+	if i == picker.NoTarget {
+		return g.refuse(Full)
+	}
+
+	if !g.sharer.Admit(now, a.Customer, a.Weight, 1, g.capacity(c)) {
+		return g.refuse(OverShare)
+	}
+
+	if i == p {
+		w = r.PlaceWork
+	}
+
+	g.grant(now, a, g.targets[i], w)
+
+	return Verdict{Target: g.targets[i].ID, Returned: i == p}
+}
+
+// Release ends a grant. Releasing a grant that is not known, or twice, takes
+// only the report.
+func (g *Granter) Release(now time.Time, id ID, t uint32, o Outcome) {
+	g.roll(now)
+	g.entries[id.Entry] = now
+	g.drop(id)
+
+	x, ok := g.byID[t]
+	if !ok {
+		return
+	}
+
+	if !o.NeverSent {
+		g.ejector.Result(now, t, o.OK)
+	}
+
+	g.Report(now, t, o.Requests, o.State)
+
+	if !o.OK {
+		x.reported = -1
+	}
+}
+
+// Report takes what a target says of itself. A negative number of requests is
+// no report of load; a zero State none of its incarnation.
+func (g *Granter) Report(now time.Time, t uint32, requests int, s tracker.State) {
+	x, ok := g.byID[t]
+	if !ok {
+		return
+	}
+
+	if requests >= 0 {
+		x.reported = requests
+		x.reportedAt = now
+	}
+
+	if s.Incarnation != 0 {
+		g.tracker.Observe(t, s)
+	}
+}
+
+// Probed takes the result of a health check that no request was waiting for.
+func (g *Granter) Probed(now time.Time, t uint32, ok bool) {
+	g.ejector.Result(now, t, ok)
+}
+
+// Sync replaces what is known of an entry's grants by the entry's own list. An
+// entry sends it to a new home and from time to time, so that a lost release
+// or a grant whose answer was lost doesn't count for ever. Grants numbered
+// after upTo are younger than the list and stay.
+func (g *Granter) Sync(now time.Time, entry uint64, upTo uint32, l []Grant) {
+	g.entries[entry] = now
+	k := make(map[ID]bool, len(l))
+
+	for _, x := range l {
+		k[x.ID] = true
+
+		if _, ok := g.grants[x.ID]; !ok {
+			g.start(now, x, 1)
+		}
+	}
+
+	for id := range g.grants {
+		if id.Entry == entry && id.Seq <= upTo && !k[id] {
+			g.drop(id)
+		}
+	}
+}
+
+// Forget drops the grants of an entry that is gone.
+func (g *Granter) Forget(entry uint64) {
+	for id := range g.grants {
+		if id.Entry == entry {
+			g.drop(id)
+		}
+	}
+
+	delete(g.entries, entry)
+}
+
+// Expire forgets the entries that were not heard of for EntryTimeout. Without
+// it the work of a killed entry would count for ever and push its targets'
+// share onto the others.
+func (g *Granter) Expire(now time.Time) {
+	for e, t := range g.entries {
+		if now.Sub(t) > g.settings.EntryTimeout {
+			g.Forget(e)
+		}
+	}
+}
+
+// Remember notes a chat's place, as a former home hands it over.
+func (g *Granter) Remember(now time.Time, chat uint64, p placer.Place) {
+	if _, ok := g.places.Get(chat); !ok {
+		g.places.Put(now, chat, p)
+	}
+}
+
+// Places returns the table of places, for handing it over.
+func (g *Granter) Places() *placer.Placer {
+	return g.places
+}
+
+// Load returns the work and the requests counted on a target.
+func (g *Granter) Load(t uint32) (work float64, requests int) {
+	x, ok := g.byID[t]
+	if !ok {
+		return 0, 0
+	}
+
+	return x.work, x.requests
+}
+
+// Len returns the number of grants that count.
+func (g *Granter) Len() int {
+	return len(g.grants)
+}
+
+// State returns what is known of a target's incarnation.
+func (g *Granter) State(t uint32) tracker.State {
+	return g.tracker.Get(t)
+}
+
+// Ejected says that a target is out because it failed.
+func (g *Granter) Ejected(now time.Time, t uint32) bool {
+	return g.ejector.Out(now, t)
+}
+
+// Idle lists the targets that have not reported since a time.
+func (g *Granter) Idle(since time.Time) []uint32 {
+	var o []uint32
+
+	for _, t := range g.targets {
+		if t.reportedAt.Before(since) {
+			o = append(o, t.ID)
+		}
+	}
+
+	return o
+}
--- /dev/null
+++ b/internal/hasher/hasher.go
@@ -0,0 +1,80 @@
+// Package hasher orders candidates by rendezvous hashing.
+//
+// Rendezvous hashing gives every key its own order of candidates. When a
+// candidate leaves, only the keys that had it first move; no ring or table has
+// to be agreed between instances.
+package hasher
+
+import (
+	"encoding/binary"
+	"math"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	wordBytes    = 8
+	mantissaBits = 53
+)
+
+// Name returns the 32-bit hash of a name. It is safe for concurrent use. The
+// parser refuses documents in which two names of a kind collide.
+func Name(name string) uint32 {
+	return uint32(xxhash.Sum64String(name)) //nolint:gosec // The low half is the hash.
+}
+
+// Key returns the 64-bit hash of the parts, kept apart by their lengths so that
+// ("ab", "c") and ("a", "bc") differ. It is safe for concurrent use.
+func Key(parts ...string) uint64 {
+	d := xxhash.New()
+
+	var b [wordBytes]byte
+
+	for _, p := range parts {
+		binary.LittleEndian.PutUint64(b[:], uint64(len(p)))
+		_, _ = d.Write(b[:])
+		_, _ = d.WriteString(p)
+	}
+
+	return d.Sum64()
+}
+
+// Score returns the weighted rendezvous score of a candidate for a key: the
+// highest score wins, and a candidate wins in proportion to its weight. A
+// weight of zero or less never wins. It is safe for concurrent use.
+//
+// Source: Schindelhauer and Schomaker, "Weighted distributed hash tables"
+// (2005), the logarithmic method.
+func Score(key, candidate uint64, weight float64) float64 {
+	if weight <= 0 {
+		return math.Inf(-1)
+	}
+
+	var b [2 * wordBytes]byte
+
+	binary.LittleEndian.PutUint64(b[:wordBytes], key)
+	binary.LittleEndian.PutUint64(b[wordBytes:], candidate)
+
+	h := xxhash.Sum64(b[:]) >> (64 - mantissaBits)
+	u := (float64(h) + 0.5) / (1 << mantissaBits)
+
+	return -weight / math.Log(u)
+}
+
+// Rank returns the indexes 0..n-1 ordered by falling score. The candidate and
+// weight functions are called once for each index. It is safe for concurrent
+// use when they are.
+func Rank(key uint64, n int, candidate func(int) uint64, weight func(int) float64) []int {
+	s := make([]float64, n)
+	r := make([]int, n)
+
+	for i := range n {
+		s[i] = Score(key, candidate(i), weight(i))
+		r[i] = i
+	}
+
+	sort.SliceStable(r, func(a, b int) bool { return s[r[a]] > s[r[b]] })
+
+	return r
+}
--- /dev/null
+++ b/internal/keeper/keeper.go
@@ -0,0 +1,343 @@
+// Package keeper runs the Granters of the cells that this router is home to.
+package keeper
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/granter"
+	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/parser"
+	"github.com/auburntray/auburntray/internal/placer"
+	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/tracker"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const (
+	sweepEvery = time.Second
+	// idleAfter is how long a cell that nobody asks for is kept.
+	idleAfter = 2 * time.Minute
+)
+
+var (
+	// ErrMessage marks a message that can't be read.
+	ErrMessage = errors.New("the message is not valid")
+	// ErrUnknownCell means that the configuration in force here has no such
+	// cell; the asker's may be newer or older.
+	ErrUnknownCell = errors.New("no such cell")
+)
+
+// home is one cell's Granter. Requests for different cells don't wait for each
+// other.
+type home struct {
+	mu      sync.Mutex
+	granter *granter.Granter
+	used    time.Time
+}
+
+// Keeper answers asks for the cells that come to it. It does not check that it
+// is a cell's home: whoever asks believes so, and refusing would leave the
+// request without a place while routers disagree.
+type Keeper struct {
+	settings granter.Settings
+	force    func() *follower.Force
+	prober   prober
+
+	mu    sync.Mutex
+	homes map[uint32]*home
+	// states keeps what the platform's list said of targets, for cells that
+	// this router becomes the home of later.
+	states *tracker.Tracker
+}
+
+// New returns a Keeper without cells.
+func New(s granter.Settings, force func() *follower.Force, p prober) *Keeper {
+	return &Keeper{settings: s, force: force, prober: p, homes: make(map[uint32]*home), states: tracker.New()}
+}
+
+// Run sweeps the cells until the context ends. The function says whether this
+// router is a cell's home.
+func (k *Keeper) Run(c context.Context, mine func(*matcher.Cell) bool) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			k.sweep(c, mine)
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+// Update brings a new configuration to all cells.
+func (k *Keeper) Update(f *follower.Force) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	for id, h := range k.homes {
+		x := f.Matcher.Cell(id)
+		if x == nil {
+			delete(k.homes, id)
+
+			continue
+		}
+
+		h.mu.Lock()
+		h.granter.Update(targets(x), f.Matcher.LoadFactor())
+		h.mu.Unlock()
+	}
+}
+
+// Ask decides on a request for a place. It fails with ErrUnknownCell.
+func (k *Keeper) Ask(now time.Time, w wire.Ask) (wire.Verdict, error) {
+	f := k.force()
+
+	h, err := k.home(now, f, w.Cell)
+	if err != nil {
+		return wire.Verdict{}, err
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.used = now
+	v := h.granter.Ask(now, granter.Ask{
+		ID:       granter.ID{Entry: w.Entry, Seq: w.Seq},
+		Chat:     w.Chat,
+		Customer: w.Customer,
+		Weight:   f.Matcher.Weight(w.Customer),
+		Prompt:   int(w.Prompt),
+		Output:   int(w.Output),
+		Hint:     w.Hint,
+		Allowed:  allowed(f.Matcher, w.Rule),
+		Excluded: w.Excluded,
+	})
+
+	return wire.Verdict{
+		Reason: uint8(v.Reason), Target: v.Target, Returned: v.Returned,
+		RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), //nolint:gosec // A few seconds.
+	}, nil
+}
+
+// Release ends a grant.
+func (k *Keeper) Release(now time.Time, w wire.Release) {
+	h, err := k.home(now, k.force(), w.Cell)
+	if err != nil {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.granter.Release(now, granter.ID{Entry: w.Entry, Seq: w.Seq}, w.Target, granter.Outcome{
+		OK: w.OK, NeverSent: w.NeverSent, Requests: int(w.Requests),
+		State: tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving},
+	})
+}
+
+// Sync takes an entry's list of its grants in a cell.
+func (k *Keeper) Sync(now time.Time, w wire.Sync) {
+	h, err := k.home(now, k.force(), w.Cell)
+	if err != nil {
+		return
+	}
+
+	l := make([]granter.Grant, len(w.Grants))
+	for i, g := range w.Grants {
+		l[i] = granter.Grant{
+			ID: granter.ID{Entry: w.Entry, Seq: g.Seq}, Target: g.Target, Customer: g.Customer, Work: float64(g.Work),
+		}
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.granter.Sync(now, w.Entry, w.UpTo, l)
+}
+
+// Seen takes what the platform's list says of a target.
+func (k *Keeper) Seen(i recorder.Instance) {
+	k.Observe(hasher.Name(i.Name), tracker.State{Incarnation: i.Incarnation, Leaving: i.Leaving || i.Gone})
+}
+
+// Observe takes a target's state from a source other than an answer.
+func (k *Keeper) Observe(target uint32, s tracker.State) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	k.states.Observe(target, s)
+
+	for _, h := range k.homes {
+		h.mu.Lock()
+		h.granter.Report(time.Now(), target, -1, s)
+		h.mu.Unlock()
+	}
+}
+
+// HandOver takes the places of a cell from its former home.
+func (k *Keeper) HandOver(now time.Time, w wire.HandOver) {
+	h, err := k.home(now, k.force(), w.Cell)
+	if err != nil {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	for _, p := range w.Places {
+		h.granter.Remember(now, p.Chat, placer.Place{Target: p.Target, Tokens: int(p.Tokens)})
+	}
+}
+
+// Places returns how many chats all cells remember.
+func (k *Keeper) Places() int {
+	n := 0
+
+	for _, h := range k.snapshot() {
+		h.mu.Lock()
+		n += h.granter.Places().Len()
+		h.mu.Unlock()
+	}
+
+	return n
+}
+
+// Each calls f with each cell's identifier and remembered places.
+func (k *Keeper) Each(f func(cell uint32, l []wire.Place)) {
+	for id, h := range k.snapshot() {
+		var l []wire.Place
+
+		h.mu.Lock()
+		h.granter.Places().Each(func(c uint64, p placer.Place) bool {
+			l = append(l, wire.Place{Chat: c, Target: p.Target, Tokens: uint32(p.Tokens)}) //nolint:gosec // Not negative.
+
+			return true
+		})
+		h.mu.Unlock()
+
+		f(id, l)
+	}
+}
+
+// Load returns the work and requests counted on each target of a cell, by the
+// target's name.
+func (k *Keeper) Load(cell *matcher.Cell) map[string]int {
+	k.mu.Lock()
+	h, ok := k.homes[cell.ID]
+	k.mu.Unlock()
+
+	if !ok {
+		return nil
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	o := make(map[string]int, len(cell.Targets))
+	for _, t := range cell.Targets {
+		_, o[t.Name] = h.granter.Load(t.ID)
+	}
+
+	return o
+}
+
+func (k *Keeper) snapshot() map[uint32]*home {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	o := make(map[uint32]*home, len(k.homes))
+	for id, h := range k.homes {
+		o[id] = h
+	}
+
+	return o
+}
+
+// home returns the Granter of a cell, making it when a first ask comes.
+func (k *Keeper) home(now time.Time, f *follower.Force, cell uint32) (*home, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	if h, ok := k.homes[cell]; ok {
+		return h, nil
+	}
+
+	x := f.Matcher.Cell(cell)
+	if x == nil {
+		return nil, ErrUnknownCell
+	}
+
+	r := rand.New(rand.NewPCG(rand.Uint64(), uint64(cell))) //nolint:gosec // Jitter.
+	h := &home{granter: granter.New(k.settings, r), used: now}
+	h.granter.Update(targets(x), f.Matcher.LoadFactor())
+
+	for _, t := range x.Targets {
+		h.granter.Report(now, t.ID, -1, k.states.Get(t.ID))
+	}
+
+	k.homes[cell] = h
+
+	return h, nil
+}
+
+// sweep expires grants, drops unused cells and probes quiet targets of the own
+// cells.
+func (k *Keeper) sweep(c context.Context, mine func(*matcher.Cell) bool) {
+	n := time.Now()
+	f := k.force()
+
+	for _, x := range f.Matcher.Cells() {
+		if mine(x) {
+			if h, err := k.home(n, f, x.ID); err == nil {
+				k.probe(c, n, f.Matcher, h)
+			}
+		}
+	}
+
+	for id, h := range k.snapshot() {
+		h.mu.Lock()
+		h.granter.Expire(n)
+		u := n.Sub(h.used) > idleAfter && h.granter.Len() == 0
+		h.mu.Unlock()
+
+		if x := f.Matcher.Cell(id); u && (x == nil || !mine(x)) {
+			k.mu.Lock()
+			delete(k.homes, id)
+			k.mu.Unlock()
+		}
+	}
+}
+
+func targets(c *matcher.Cell) []granter.Target {
+	o := make([]granter.Target, 0, len(c.Targets))
+
+	for _, t := range c.Targets {
+		if !t.Drain {
+			o = append(o, granter.Target{ID: t.ID, Capacity: t.Capacity, Engine: t.Kind == parser.KindEngine})
+		}
+	}
+
+	return o
+}
+
+func allowed(m *matcher.Matcher, rule uint32) func(uint32) bool {
+	r := m.Rule(rule)
+	if r == nil {
+		return func(uint32) bool { return false }
+	}
+
+	return func(t uint32) bool {
+		x := m.Target(t)
+
+		return x != nil && r.Selects(x)
+	}
+}
--- /dev/null
+++ b/internal/keeper/probe.go
@@ -0,0 +1,64 @@
+package keeper
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/tracker"
+)
+
+const (
+	// quietAfter is how long a target may say nothing before it is probed.
+	// Answers carry the same report, so busy targets are never probed. A
+	// target's own word that it leaves is in force after at most this, one
+	// sweep and one probe.
+	quietAfter   = time.Second
+	probeTimeout = 500 * time.Millisecond
+)
+
+// Health is what a target says of itself.
+type Health struct {
+	// Requests is its load; negative when it reports none.
+	Requests int
+	State    tracker.State
+}
+
+// prober asks a target for its health.
+type prober interface {
+	Probe(c context.Context, a netip.AddrPort) (Health, error)
+}
+
+// probe asks the cell's quiet targets for their health, each in the background.
+func (k *Keeper) probe(c context.Context, now time.Time, m *matcher.Matcher, h *home) {
+	h.mu.Lock()
+	l := h.granter.Idle(now.Add(-quietAfter))
+	h.mu.Unlock()
+
+	for _, id := range l {
+		if t := m.Target(id); t != nil {
+			go k.probeOne(c, h, t)
+		}
+	}
+}
+
+func (k *Keeper) probeOne(c context.Context, h *home, t *matcher.Target) {
+	x, stop := context.WithTimeout(c, probeTimeout)
+	defer stop()
+
+	r, err := k.prober.Probe(x, t.Address)
+	if c.Err() != nil {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	n := time.Now()
+	h.granter.Probed(n, t.ID, err == nil)
+
+	if err == nil {
+		h.granter.Report(n, t.ID, r.Requests, r.State)
+	}
+}
--- /dev/null
+++ b/internal/matcher/cell.go
@@ -0,0 +1,230 @@
+package matcher
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+// A data centre whose part of a pool has fewer targets than minCell shares one
+// cell with the rest of its region: with few targets the mean is coarse and
+// the bound would refuse places that the region still has. Above maxCell a
+// part is split, so that one home's control traffic stays within its budget.
+const (
+	minCell = 8
+	maxCell = 24
+)
+
+// Cell is a set of targets whose load one instance, the cell's home, counts.
+// Every target belongs to exactly one cell, so that exactly one instance at a
+// time grants its places.
+type Cell struct {
+	ID     uint32
+	Name   string
+	Region string
+	// DataCentres are those in which the cell's targets stand, in order.
+	DataCentres []string
+	Targets     []*Target
+}
+
+// Ranked returns the cells that hold targets of a rule, in the order in which
+// a chat tries them: those of the caller's region by capacity, then the
+// others.
+func (m *Matcher) Ranked(r *Rule, region string, chat uint64) []*Cell {
+	o := rank(r.cells[region], r, chat)
+
+	for _, g := range sortedKeys(r.cells) {
+		if g != region {
+			o = append(o, rank(r.cells[g], r, chat)...)
+		}
+	}
+
+	return o
+}
+
+// Cells returns all cells in the order of their names.
+func (m *Matcher) Cells() []*Cell {
+	o := make([]*Cell, 0, len(m.cells))
+	for _, c := range m.cells {
+		o = append(o, c)
+	}
+
+	sort.Slice(o, func(a, b int) bool { return o[a].Name < o[b].Name })
+
+	return o
+}
+
+func rank(c []*Cell, r *Rule, chat uint64) []*Cell {
+	if len(c) < 2 { //nolint:mnd // One cell needs no order.
+		return append([]*Cell(nil), c...)
+	}
+
+	x := hasher.Rank(chat, len(c),
+		func(i int) uint64 { return uint64(c[i].ID) },
+		func(i int) float64 { return float64(c[i].capacity(r)) })
+	o := make([]*Cell, len(c))
+
+	for i, j := range x {
+		o[i] = c[j]
+	}
+
+	return o
+}
+
+// capacity sums what a rule may use of a cell.
+func (c *Cell) capacity(r *Rule) int {
+	n := 0
+
+	for _, t := range c.Targets {
+		if r.Selects(t) {
+			n += t.Capacity
+		}
+	}
+
+	return n
+}
+
+// Selects says that the rule selects a target.
+func (r *Rule) Selects(t *Target) bool {
+	i := sort.Search(len(r.Targets), func(i int) bool { return r.Targets[i].Name >= t.Name })
+
+	return i < len(r.Targets) && r.Targets[i] == t
+}
+
+// joinPools gives rules that share a target the same pool, named for the first
+// rule by name. Two homes that grant places on one target would together pass
+// its bound, each by its own count.
+func joinPools(r []*Rule) {
+	o := append([]*Rule(nil), r...)
+	sort.Slice(o, func(a, b int) bool { return o[a].Name < o[b].Name })
+
+	for _, x := range o {
+		x.pool = x.Name
+	}
+
+	for joined := true; joined; {
+		joined = false
+		p := make(map[*Target]string)
+
+		for _, x := range o {
+			for _, t := range x.Targets {
+				if q, ok := p[t]; ok && q < x.pool {
+					x.pool = q
+					joined = true
+				}
+			}
+
+			for _, t := range x.Targets {
+				p[t] = x.pool
+			}
+		}
+	}
+}
+
+// partition puts the targets of each pool into cells.
+func (m *Matcher) partition() {
+	type part struct{ pool, region, centre string }
+
+	p := make(map[part][]*Target)
+	d := make(map[*Target]bool)
+
+	for _, r := range m.rules {
+		for _, t := range r.Targets {
+			if d[t] {
+				continue
+			}
+
+			d[t] = true
+			k := part{r.pool, t.Region, t.DataCentre}
+			p[k] = append(p[k], t)
+		}
+	}
+
+	for k, t := range p {
+		n := k.pool + "/" + k.region
+
+		if len(t) >= minCell {
+			n += "/" + k.centre
+		}
+
+		m.split(n, k.region, t)
+	}
+
+	m.index()
+}
+
+// split adds targets to the cells of a name. The number of cells is a power of
+// two and each target chooses by rendezvous, so that adding a target moves no
+// other until the number doubles.
+func (m *Matcher) split(name, region string, t []*Target) {
+	n := 1
+	for n*maxCell < len(t) {
+		n *= 2
+	}
+
+	for _, x := range t {
+		i := hasher.Rank(uint64(x.ID), n,
+			func(i int) uint64 { return uint64(i) }, //nolint:gosec // Never negative.
+			func(int) float64 { return 1 })[0]
+		m.add(fmt.Sprintf("%s/%d", name, i), region, x)
+	}
+}
+
+func (m *Matcher) add(name, region string, t *Target) {
+	id := hasher.Name(name)
+	c, ok := m.cells[id]
+
+	if !ok {
+		c = &Cell{ID: id, Name: name, Region: region}
+		m.cells[id] = c
+	}
+
+	c.Targets = append(c.Targets, t)
+}
+
+// index orders each cell and tells each rule its cells.
+func (m *Matcher) index() {
+	for _, r := range m.rules {
+		r.cells = make(map[string][]*Cell)
+	}
+
+	for _, c := range m.Cells() {
+		sort.Slice(c.Targets, func(a, b int) bool { return c.Targets[a].Name < c.Targets[b].Name })
+
+		s := make(map[string]bool)
+		for _, t := range c.Targets {
+			s[t.DataCentre] = true
+		}
+
+		c.DataCentres = sortedKeys(s)
+
+		for _, r := range m.rules {
+			if c.capacity(r) > 0 {
+				r.cells[c.Region] = append(r.cells[c.Region], c)
+			}
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	k := make([]string, 0, len(m))
+	for n := range m {
+		k = append(k, n)
+	}
+
+	sort.Strings(k)
+
+	return k
+}
+
+// Holds says that a target is in the cell.
+func (c *Cell) Holds(target uint32) bool {
+	for _, t := range c.Targets {
+		if t.ID == target {
+			return true
+		}
+	}
+
+	return false
+}
--- /dev/null
+++ b/internal/matcher/matcher.go
@@ -0,0 +1,202 @@
+// Package matcher finds the rule that a request falls under, and the cells of
+// targets that the rule selects.
+package matcher
+
+import (
+	"maps"
+	"net/netip"
+	"sort"
+	"strings"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/parser"
+)
+
+// Labels of the traffic that a rule's selector may name, besides the labels of
+// the customer.
+const (
+	LabelModel    = "model"
+	LabelMethod   = "method"
+	LabelCustomer = "customer"
+)
+
+// Traffic is what is known of a request before it is routed.
+type Traffic struct {
+	Path     string
+	Method   string
+	Model    string
+	Customer string
+}
+
+// Target is a target of the document, read and named.
+type Target struct {
+	parser.Target
+
+	Name    string
+	ID      uint32
+	Address netip.AddrPort
+}
+
+// Rule is a rule of the document with its selectors read.
+type Rule struct {
+	parser.Rule
+
+	Name string
+	ID   uint32
+	// Targets are the selected targets in the order of their names.
+	Targets []*Target
+	traffic labels.Selector
+	pool    string
+	cells   map[string][]*Cell
+}
+
+// Matcher holds one revision of the document in the form that requests need.
+// It never changes, so it is safe for concurrent use.
+type Matcher struct {
+	document *parser.Document
+	rules    []*Rule
+	byID     map[uint32]*Rule
+	targets  map[uint32]*Target
+	cells    map[uint32]*Cell
+	weights  map[uint32]float64
+}
+
+// New returns a Matcher for a checked document.
+func New(d *parser.Document) *Matcher {
+	m := &Matcher{
+		document: d,
+		byID:     make(map[uint32]*Rule, len(d.Rules)),
+		targets:  make(map[uint32]*Target, len(d.Targets)),
+		cells:    make(map[uint32]*Cell),
+		weights:  make(map[uint32]float64, len(d.Customers)),
+	}
+
+	for n, c := range d.Customers {
+		m.weights[hasher.Name(n)] = c.Share()
+	}
+
+	t := readTargets(d)
+	for _, x := range t {
+		m.targets[x.ID] = x
+	}
+
+	m.rules = readRules(d, t)
+	for _, r := range m.rules {
+		m.byID[r.ID] = r
+	}
+
+	joinPools(m.rules)
+	m.partition()
+
+	return m
+}
+
+// Match returns the rule for the traffic, or nil when no rule selects it.
+func (m *Matcher) Match(t Traffic) *Rule {
+	s := labels.Set{LabelModel: t.Model, LabelMethod: t.Method, LabelCustomer: t.Customer}
+	maps.Copy(s, m.document.Customers[t.Customer].Labels)
+
+	for _, r := range m.rules {
+		if strings.HasPrefix(t.Path, r.PathPrefix) && r.traffic.Matches(s) {
+			return r
+		}
+	}
+
+	return nil
+}
+
+// Known says that the document names a customer.
+func (m *Matcher) Known(customer string) bool {
+	_, ok := m.document.Customers[customer]
+
+	return ok
+}
+
+// Rule returns a rule by its identifier, or nil.
+func (m *Matcher) Rule(id uint32) *Rule {
+	return m.byID[id]
+}
+
+// Target returns a target by its identifier, or nil.
+func (m *Matcher) Target(id uint32) *Target {
+	return m.targets[id]
+}
+
+// Cell returns a cell by its identifier, or nil.
+func (m *Matcher) Cell(id uint32) *Cell {
+	return m.cells[id]
+}
+
+// Weight returns a customer's weight by the hash of its name.
+func (m *Matcher) Weight(customer uint32) float64 {
+	if w, ok := m.weights[customer]; ok {
+		return w
+	}
+
+	return parser.DefaultWeight
+}
+
+// LoadFactor returns the bound on an engine's load over the mean.
+func (m *Matcher) LoadFactor() float64 {
+	return m.document.Limits.LoadFactor()
+}
+
+func readTargets(d *parser.Document) []*Target {
+	t := make([]*Target, 0, len(d.Targets))
+
+	for n, x := range d.Targets {
+		a, err := netip.ParseAddrPort(x.Address)
+		if err != nil {
+			continue
+		}
+
+		t = append(t, &Target{Target: x, Name: n, ID: hasher.Name(n), Address: a})
+	}
+
+	sort.Slice(t, func(a, b int) bool { return t[a].Name < t[b].Name })
+
+	return t
+}
+
+// readRules returns the rules in the order in which they are tried.
+func readRules(d *parser.Document, t []*Target) []*Rule {
+	r := make([]*Rule, 0, len(d.Rules))
+
+	for n, x := range d.Rules {
+		s, err := labels.Parse(x.Targets)
+		if err != nil {
+			continue
+		}
+
+		f, err := labels.Parse(x.Traffic)
+		if err != nil {
+			continue
+		}
+
+		r = append(r, &Rule{Rule: x, Name: n, ID: hasher.Name(n), traffic: f, Targets: selected(t, s)})
+	}
+
+	sort.Slice(r, func(a, b int) bool {
+		if r[a].Order != r[b].Order {
+			return r[a].Order < r[b].Order
+		}
+
+		return r[a].Name < r[b].Name
+	})
+
+	return r
+}
+
+func selected(t []*Target, s labels.Selector) []*Target {
+	var o []*Target
+
+	for _, x := range t {
+		if s.Matches(labels.Set(x.Labels)) {
+			o = append(o, x)
+		}
+	}
+
+	return o
+}
--- /dev/null
+++ b/internal/messenger/connection.go
@@ -0,0 +1,160 @@
+package messenger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// connection is an outgoing connection that many calls share.
+type connection struct {
+	conn    net.Conn
+	traffic *Traffic
+
+	writing sync.Mutex
+	mu      sync.Mutex
+	next    uint32
+	waiting map[uint32]chan wire.Frame
+	broken  bool
+}
+
+func newConnection(c net.Conn, t *Traffic) *connection {
+	x := &connection{conn: c, traffic: t, waiting: make(map[uint32]chan wire.Frame)}
+
+	go x.read()
+
+	return x
+}
+
+// call sends a request and waits for its reply.
+func (x *connection) call(c context.Context, k wire.Kind, m msgp.Marshaler) (wire.Frame, error) {
+	w := make(chan wire.Frame, 1)
+
+	id, ok := x.expect(w)
+	if !ok {
+		return wire.Frame{}, ErrUnreachable
+	}
+
+	defer x.forget(id)
+
+	if err := x.write(k, id, m); err != nil {
+		return wire.Frame{}, err
+	}
+
+	select {
+	case f, ok := <-w:
+		if !ok {
+			return f, ErrUnreachable
+		}
+
+		if f.Kind == wire.KindError {
+			return f, ErrRefused
+		}
+
+		return f, nil
+	case <-c.Done():
+		return wire.Frame{}, errors.Mark(c.Err(), ErrTimeout)
+	}
+}
+
+func (x *connection) expect(w chan wire.Frame) (uint32, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	if x.broken {
+		return 0, false
+	}
+
+	x.next++
+	if x.next == 0 {
+		x.next = 1
+	}
+
+	x.waiting[x.next] = w
+
+	return x.next, true
+}
+
+func (x *connection) forget(id uint32) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	delete(x.waiting, id)
+}
+
+func (x *connection) write(k wire.Kind, id uint32, m msgp.Marshaler) error {
+	b, err := encode(k, id, m)
+	if err != nil {
+		return err
+	}
+
+	x.writing.Lock()
+	defer x.writing.Unlock()
+
+	if err := writeAll(x.conn, b, x.traffic); err != nil {
+		x.close()
+
+		return err
+	}
+
+	return nil
+}
+
+// read hands each reply to the call that waits for it. A reply that comes after
+// its call gave up finds no one waiting and is dropped, so it can't be taken
+// for the answer to another call.
+func (x *connection) read() {
+	defer x.close()
+
+	r := bufio.NewReader(x.conn)
+
+	for {
+		f, n, err := decode(r)
+		if err != nil {
+			return
+		}
+
+		x.traffic.in(n)
+		x.deliver(f)
+	}
+}
+
+func (x *connection) deliver(f wire.Frame) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	if w, ok := x.waiting[f.ID]; ok {
+		delete(x.waiting, f.ID)
+		w <- f
+	}
+}
+
+func (x *connection) usable() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	return !x.broken
+}
+
+func (x *connection) close() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	if x.broken {
+		return
+	}
+
+	x.broken = true
+	_ = x.conn.Close()
+
+	for id, w := range x.waiting {
+		delete(x.waiting, id)
+		close(w)
+	}
+}
--- /dev/null
+++ b/internal/messenger/messenger.go
@@ -0,0 +1,312 @@
+// Package messenger carries wire messages between instances over TCP.
+package messenger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const (
+	dialTimeout  = 500 * time.Millisecond
+	writeTimeout = 2 * time.Second
+	// redialAfter is how long a peer that could not be dialled is left alone,
+	// so that calls to it fail at once and not after a dial each.
+	redialAfter = 250 * time.Millisecond
+)
+
+// Handler answers a message. A nil reply without an error sends none.
+type Handler func(c context.Context, body []byte) (msgp.Marshaler, error)
+
+// Traffic counts the bytes of control messages, both ways.
+type Traffic struct {
+	sent, received atomic.Int64
+}
+
+// Bytes returns the bytes sent and received so far.
+func (t *Traffic) Bytes() (sent, received int64) {
+	return t.sent.Load(), t.received.Load()
+}
+
+func (t *Traffic) in(n int)  { t.received.Add(int64(n)) }
+func (t *Traffic) out(n int) { t.sent.Add(int64(n)) }
+
+// Messenger sends messages to peers and answers theirs. It is safe for
+// concurrent use once its handlers are set.
+type Messenger struct {
+	traffic  Traffic
+	handlers map[wire.Kind]Handler
+	listener net.Listener
+	done     chan struct{}
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+	conns map[net.Conn]struct{}
+	group sync.WaitGroup
+}
+
+type peer struct {
+	mu     sync.Mutex
+	conn   *connection
+	failed time.Time
+}
+
+// New listens on an address and returns a Messenger with its clean-up
+// function, which closes all connections. Messages are answered from Serve on.
+// It fails with ErrUnreachable when the address can't be listened on.
+func New(a netip.AddrPort) (*Messenger, func(), error) {
+	l, err := net.Listen("tcp", a.String()) //nolint:noctx // Ended by the clean-up function.
+	if err != nil {
+		return nil, nil, errors.Mark(errors.Wrap(err, "listening for peers"), ErrUnreachable)
+	}
+
+	m := &Messenger{
+		handlers: make(map[wire.Kind]Handler),
+		listener: l,
+		done:     make(chan struct{}),
+		peers:    make(map[netip.AddrPort]*peer),
+		conns:    make(map[net.Conn]struct{}),
+	}
+
+	return m, m.close, nil
+}
+
+// Address returns the address listened on.
+func (m *Messenger) Address() netip.AddrPort {
+	a, _ := m.listener.Addr().(*net.TCPAddr)
+
+	return a.AddrPort()
+}
+
+// Traffic returns the counter of control bytes.
+func (m *Messenger) Traffic() *Traffic {
+	return &m.traffic
+}
+
+// Handle sets the handler of a kind. It must be called before Serve.
+func (m *Messenger) Handle(k wire.Kind, h Handler) {
+	m.handlers[k] = h
+}
+
+// Serve answers peers in the background until clean-up.
+func (m *Messenger) Serve() {
+	m.group.Add(1)
+
+	go func() {
+		defer m.group.Done()
+
+		for {
+			c, err := m.listener.Accept()
+			if err != nil {
+				return
+			}
+
+			m.group.Add(1)
+
+			go m.answer(c)
+		}
+	}()
+}
+
+// Call sends a request and decodes the reply. It fails with ErrUnreachable,
+// ErrTimeout, ErrRefused or ErrFrame; after each but a failed dial the peer may
+// have acted on the request.
+func (m *Messenger) Call(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error {
+	x, err := m.dial(c, a)
+	if err != nil {
+		return err
+	}
+
+	f, err := x.call(c, k, q)
+	if err != nil {
+		return err
+	}
+
+	if _, err := r.UnmarshalMsg(f.Body); err != nil {
+		return errors.Mark(err, ErrFrame)
+	}
+
+	return nil
+}
+
+// Send sends a message that has no reply.
+func (m *Messenger) Send(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler) error {
+	x, err := m.dial(c, a)
+	if err != nil {
+		return err
+	}
+
+	return x.write(k, 0, q)
+}
+
+// dial returns the connection to a peer, making it when there is none.
+func (m *Messenger) dial(c context.Context, a netip.AddrPort) (*connection, error) {
+	m.mu.Lock()
+
+	p, ok := m.peers[a]
+	if !ok {
+		p = &peer{}
+		m.peers[a] = p
+	}
+
+	m.mu.Unlock()
+
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.conn != nil && p.conn.usable() {
+		return p.conn, nil
+	}
+
+	if time.Since(p.failed) < redialAfter {
+		return nil, ErrUnreachable
+	}
+
+	d := net.Dialer{Timeout: dialTimeout}
+
+	n, err := d.DialContext(c, "tcp", a.String())
+	if err != nil {
+		p.failed = time.Now()
+
+		return nil, errors.Mark(err, ErrUnreachable)
+	}
+
+	p.conn = newConnection(n, &m.traffic)
+
+	return p.conn, nil
+}
+
+// answer serves one incoming connection.
+func (m *Messenger) answer(c net.Conn) {
+	defer m.group.Done()
+	defer m.untrack(c)
+
+	if !m.track(c) {
+		return
+	}
+
+	x, stop := context.WithCancel(context.Background())
+	defer stop()
+
+	var w sync.Mutex
+
+	r := bufio.NewReader(c)
+
+	for {
+		f, n, err := decode(r)
+		if err != nil {
+			return
+		}
+
+		m.traffic.in(n)
+
+		h, ok := m.handlers[f.Kind]
+		if !ok {
+			continue
+		}
+
+		// A claim waits for the log; answering it in line would hold up the
+		// asks behind it on the same connection.
+		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle {
+			go m.reply(x, c, &w, h, f)
+
+			continue
+		}
+
+		m.reply(x, c, &w, h, f)
+	}
+}
+
+func (m *Messenger) reply(x context.Context, c net.Conn, w *sync.Mutex, h Handler, f wire.Frame) {
+	r, err := h(x, f.Body)
+	if f.ID == 0 {
+		return
+	}
+
+	k := wire.KindReply
+	if err != nil || r == nil {
+		k, r = wire.KindError, nil
+	}
+
+	b, err := encode(k, f.ID, r)
+	if err != nil {
+		return
+	}
+
+	w.Lock()
+	defer w.Unlock()
+
+	_ = writeAll(c, b, &m.traffic)
+}
+
+func (m *Messenger) track(c net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	select {
+	case <-m.done:
+		return false
+	default:
+	}
+
+	m.conns[c] = struct{}{}
+
+	return true
+}
+
+func (m *Messenger) untrack(c net.Conn) {
+	_ = c.Close()
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	delete(m.conns, c)
+}
+
+// close ends all connections and waits for the goroutines that serve them.
+func (m *Messenger) close() {
+	close(m.done)
+	_ = m.listener.Close()
+
+	m.mu.Lock()
+
+	for c := range m.conns {
+		_ = c.Close()
+	}
+
+	for _, p := range m.peers {
+		p.mu.Lock()
+
+		if p.conn != nil {
+			p.conn.close()
+		}
+
+		p.mu.Unlock()
+	}
+
+	m.mu.Unlock()
+	m.group.Wait()
+}
+
+func writeAll(c net.Conn, b []byte, t *Traffic) error {
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return errors.Mark(err, ErrUnreachable)
+	}
+
+	if _, err := c.Write(b); err != nil {
+		return errors.Mark(err, ErrUnreachable)
+	}
+
+	t.out(len(b))
+
+	return nil
+}
--- /dev/null
+++ b/internal/parser/parser.go
@@ -0,0 +1,157 @@
+package parser
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+	"k8s.io/apimachinery/pkg/labels"
+
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+// Parse reads a document and checks it as a whole. The error carries every
+// fault with its path and is marked with ErrDocument. Parse is safe for
+// concurrent use.
+func Parse(data []byte) (*Document, error) {
+	var d Document
+
+	j := json.NewDecoder(bytes.NewReader(data))
+	j.DisallowUnknownFields()
+
+	if err := j.Decode(&d); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "reading the document"), ErrDocument)
+	}
+
+	if _, err := j.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.Mark(errors.New("text follows the document"), ErrDocument)
+	}
+
+	if err := Check(&d); err != nil {
+		return nil, err
+	}
+
+	return &d, nil
+}
+
+// Check reports every fault of a document in one error marked ErrDocument.
+func Check(d *Document) error {
+	f := fieldFaults(d)
+	f = append(f, targetFaults(d)...)
+	f = append(f, ruleFaults(d)...)
+	f = append(f, nameFaults("targets", d.Targets)...)
+	f = append(f, nameFaults("customers", d.Customers)...)
+	f = append(f, nameFaults("rules", d.Rules)...)
+
+	if len(f) == 0 {
+		return nil
+	}
+
+	sort.Strings(f)
+
+	return errors.Mark(errors.Newf("%s", strings.Join(f, "; ")), ErrDocument)
+}
+
+// fieldFaults returns what the field tags find wrong.
+func fieldFaults(d *Document) []string {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	err := v.Struct(d)
+
+	var e validator.ValidationErrors
+	if !errors.As(err, &e) {
+		return nil
+	}
+
+	f := make([]string, 0, len(e))
+
+	for _, x := range e {
+		p := strings.TrimPrefix(x.Namespace(), "Document.")
+		f = append(f, p+": must satisfy "+strings.TrimSuffix(x.Tag()+"="+x.Param(), "="))
+	}
+
+	return f
+}
+
+// targetFaults checks addresses and labels, and that no two targets share an
+// address: their load would be counted twice.
+func targetFaults(d *Document) []string {
+	var f []string
+
+	o := make(map[netip.AddrPort]string, len(d.Targets))
+
+	for _, n := range sorted(d.Targets) {
+		a, err := netip.ParseAddrPort(d.Targets[n].Address)
+		if err != nil {
+			f = append(f, "targets["+n+"].address: must be an IP number and a port")
+
+			continue
+		}
+
+		if p, ok := o[a]; ok {
+			f = append(f, "targets["+n+"].address: is also the address of "+p)
+		}
+
+		o[a] = n
+
+		if _, err := labels.ValidatedSelectorFromSet(d.Targets[n].Labels); err != nil {
+			f = append(f, "targets["+n+"].labels: "+err.Error())
+		}
+	}
+
+	return f
+}
+
+// ruleFaults checks that selectors can be read.
+func ruleFaults(d *Document) []string {
+	var f []string
+
+	for _, n := range sorted(d.Rules) {
+		r := d.Rules[n]
+		if _, err := labels.Parse(r.Traffic); err != nil {
+			f = append(f, "rules["+n+"].traffic: "+err.Error())
+		}
+
+		if _, err := labels.Parse(r.Targets); err != nil {
+			f = append(f, "rules["+n+"].targets: "+err.Error())
+		}
+	}
+
+	return f
+}
+
+// nameFaults finds names whose hashes collide. Instances send hashes to each
+// other, so two such names would share a count or a place; a document with
+// them is refused while the operator can still choose another name.
+func nameFaults[V any](path string, m map[string]V) []string {
+	var f []string
+
+	o := make(map[uint32]string, len(m))
+
+	for _, n := range sorted(m) {
+		h := hasher.Name(n)
+		if p, ok := o[h]; ok {
+			f = append(f, path+"["+n+"]: collides with "+p+"; choose another name")
+		}
+
+		o[h] = n
+	}
+
+	return f
+}
+
+// sorted returns the keys of a map in order.
+func sorted[V any](m map[string]V) []string {
+	k := make([]string, 0, len(m))
+	for n := range m {
+		k = append(k, n)
+	}
+
+	sort.Strings(k)
+
+	return k
+}
--- /dev/null
+++ b/internal/resolver/router.go
@@ -0,0 +1,69 @@
+package resolver
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Router holds the settings of a router.
+type Router struct {
+	Name       string
+	Region     string
+	DataCentre string
+	// Listen is where callers come in and Peers where other routers do.
+	Listen netip.AddrPort
+	Peer   netip.AddrPort
+	// Debug serves metrics; zero serves them to nobody.
+	Debug    netip.AddrPort
+	Platform netip.AddrPort
+	// Seeds are peers to try before the platform's list is read.
+	Seeds         []netip.AddrPort
+	LogLevel      string
+	MaxBody       int
+	MaxHeader     int
+	MaxInFlight   int
+	IdleTimeout   time.Duration
+	Deadline      time.Duration
+	MaxDeadline   time.Duration
+	DrainNotice   time.Duration
+	ClaimWindow   time.Duration
+	AskTimeout    time.Duration
+	PlaceBytes    int
+	CallerCert    string
+	CallerKey     string
+	TargetCA      string
+	TargetTLS     bool
+	TraceEndpoint string
+	TraceSample   float64
+}
+
+// Table returns the settings of a router, which are read into r.
+func (r *Router) Table() Table {
+	return Table{
+		{"name", "router", "1 to 63 bytes", "name of this instance in logs and the platform's list", Text(&r.Name)},
+		{"region", "region-1", "1 to 63 bytes", "region of this instance", Text(&r.Region)},
+		{"data-centre", "dc-1", "1 to 63 bytes", "data centre of this instance", Text(&r.DataCentre)},
+		{"listen", "127.0.0.1:8080", "an IP number and a port", "address for callers", Address(&r.Listen, false)},
+		{"peer", "127.0.0.1:8090", "an IP number and a port that other routers reach", "address for other routers", Address(&r.Peer, false)},
+		{"debug", "", "an IP number and a port, or empty", "address for /debug/vars", Address(&r.Debug, true)},
+		{"platform", "127.0.0.1:8070", "an IP number and a port", "address of the platform's log and list", Address(&r.Platform, false)},
+		{"seeds", "", "addresses with commas between them, or empty", "peers to try first", Addresses(&r.Seeds)},
+		{"log-level", "info", "debug, info, warning or error", "least level of logged events", Level(&r.LogLevel, "debug", "info", "warning", "error")},
+		{"max-body", "8388608", "1024 to 134217728 bytes", "largest request body", Int(&r.MaxBody, 1<<10, 128<<20)},
+		{"max-header", "65536", "1024 to 1048576 bytes", "largest request header", Int(&r.MaxHeader, 1<<10, 1<<20)},
+		{"max-in-flight", "4096", "1 to 1000000", "requests in progress here before new ones are refused", Int(&r.MaxInFlight, 1, 1000000)},
+		{"idle-timeout", "90s", "1s to 1h", "how long an idle connection is kept", Duration(&r.IdleTimeout, time.Second, time.Hour)},
+		{"deadline", "120s", "1s to 1h", "deadline of a request that names none", Duration(&r.Deadline, time.Second, time.Hour)},
+		{"max-deadline", "600s", "1s to 1h", "longest deadline that a request may name", Duration(&r.MaxDeadline, time.Second, time.Hour)},
+		{"drain-notice", "3s", "0s to 5m", "how long a planned stop waits for the balancer to notice", Duration(&r.DrainNotice, 0, 5*time.Minute)},
+		{"claim-window", "30m", "1m to 24h, less than the log's retention", "how long an idempotency key is remembered", Duration(&r.ClaimWindow, time.Minute, 24*time.Hour)},
+		{"ask-timeout", "50ms", "1ms to 5s", "how long a cell's home may take to grant a place", Duration(&r.AskTimeout, time.Millisecond, 5*time.Second)},
+		{"place-bytes", "33554432", "4096 to 1073741824 bytes", "memory for the places of one cell's chats", Int(&r.PlaceBytes, 4096, 1<<30)},
+		{"caller-cert", "", "a PEM file, or empty for plain HTTP", "certificate shown to callers", File(&r.CallerCert)},
+		{"caller-key", "", "a PEM file, or empty for plain HTTP", "key of that certificate", File(&r.CallerKey)},
+		{"target-tls", "false", "true or false", "speak TLS to targets", Bool(&r.TargetTLS)},
+		{"target-ca", "", "a PEM file, or empty for the system's", "authorities of the targets' certificates", File(&r.TargetCA)},
+		{"trace-endpoint", "", "a host and port that takes OTLP over HTTP, or empty", "where traces go", Free(&r.TraceEndpoint)},
+		{"trace-sample", "0.01", "0 to 1", "part of the requests that are traced", Float(&r.TraceSample, 0, 1)},
+	}
+}
--- /dev/null
+++ b/internal/router/parts.go
@@ -0,0 +1,91 @@
+package router
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+
+	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/granter"
+	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/joiner"
+	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/resolver"
+	"github.com/auburntray/auburntray/internal/sender"
+	"github.com/auburntray/auburntray/internal/tracer"
+)
+
+// checkpointKey is the key whose home writes the checkpoints.
+const checkpointKey = "checkpoint"
+
+// onStop runs a constructor's clean-up function when the application stops.
+func onStop(l fx.Lifecycle, f func()) {
+	l.Append(fx.Hook{OnStop: func(context.Context) error {
+		f()
+
+		return nil
+	}})
+}
+
+func newTracer(l fx.Lifecycle, s resolver.Router) (trace.Tracer, error) {
+	t, f, err := tracer.New(context.Background(), s.TraceEndpoint, s.Name, s.TraceSample)
+	if err != nil {
+		return nil, errors.Mark(err, ErrStart)
+	}
+
+	onStop(l, f)
+
+	return t, nil
+}
+
+func newMessenger(l fx.Lifecycle, s resolver.Router) (*messenger.Messenger, error) {
+	m, f, err := messenger.New(s.Peer)
+	if err != nil {
+		return nil, errors.Mark(err, ErrStart)
+	}
+
+	onStop(l, f)
+
+	return m, nil
+}
+
+func newRecorder(l fx.Lifecycle, s resolver.Router) *recorder.Recorder {
+	r, f := recorder.New(s.Platform, s.DataCentre)
+	onStop(l, f)
+
+	return r
+}
+
+func newSender(l fx.Lifecycle, s resolver.Router) (*sender.Sender, error) {
+	x, f, err := sender.New(sender.TLS{Enabled: s.TargetTLS, Authorities: s.TargetCA})
+	if err != nil {
+		return nil, errors.Mark(err, ErrStart)
+	}
+
+	onStop(l, f)
+
+	return x, nil
+}
+
+func granterSettings(s resolver.Router) granter.Settings {
+	g := granter.DefaultSettings()
+	g.PlaceBytes = s.PlaceBytes
+
+	return g
+}
+
+// responsible says whether this router is the home of a key among all routers.
+func responsible(j *joiner.Joiner, key string) bool {
+	h, ok := j.Home(hasher.Key(key), nil)
+
+	return ok && h.ID == j.Self().ID
+}
+
+// aheadOf lets the follower know of peers with newer revisions.
+func aheadOf(f *follower.Follower) func(netip.AddrPort, uint64) {
+	return func(a netip.AddrPort, revision uint64) { f.Ahead(context.Background(), a, revision) }
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,238 @@
+// Package router puts the parts of an entry instance together and runs them.
+package router
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/auburntray/auburntray/internal/asker"
+	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/drainer"
+	"github.com/auburntray/auburntray/internal/filterer"
+	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/joiner"
+	"github.com/auburntray/auburntray/internal/keeper"
+	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/registrar"
+	"github.com/auburntray/auburntray/internal/resolver"
+	"github.com/auburntray/auburntray/internal/sender"
+)
+
+// ErrStart means that the router could not start.
+var ErrStart = errors.New("the router can't start")
+
+// Router is one entry instance. It is safe for concurrent use.
+type Router struct {
+	settings  resolver.Router
+	follower  *follower.Follower
+	joiner    *joiner.Joiner
+	keeper    *keeper.Keeper
+	asker     *asker.Asker
+	messenger *messenger.Messenger
+	recorder  *recorder.Recorder
+	pipeline  *filterer.Pipeline
+	drainer   *drainer.Drainer
+	counter   *counter.Counter
+
+	server   *http.Server
+	listener net.Listener
+	group    sync.WaitGroup
+	stop     context.CancelFunc
+}
+
+// Options returns the fx options of a router with the given settings. The
+// application starts serving when it starts, and stops as planned when it
+// stops: no request in progress is cut.
+func Options(s resolver.Router) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.Provide(
+			counter.New,
+			newSelf,
+			newTracer,
+			newMessenger,
+			newRecorder,
+			newSender,
+			newParts,
+			newPipeline,
+			newRouter,
+		),
+		fx.WithLogger(func() fxevent.Logger { return quiet{} }),
+		fx.StopTimeout(s.MaxDeadline+s.DrainNotice+time.Minute),
+		fx.Invoke(func(l fx.Lifecycle, r *Router) {
+			l.Append(fx.Hook{OnStart: r.Start, OnStop: r.Stop})
+		}),
+	)
+}
+
+// quiet drops the events of the container; failures come back as errors.
+type quiet struct{}
+
+// LogEvent is part of fxevent.Logger.
+func (quiet) LogEvent(fxevent.Event) {}
+
+// newSelf returns this router as the others will know it. The ID is higher than
+// that of any earlier process at the address, and no two processes share one.
+func newSelf(s resolver.Router) gossiper.Member {
+	var b [8]byte
+
+	_, _ = rand.Read(b[:])
+
+	const randomBits = 12
+
+	n := uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1) //nolint:gosec // After 1970.
+
+	return gossiper.Member{ID: n, Address: s.Peer, Region: s.Region, DataCentre: s.DataCentre}
+}
+
+// parts are the services that depend on each other in a circle: the follower
+// tells the keeper of changes, the joiner tells the follower of peers.
+type parts struct {
+	fx.Out
+
+	Follower  *follower.Follower
+	Joiner    *joiner.Joiner
+	Keeper    *keeper.Keeper
+	Asker     *asker.Asker
+	Registrar *registrar.Registrar
+	Drainer   *drainer.Drainer
+}
+
+func newParts(s resolver.Router, self gossiper.Member, m *messenger.Messenger, r *recorder.Recorder,
+	t *sender.Sender, n *counter.Counter,
+) parts {
+	var o parts
+
+	o.Keeper = keeper.New(granterSettings(s), func() *follower.Force { return o.Follower.Force() }, t)
+	o.Follower = follower.New(r, m, o.Keeper.Update, func() bool { return responsible(o.Joiner, checkpointKey) })
+
+	g := gossiper.New(gossiper.DefaultSettings(), mathrand.New(mathrand.NewPCG(self.ID, 0)), self) //nolint:gosec // Spreads messages.
+	o.Joiner = joiner.New(m, r, g, self, s.Seeds, joiner.Hooks{
+		Revision: func() uint64 { return o.Follower.Revision() },
+		Ahead:    aheadOf(o.Follower),
+		Seen:     o.Keeper.Seen,
+	})
+	o.Asker = asker.New(m, o.Joiner, o.Keeper, n, s.AskTimeout)
+	o.Registrar = registrar.New(r, m, o.Joiner, s.ClaimWindow)
+	o.Drainer = drainer.New(s.DrainNotice, s.MaxInFlight)
+
+	return o
+}
+
+func newPipeline(s resolver.Router, t trace.Tracer, d *drainer.Drainer, f *follower.Follower, a *asker.Asker,
+	g *registrar.Registrar, x *sender.Sender, n *counter.Counter,
+) *filterer.Pipeline {
+	return filterer.New(d, g, n, t,
+		filterer.Accept{MaxBody: int64(s.MaxBody)},
+		filterer.Identify{Deadline: s.Deadline, MaxDeadline: s.MaxDeadline},
+		filterer.Match{Force: f.Force},
+		filterer.Claim{Claims: g, Counter: n},
+		filterer.NewAttempt(a, n,
+			filterer.Pick{Places: a, Region: s.Region, Counter: n},
+			filterer.Send{Targets: x},
+			filterer.Relay{Targets: x, Counter: n},
+		),
+	)
+}
+
+// routerIn are the parts that a Router runs.
+type routerIn struct {
+	fx.In
+
+	Settings  resolver.Router
+	Follower  *follower.Follower
+	Joiner    *joiner.Joiner
+	Keeper    *keeper.Keeper
+	Asker     *asker.Asker
+	Registrar *registrar.Registrar
+	Messenger *messenger.Messenger
+	Recorder  *recorder.Recorder
+	Pipeline  *filterer.Pipeline
+	Drainer   *drainer.Drainer
+	Counter   *counter.Counter
+}
+
+func newRouter(i routerIn) (*Router, error) {
+	l, err := net.Listen("tcp", i.Settings.Listen.String()) //nolint:noctx // Closed by Stop.
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "listening for callers"), ErrStart)
+	}
+
+	r := &Router{
+		settings: i.Settings, follower: i.Follower, joiner: i.Joiner, keeper: i.Keeper, asker: i.Asker,
+		messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, drainer: i.Drainer,
+		counter: i.Counter, listener: l,
+	}
+	r.register(i.Registrar)
+	r.follow()
+
+	r.server = &http.Server{
+		Handler:           r.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       i.Settings.IdleTimeout,
+		MaxHeaderBytes:    i.Settings.MaxHeader,
+	}
+
+	return r, nil
+}
+
+const headerTimeout = 10 * time.Second
+
+// handler returns the callers' side: the health paths and the pipeline.
+func (r *Router) handler() http.Handler {
+	g := gin.New()
+	g.Use(recoverCall)
+	g.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusOK) })
+	g.GET("/readyz", r.ready)
+	g.NoRoute(gin.WrapH(r.pipeline))
+
+	return g
+}
+
+// recoverCall answers a call whose handling panicked. An abort on purpose goes
+// on to the server, which closes the connection.
+func recoverCall(c *gin.Context) {
+	defer func() {
+		e := recover()
+		if e == nil {
+			return
+		}
+
+		if e == http.ErrAbortHandler { //nolint:errorlint,err113 // The server compares it so.
+			panic(e)
+		}
+
+		logrus.WithFields(logrus.Fields{"event": "callPanicked", "error": e}).Error()
+		c.AbortWithStatusJSON(http.StatusInternalServerError,
+			gin.H{"error": gin.H{"code": "internal", "outcome": "unknown"}})
+	}()
+
+	c.Next()
+}
+
+// ready says whether the balancer should send calls: a configuration is in
+// force and no stop has begun.
+func (r *Router) ready(c *gin.Context) {
+	if r.follower.Revision() == 0 || !r.drainer.Ready() {
+		c.Status(http.StatusServiceUnavailable)
+
+		return
+	}
+
+	c.Status(http.StatusOK)
+}
--- /dev/null
+++ b/internal/sender/errors.go
@@ -0,0 +1,17 @@
+package sender
+
+import "github.com/cockroachdb/errors"
+
+var (
+	// ErrNeverSent means that the target could not be dialled: the request
+	// provably did not run.
+	ErrNeverSent = errors.New("the target could not be dialled")
+	// ErrBroken means that the connection broke before the answer was whole.
+	ErrBroken = errors.New("the answer broke off")
+	// ErrStranger means that an answer carries another request's id.
+	ErrStranger = errors.New("the answer belongs to another request")
+	// ErrTooLong means that an answer is larger than what is held in memory.
+	ErrTooLong = errors.New("the answer is too long")
+	// ErrSettings means that the TLS files can't be used.
+	ErrSettings = errors.New("the target TLS settings can't be used")
+)
--- /dev/null
+++ b/internal/standin/engine/cache.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// blockBytes is how much of a prompt one cache block covers: 16 tokens of four
+// bytes each.
+const (
+	blockTokens   = 16
+	bytesPerToken = 4
+	blockBytes    = blockTokens * bytesPerToken
+	eventsKept    = 4096
+)
+
+// Event is a change of the prefix cache.
+type Event struct {
+	Number  uint64    `json:"number"`
+	Time    time.Time `json:"time"`
+	Block   uint64    `json:"block"`
+	Evicted bool      `json:"evicted"`
+}
+
+// cache is a prefix cache with limited memory. A block's key is the hash of
+// the prompt up to its end, so a block is found only behind its whole prefix.
+type cache struct {
+	mu     sync.Mutex
+	blocks *simplelru.LRU[uint64, struct{}]
+	events []Event
+	number uint64
+}
+
+func newCache(tokens int) (*cache, error) {
+	c := &cache{}
+
+	l, err := simplelru.NewLRU[uint64, struct{}](max(tokens/blockTokens, 1), func(k uint64, _ struct{}) {
+		c.note(k, true)
+	})
+	if err != nil {
+		return nil, err
+	}
+
+	c.blocks = l
+
+	return c, nil
+}
+
+// use looks a prompt up and stores it, and returns how many of its tokens were
+// in the cache.
+func (c *cache) use(prompt []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	d := xxhash.New()
+	n := 0
+	hit := true
+
+	for i := 0; i+blockBytes <= len(prompt); i += blockBytes {
+		_, _ = d.Write(prompt[i : i+blockBytes])
+		k := d.Sum64()
+
+		if _, ok := c.blocks.Get(k); ok {
+			if hit {
+				n += blockTokens
+			}
+
+			continue
+		}
+
+		hit = false
+
+		c.blocks.Add(k, struct{}{})
+		c.note(k, false)
+	}
+
+	return n
+}
+
+// note records an event; older ones are dropped.
+func (c *cache) note(block uint64, evicted bool) {
+	c.number++
+	c.events = append(c.events, Event{Number: c.number, Time: time.Now(), Block: block, Evicted: evicted})
+
+	if len(c.events) > eventsKept {
+		c.events = c.events[len(c.events)-eventsKept:]
+	}
+}
+
+// since returns the events after a number that are at least as old as the lag,
+// without every gap-th one.
+func (c *cache) since(number uint64, lag time.Duration, gap uint64) []Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	o := []Event{}
+
+	for _, e := range c.events {
+		if e.Number > number && time.Since(e.Time) >= lag && (gap == 0 || e.Number%gap != 0) {
+			o = append(o, e)
+		}
+	}
+
+	return o
+}
--- /dev/null
+++ b/pkg/publisher/publisher.go
@@ -0,0 +1,278 @@
+// Package publisher publishes configurations for a fleet of auburntray routers,
+// and shows which are in force.
+package publisher
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/auburntray/auburntray/internal/differ"
+	"github.com/auburntray/auburntray/internal/folder"
+	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/parser"
+	"github.com/auburntray/auburntray/internal/recorder"
+)
+
+// Outcome is what became of a publication.
+type Outcome string
+
+// The outcomes.
+const (
+	// Accepted means that the change was read back from the log as in force.
+	Accepted Outcome = "accepted"
+	// Stale means that another change came first; the base is no longer in
+	// force and nothing was changed.
+	Stale Outcome = "stale"
+	// NoChange means that the document is in force as it is.
+	NoChange Outcome = "noChange"
+	// DryRun means that the change is valid and was not published.
+	DryRun Outcome = "dryRun"
+	// NotRun means that the change is provably not in the log.
+	NotRun Outcome = "notRun"
+	// Unknown means that the change may be in the log. Publishing it again
+	// under the same ID tells, and can't apply it twice.
+	Unknown Outcome = "unknown"
+)
+
+// Request is a document to publish.
+type Request struct {
+	Document []byte
+	// Base is the revision that the document was made from. A publication on
+	// any other revision is stale.
+	Base   uint64
+	Author string
+	// ID names the publication; empty takes a new one.
+	ID     string
+	DryRun bool
+}
+
+// Result is what became of a publication.
+type Result struct {
+	Outcome  Outcome  `json:"outcome"`
+	ID       string   `json:"id"`
+	Revision uint64   `json:"revision"`
+	Changes  []string `json:"changes"`
+}
+
+// State is a configuration in force.
+type State struct {
+	Revision uint64          `json:"revision"`
+	Base     uint64          `json:"base"`
+	ID       string          `json:"id"`
+	Author   string          `json:"author"`
+	Time     time.Time       `json:"time"`
+	Document json.RawMessage `json:"document"`
+}
+
+// Entry is one record of the history.
+type Entry struct {
+	Offset  uint64    `json:"offset"`
+	ID      string    `json:"id"`
+	Author  string    `json:"author"`
+	Time    time.Time `json:"time"`
+	Base    uint64    `json:"base"`
+	Verdict string    `json:"verdict"`
+	Changes []string  `json:"changes"`
+}
+
+const (
+	readBack      = 10 * time.Second
+	readBackPause = 250 * time.Millisecond
+)
+
+// log reads and appends to the platform's log.
+type log interface {
+	Read(c context.Context, stream string, from uint64, wait time.Duration) (recorder.Batch, error)
+	Append(c context.Context, stream string, data [][]byte) (uint64, error)
+}
+
+// Publisher is an operator's client. It is safe for concurrent use.
+type Publisher struct {
+	log log
+}
+
+// New returns a Publisher for the platform at an address, as seen from a data
+// centre, and its clean-up function.
+func New(platform netip.AddrPort, centre string) (*Publisher, func()) {
+	r, f := recorder.New(platform, centre)
+
+	return &Publisher{log: r}, f
+}
+
+// Publish publishes a document. It answers Accepted only after its own record
+// was read back from the log in its place: an append that was acknowledged may
+// still have lost a race. It fails with ErrDocument, ErrUnavailable or
+// ErrNoState, when nothing was done.
+func (p *Publisher) Publish(c context.Context, r Request) (Result, error) {
+	d, err := parser.Parse(r.Document)
+	if err != nil {
+		return Result{}, errors.Mark(err, ErrDocument)
+	}
+
+	if r.ID == "" {
+		r.ID = uuid.NewString()
+	}
+
+	f := newReader(p.log)
+	if err := f.read(c); err != nil {
+		return Result{}, err
+	}
+
+	if v, ok := f.verdicts[r.ID]; ok {
+		return f.result(r.ID, v), nil
+	}
+
+	s := f.folder.State()
+	x := differ.Diff(&s.Document, d)
+	o := Result{ID: r.ID, Revision: s.Revision, Changes: x.Lines()}
+
+	switch {
+	case r.Base != s.Revision:
+		o.Outcome = Stale
+	case x.Empty():
+		o.Outcome = NoChange
+	case r.DryRun:
+		o.Outcome = DryRun
+	default:
+		return p.publish(c, f, r, x)
+	}
+
+	return o, nil
+}
+
+// Drain publishes the configuration in force with one target's drain set or
+// cleared.
+func (p *Publisher) Drain(c context.Context, target, author string, drain bool) (Result, error) {
+	f := newReader(p.log)
+	if err := f.read(c); err != nil {
+		return Result{}, err
+	}
+
+	s := f.folder.State()
+
+	t, ok := s.Document.Targets[target]
+	if !ok {
+		return Result{}, errors.Mark(errors.Newf("target %q", target), ErrNoTarget)
+	}
+
+	t.Drain = drain
+	d := differ.Apply(&s.Document, differ.Change{SetTargets: map[string]parser.Target{target: t}})
+
+	b, err := json.Marshal(d)
+	if err != nil {
+		return Result{}, errors.Mark(err, ErrDocument)
+	}
+
+	return p.Publish(c, Request{Document: b, Base: s.Revision, Author: author})
+}
+
+// Show returns the configuration in force. Revision 0 means none.
+func (p *Publisher) Show(c context.Context) (State, error) {
+	f := newReader(p.log)
+	if err := f.read(c); err != nil {
+		return State{}, err
+	}
+
+	return state(f.folder.State())
+}
+
+// History returns what the log holds of past publications, the oldest first.
+func (p *Publisher) History(c context.Context) ([]Entry, error) {
+	f := newReader(p.log)
+	if err := f.read(c); err != nil {
+		return nil, err
+	}
+
+	return f.history, nil
+}
+
+// Watch calls f with each configuration that comes into force, the present one
+// first, until the context ends. While the log can't be read it tries again.
+func (p *Publisher) Watch(c context.Context, f func(State)) error {
+	r := newReader(p.log)
+	last := uint64(0)
+
+	for c.Err() == nil {
+		if err := r.step(c, readBack); err != nil {
+			pause(c)
+
+			continue
+		}
+
+		if s := r.folder.State(); s.Revision != last {
+			last = s.Revision
+
+			x, err := state(s)
+			if err != nil {
+				return err
+			}
+
+			f(x)
+		}
+	}
+
+	return nil
+}
+
+// publish appends a change and reads it back. The append is repeated while its
+// effect is uncertain: the same change on the same base is in force at most
+// once, since the first one moves the base.
+func (p *Publisher) publish(c context.Context, f *reader, r Request, x differ.Change) (Result, error) {
+	b, err := json.Marshal(folder.Record{ID: r.ID, Author: r.Author, Time: time.Now(), Base: r.Base, Change: &x})
+	if err != nil {
+		return Result{}, errors.Mark(err, ErrDocument)
+	}
+
+	o := Result{Outcome: NotRun, ID: r.ID, Changes: x.Lines()}
+
+	c, stop := context.WithTimeout(c, readBack)
+	defer stop()
+
+	for c.Err() == nil {
+		_, err := p.log.Append(c, follower.Stream, [][]byte{b})
+		if err == nil || errors.Is(err, recorder.ErrUncertain) {
+			o.Outcome = Unknown
+		}
+
+		if f.read(c) == nil {
+			if v, ok := f.verdicts[r.ID]; ok {
+				y := f.result(r.ID, v)
+				y.Changes = o.Changes
+
+				return y, nil
+			}
+		}
+
+		if errors.Is(err, recorder.ErrAnswer) {
+			return o, errors.Mark(err, ErrUnavailable)
+		}
+
+		pause(c)
+	}
+
+	return o, nil
+}
+
+func state(s *folder.State) (State, error) {
+	b, err := json.MarshalIndent(s.Document, "", "  ")
+	if err != nil {
+		return State{}, errors.Mark(err, ErrDocument)
+	}
+
+	return State{Revision: s.Revision, Base: s.Base, ID: s.ID, Author: s.Author, Time: s.Time, Document: b}, nil
+}
+
+func pause(c context.Context) {
+	t := time.NewTimer(readBackPause)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-c.Done():
+	}
+}
--- /dev/null
+++ b/pkg/publisher/reader.go
@@ -0,0 +1,100 @@
+package publisher
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/folder"
+	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/recorder"
+)
+
+// reader folds the configuration stream as the routers do.
+type reader struct {
+	log    log
+	folder *folder.Folder
+	// verdicts are what became of each publication, by its ID; the first
+	// verdict but stale stands, as a repeated append is stale after the first.
+	verdicts map[string]folder.Verdict
+	history  []Entry
+}
+
+func newReader(l log) *reader {
+	return &reader{log: l, folder: folder.New(), verdicts: make(map[string]folder.Verdict)}
+}
+
+// read folds up to the end of the stream.
+func (r *reader) read(c context.Context) error {
+	for {
+		n := r.folder.Next()
+
+		if err := r.step(c, 0); err != nil {
+			return errors.Mark(err, ErrUnavailable)
+		}
+
+		if r.folder.Next() == n {
+			break
+		}
+	}
+
+	if !r.folder.Anchored() {
+		return ErrNoState
+	}
+
+	return nil
+}
+
+// step reads once, waiting for records up to a time, and folds them.
+func (r *reader) step(c context.Context, wait time.Duration) error {
+	b, err := r.log.Read(c, follower.Stream, r.folder.Next(), wait)
+	if err != nil {
+		return err
+	}
+
+	r.folder.Skip(b.Oldest)
+
+	for _, x := range b.Records {
+		r.fold(x)
+	}
+
+	return nil
+}
+
+func (r *reader) fold(x recorder.Record) {
+	var y folder.Record
+	if err := json.Unmarshal(x.Data, &y); err != nil {
+		y = folder.Record{}
+	}
+
+	v := r.folder.Fold(x.Offset, y)
+
+	if o, ok := r.verdicts[y.ID]; y.ID != "" && (!ok || o == folder.Stale) {
+		r.verdicts[y.ID] = v
+	}
+
+	e := Entry{Offset: x.Offset, ID: y.ID, Author: y.Author, Time: x.Time, Base: y.Base, Verdict: v.String()}
+	if y.Change != nil {
+		e.Changes = y.Change.Lines()
+	}
+
+	r.history = append(r.history, e)
+}
+
+// result turns a record's verdict into the publication's.
+func (r *reader) result(id string, v folder.Verdict) Result {
+	o := Result{ID: id, Revision: r.folder.State().Revision, Outcome: Stale}
+
+	switch v {
+	case folder.Accepted:
+		o.Outcome = Accepted
+	case folder.Ignored, folder.Restored:
+		// The record is older than the state that the log still explains.
+		o.Outcome = Unknown
+	case folder.Stale, folder.Invalid:
+	}
+
+	return o
+}
