internal/bencher: measure the policy and its baselines

Cause: there was no measurement of the policy. The bench drives the real matcher, granters and wire messages on fakes of targets and callers, for the two users' sizes and the design size, steady and under churn, surge and cut.

--- /dev/null
+++ b/internal/bencher/bencher.go
@@ -0,0 +1,134 @@
+package bencher
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	policyHomes   = "homes"
+	policyNoToken = "homesNoToken"
+)
+
+// Result is what one case came to.
+type Result struct {
+	Case   string
+	Policy string
+	// Reuse is the part of the prompt tokens seen before that came from caches.
+	Reuse float64
+	// SkewMean and SkewP99 are of the highest load over the mean load of the
+	// engines of a model in a region, by requests in flight as engines report
+	// them; WorkMean and WorkP99 by the true work of these requests, of which
+	// routers know only the limit.
+	SkewMean, SkewP99 float64
+	WorkMean, WorkP99 float64
+	// ControlMean and ControlMax are control bytes a second, both ways, of the
+	// average node and of the one with most.
+	ControlMean, ControlMax float64
+	// CPU is the time of the decisions for one request.
+	CPU time.Duration
+	// Bytes is the memory of the tables of places, of the average node.
+	Bytes int
+	// Refused is the part of the requests refused, without the surge's own, and
+	// SurgeRefused that of the surge's own.
+	Refused, SurgeRefused float64
+
+	requests, refused, surged, surgeRefused int
+	reusable, reused                        int
+}
+
+// Line returns the result in one line.
+func (r *Result) Line() string {
+	return fmt.Sprintf("case=%s policy=%s reuse=%.3f skewMean=%.2f skewP99=%.2f workMean=%.2f workP99=%.2f controlBytesPerSecond=%.0f "+
+		"controlBytesMax=%.0f cpuMicrosPerRequest=%.1f bytesPerNode=%d refused=%.4f surgeRefused=%.3f",
+		r.Case, r.Policy, r.Reuse, r.SkewMean, r.SkewP99, r.WorkMean, r.WorkP99, r.ControlMean, r.ControlMax,
+		float64(r.CPU)/float64(time.Microsecond), r.Bytes, r.Refused, r.SurgeRefused)
+}
+
+// Policies returns the names of the policies.
+func Policies() []string {
+	return []string{policyHomes, policyNoToken, policyRandom, policyTwoChoices, policyRendezvous, policyBounded}
+}
+
+// Run runs the cases of the given sizes, conditions and policies and calls f
+// with each result, in their order. All but the processor time is the same
+// each run with the same seed.
+func Run(sizes []Size, conditions []Condition, policies []string, seed uint64, f func(*Result)) error {
+	var (
+		g errgroup.Group
+		l []chan *Result
+	)
+
+	g.SetLimit(max(runtime.NumCPU()/2, 1)) //nolint:mnd // Half the machine.
+
+	for _, s := range sizes {
+		for _, c := range conditions {
+			for _, p := range policies {
+				l = append(l, make(chan *Result, 1))
+				o := l[len(l)-1]
+
+				go g.Go(func() error {
+					o <- one(s, c, p, seed)
+
+					return nil
+				})
+			}
+		}
+	}
+
+	for _, o := range l {
+		f(<-o)
+	}
+
+	return g.Wait()
+}
+
+func one(s Size, c Condition, name string, seed uint64) *Result {
+	w := newWorld(s, c, seed)
+
+	var h *homes
+
+	switch name {
+	case policyHomes, policyNoToken:
+		h = newHomes(w, name == policyHomes)
+		w.policy = h
+	default:
+		w.policy = newBaseline(name, s)
+	}
+
+	w.run()
+
+	return w.finish(name, h)
+}
+
+func (w *world) finish(name string, h *homes) *Result {
+	r := w.result
+	r.Policy = name
+	r.Reuse = float64(r.reused) / float64(max(r.reusable, 1))
+	r.SkewMean = w.skew.Mean() / skewUnit
+	r.SkewP99 = float64(w.skew.ValueAtPercentile(99)) / skewUnit //nolint:mnd // A percentile.
+	r.WorkMean = w.work.Mean() / skewUnit
+	r.WorkP99 = float64(w.work.ValueAtPercentile(99)) / skewUnit //nolint:mnd // A percentile.
+	r.Refused = float64(r.refused) / float64(max(r.requests-r.surged, 1))
+	r.SurgeRefused = float64(r.surgeRefused) / float64(max(r.surged, 1))
+	r.CPU = w.cpu / time.Duration(max(r.requests, 1))
+
+	t := (w.size.Length - w.size.Warm).Seconds()
+
+	for _, x := range w.routers {
+		b := float64(x.bytes) / t
+		r.ControlMean += b / float64(len(w.routers))
+		r.ControlMax = max(r.ControlMax, b)
+	}
+
+	if h != nil {
+		for _, g := range h.granters {
+			r.Bytes += g.Places().Bytes() / len(w.routers)
+		}
+	}
+
+	return r
+}
--- /dev/null
+++ b/internal/bencher/world.go
@@ -0,0 +1,347 @@
+package bencher
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	tickEvery = 500 * time.Millisecond
+	// troubleEvery is the time between two losses under churn.
+	troubleEvery = 20 * time.Second
+	skewUnit     = 1000
+	skewMost     = 100 * skewUnit
+	digits       = 3
+	// leastRunning is the mean of requests on a target below which one request
+	// more or less says nothing about skew.
+	leastRunning = 4.0
+	surgeStart   = 0.6
+	surgeEnd     = 0.85
+)
+
+// policy chooses targets.
+type policy interface {
+	// pick returns the target for a request, or nil to refuse it.
+	pick(w *world, q *request) *target
+	// done is told that a request ended.
+	done(w *world, q *request)
+	// tick is called every tickEvery.
+	tick(w *world)
+	// lose is told that a router is gone.
+	lose(w *world, router int)
+}
+
+// router is an entry instance.
+type router struct {
+	id     uint64
+	region int
+	centre int
+	// sent counts the control bytes that go out of and into it.
+	bytes int
+}
+
+// world is the fleet with its targets and callers.
+type world struct {
+	size      Size
+	condition Condition
+	now       time.Duration
+	random    *rand.Rand
+	traffic   *traffic
+	targets   []*target
+	// pools are the targets of each model in each region.
+	pools   map[[2]int][]*target
+	routers []*router
+	running flights
+	// cut is the data centre that is cut off, or -1.
+	cut    int
+	policy policy
+	result *Result
+	cpu    time.Duration
+	losses int
+	skew   *hdrhistogram.Histogram
+	work   *hdrhistogram.Histogram
+	// surge is the surge's rate over the usual.
+	surge float64
+}
+
+type flight struct {
+	ends    time.Duration
+	request *request
+}
+
+type flights []flight
+
+func (f flights) Len() int           { return len(f) }
+func (f flights) Less(a, b int) bool { return f[a].ends < f[b].ends }
+func (f flights) Swap(a, b int)      { f[a], f[b] = f[b], f[a] }
+
+// Push is part of heap.Interface.
+func (f *flights) Push(x any) {
+	v, _ := x.(flight)
+	*f = append(*f, v)
+}
+
+// Pop is part of heap.Interface.
+func (f *flights) Pop() any {
+	o := *f
+	v := o[len(o)-1]
+	*f = o[:len(o)-1]
+
+	return v
+}
+
+func newWorld(s Size, c Condition, seed uint64) *world {
+	r := rand.New(rand.NewPCG(seed, uint64(s.Targets))) //nolint:gosec // Reproducible.
+	w := &world{
+		size: s, condition: c, random: r, traffic: newTraffic(s, r), cut: -1,
+		pools: make(map[[2]int][]*target), result: &Result{Case: s.Name + "/" + string(c)},
+		skew: hdrhistogram.New(1, skewMost, digits), work: hdrhistogram.New(1, skewMost, digits),
+	}
+
+	perModel := spread(s.Targets, s.Models)
+	w.surge = float64(perModel[0]) / float64(s.Targets)
+	i := 0
+
+	for m, n := range perModel {
+		for range n {
+			t := newTarget(i, s)
+			t.model = m
+			t.centre = i % s.Centres
+			t.region = t.centre * s.Regions / s.Centres
+			w.targets = append(w.targets, t)
+			k := [2]int{m, t.region}
+			w.pools[k] = append(w.pools[k], t)
+			i++
+		}
+	}
+
+	for i := range s.Routers {
+		c := i % s.Centres
+		w.routers = append(w.routers, &router{id: uint64(i + 1), centre: c, region: c * s.Regions / s.Centres}) //nolint:gosec // Small.
+	}
+
+	return w
+}
+
+// spread divides n among m parts by a power law, each at least four, as models
+// are used.
+func spread(n, m int) []int {
+	w := 0.0
+	for i := range m {
+		w += 1 / float64(i+1)
+	}
+
+	o := make([]int, m)
+	for i := range o {
+		o[i] = max(4, int(float64(n)/w/float64(i+1))) //nolint:mnd // See above.
+	}
+
+	return o
+}
+
+func customerName(i int) string { return "customer-" + strconv.Itoa(i) }
+
+// run follows the fleet to its end.
+func (w *world) run() {
+	arrive := time.Duration(0)
+	tick := tickEvery
+
+	for w.now < w.size.Length {
+		e := w.size.Length
+		if len(w.running) > 0 {
+			e = min(e, w.running[0].ends)
+		}
+
+		w.now = min(arrive, tick, e)
+
+		switch w.now {
+		case arrive:
+			w.arrive()
+
+			arrive += time.Duration(w.random.ExpFloat64() / w.rate() * float64(time.Second))
+		case tick:
+			w.tick()
+
+			tick += tickEvery
+		default:
+			w.end()
+		}
+	}
+}
+
+func (w *world) rate() float64 {
+	if w.surging() {
+		return (1 + w.surge) * w.size.Rate
+	}
+
+	return w.size.Rate
+}
+
+func (w *world) surging() bool {
+	p := float64(w.now) / float64(w.size.Length)
+
+	return w.condition == Surge && p > surgeStart && p < surgeEnd
+}
+
+// arrive brings a request to a random router of its region.
+func (w *world) arrive() {
+	var c *customer
+	if w.surging() && w.random.Float64() < w.surge/(1+w.surge) {
+		// The surge comes from three customers of the most used model.
+		c = w.traffic.customers[w.random.IntN(3)*w.size.Models%len(w.traffic.customers)]
+	}
+
+	q := w.traffic.make(c)
+	q.router = w.entry(q.chat.region)
+
+	s := time.Now()
+	t := w.policy.pick(w, q)
+	w.cpu += time.Since(s)
+
+	w.count(t, c != nil)
+
+	if t == nil {
+		return
+	}
+
+	q.target = t
+	d, h := t.serve(q)
+
+	if w.measuring() {
+		w.result.reusable += q.reusable
+		w.result.reused += min(h, q.reusable)
+	}
+
+	heap.Push(&w.running, flight{ends: w.now + d, request: q})
+}
+
+func (w *world) entry(region int) int {
+	for {
+		i := w.random.IntN(len(w.routers))
+		if w.routers[i].region == region {
+			return i
+		}
+	}
+}
+
+func (w *world) count(t *target, surge bool) {
+	if !w.measuring() {
+		return
+	}
+
+	w.result.requests++
+
+	switch {
+	case t == nil && surge:
+		w.result.surgeRefused++
+	case t == nil:
+		w.result.refused++
+	}
+
+	if surge {
+		w.result.surged++
+	}
+
+}
+
+func (w *world) end() {
+	f, _ := heap.Pop(&w.running).(flight)
+	f.request.target.finish(f.request)
+
+	s := time.Now()
+	w.policy.done(w, f.request)
+	w.cpu += time.Since(s)
+}
+
+func (w *world) measuring() bool {
+	return w.now >= w.size.Warm
+}
+
+// tick causes the condition's trouble and samples the skew.
+func (w *world) tick() {
+	for _, t := range w.targets {
+		t.tick()
+	}
+
+	w.trouble()
+	w.policy.tick(w)
+
+	if w.measuring() {
+		w.sample()
+	}
+}
+
+func (w *world) trouble() {
+	p := float64(w.now) / float64(w.size.Length)
+
+	switch w.condition {
+	case Cut:
+		w.cut = -1
+		if p > surgeStart && p < surgeEnd {
+			w.cut = 0
+		}
+	case Churn:
+		if w.now%troubleEvery == 0 {
+			w.loseTarget()
+			w.policy.lose(w, w.random.IntN(len(w.routers)))
+		}
+	case Steady, Surge:
+	}
+}
+
+// loseTarget takes the next target away and brings the last one back, empty.
+// Its requests end where they are: callers come back with them.
+func (w *world) loseTarget() {
+	o := w.targets[(w.losses*7)%len(w.targets)] //nolint:mnd // Spreads the losses.
+	o.out = false
+	w.losses++
+	n := w.targets[(w.losses*7)%len(w.targets)] //nolint:mnd // Spreads the losses.
+	n.out = true
+	n.empty()
+}
+
+// reachable says that a router can reach a target.
+func (w *world) reachable(r *router, t *target) bool {
+	return !t.out && (w.cut < 0 || (r.centre == w.cut) == (t.centre == w.cut))
+}
+
+// sample records, for each pool, the highest load over the mean. The two sides
+// of a cut are measured each for itself.
+func (w *world) sample() {
+	for _, p := range w.pools {
+		w.sampleSide(p, func(t *target) bool { return w.cut < 0 || t.centre != w.cut })
+
+		if w.cut >= 0 {
+			w.sampleSide(p, func(t *target) bool { return t.centre == w.cut })
+		}
+	}
+}
+
+func (w *world) sampleSide(p []*target, in func(*target) bool) {
+	var s, m, u, v float64
+
+	n, r := 0, 0
+
+	for _, t := range p {
+		if t.out || !in(t) {
+			continue
+		}
+
+		l := float64(t.running) / float64(t.capacity)
+		s += l
+		m = max(m, l)
+		u += t.work
+		v = max(v, t.work)
+		n++
+		r += t.running
+	}
+
+	if n > 1 && float64(r) >= leastRunning*float64(n) {
+		_ = w.skew.RecordValue(int64(m * float64(n) / s * skewUnit))
+		_ = w.work.RecordValue(int64(v * float64(n) / u * skewUnit))
+	}
+}
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -18,7 +18,7 @@
 		SilenceErrors: true,
 	}
 
-	c.AddCommand(newRouter(), newPublish(), newShow(), newHistory(), newWatch(), newDrain(), newLoad(), newSettings())
+	c.AddCommand(newRouter(), newPublish(), newShow(), newHistory(), newWatch(), newDrain(), newLoad(), newBench(), newSettings())
 
 	return c
 }
--- a/internal/granter/choose.go
+++ b/internal/granter/choose.go
@@ -119,17 +119,17 @@
 	return float64(prompt)*g.settings.PrefillCost + float64(max(output, 1))
 }
 
-// capacity sums the requests that the usable candidates run at once.
-func (g *Granter) capacity(c []picker.Candidate) float64 {
-	n := 0.0
-
-	for _, x := range c {
+// capacity sums the requests on the usable candidates, and how many they run at
+// once.
+func (g *Granter) capacity(c []picker.Candidate) (used, capacity float64) {
+	for i, x := range c {
 		if x.Counted {
-			n += x.Weight
+			used += float64(g.targets[i].requests)
+			capacity += x.Weight
 		}
 	}
 
-	return n
+	return used, capacity
 }
 
 func (g *Granter) grant(now time.Time, a Ask, t *target, w float64) {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -227,7 +227,7 @@
 		return g.refuse(Full)
 	}
 
-	if !g.sharer.Admit(now, a.Customer, a.Weight, 1, g.capacity(c)) {
+	if u, m := g.capacity(c); !g.sharer.Admit(now, a.Customer, a.Weight, 1, u, m) {
 		return g.refuse(OverShare)
 	}
 
--- a/internal/sharer/sharer.go
+++ b/internal/sharer/sharer.go
@@ -42,21 +42,23 @@
 	return &Sharer{accounts: make(map[uint32]*account), level: math.Inf(1)}
 }
 
-// Admit says whether a customer may start work now. Capacity and work are in
-// the same unit. When it refuses, the work counts as demand, so that a customer
-// who asks for more than its share can't raise the level for itself.
-func (s *Sharer) Admit(now time.Time, customer uint32, weight, work, capacity float64) bool {
+// Admit says whether a customer may start work now on targets with a capacity,
+// of which used is taken by all customers; all in the same unit. When it
+// refuses, the work counts as demand.
+func (s *Sharer) Admit(now time.Time, customer uint32, weight, work, used, capacity float64) bool {
 	a := s.account(now, customer, weight)
 	s.settle(now, capacity)
 
-	if s.used+work <= capacity*congested {
+	if used+work <= capacity*congested {
 		return true
 	}
 
 	// A surge of a few customers shows as refusals for everyone else. A
 	// customer below its share is admitted up to the whole capacity, and only
-	// those above it are refused, however many requests they send.
-	if s.used+work <= capacity && a.used+work <= max(s.level*a.weight, work) {
+	// those above it are refused, however many requests they send. The shares
+	// divide less than the whole, so that there is room for those below theirs
+	// when they come.
+	if used+work <= capacity && a.used+work <= max(s.level*a.weight, work) {
 		return true
 	}
 
@@ -88,7 +90,7 @@
 }
 
 // Share returns the part of the demand that a customer has, from 0 to 1. An
-// unknown customer has none.
+// customer that is not known has none.
 func (s *Sharer) Share(customer uint32) float64 {
 	a, ok := s.accounts[customer]
 	if !ok || s.used <= 0 {
@@ -150,7 +152,7 @@
 		d = append(d, demand{work: a.used + a.refused, weight: a.weight})
 	}
 
-	s.level = level(d, capacity)
+	s.level = level(d, capacity*congested)
 }
 
 type demand struct{ work, weight float64 }
