--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -17,6 +17,7 @@
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -47,9 +48,9 @@
 
 // keeper decides for the cells that this router is home to.
 type keeper interface {
-	Ask(now time.Time, w wire.Ask) (wire.Verdict, error)
-	Release(now time.Time, w wire.Release)
-	Sync(now time.Time, w wire.Sync)
+	Ask(now time.Time, entry uint64, w wire.Ask) (wire.Verdict, error)
+	Release(now time.Time, entry uint64, w wire.Release)
+	Sync(now time.Time, entry uint64, w wire.Sync)
 }
 
 // Request is what a place is asked for.
@@ -59,12 +60,16 @@
 	Customer uint32
 	Chat     uint64
 	Prompt   int
-	Output   int
 	Hint     uint32
 	Excluded []uint32
+	// Waited is how long the request has waited for its place.
+	Waited time.Duration
+	// Sent says that another cell's home sent the request to this cell.
+	Sent bool
 }
 
-// Place is the answer, with what is needed to give the place back.
+// Place is the answer, with what is needed to give the place back. When the
+// request is sent elsewhere, Target is the cell to ask.
 type Place struct {
 	Reason     granter.Reason
 	Target     uint32
@@ -87,6 +92,13 @@
 	seq    uint32
 	asking map[uint32]bool
 	cells  map[uint32]*cell
+	// told is what the homes were told of targets, and when.
+	told map[uint32]telling
+}
+
+type telling struct {
+	state tracker.State
+	at    time.Time
 }
 
 // cell holds this router's grants in one cell, and the home that knows them.
@@ -100,7 +112,7 @@
 func New(m messenger, l members, k keeper, n *counter.Counter, timeout time.Duration) *Asker {
 	return &Asker{
 		messenger: m, members: l, keeper: k, counter: n, timeout: timeout,
-		asking: make(map[uint32]bool), cells: make(map[uint32]*cell),
+		asking: make(map[uint32]bool), cells: make(map[uint32]*cell), told: make(map[uint32]telling),
 	}
 }
 
@@ -151,7 +163,7 @@
 
 	a.counter.Add(counter.AskedHere, 1)
 
-	v, err := a.keeper.Ask(time.Now(), w)
+	v, err := a.keeper.Ask(time.Now(), a.members.Self().ID, w)
 	if err != nil {
 		return Place{}, errors.Mark(err, ErrNoPlace)
 	}
@@ -173,14 +185,18 @@
 	a.mu.Unlock()
 
 	w := wire.Release{
-		Entry: a.members.Self().ID, Seq: p.seq, Cell: p.cell.ID, Target: p.Target,
+		Seq: p.seq, Cell: p.cell.ID,
 		OK: o.OK, NeverSent: o.NeverSent, Requests: int32(min(o.Requests, math.MaxInt32)), //nolint:gosec // Bounded.
-		Incarnation: o.State.Incarnation, Leaving: o.State.Leaving,
+	}
+
+	if a.news(p.Target, o.State) {
+		w.Incarnation = o.State.Incarnation
+		w.Leaving = o.State.Leaving
 	}
 
 	h, ok := a.members.Home(uint64(p.cell.ID), p.cell.DataCentres)
 	if !ok || h.ID == a.members.Self().ID {
-		a.keeper.Release(time.Now(), w)
+		a.keeper.Release(time.Now(), a.members.Self().ID, w)
 
 		return
 	}
@@ -194,6 +210,22 @@
 	}
 }
 
+// news says that a target's state is to be told to its home: when it changed,
+// and from time to time, for a home that is new.
+func (a *Asker) news(target uint32, s tracker.State) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	o := a.told[target]
+	if s.Incarnation == 0 || (o.state == s && time.Since(o.at) < syncEvery) {
+		return false
+	}
+
+	a.told[target] = telling{state: s, at: time.Now()}
+
+	return true
+}
+
 // SyncAll sends all homes their list of grants now.
 func (a *Asker) SyncAll(c context.Context) {
 	a.mu.Lock()
@@ -221,8 +253,9 @@
 	a.asking[a.seq] = true
 
 	return wire.Ask{
-		Entry: a.members.Self().ID, Seq: a.seq, Cell: r.Cell.ID, Rule: r.Rule, Customer: r.Customer,
-		Chat: r.Chat, Prompt: clamp(r.Prompt), Output: clamp(r.Output), Hint: r.Hint, Excluded: r.Excluded,
+		Seq: a.seq, Cell: r.Cell.ID, Rule: r.Rule, Customer: r.Customer, Chat: r.Chat, Prompt: clamp(r.Prompt),
+		Hint: r.Hint, Excluded: r.Excluded, WaitedMs: clamp(int(r.Waited.Milliseconds())),
+		Sent: r.Sent,
 	}
 }
 
@@ -262,7 +295,7 @@
 	w := a.list(x)
 
 	if h.ID == a.members.Self().ID {
-		a.keeper.Sync(time.Now(), w)
+		a.keeper.Sync(time.Now(), a.members.Self().ID, w)
 
 		return
 	}
@@ -281,7 +314,7 @@
 	defer a.mu.Unlock()
 
 	e := a.entry(x)
-	w := wire.Sync{Entry: a.members.Self().ID, Cell: x.ID, UpTo: a.upTo()}
+	w := wire.Sync{Cell: x.ID, UpTo: a.upTo()}
 
 	for _, g := range e.grants {
 		w.Grants = append(w.Grants, g)
@@ -328,7 +361,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	a.entry(r.Cell).grants[w.Seq] = wire.Grant{Seq: w.Seq, Target: v.Target, Customer: w.Customer, Work: max(w.Output, 1)}
+	a.entry(r.Cell).grants[w.Seq] = wire.Grant{Seq: w.Seq, Target: v.Target, Customer: w.Customer}
 
 	return p
 }
--- a/internal/bencher/baseline.go
+++ b/internal/bencher/baseline.go
@@ -1,6 +1,8 @@
 package bencher
 
 import (
+	"time"
+
 	"github.com/auburntray/auburntray/internal/hasher"
 )
 
@@ -35,7 +37,7 @@
 	return b
 }
 
-func (b *baseline) pick(w *world, q *request) *target {
+func (b *baseline) pick(w *world, q *request) (*target, time.Duration) {
 	r := w.routers[q.router]
 
 	var l []*target
@@ -47,7 +49,7 @@
 	}
 
 	if len(l) == 0 {
-		return nil
+		return nil, 0
 	}
 
 	t := b.choose(w, q, l)
@@ -56,7 +58,7 @@
 		b.sent[q.router][t.index]++
 	}
 
-	return t
+	return t, 0
 }
 
 func (b *baseline) choose(w *world, q *request, l []*target) *target {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -23,7 +23,7 @@
 	Resumed         Name = "resumed"
 	Canceled        Name = "canceled"
 	Returned        Name = "returnedToPlace"
-	Granted         Name = "grantedHere"
+	Waited          Name = "waitedForPlace"
 	AsksFailed      Name = "asksFailed"
 	AskedHere       Name = "askedHereInstead"
 	Claims          Name = "claims"
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -36,8 +36,8 @@
 	// are set for these only.
 	Assistant bool
 	Stream    bool
-	Prompt    int
-	Output    int
+	// Prompt is about the prompt's length in tokens.
+	Prompt int
 
 	// Set by match.
 	Force *follower.Force
--- a/internal/filterer/identify.go
+++ b/internal/filterer/identify.go
@@ -15,12 +15,7 @@
 const (
 	completionsPath = "/v1/chat/completions"
 	bytesPerToken   = 4
-	// defaultOutput is the answer's length that is counted on when the caller
-	// sets no limit, and maxOutput the most that is counted on: most answers
-	// end well before a generous limit.
-	defaultOutput = 256
-	maxOutput     = 2048
-	maxName       = 256
+	maxName         = 256
 )
 
 // Identify finds out who calls, which chat it is, and how long it may take.
@@ -53,7 +48,6 @@
 	}
 
 	x.Traffic = matcher.Traffic{Path: x.Request.URL.Path, Method: x.Request.Method, Customer: x.Customer}
-	x.Output = 1
 
 	if x.Request.Method == http.MethodPost && x.Request.URL.Path == completionsPath {
 		return completion(x)
@@ -89,10 +83,9 @@
 // completion reads what routing needs of a chat completion.
 func completion(x *exchanger.Exchange) error {
 	var b struct {
-		Model     string    `json:"model"`
-		Messages  []message `json:"messages"`
-		Stream    bool      `json:"stream"`
-		MaxTokens int       `json:"max_tokens"`
+		Model    string    `json:"model"`
+		Messages []message `json:"messages"`
+		Stream   bool      `json:"stream"`
 	}
 
 	if err := json.Unmarshal(x.Body, &b); err != nil {
@@ -107,12 +100,6 @@
 	x.Stream = b.Stream
 	x.Traffic.Model = b.Model
 	x.Prompt = len(x.Body) / bytesPerToken
-	x.Output = defaultOutput
-
-	if b.MaxTokens > 0 {
-		x.Output = min(b.MaxTokens, maxOutput)
-	}
-
 	x.Chat = chat(x, b.Model, b.Messages)
 	x.Hint = hint(x.Request.Header.Get(exchanger.HeaderPlace))
 
--- a/internal/filterer/pick.go
+++ b/internal/filterer/pick.go
@@ -38,10 +38,10 @@
 	l := p.cells(x)
 	v := asker.Place{Reason: granter.NoTargets, RetryAfter: comeBack}
 
-	for _, y := range l[:min(len(l), maxCells)] {
-		r, err := p.Places.Ask(c, asker.Request{
+	for i, y := range l[:min(len(l), maxCells)] {
+		r, err := p.ask(c, x.Force.Matcher, asker.Request{
 			Cell: y, Rule: x.Rule.ID, Customer: hasher.Name(x.Customer), Chat: x.Chat,
-			Prompt: x.Prompt, Output: x.Output, Hint: x.Hint, Excluded: x.Excluded,
+			Prompt: x.Prompt, Hint: x.Hint, Excluded: x.Excluded,
 		})
 		if err != nil {
 			continue
@@ -51,10 +51,11 @@
 			return p.granted(x, r)
 		}
 
-		// A place on a fuller cell would pass this one's refusal of the
-		// customer by; the share holds in every cell.
 		v = r
-		if r.Reason == granter.OverShare {
+
+		// Capacity that is idle in another cell is the customer's to use, but
+		// one that surges must not have each of its calls ask everywhere.
+		if r.Reason == granter.OverShare && i > 0 {
 			break
 		}
 	}
@@ -62,6 +63,40 @@
 	return p.refuse(v)
 }
 
+// ask asks one cell, and again as long as the chat's place is worth waiting for,
+// or once more where the cell sends it.
+func (p Pick) ask(c context.Context, m *matcher.Matcher, r asker.Request) (asker.Place, error) {
+	for {
+		v, err := p.Places.Ask(c, r)
+		if err != nil || v.Reason != granter.Wait && v.Reason != granter.Elsewhere {
+			return v, err
+		}
+
+		if v.Reason == granter.Elsewhere {
+			y := m.Cell(v.Target)
+			if y == nil || r.Sent {
+				return v, nil
+			}
+
+			r.Cell, r.Sent = y, true
+
+			continue
+		}
+
+		p.Counter.Add(counter.Waited, 1)
+
+		t := time.NewTimer(v.RetryAfter)
+		select {
+		case <-t.C:
+			r.Waited += v.RetryAfter
+		case <-c.Done():
+			t.Stop()
+
+			return v, c.Err()
+		}
+	}
+}
+
 func (p Pick) granted(x *exchanger.Exchange, r asker.Place) error {
 	x.Place = r
 	x.Target = x.Force.Matcher.Target(r.Target)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -145,7 +145,7 @@
 }
 
 // State answers a peer that asks for a newer configuration.
-func (f *Follower) State(_ context.Context, body []byte) (msgp.Marshaler, error) {
+func (f *Follower) State(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
 	var q wire.StateRequest
 	if _, err := q.UnmarshalMsg(body); err != nil {
 		return nil, errors.Mark(err, ErrState)
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -192,11 +192,11 @@
 	return e.Address, true
 }
 
-// Home returns the router that is responsible for a key: the first by
-// rendezvous among the live ones in the given data centres, or among all live
-// ones when none is there. It fails only when this router leaves and knows no
-// other.
-func (g *Gossiper) Home(now time.Time, key uint64, centres []string) (Member, bool) {
+// Homes returns the router that is responsible for a key, and those that will be
+// after it, up to a number: by rendezvous among the live ones in the given data
+// centres, or among all live ones when none is there. It returns none only when
+// this router leaves and knows no other.
+func (g *Gossiper) Homes(now time.Time, key uint64, centres []string, number int) []Member {
 	l := g.Live(now)
 	n := l
 
@@ -208,15 +208,16 @@
 		n = l
 	}
 
-	if len(n) == 0 {
-		return Member{}, false
-	}
-
 	r := hasher.Rank(key, len(n),
 		func(i int) uint64 { return n[i].ID },
 		func(int) float64 { return 1 })
+	o := make([]Member, min(len(r), number))
 
-	return n[r[0]], true
+	for i := range o {
+		o[i] = n[r[i]]
+	}
+
+	return o
 }
 
 func within(l []Member, centres []string) []Member {
@@ -319,7 +320,7 @@
 }
 
 func (g *Gossiper) gossip(revision uint64) wire.Gossip {
-	w := wire.Gossip{From: g.self.ID, Revision: revision, Members: []wire.Member{introduction(g.self.Member)}}
+	w := wire.Gossip{Revision: revision, Members: []wire.Member{introduction(g.self.Member)}}
 	w.Beats = append(w.Beats, g.stamp(g.self))
 
 	var near, far []*entry
--- a/internal/granter/choose.go
+++ b/internal/granter/choose.go
@@ -17,6 +17,8 @@
 	// The times at which refused callers are told to come back.
 	retryAtLeast = time.Second
 	retrySpread  = 2 * time.Second
+	// waitStep is after how long a request that waits for its place asks again.
+	waitStep = 80 * time.Millisecond
 )
 
 // candidates fills the picker's view of the cell and counts the usable ones.
@@ -39,6 +41,7 @@
 			Weight:  float64(t.Capacity),
 			Load:    l,
 			Counted: !o,
+			Gone:    o,
 			Out:     o || r >= t.Capacity,
 		})
 	}
@@ -115,8 +118,18 @@
 	return picker.NoTarget, 0
 }
 
-func (g *Granter) work(prompt, output int) float64 {
-	return float64(prompt)*g.settings.PrefillCost + float64(max(output, 1))
+// work is what a request with so many uncached prompt tokens counts for.
+func (g *Granter) work(uncached int) float64 {
+	return 1 + float64(uncached)*g.settings.PrefillCost
+}
+
+// worthWaiting says that a request should wait on for its place: computing the
+// cached prefix again elsewhere would take longer than it has waited, and would
+// take that engine's time from others.
+func (g *Granter) worthWaiting(a Ask, cached int) bool {
+	s := time.Duration(min(cached, a.Prompt)) * g.settings.PrefillTime
+
+	return a.Waited+waitStep <= min(s, g.settings.MaxWait)
 }
 
 // capacity sums the requests on the usable candidates, and how many they run at
@@ -137,7 +150,20 @@
 	g.start(now, Grant{ID: a.ID, Target: t.ID, Customer: a.Customer, Work: w}, a.Weight)
 
 	if a.Chat != 0 && t.Engine {
-		g.places.Put(now, a.Chat, placer.Place{Target: t.ID, Tokens: a.Prompt + a.Output})
+		g.remember(now, a.Chat, placer.Place{Target: t.ID, Tokens: a.Prompt})
+	}
+}
+
+// maxChanged bounds the list of new places; what is dropped from it is passed
+// on with the others in turn.
+const maxChanged = 8192
+
+func (g *Granter) remember(now time.Time, chat uint64, p placer.Place) {
+	o, ok := g.places.Get(chat)
+	g.places.Put(now, chat, p)
+
+	if (!ok || o.Target != p.Target) && len(g.changed) < maxChanged {
+		g.changed = append(g.changed, chat)
 	}
 }
 
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -18,8 +18,15 @@
 type Settings struct {
 	Picker  picker.Settings
 	Ejector ejector.Settings
-	// PrefillCost is the work of one uncached prompt token, in output tokens.
+	// PrefillCost is the work of one uncached prompt token, in requests. The
+	// unit of work is a request in flight: each takes a slot of its engine's
+	// batch for as long as it runs, however long its answer turns out.
 	PrefillCost float64
+	// PrefillTime is how long an engine takes for an uncached prompt token. A
+	// request may wait for its place up to the time that its cached prefix
+	// saves, and MaxWait.
+	PrefillTime time.Duration
+	MaxWait     time.Duration
 	// PlaceBytes bounds the memory for places.
 	PlaceBytes int
 	// EntryTimeout is how long the grants of an entry instance count after it
@@ -32,9 +39,11 @@
 	return Settings{
 		Picker:       picker.DefaultSettings(),
 		Ejector:      ejector.DefaultSettings(),
-		PrefillCost:  0.1,              //nolint:mnd // Named by the field.
-		PlaceBytes:   32 << 20,         //nolint:mnd // Named by the field.
-		EntryTimeout: 15 * time.Second, //nolint:mnd // Named by the field.
+		PrefillCost:  0.00005,                //nolint:mnd // Named by the field.
+		PrefillTime:  100 * time.Microsecond, //nolint:mnd // Named by the field.
+		MaxWait:      400 * time.Millisecond, //nolint:mnd // Named by the field.
+		PlaceBytes:   32 << 20,               //nolint:mnd // Named by the field.
+		EntryTimeout: 15 * time.Second,       //nolint:mnd // Named by the field.
 	}
 }
 
@@ -57,10 +66,10 @@
 	Chat     uint64
 	Customer uint32
 	Weight   float64
-	// Prompt and Output are the prompt's length and the expected answer's, in
-	// tokens.
+	// Prompt is the prompt's length in tokens.
 	Prompt int
-	Output int
+	// Waited is how long the request has waited for its place so far.
+	Waited time.Duration
 	// Hint is the target that served the chat last by the caller's word; zero
 	// means that the caller has none. It is taken only for a chat that is not
 	// remembered, and never past the bound.
@@ -69,6 +78,9 @@
 	Allowed func(target uint32) bool
 	// Excluded are targets that were tried already.
 	Excluded []uint32
+	// Sent says that another cell's Granter sent the request here; it is then
+	// not sent on.
+	Sent bool
 }
 
 // Reason says why an Ask was refused.
@@ -84,17 +96,25 @@
 	OverShare
 	// NoTargets means that no target in service is selected.
 	NoTargets
+	// Wait means that the chat's place is over its bound for the moment, and
+	// waiting a little costs less than a place without the chat's prefix.
+	Wait
+	// Elsewhere means that another cell of the pool, given in Cell, holds the
+	// chat or is less loaded.
+	Elsewhere
 )
 
 // String returns the reason's name.
 func (r Reason) String() string {
-	return [...]string{"granted", "full", "overShare", "noTargets"}[r]
+	return [...]string{"granted", "full", "overShare", "noTargets", "wait", "elsewhere"}[r]
 }
 
 // Verdict is the answer to an Ask.
 type Verdict struct {
 	Reason Reason
 	Target uint32
+	// Cell is the cell to ask when the request is sent elsewhere.
+	Cell uint32
 	// Returned says that the target holds the chat's prefix by what is known.
 	Returned bool
 	// RetryAfter is when to ask again after a refusal.
@@ -106,7 +126,8 @@
 	ID       ID
 	Target   uint32
 	Customer uint32
-	Work     float64
+	// Work is in requests.
+	Work float64
 }
 
 // Outcome is how a granted request ended.
@@ -147,7 +168,12 @@
 	ejector  *ejector.Ejector
 	tracker  *tracker.Tracker
 	window   time.Time
-	scratch  []picker.Candidate
+	others   []other
+	// changed are the chats whose place is new, and scanned how far the table
+	// was passed on in turn.
+	changed []uint64
+	scanned int
+	scratch []picker.Candidate
 }
 
 // New returns a Granter without targets. The random source spreads the times
@@ -212,14 +238,21 @@
 	}
 
 	p, h := g.place(a)
-	w := g.work(a.Prompt, a.Output)
+	x, y := g.outside(now, a)
+
+	if v, ok := g.send(now, a, c, p, x, y); ok {
+		return v
+	}
+
+	w := g.work(a.Prompt)
 	r := picker.Request{
 		Chat:      a.Chat,
 		Customer:  a.Customer,
 		Share:     g.sharer.Share(a.Customer),
 		Place:     p,
 		Work:      w,
-		PlaceWork: g.work(max(a.Prompt-h, 0), a.Output),
+		PlaceWork: g.work(max(a.Prompt-h, 0)),
+		OtherLoad: x, OtherWeight: y,
 	}
 
 	i := picker.Pick(g.settings.Picker, r, c)
@@ -227,6 +260,10 @@
 		return g.refuse(Full)
 	}
 
+	if i != p && p != picker.NoTarget && !c[p].Gone && g.worthWaiting(a, h) {
+		return Verdict{Reason: Wait, RetryAfter: waitStep}
+	}
+
 	if u, m := g.capacity(c); !g.sharer.Admit(now, a.Customer, a.Weight, 1, u, m) {
 		return g.refuse(OverShare)
 	}
@@ -240,27 +277,28 @@
 	return Verdict{Target: g.targets[i].ID, Returned: i == p}
 }
 
-// Release ends a grant. Releasing a grant that is not known, or twice, takes
-// only the report.
-func (g *Granter) Release(now time.Time, id ID, t uint32, o Outcome) {
+// Release ends a grant. Releasing a grant that is not known, or twice, does
+// nothing.
+func (g *Granter) Release(now time.Time, id ID, o Outcome) {
 	g.roll(now)
 	g.entries[id.Entry] = now
-	g.drop(id)
 
-	x, ok := g.byID[t]
+	x, ok := g.grants[id]
 	if !ok {
 		return
 	}
 
-	if !o.NeverSent {
-		g.ejector.Result(now, t, o.OK)
-	}
+	g.drop(id)
 
-	g.Report(now, t, o.Requests, o.State)
+	if _, ok := g.byID[x.Target]; !ok {
+		return
+	}
 
-	if !o.OK {
-		x.reported = -1
+	if !o.NeverSent {
+		g.ejector.Result(now, x.Target, o.OK)
 	}
+
+	g.Report(now, x.Target, o.Requests, o.State)
 }
 
 // Report takes what a target says of itself. A negative number of requests is
@@ -331,11 +369,38 @@
 	}
 }
 
-// Remember notes a chat's place, as a former home hands it over.
+// Remember notes a chat's place, as the home before this one told it. What this
+// Granter granted itself since is newer and stays.
 func (g *Granter) Remember(now time.Time, chat uint64, p placer.Place) {
-	if _, ok := g.places.Get(chat); !ok {
-		g.places.Put(now, chat, p)
+	if len(g.grants) > 0 {
+		if _, ok := g.places.Get(chat); ok {
+			return
+		}
+	}
+
+	g.places.Put(now, chat, p)
+}
+
+// Changed returns up to n places that are new since the last call, and some of
+// the others in turn, for the home that comes after this one. The others make
+// good what a successor missed that was new itself.
+func (g *Granter) Changed(n, others int) []placer.Chat {
+	var o []placer.Chat
+
+	k := min(n, len(g.changed))
+
+	for _, c := range g.changed[:k] {
+		if p, ok := g.places.Get(c); ok {
+			o = append(o, placer.Chat{Chat: c, Place: p})
+		}
 	}
+
+	g.changed = append(g.changed[:0], g.changed[k:]...)
+
+	x, next := g.places.Scan(g.scanned, others)
+	g.scanned = next
+
+	return append(o, x...)
 }
 
 // Places returns the table of places, for handing it over.
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -98,16 +98,16 @@
 }
 
 // Gossip answers a gossip message.
-func (j *Joiner) Gossip(c context.Context, body []byte) (msgp.Marshaler, error) {
+func (j *Joiner) Gossip(c context.Context, from uint64, body []byte) (msgp.Marshaler, error) {
 	var w wire.Gossip
 	if _, err := w.UnmarshalMsg(body); err != nil {
 		return nil, errors.Mark(err, ErrGossip)
 	}
 
 	j.mu.Lock()
-	_, known := j.gossiper.Address(w.From)
+	_, known := j.gossiper.Address(from)
 	m := j.gossiper.Receive(time.Now(), w)
-	a, ok := j.gossiper.Address(w.From)
+	a, ok := j.gossiper.Address(from)
 	j.mu.Unlock()
 
 	if !ok {
@@ -128,7 +128,7 @@
 	}
 
 	if len(m) > 0 {
-		go j.send(c, gossiper.Message{To: a, Gossip: wire.Gossip{From: j.self.ID, Revision: j.revision(), Members: m}})
+		go j.send(c, gossiper.Message{To: a, Gossip: wire.Gossip{Revision: j.revision(), Members: m}})
 	}
 
 	return nil, nil //nolint:nilnil // Gossip has no reply.
@@ -140,7 +140,26 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 
-	return j.gossiper.Home(time.Now(), key, centres)
+	o := j.gossiper.Homes(time.Now(), key, centres, 1)
+	if len(o) == 0 {
+		return gossiper.Member{}, false
+	}
+
+	return o[0], true
+}
+
+// Successor returns the router that would be responsible for a key if this one,
+// which is, were gone. There is none when this router is not responsible.
+func (j *Joiner) Successor(key uint64, centres []string) (gossiper.Member, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+
+	o := j.gossiper.Homes(time.Now(), key, centres, 2) //nolint:mnd // This one and the next.
+	if len(o) < 2 || o[0].ID != j.self.ID {            //nolint:mnd // As above.
+		return gossiper.Member{}, false
+	}
+
+	return o[1], true
 }
 
 // Live returns the routers that may be given work.
@@ -191,7 +210,7 @@
 		k[m.Address] = true
 	}
 
-	w := wire.Gossip{From: j.self.ID, Members: []wire.Member{{
+	w := wire.Gossip{Members: []wire.Member{{
 		ID: j.self.ID, Address: j.self.Address.String(), Region: j.self.Region, DataCentre: j.self.DataCentre,
 	}}}
 
--- a/internal/keeper/handlers.go
+++ b/internal/keeper/handlers.go
@@ -8,7 +8,6 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/messenger"
-	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -20,21 +19,19 @@
 // Register makes the Keeper answer peers.
 func (k *Keeper) Register(r registry) {
 	r.Handle(wire.KindAsk, k.onAsk)
-	r.Handle(wire.KindRelease, oneWay(func(w *wire.Release) { k.Release(time.Now(), *w) }))
-	r.Handle(wire.KindSync, oneWay(func(w *wire.Sync) { k.Sync(time.Now(), *w) }))
-	r.Handle(wire.KindHandOver, oneWay(func(w *wire.HandOver) { k.HandOver(time.Now(), *w) }))
-	r.Handle(wire.KindTargetState, oneWay(func(w *wire.TargetState) {
-		k.Observe(w.Target, tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving})
-	}))
+	r.Handle(wire.KindRelease, oneWay(func(from uint64, w *wire.Release) { k.Release(time.Now(), from, *w) }))
+	r.Handle(wire.KindSync, oneWay(func(from uint64, w *wire.Sync) { k.Sync(time.Now(), from, *w) }))
+	r.Handle(wire.KindCellLoad, oneWay(func(_ uint64, w *wire.CellLoad) { k.Other(time.Now(), *w) }))
+	r.Handle(wire.KindHandOver, oneWay(func(_ uint64, w *wire.HandOver) { k.HandOver(time.Now(), *w) }))
 }
 
-func (k *Keeper) onAsk(_ context.Context, b []byte) (msgp.Marshaler, error) {
+func (k *Keeper) onAsk(_ context.Context, from uint64, b []byte) (msgp.Marshaler, error) {
 	var w wire.Ask
 	if _, err := w.UnmarshalMsg(b); err != nil {
 		return nil, errors.Mark(err, ErrMessage)
 	}
 
-	v, err := k.Ask(time.Now(), w)
+	v, err := k.Ask(time.Now(), from, w)
 	if err != nil {
 		return nil, err
 	}
@@ -46,14 +43,14 @@
 func oneWay[T any, P interface {
 	*T
 	msgp.Unmarshaler
-}](f func(P)) messenger.Handler {
-	return func(_ context.Context, b []byte) (msgp.Marshaler, error) {
+}](f func(uint64, P)) messenger.Handler {
+	return func(_ context.Context, from uint64, b []byte) (msgp.Marshaler, error) {
 		w := P(new(T))
 		if _, err := w.UnmarshalMsg(b); err != nil {
 			return nil, errors.Mark(err, ErrMessage)
 		}
 
-		f(w)
+		f(from, w)
 
 		return nil, nil //nolint:nilnil // No reply.
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -40,6 +41,10 @@
 	mu      sync.Mutex
 	granter *granter.Granter
 	used    time.Time
+	// moved says that another router has become the cell's home, and handed how
+	// far the places have been handed over to it.
+	moved  bool
+	handed int
 }
 
 // Keeper answers asks for the cells that come to it. It does not check that it
@@ -49,6 +54,7 @@
 	settings granter.Settings
 	force    func() *follower.Force
 	prober   prober
+	teller   teller
 
 	mu    sync.Mutex
 	homes map[uint32]*home
@@ -58,8 +64,8 @@
 }
 
 // New returns a Keeper without cells.
-func New(s granter.Settings, force func() *follower.Force, p prober) *Keeper {
-	return &Keeper{settings: s, force: force, prober: p, homes: make(map[uint32]*home), states: tracker.New()}
+func New(s granter.Settings, force func() *follower.Force, p prober, t teller) *Keeper {
+	return &Keeper{settings: s, force: force, prober: p, teller: t, homes: make(map[uint32]*home), states: tracker.New()}
 }
 
 // Run sweeps the cells until the context ends. The function says whether this
@@ -97,8 +103,8 @@
 	}
 }
 
-// Ask decides on a request for a place. It fails with ErrUnknownCell.
-func (k *Keeper) Ask(now time.Time, w wire.Ask) (wire.Verdict, error) {
+// Ask decides on an entry's request for a place. It fails with ErrUnknownCell.
+func (k *Keeper) Ask(now time.Time, entry uint64, w wire.Ask) (wire.Verdict, error) {
 	f := k.force()
 
 	h, err := k.home(now, f, w.Cell)
@@ -111,25 +117,26 @@
 
 	h.used = now
 	v := h.granter.Ask(now, granter.Ask{
-		ID:       granter.ID{Entry: w.Entry, Seq: w.Seq},
+		ID:       granter.ID{Entry: entry, Seq: w.Seq},
 		Chat:     w.Chat,
 		Customer: w.Customer,
 		Weight:   f.Matcher.Weight(w.Customer),
 		Prompt:   int(w.Prompt),
-		Output:   int(w.Output),
+		Waited:   time.Duration(w.WaitedMs) * time.Millisecond,
 		Hint:     w.Hint,
 		Allowed:  allowed(f.Matcher, w.Rule),
 		Excluded: w.Excluded,
+		Sent:     w.Sent,
 	})
 
 	return wire.Verdict{
-		Reason: uint8(v.Reason), Target: v.Target, Returned: v.Returned,
+		Reason: uint8(v.Reason), Target: v.Target | v.Cell, Returned: v.Returned,
 		RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), //nolint:gosec // A few seconds.
 	}, nil
 }
 
 // Release ends a grant.
-func (k *Keeper) Release(now time.Time, w wire.Release) {
+func (k *Keeper) Release(now time.Time, entry uint64, w wire.Release) {
 	h, err := k.home(now, k.force(), w.Cell)
 	if err != nil {
 		return
@@ -138,14 +145,14 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	h.granter.Release(now, granter.ID{Entry: w.Entry, Seq: w.Seq}, w.Target, granter.Outcome{
+	h.granter.Release(now, granter.ID{Entry: entry, Seq: w.Seq}, granter.Outcome{
 		OK: w.OK, NeverSent: w.NeverSent, Requests: int(w.Requests),
 		State: tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving},
 	})
 }
 
 // Sync takes an entry's list of its grants in a cell.
-func (k *Keeper) Sync(now time.Time, w wire.Sync) {
+func (k *Keeper) Sync(now time.Time, entry uint64, w wire.Sync) {
 	h, err := k.home(now, k.force(), w.Cell)
 	if err != nil {
 		return
@@ -154,14 +161,14 @@
 	l := make([]granter.Grant, len(w.Grants))
 	for i, g := range w.Grants {
 		l[i] = granter.Grant{
-			ID: granter.ID{Entry: w.Entry, Seq: g.Seq}, Target: g.Target, Customer: g.Customer, Work: float64(g.Work),
+			ID: granter.ID{Entry: entry, Seq: g.Seq}, Target: g.Target, Customer: g.Customer, Work: 1,
 		}
 	}
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	h.granter.Sync(now, w.Entry, w.UpTo, l)
+	h.granter.Sync(now, entry, w.UpTo, l)
 }
 
 // Seen takes what the platform's list says of a target.
@@ -183,6 +190,19 @@
 	}
 }
 
+// Other takes the load of another cell of a pool.
+func (k *Keeper) Other(now time.Time, w wire.CellLoad) {
+	h, err := k.home(now, k.force(), w.To)
+	if err != nil {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.granter.Other(now, w.From, float64(w.Milli)/milli, float64(w.Weight))
+}
+
 // HandOver takes the places of a cell from its former home.
 func (k *Keeper) HandOver(now time.Time, w wire.HandOver) {
 	h, err := k.home(now, k.force(), w.Cell)
@@ -214,17 +234,11 @@
 // Each calls f with each cell's identifier and remembered places.
 func (k *Keeper) Each(f func(cell uint32, l []wire.Place)) {
 	for id, h := range k.snapshot() {
-		var l []wire.Place
-
 		h.mu.Lock()
-		h.granter.Places().Each(func(c uint64, p placer.Place) bool {
-			l = append(l, wire.Place{Chat: c, Target: p.Target, Tokens: uint32(p.Tokens)}) //nolint:gosec // Not negative.
-
-			return true
-		})
+		l, _ := h.granter.Places().Scan(0, math.MaxInt)
 		h.mu.Unlock()
 
-		f(id, l)
+		f(id, places(l))
 	}
 }
 
@@ -296,10 +310,17 @@
 	f := k.force()
 
 	for _, x := range f.Matcher.Cells() {
-		if mine(x) {
-			if h, err := k.home(n, f, x.ID); err == nil {
-				k.probe(c, n, f.Matcher, h)
-			}
+		if !mine(x) {
+			k.handOver(x)
+
+			continue
+		}
+
+		if h, err := k.home(n, f, x.ID); err == nil {
+			h.stay()
+			k.probe(c, n, f.Matcher, h)
+			k.tell(n, f.Matcher, x, h)
+			k.replicate(x, h)
 		}
 	}
 
--- a/internal/matcher/cell.go
+++ b/internal/matcher/cell.go
@@ -9,12 +9,8 @@
 
 // A data centre whose part of a pool has fewer targets than minCell shares one
 // cell with the rest of its region: with few targets the mean is coarse and
-// the bound would refuse places that the region still has. Above maxCell a
-// part is split, so that one home's control traffic stays within its budget.
-const (
-	minCell = 8
-	maxCell = 24
-)
+// the bound would refuse places that the region still has.
+const minCell = 8
 
 // Cell is a set of targets whose load one instance, the cell's home, counts.
 // Every target belongs to exactly one cell, so that exactly one instance at a
@@ -23,6 +19,8 @@
 	ID     uint32
 	Name   string
 	Region string
+	// Pool is the pool of which this cell has a part.
+	Pool string
 	// DataCentres are those in which the cell's targets stand, in order.
 	DataCentres []string
 	Targets     []*Target
@@ -43,6 +41,19 @@
 	return o
 }
 
+// Siblings returns the other cells of a cell's pool in its region.
+func (m *Matcher) Siblings(c *Cell) []*Cell {
+	var o []*Cell
+
+	for _, x := range m.cells {
+		if x != c && x.Pool == c.Pool && x.Region == c.Region {
+			o = append(o, x)
+		}
+	}
+
+	return o
+}
+
 // Cells returns all cells in the order of their names.
 func (m *Matcher) Cells() []*Cell {
 	o := make([]*Cell, 0, len(m.cells))
@@ -127,6 +138,7 @@
 	type part struct{ pool, region, centre string }
 
 	p := make(map[part][]*Target)
+	s := make(map[part][]*Target)
 	d := make(map[*Target]bool)
 
 	for _, r := range m.rules {
@@ -142,24 +154,30 @@
 	}
 
 	for k, t := range p {
-		n := k.pool + "/" + k.region
-
 		if len(t) >= minCell {
-			n += "/" + k.centre
+			m.split(k.pool, k.region, "/"+k.centre, t)
+
+			continue
 		}
 
-		m.split(n, k.region, t)
+		k.centre = ""
+		s[k] = append(s[k], t...)
+	}
+
+	for k, t := range s {
+		m.split(k.pool, k.region, "", t)
 	}
 
 	m.index()
 }
 
-// split adds targets to the cells of a name. The number of cells is a power of
+// split adds targets to the cells of a part of a pool, so that none has many more than
+// the limit: one home's control traffic grows with its cells. The number of cells is a power of
 // two and each target chooses by rendezvous, so that adding a target moves no
 // other until the number doubles.
-func (m *Matcher) split(name, region string, t []*Target) {
+func (m *Matcher) split(pool, region, part string, t []*Target) {
 	n := 1
-	for n*maxCell < len(t) {
+	for n*m.document.Limits.Cell() < len(t) {
 		n *= 2
 	}
 
@@ -167,16 +185,16 @@
 		i := hasher.Rank(uint64(x.ID), n,
 			func(i int) uint64 { return uint64(i) }, //nolint:gosec // Never negative.
 			func(int) float64 { return 1 })[0]
-		m.add(fmt.Sprintf("%s/%d", name, i), region, x)
+		m.add(fmt.Sprintf("%s/%s%s/%d", pool, region, part, i), pool, region, x)
 	}
 }
 
-func (m *Matcher) add(name, region string, t *Target) {
+func (m *Matcher) add(name, pool, region string, t *Target) {
 	id := hasher.Name(name)
 	c, ok := m.cells[id]
 
 	if !ok {
-		c = &Cell{ID: id, Name: name, Region: region}
+		c = &Cell{ID: id, Name: name, Pool: pool, Region: region}
 		m.cells[id] = c
 	}
 
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"bufio"
 	"encoding/binary"
 	"io"
 
@@ -13,14 +14,19 @@
 const (
 	// MaxFrame is the largest frame in bytes. A document of the design size
 	// fits several times.
-	MaxFrame    = 16 << 20
-	lengthBytes = 4
+	MaxFrame = 16 << 20
+	// room is for the length and the frame's own fields.
+	room = 24
 )
 
-// Message is a generated wire message.
-type Message interface {
-	msgp.Marshaler
-	msgp.Unmarshaler
+// Size returns how many bytes a message takes on a connection.
+func Size(k wire.Kind, id uint32, m msgp.Marshaler) int {
+	b, err := encode(k, id, m)
+	if err != nil {
+		return 0
+	}
+
+	return len(b)
 }
 
 // encode returns a frame with its length before it.
@@ -38,33 +44,36 @@
 
 	f := wire.Frame{Kind: k, ID: id, Body: b}
 
-	o, err := f.MarshalMsg(make([]byte, lengthBytes, lengthBytes+len(b)+16)) //nolint:mnd // Room for the frame's own fields.
+	o, err := f.MarshalMsg(make([]byte, binary.MaxVarintLen32, len(b)+room))
 	if err != nil {
 		return nil, errors.Mark(err, ErrFrame)
 	}
 
-	if len(o)-lengthBytes > MaxFrame {
-		return nil, errors.Mark(errors.Newf("a frame of %d bytes", len(o)), ErrFrame)
+	n := len(o) - binary.MaxVarintLen32
+	if n > MaxFrame {
+		return nil, errors.Mark(errors.Newf("a frame of %d bytes", n), ErrFrame)
 	}
 
-	binary.BigEndian.PutUint32(o, uint32(len(o)-lengthBytes)) //nolint:gosec // Bounded by MaxFrame.
+	// The length is written right before the frame, so that nothing is copied.
+	var l [binary.MaxVarintLen64]byte
 
-	return o, nil
+	s := binary.MaxVarintLen32 - binary.PutUvarint(l[:], uint64(n)) //nolint:gosec // Not negative.
+	copy(o[s:], l[:binary.MaxVarintLen32-s])
+
+	return o[s:], nil
 }
 
-// decode reads one frame. A length above MaxFrame is refused before memory is
-// taken for it, or one bad peer could take all of it.
-func decode(r io.Reader) (wire.Frame, int, error) {
-	var (
-		f wire.Frame
-		h [lengthBytes]byte
-	)
+// decode reads one frame and returns it with its size. A length above MaxFrame
+// is refused before memory is taken for it, or one bad peer could take all of
+// it.
+func decode(r *bufio.Reader) (wire.Frame, int, error) {
+	var f wire.Frame
 
-	if _, err := io.ReadFull(r, h[:]); err != nil {
+	n, err := binary.ReadUvarint(r)
+	if err != nil {
 		return f, 0, errors.Mark(err, ErrUnreachable)
 	}
 
-	n := binary.BigEndian.Uint32(h[:])
 	if n == 0 || n > MaxFrame {
 		return f, 0, errors.Mark(errors.Newf("a frame of %d bytes", n), ErrFrame)
 	}
@@ -78,5 +87,5 @@
 		return f, 0, errors.Mark(err, ErrFrame)
 	}
 
-	return f, lengthBytes + int(n), nil
+	return f, len(binary.AppendUvarint(nil, n)) + int(n), nil
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -24,8 +24,9 @@
 	redialAfter = 250 * time.Millisecond
 )
 
-// Handler answers a message. A nil reply without an error sends none.
-type Handler func(c context.Context, body []byte) (msgp.Marshaler, error)
+// Handler answers a message from a peer. A nil reply without an error sends
+// none.
+type Handler func(c context.Context, from uint64, body []byte) (msgp.Marshaler, error)
 
 // Traffic counts the bytes of control messages, both ways.
 type Traffic struct {
@@ -43,6 +44,7 @@
 // Messenger sends messages to peers and answers theirs. It is safe for
 // concurrent use once its handlers are set.
 type Messenger struct {
+	id       uint64
 	traffic  Traffic
 	handlers map[wire.Kind]Handler
 	listener net.Listener
@@ -61,15 +63,17 @@
 }
 
 // New listens on an address and returns a Messenger with its clean-up
-// function, which closes all connections. Messages are answered from Serve on.
-// It fails with ErrUnreachable when the address can't be listened on.
-func New(a netip.AddrPort) (*Messenger, func(), error) {
+// function, which closes all connections. It sends under the given ID. Messages
+// are answered from Serve on. It fails with ErrUnreachable when the address
+// can't be listened on.
+func New(a netip.AddrPort, id uint64) (*Messenger, func(), error) {
 	l, err := net.Listen("tcp", a.String()) //nolint:noctx // Ended by the clean-up function.
 	if err != nil {
 		return nil, nil, errors.Mark(errors.Wrap(err, "listening for peers"), ErrUnreachable)
 	}
 
 	m := &Messenger{
+		id:       id,
 		handlers: make(map[wire.Kind]Handler),
 		listener: l,
 		done:     make(chan struct{}),
@@ -181,6 +185,9 @@
 	}
 
 	p.conn = newConnection(n, &m.traffic)
+	if err := p.conn.write(wire.KindHello, 0, &wire.Hello{From: m.id}); err != nil {
+		return nil, err
+	}
 
 	return p.conn, nil
 }
@@ -201,6 +208,11 @@
 
 	r := bufio.NewReader(c)
 
+	from, err := m.greeted(r)
+	if err != nil {
+		return
+	}
+
 	for {
 		f, n, err := decode(r)
 		if err != nil {
@@ -217,17 +229,34 @@
 		// A claim waits for the log; answering it in line would hold up the
 		// asks behind it on the same connection.
 		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle {
-			go m.reply(x, c, &w, h, f)
+			go m.reply(x, c, &w, from, h, f)
 
 			continue
 		}
 
-		m.reply(x, c, &w, h, f)
+		m.reply(x, c, &w, from, h, f)
 	}
 }
 
-func (m *Messenger) reply(x context.Context, c net.Conn, w *sync.Mutex, h Handler, f wire.Frame) {
-	r, err := h(x, f.Body)
+// greeted reads the first frame of a connection, which says who is there.
+func (m *Messenger) greeted(r *bufio.Reader) (uint64, error) {
+	f, n, err := decode(r)
+	if err != nil {
+		return 0, err
+	}
+
+	m.traffic.in(n)
+
+	var h wire.Hello
+	if _, err := h.UnmarshalMsg(f.Body); err != nil || f.Kind != wire.KindHello {
+		return 0, ErrFrame
+	}
+
+	return h.From, nil
+}
+
+func (m *Messenger) reply(x context.Context, c net.Conn, w *sync.Mutex, from uint64, h Handler, f wire.Frame) {
+	r, err := h(x, from, f.Body)
 	if f.ID == 0 {
 		return
 	}
--- a/internal/parser/document.go
+++ b/internal/parser/document.go
@@ -14,6 +14,7 @@
 const (
 	DefaultMaxLoadFactor = 1.25
 	DefaultWeight        = 1.0
+	DefaultCellTargets   = 24
 )
 
 // Document is what operators publish: targets, customers, rules and limits.
@@ -76,6 +77,19 @@
 	// MaxLoadFactor is the multiple of the mean load that no engine may
 	// exceed; zero means DefaultMaxLoadFactor.
 	MaxLoadFactor float64 `json:"maxLoadFactor,omitempty" validate:"omitempty,min=1.01,max=100"`
+	// CellTargets is about how many targets one instance grants places on; zero
+	// means DefaultCellTargets. A large fleet lowers it so that no instance
+	// spends too much on control.
+	CellTargets int `json:"cellTargets,omitempty" validate:"omitempty,min=2,max=10000"`
+}
+
+// Cell returns the size of a cell that is in force.
+func (l Limits) Cell() int {
+	if l.CellTargets == 0 {
+		return DefaultCellTargets
+	}
+
+	return l.CellTargets
 }
 
 // LoadFactor returns the bound that is in force.
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -1,6 +1,6 @@
 // Package picker chooses the target for a request: the one that holds the
-// chat's prompt prefix while its load allows it, and otherwise a lightly loaded
-// one among few.
+// chat's prompt prefix while its load allows it, and otherwise the least loaded
+// of its customer's.
 package picker
 
 import (
@@ -17,8 +17,6 @@
 	// StickFactor is the multiple up to which a chat goes back to its place.
 	// It is below LoadFactor to leave room for the others.
 	StickFactor float64
-	// Candidates is among how many targets a chat without a place chooses.
-	Candidates int
 	// SubsetSpare and SubsetFactor size a customer's subset: its share of the
 	// targets times the factor, plus the spare.
 	SubsetSpare  int
@@ -27,7 +25,7 @@
 
 // DefaultSettings returns the settings that routers use.
 func DefaultSettings() Settings {
-	return Settings{LoadFactor: 1.25, StickFactor: 1.2, Candidates: 3, SubsetSpare: 3, SubsetFactor: 2} //nolint:mnd // Named by the fields.
+	return Settings{LoadFactor: 1.25, StickFactor: 1.22, SubsetSpare: 3, SubsetFactor: 2} //nolint:mnd // Named by the fields.
 }
 
 // Candidate is a target as the picker sees it.
@@ -41,6 +39,8 @@
 	// towards the mean when Counted is set.
 	Out     bool
 	Counted bool
+	// Gone says that the target is out for more than its load.
+	Gone bool
 }
 
 // Request is what the choice depends on besides the candidates.
@@ -57,6 +57,10 @@
 	// and PlaceWork the work that it brings to its place.
 	Work      float64
 	PlaceWork float64
+	// OtherLoad and OtherWeight are of the targets that count towards the mean
+	// besides the candidates.
+	OtherLoad   float64
+	OtherWeight float64
 }
 
 // NoTarget is the choice when no candidate may be used.
@@ -71,38 +75,13 @@
 		return r.Place
 	}
 
-	n := subset(s, r, c)
-	o := hasher.Rank(mix(r), len(n),
-		func(i int) uint64 { return uint64(c[n[i]].ID) },
-		func(i int) float64 { return c[n[i]].Weight })
-
-	for i := range o {
-		o[i] = n[o[i]]
-	}
-
-	if i := least(b, r, c, o[:min(s.Candidates, len(o))]); i != NoTarget {
+	if i := least(b, c, subset(s, r, c)); i != NoTarget {
 		return i
 	}
 
-	for _, i := range o {
-		if b.holds(c[i], b.work(i)) {
-			return i
-		}
-	}
-
 	return emptiest(r, c)
 }
 
-// mix returns the key that a request is ranked by: its chat, or its customer
-// when it has none.
-func mix(r Request) uint64 {
-	if r.Chat != 0 {
-		return r.Chat
-	}
-
-	return uint64(r.Customer)
-}
-
 // bound is the load that a target may carry.
 type bound struct {
 	settings Settings
@@ -113,7 +92,7 @@
 // newBound works out the mean load by weight of the counted candidates, with
 // the request's own work in it.
 func newBound(s Settings, r Request, c []Candidate) bound {
-	var l, w float64
+	l, w := r.OtherLoad, r.OtherWeight
 
 	for _, x := range c {
 		if x.Counted {
@@ -176,7 +155,7 @@
 
 // least returns the least loaded of the given candidates that stays within the
 // bound, or NoTarget.
-func least(b bound, r Request, c []Candidate, o []int) int {
+func least(b bound, c []Candidate, o []int) int {
 	v := NoTarget
 	l := math.Inf(1)
 
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -98,18 +98,29 @@
 	return len(p.slots) * EntryBytes
 }
 
-// Each calls f for every remembered chat until f returns false, in the order
-// of the table.
-func (p *Placer) Each(f func(chat uint64, x Place) bool) {
-	for _, s := range p.slots {
-		if s.target == 0 {
-			continue
+// Chat is a remembered chat with its place.
+type Chat struct {
+	Place
+
+	Chat uint64
+}
+
+// Scan returns up to n remembered chats from a position of the table on, and the
+// position after them, which is zero at the end. Zero begins.
+func (p *Placer) Scan(from, n int) ([]Chat, int) {
+	var o []Chat
+
+	for i := from; i < len(p.slots); i++ {
+		if len(o) == n {
+			return o, i
 		}
 
-		if !f(s.chat, Place{Target: s.target, Tokens: int(s.units) * tokenUnit}) {
-			return
+		if s := p.slots[i]; s.target != 0 {
+			o = append(o, Chat{Chat: s.chat, Place: Place{Target: s.target, Tokens: int(s.units) * tokenUnit}})
 		}
 	}
+
+	return o, 0
 }
 
 func (p *Placer) bucket(chat uint64) []slot {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -117,7 +117,7 @@
 		return r.claim(c, q)
 	}
 
-	w := wire.Claim{Key: q.Key, Body: q.Body, ID: q.ID, Entry: r.members.Self().ID, DeadlineMs: q.Within.Milliseconds()}
+	w := wire.Claim{Key: q.Key, Body: q.Body, ID: q.ID, DeadlineMs: q.Within.Milliseconds()}
 
 	x, stop := context.WithTimeout(c, callTimeout)
 	defer stop()
@@ -241,7 +241,7 @@
 	return err
 }
 
-func (r *Registrar) onClaim(c context.Context, b []byte) (msgp.Marshaler, error) {
+func (r *Registrar) onClaim(c context.Context, _ uint64, b []byte) (msgp.Marshaler, error) {
 	var w wire.Claim
 	if _, err := w.UnmarshalMsg(b); err != nil {
 		return nil, errors.Mark(err, ErrMessage)
@@ -261,7 +261,7 @@
 	}, nil
 }
 
-func (r *Registrar) onSettle(c context.Context, b []byte) (msgp.Marshaler, error) {
+func (r *Registrar) onSettle(c context.Context, _ uint64, b []byte) (msgp.Marshaler, error) {
 	var w wire.Settle
 	if _, err := w.UnmarshalMsg(b); err != nil {
 		return nil, errors.Mark(err, ErrMessage)
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/joiner"
@@ -42,8 +43,8 @@
 	return t, nil
 }
 
-func newMessenger(l fx.Lifecycle, s resolver.Router) (*messenger.Messenger, error) {
-	m, f, err := messenger.New(s.Peer)
+func newMessenger(l fx.Lifecycle, s resolver.Router, self gossiper.Member) (*messenger.Messenger, error) {
+	m, f, err := messenger.New(s.Peer, self.ID)
 	if err != nil {
 		return nil, errors.Mark(err, ErrStart)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Frame Member Beat Gossip Ask Verdict Release Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver TargetState
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -25,13 +25,21 @@
 	KindSettle
 	KindState
 	KindHandOver
-	KindTargetState
+	KindCellLoad
+	// KindHello is the first frame on a connection.
+	KindHello
 	// KindError is a reply that carries no body: the peer could not answer.
 	KindError
 )
 
-// Frame is what goes over a connection, after its length in four bytes, the
-// highest first. ID pairs a reply with its request; zero asks for no reply.
+// Hello is the first message on a connection and says who sends on it, so that
+// the others need not.
+type Hello struct {
+	From uint64
+}
+
+// Frame is what goes over a connection, after its length as a varint. ID pairs a
+// reply with its request; zero asks for no reply.
 type Frame struct {
 	Kind Kind
 	ID   uint32
@@ -59,28 +67,30 @@
 // Gossip carries the beats of a few routers and the revision in force at the
 // sender. Unknown lists routers that the sender wants to be introduced to.
 type Gossip struct {
-	From     uint64
 	Revision uint64
 	Beats    []Beat
 	Members  []Member
 	Unknown  []uint64
 }
 
-// Ask asks a cell's home for a place.
+// Ask asks a cell's home for a place. The entry that asks is the sender.
 type Ask struct {
-	Entry    uint64
 	Seq      uint32
 	Cell     uint32
 	Rule     uint32
 	Customer uint32
 	Chat     uint64
 	Prompt   uint32
-	Output   uint32
 	Hint     uint32
 	Excluded []uint32
+	// WaitedMs is how long the request has waited for its place already.
+	WaitedMs uint32
+	// Sent says that another cell's home sent the request here.
+	Sent bool
 }
 
-// Verdict answers an Ask. Reason is a granter.Reason.
+// Verdict answers an Ask. Reason is a granter.Reason. When it sends the request
+// elsewhere, Target is the cell to ask.
 type Verdict struct {
 	Reason       uint8
 	Target       uint32
@@ -88,12 +98,11 @@
 	RetryAfterMs uint32
 }
 
-// Release ends a grant.
+// Release ends a grant. Incarnation is zero when nothing new is known of the
+// target's.
 type Release struct {
-	Entry       uint64
 	Seq         uint32
 	Cell        uint32
-	Target      uint32
 	OK          bool
 	NeverSent   bool
 	Requests    int32
@@ -106,12 +115,10 @@
 	Seq      uint32
 	Target   uint32
 	Customer uint32
-	Work     uint32
 }
 
 // Sync lists all places that an entry holds in a cell, of those up to a number.
 type Sync struct {
-	Entry  uint64
 	Cell   uint32
 	UpTo   uint32
 	Grants []Grant
@@ -122,7 +129,6 @@
 	Key        uint64
 	Body       uint64
 	ID         uint64
-	Entry      uint64
 	DeadlineMs int64
 }
 
@@ -178,9 +184,11 @@
 	Places []Place
 }
 
-// TargetState passes on what a router saw of a target's incarnation.
-type TargetState struct {
-	Target      uint32
-	Incarnation uint64
-	Leaving     bool
+// CellLoad tells the homes of a pool's other cells of the load on one: the work
+// in flight in thousandths of a request, and how many requests it runs at once.
+type CellLoad struct {
+	From   uint32
+	To     uint32
+	Milli  uint64
+	Weight uint32
 }
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -18,11 +18,6 @@
 		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
-	z.Entry, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
-		return
-	}
 	z.Seq, err = dc.ReadUint32()
 	if err != nil {
 		err = msgp.WrapError(err, "Seq")
@@ -53,11 +48,6 @@
 		err = msgp.WrapError(err, "Prompt")
 		return
 	}
-	z.Output, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Output")
-		return
-	}
 	z.Hint, err = dc.ReadUint32()
 	if err != nil {
 		err = msgp.WrapError(err, "Hint")
@@ -81,6 +71,16 @@
 			return
 		}
 	}
+	z.WaitedMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "WaitedMs")
+		return
+	}
+	z.Sent, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
 	return
 }
 
@@ -91,11 +91,6 @@
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Entry)
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
-		return
-	}
 	err = en.WriteUint32(z.Seq)
 	if err != nil {
 		err = msgp.WrapError(err, "Seq")
@@ -126,11 +121,6 @@
 		err = msgp.WrapError(err, "Prompt")
 		return
 	}
-	err = en.WriteUint32(z.Output)
-	if err != nil {
-		err = msgp.WrapError(err, "Output")
-		return
-	}
 	err = en.WriteUint32(z.Hint)
 	if err != nil {
 		err = msgp.WrapError(err, "Hint")
@@ -148,6 +138,16 @@
 			return
 		}
 	}
+	err = en.WriteUint32(z.WaitedMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitedMs")
+		return
+	}
+	err = en.WriteBool(z.Sent)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
 	return
 }
 
@@ -156,19 +156,19 @@
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 10
 	o = append(o, 0x9a)
-	o = msgp.AppendUint64(o, z.Entry)
 	o = msgp.AppendUint32(o, z.Seq)
 	o = msgp.AppendUint32(o, z.Cell)
 	o = msgp.AppendUint32(o, z.Rule)
 	o = msgp.AppendUint32(o, z.Customer)
 	o = msgp.AppendUint64(o, z.Chat)
 	o = msgp.AppendUint32(o, z.Prompt)
-	o = msgp.AppendUint32(o, z.Output)
 	o = msgp.AppendUint32(o, z.Hint)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Excluded)))
 	for za0001 := range z.Excluded {
 		o = msgp.AppendUint32(o, z.Excluded[za0001])
 	}
+	o = msgp.AppendUint32(o, z.WaitedMs)
+	o = msgp.AppendBool(o, z.Sent)
 	return
 }
 
@@ -184,11 +184,6 @@
 		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
 	}
-	z.Entry, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
-		return
-	}
 	z.Seq, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Seq")
@@ -219,11 +214,6 @@
 		err = msgp.WrapError(err, "Prompt")
 		return
 	}
-	z.Output, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Output")
-		return
-	}
 	z.Hint, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Hint")
@@ -247,13 +237,23 @@
 			return
 		}
 	}
+	z.WaitedMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitedMs")
+		return
+	}
+	z.Sent, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Ask) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Excluded) * (msgp.Uint32Size))
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Excluded) * (msgp.Uint32Size)) + msgp.Uint32Size + msgp.BoolSize
 	return
 }
 
@@ -360,6 +360,125 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *CellLoad) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.From, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.To, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
+	z.Milli, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Milli")
+		return
+	}
+	z.Weight, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Weight")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *CellLoad) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	err = en.WriteUint32(z.To)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
+	err = en.WriteUint64(z.Milli)
+	if err != nil {
+		err = msgp.WrapError(err, "Milli")
+		return
+	}
+	err = en.WriteUint32(z.Weight)
+	if err != nil {
+		err = msgp.WrapError(err, "Weight")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *CellLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.From)
+	o = msgp.AppendUint32(o, z.To)
+	o = msgp.AppendUint64(o, z.Milli)
+	o = msgp.AppendUint32(o, z.Weight)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CellLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.From, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.To, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
+	z.Milli, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Milli")
+		return
+	}
+	z.Weight, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Weight")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CellLoad) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Claim) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -368,8 +487,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Key, err = dc.ReadUint64()
@@ -387,11 +506,6 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Entry, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
-		return
-	}
 	z.DeadlineMs, err = dc.ReadInt64()
 	if err != nil {
 		err = msgp.WrapError(err, "DeadlineMs")
@@ -402,8 +516,8 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Claim) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -422,11 +536,6 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteUint64(z.Entry)
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
-		return
-	}
 	err = en.WriteInt64(z.DeadlineMs)
 	if err != nil {
 		err = msgp.WrapError(err, "DeadlineMs")
@@ -438,12 +547,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Claim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Key)
 	o = msgp.AppendUint64(o, z.Body)
 	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendUint64(o, z.Entry)
 	o = msgp.AppendInt64(o, z.DeadlineMs)
 	return
 }
@@ -456,8 +564,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
@@ -475,11 +583,6 @@
 		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Entry, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
-		return
-	}
 	z.DeadlineMs, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "DeadlineMs")
@@ -491,7 +594,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Claim) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size
 	return
 }
 
@@ -769,13 +872,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.From, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "From")
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Revision, err = dc.ReadUint64()
@@ -862,14 +960,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Gossip) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.From)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
-		err = msgp.WrapError(err, "From")
 		return
 	}
 	err = en.WriteUint64(z.Revision)
@@ -934,9 +1027,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Gossip) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
-	o = msgp.AppendUint64(o, z.From)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint64(o, z.Revision)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Beats)))
 	for za0001 := range z.Beats {
@@ -969,13 +1061,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
-		return
-	}
-	z.From, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "From")
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
@@ -1063,7 +1150,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Gossip) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Beats) * (18 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.ArrayHeaderSize + (len(z.Beats) * (18 + msgp.Uint64Size + msgp.Uint32Size + msgp.BoolSize)) + msgp.ArrayHeaderSize
 	for za0002 := range z.Members {
 		s += z.Members[za0002].Msgsize()
 	}
@@ -1079,8 +1166,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Seq, err = dc.ReadUint32()
@@ -1098,18 +1185,13 @@
 		err = msgp.WrapError(err, "Customer")
 		return
 	}
-	z.Work, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Work")
-		return
-	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Grant) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+func (z Grant) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -1128,23 +1210,17 @@
 		err = msgp.WrapError(err, "Customer")
 		return
 	}
-	err = en.WriteUint32(z.Work)
-	if err != nil {
-		err = msgp.WrapError(err, "Work")
-		return
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Grant) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint32(o, z.Seq)
 	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendUint32(o, z.Customer)
-	o = msgp.AppendUint32(o, z.Work)
 	return
 }
 
@@ -1156,8 +1232,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint32Bytes(bts)
@@ -1175,18 +1251,13 @@
 		err = msgp.WrapError(err, "Customer")
 		return
 	}
-	z.Work, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Work")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Grant) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+func (z Grant) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
@@ -1372,6 +1443,77 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Hello) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.From, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Hello) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Hello) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint64(o, z.From)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Hello) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.From, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Hello) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
@@ -1654,13 +1796,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
-		return
-	}
-	z.Entry, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Seq, err = dc.ReadUint32()
@@ -1673,11 +1810,6 @@
 		err = msgp.WrapError(err, "Cell")
 		return
 	}
-	z.Target, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
 	z.OK, err = dc.ReadBool()
 	if err != nil {
 		err = msgp.WrapError(err, "OK")
@@ -1708,14 +1840,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *Release) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 9
-	err = en.Append(0x99)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Entry)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
-		err = msgp.WrapError(err, "Entry")
 		return
 	}
 	err = en.WriteUint32(z.Seq)
@@ -1728,11 +1855,6 @@
 		err = msgp.WrapError(err, "Cell")
 		return
 	}
-	err = en.WriteUint32(z.Target)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
 	err = en.WriteBool(z.OK)
 	if err != nil {
 		err = msgp.WrapError(err, "OK")
@@ -1764,12 +1886,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Release) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 9
-	o = append(o, 0x99)
-	o = msgp.AppendUint64(o, z.Entry)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendUint32(o, z.Seq)
 	o = msgp.AppendUint32(o, z.Cell)
-	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendBool(o, z.OK)
 	o = msgp.AppendBool(o, z.NeverSent)
 	o = msgp.AppendInt32(o, z.Requests)
@@ -1786,13 +1906,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 9 {
-		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
-		return
-	}
-	z.Entry, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint32Bytes(bts)
@@ -1805,11 +1920,6 @@
 		err = msgp.WrapError(err, "Cell")
 		return
 	}
-	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
 	z.OK, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "OK")
@@ -1841,7 +1951,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Release) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.Int32Size + msgp.Uint64Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.Int32Size + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
@@ -2249,13 +2359,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Entry, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Cell, err = dc.ReadUint32()
@@ -2280,25 +2385,40 @@
 		z.Grants = make([]Grant, zb0002)
 	}
 	for za0001 := range z.Grants {
-		err = z.Grants[za0001].DecodeMsg(dc)
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
 		if err != nil {
 			err = msgp.WrapError(err, "Grants", za0001)
 			return
 		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Grants[za0001].Seq, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Seq")
+			return
+		}
+		z.Grants[za0001].Target, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Target")
+			return
+		}
+		z.Grants[za0001].Customer, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Customer")
+			return
+		}
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Sync) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Entry)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
-		err = msgp.WrapError(err, "Entry")
 		return
 	}
 	err = en.WriteUint32(z.Cell)
@@ -2317,9 +2437,24 @@
 		return
 	}
 	for za0001 := range z.Grants {
-		err = z.Grants[za0001].EncodeMsg(en)
+		// array header, size 3
+		err = en.Append(0x93)
 		if err != nil {
-			err = msgp.WrapError(err, "Grants", za0001)
+			return
+		}
+		err = en.WriteUint32(z.Grants[za0001].Seq)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Seq")
+			return
+		}
+		err = en.WriteUint32(z.Grants[za0001].Target)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Target")
+			return
+		}
+		err = en.WriteUint32(z.Grants[za0001].Customer)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Customer")
 			return
 		}
 	}
@@ -2329,18 +2464,17 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Sync) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendUint64(o, z.Entry)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendUint32(o, z.Cell)
 	o = msgp.AppendUint32(o, z.UpTo)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Grants)))
 	for za0001 := range z.Grants {
-		o, err = z.Grants[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Grants", za0001)
-			return
-		}
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint32(o, z.Grants[za0001].Seq)
+		o = msgp.AppendUint32(o, z.Grants[za0001].Target)
+		o = msgp.AppendUint32(o, z.Grants[za0001].Customer)
 	}
 	return
 }
@@ -2353,13 +2487,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
-		return
-	}
-	z.Entry, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Entry")
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Cell, bts, err = msgp.ReadUint32Bytes(bts)
@@ -2384,11 +2513,31 @@
 		z.Grants = make([]Grant, zb0002)
 	}
 	for za0001 := range z.Grants {
-		bts, err = z.Grants[za0001].UnmarshalMsg(bts)
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Grants", za0001)
 			return
 		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Grants[za0001].Seq, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Seq")
+			return
+		}
+		z.Grants[za0001].Target, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Target")
+			return
+		}
+		z.Grants[za0001].Customer, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Grants", za0001, "Customer")
+			return
+		}
 	}
 	o = bts
 	return
@@ -2396,113 +2545,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Sync) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize
-	for za0001 := range z.Grants {
-		s += z.Grants[za0001].Msgsize()
-	}
-	return
-}
-
-// DecodeMsg implements msgp.Decodable
-func (z *TargetState) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Target, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
-	z.Incarnation, err = dc.ReadUint64()
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	z.Leaving, err = dc.ReadBool()
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z TargetState) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint32(z.Target)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
-	err = en.WriteUint64(z.Incarnation)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	err = en.WriteBool(z.Leaving)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z TargetState) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendUint32(o, z.Target)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	o = msgp.AppendBool(o, z.Leaving)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *TargetState) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
-		return
-	}
-	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
-		return
-	}
-	z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
-		return
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TargetState) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.BoolSize
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Grants) * (21 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size))
 	return
 }
 
