--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -367,5 +367,5 @@
 }
 
 func clamp(n int) uint32 {
-	return uint32(min(max(n, 0), math.MaxInt32)) //nolint:gosec // Bounded.
+	return uint32(min(max(n, 0), math.MaxInt32))
 }
--- a/internal/bencher/bencher.go
+++ b/internal/bencher/bencher.go
@@ -67,7 +67,7 @@
 		l []chan *Result
 	)
 
-	g.SetLimit(max(runtime.NumCPU()/2, 1)) //nolint:mnd // Half the machine.
+	g.SetLimit(max(runtime.NumCPU()/2, 1))
 
 	for _, s := range sizes {
 		for _, c := range conditions {
--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -125,7 +125,7 @@
 
 	for i := range s.Routers {
 		c := i % s.Centres
-		w.routers = append(w.routers, &router{id: uint64(i + 1), centre: c, region: c * s.Regions / s.Centres}) //nolint:gosec // Small.
+		w.routers = append(w.routers, &router{id: uint64(i + 1), centre: c, region: c * s.Regions / s.Centres})
 	}
 
 	return w
@@ -262,7 +262,6 @@
 	if q.surge {
 		w.result.surged++
 	}
-
 }
 
 func (w *world) end() {
--- a/internal/commander/load.go
+++ b/internal/commander/load.go
@@ -80,7 +80,7 @@
 	}
 
 	if l.output != "" {
-		if err := os.WriteFile(l.output, b, 0o600); err != nil { //nolint:mnd // The user's own.
+		if err := os.WriteFile(l.output, b, 0o600); err != nil {
 			return errors.Mark(err, ErrUsage)
 		}
 	}
--- a/internal/driver/booking.go
+++ b/internal/driver/booking.go
@@ -44,7 +44,7 @@
 	h.Set(exchanger.HeaderKey, key)
 	h.Set(exchanger.HeaderDeadline, d.settings.Deadline.String())
 
-	a := d.send(c, call{path: "/orders/riders", body: []byte(`{"rider":"` + key + `"}`), header: h}, readWhole)
+	a := d.send(c, call{path: "/orders/riders", body: []byte(`{"rider":"` + key + `"}`), header: h, keyed: true}, readWhole)
 
 	var o struct {
 		Key        string `json:"key"`
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -15,6 +15,9 @@
 	"github.com/auburntray/auburntray/internal/exchanger"
 )
 
+// cutPause is how long a caller waits before it sends a keyed call again.
+const cutPause = 200 * time.Millisecond
+
 // errCut means that a connection or an answer ended before its time.
 var errCut = errors.New("cut")
 
@@ -23,6 +26,9 @@
 	path   string
 	body   []byte
 	header http.Header
+	// keyed says that the call carries an idempotency key, so that it may be
+	// sent again after it was cut.
+	keyed bool
 }
 
 // answer is how a call ended.
@@ -81,7 +87,7 @@
 			return answer{outcome: Refused, code: "dial"}, time.Millisecond, true
 		}
 
-		return answer{outcome: Cut, code: "connection"}, 0, false
+		return answer{outcome: Cut, code: "connection"}, cutPause, q.keyed
 	}
 
 	defer func() { _ = p.Body.Close() }()
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -69,7 +69,7 @@
 		return
 	}
 
-	d := min(e.settings.Base<<min(s.times, 16), e.settings.Max) //nolint:mnd // Past the longest ejection.
+	d := min(e.settings.Base<<min(s.times, 16), e.settings.Max)
 	s.until = now.Add(d)
 	s.times++
 	s.failures = 0
--- a/internal/filterer/pipeline.go
+++ b/internal/filterer/pipeline.go
@@ -221,7 +221,7 @@
 
 	if r.RetryAfter > 0 {
 		s := (r.RetryAfter + time.Second - 1) / time.Second
-		h.Set("Retry-After", strconv.FormatInt(int64(s), 10)) //nolint:mnd // Decimal.
+		h.Set("Retry-After", strconv.FormatInt(int64(s), 10))
 	}
 
 	x.Writer.WriteHeader(r.Status)
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -273,7 +273,7 @@
 	}
 
 	b, err := json.Marshal(folder.Record{
-		ID: "checkpoint-" + strconv.FormatUint(s.Revision, 10), Time: time.Now(), Checkpoint: &s, //nolint:mnd // Decimal.
+		ID: "checkpoint-" + strconv.FormatUint(s.Revision, 10), Time: time.Now(), Checkpoint: &s,
 	})
 	if err != nil {
 		return
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -29,10 +29,10 @@
 // DefaultSettings returns the settings that routers use with a tick a second.
 func DefaultSettings() Settings {
 	return Settings{
-		Fanout: 2, Near: 16, Far: 8, //nolint:mnd // Named by the fields.
-		NearTimeout: 6 * time.Second,  //nolint:mnd // Named by the field.
-		FarTimeout:  20 * time.Second, //nolint:mnd // Named by the field.
-		SuspectFor:  3 * time.Second,  //nolint:mnd // Named by the field.
+		Fanout: 2, Near: 16, Far: 8,
+		NearTimeout: 6 * time.Second,
+		FarTimeout:  20 * time.Second,
+		SuspectFor:  3 * time.Second,
 	}
 }
 
@@ -172,7 +172,7 @@
 	o := make([]Member, 0, len(g.entries))
 
 	for _, e := range g.entries {
-		if !e.leaving && g.live(now, e) && !(now.Sub(e.suspected) < g.settings.SuspectFor) {
+		if !e.leaving && g.live(now, e) && now.Sub(e.suspected) >= g.settings.SuspectFor {
 			o = append(o, e.Member)
 		}
 	}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -39,11 +39,11 @@
 	return Settings{
 		Picker:       picker.DefaultSettings(),
 		Ejector:      ejector.DefaultSettings(),
-		PrefillCost:  0.00005,                //nolint:mnd // Named by the field.
-		PrefillTime:  100 * time.Microsecond, //nolint:mnd // Named by the field.
-		MaxWait:      400 * time.Millisecond, //nolint:mnd // Named by the field.
-		PlaceBytes:   32 << 20,               //nolint:mnd // Named by the field.
-		EntryTimeout: 15 * time.Second,       //nolint:mnd // Named by the field.
+		PrefillCost:  0.00005,
+		PrefillTime:  100 * time.Microsecond,
+		MaxWait:      400 * time.Millisecond,
+		PlaceBytes:   32 << 20,
+		EntryTimeout: 15 * time.Second,
 	}
 }
 
--- a/internal/hasher/hasher.go
+++ b/internal/hasher/hasher.go
@@ -15,6 +15,7 @@
 
 const (
 	wordBytes    = 8
+	wordBits     = 64
 	mantissaBits = 53
 )
 
@@ -56,7 +57,7 @@
 	binary.LittleEndian.PutUint64(b[:wordBytes], key)
 	binary.LittleEndian.PutUint64(b[wordBytes:], candidate)
 
-	h := xxhash.Sum64(b[:]) >> (64 - mantissaBits)
+	h := xxhash.Sum64(b[:]) >> (wordBits - mantissaBits)
 	u := (float64(h) + 0.5) / (1 << mantissaBits)
 
 	return -weight / math.Log(u)
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -154,8 +154,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 
-	o := j.gossiper.Homes(time.Now(), key, centres, 2) //nolint:mnd // This one and the next.
-	if len(o) < 2 || o[0].ID != j.self.ID {            //nolint:mnd // As above.
+	o := j.gossiper.Homes(time.Now(), key, centres, 2)
+	if len(o) < 2 || o[0].ID != j.self.ID {
 		return gossiper.Member{}, false
 	}
 
--- a/internal/keeper/handlers.go
+++ b/internal/keeper/handlers.go
@@ -52,6 +52,6 @@
 
 		f(from, w)
 
-		return nil, nil //nolint:nilnil // No reply.
+		return nil, nil
 	}
 }
--- a/internal/matcher/cell.go
+++ b/internal/matcher/cell.go
@@ -67,7 +67,7 @@
 }
 
 func rank(c []*Cell, r *Rule, chat uint64) []*Cell {
-	if len(c) < 2 { //nolint:mnd // One cell needs no order.
+	if len(c) < 2 {
 		return append([]*Cell(nil), c...)
 	}
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -25,7 +25,7 @@
 
 // DefaultSettings returns the settings that routers use.
 func DefaultSettings() Settings {
-	return Settings{LoadFactor: 1.25, StickFactor: 1.22, SubsetSpare: 3, SubsetFactor: 2} //nolint:mnd // Named by the fields.
+	return Settings{LoadFactor: 1.25, StickFactor: 1.22, SubsetSpare: 3, SubsetFactor: 2}
 }
 
 // Candidate is a target as the picker sees it.
--- a/internal/placer/placer.go
+++ b/internal/placer/placer.go
@@ -50,7 +50,7 @@
 // bytes. Zero means the smallest table.
 func New(maxBytes int) *Placer {
 	n := uint64(minBuckets)
-	for n*2*ways*EntryBytes <= uint64(max(maxBytes, 0)) { //nolint:gosec // Not negative after max.
+	for n*2*ways*EntryBytes <= uint64(max(maxBytes, 0)) {
 		n *= 2
 	}
 
@@ -83,8 +83,8 @@
 	p.set(slot{
 		chat:   chat,
 		target: x.Target,
-		units:  uint16(min(max(x.Tokens, 0)/tokenUnit, maxUnits)), //nolint:gosec // Bounded by min and max.
-		seen:   uint16(now.Unix() / int64(seenUnit/time.Second)),  //nolint:gosec // Wraps by design.
+		units:  uint16(min(max(x.Tokens, 0)/tokenUnit, maxUnits)),
+		seen:   uint16(now.Unix() / int64(seenUnit/time.Second)), //nolint:gosec // Wraps by design.
 	})
 }
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -73,7 +73,7 @@
 func New(a netip.AddrPort, centre string) (*Recorder, func()) {
 	t := &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConns:    8, //nolint:mnd // One stream each.
+		MaxIdleConns:    8,
 		IdleConnTimeout: time.Minute,
 	}
 	r := &Recorder{
--- a/internal/registrar/partition.go
+++ b/internal/registrar/partition.go
@@ -104,7 +104,7 @@
 	o, err := p.log.Append(x, p.stream, d)
 
 	for i, y := range q {
-		y.next = o + uint64(i) + 1 //nolint:gosec // Not negative.
+		y.next = o + uint64(i) + 1
 		y.err = err
 		close(y.done)
 	}
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -82,7 +82,7 @@
 // Text returns a reader of a name of up to 63 bytes that may not be empty.
 func Text(o *string) func(string) error {
 	return func(v string) error {
-		if v == "" || len(v) > 63 { //nolint:mnd // As long as a label.
+		if v == "" || len(v) > 63 {
 			return errNotAllowed
 		}
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -95,7 +95,7 @@
 
 	const randomBits = 12
 
-	n := uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1) //nolint:gosec // After 1970.
+	n := uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1)
 
 	return gossiper.Member{ID: n, Address: s.Peer, Region: s.Region, DataCentre: s.DataCentre}
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -136,7 +136,7 @@
 		err = r.server.Serve(r.listener)
 	}
 
-	if err != http.ErrServerClosed { //nolint:errorlint,err113 // Returned as it is.
+	if err != http.ErrServerClosed {
 		logrus.WithFields(logrus.Fields{"event": "serveFailed", "error": err}).Error()
 	}
 }
@@ -150,7 +150,7 @@
 
 	context.AfterFunc(c, func() { _ = s.Close() })
 
-	if err := s.ListenAndServe(); err != http.ErrServerClosed { //nolint:errorlint,err113 // Returned as it is.
+	if err := s.ListenAndServe(); err != http.ErrServerClosed {
 		logrus.WithFields(logrus.Fields{"event": "debugFailed", "error": err}).Error()
 	}
 }
--- a/internal/sender/event.go
+++ b/internal/sender/event.go
@@ -12,9 +12,9 @@
 // maxEvent bounds one event of a stream.
 const maxEvent = 1 << 20
 
-var (
-	dataPrefix = []byte("data: ")
-	dataDone   = []byte("[DONE]")
+const (
+	dataPrefix = "data: "
+	dataDone   = "[DONE]"
 )
 
 // Event is one event of a streamed answer.
@@ -82,14 +82,14 @@
 			return o, nil
 		}
 
-		if d, ok := bytes.CutPrefix(l, dataPrefix); ok {
+		if d, ok := bytes.CutPrefix(l, []byte(dataPrefix)); ok {
 			o.read(d)
 		}
 	}
 }
 
 func (e *Event) read(d []byte) {
-	if bytes.Equal(d, dataDone) {
+	if string(d) == dataDone {
 		e.Done = true
 
 		return
--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -60,7 +60,7 @@
 	}
 
 	return command("platform", "Run the platform's log and list", t, func(c context.Context) error {
-		return serve(c, a, platform.New(s).Handler(), func() {})
+		return serve(c, a, platform.New(s).Handler(), nil)
 	})
 }
 
@@ -186,8 +186,8 @@
 // when it said that it leaves.
 const leaveNotice = 3 * time.Second
 
-// serve runs a handler until SIGTERM. Then it says that it leaves, waits for
-// the routers to notice, and ends when the last request has.
+// serve runs a handler until SIGTERM. Then it says that it leaves, if it can,
+// waits for the routers to notice, and ends when the last request has.
 func serve(c context.Context, a netip.AddrPort, h http.Handler, leave func()) error {
 	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -210,8 +210,10 @@
 	case <-c.Done():
 	}
 
-	leave()
-	time.Sleep(leaveNotice)
+	if leave != nil {
+		leave()
+		time.Sleep(leaveNotice)
+	}
 
 	x, end := context.WithTimeout(context.Background(), stopTimeout)
 	defer end()
