internal: tests of the decisions, and what they found

Cause and change, each found by a test that failed first: - picker: on a quiet fleet a multiple of the mean is less than one request, so a returning chat was sent away from its place (TestPick, 'an idle fleet takes the first request', chose 0 instead of 2).

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -8,7 +8,6 @@
 	"sort"
 	"time"
 
-	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -68,6 +67,7 @@
 	entries  map[uint64]*entry
 	unknown  map[uint64]bool
 	ticks    int
+	view     view
 }
 
 // Message is gossip with the address that it goes to.
@@ -109,12 +109,14 @@
 	}
 
 	delete(g.unknown, m.ID)
+	g.view = view{}
 	g.entries[m.ID] = &entry{Member: m, fresh: now}
 }
 
 // Leave tells the others from the next tick on that this router is stopping.
 func (g *Gossiper) Leave() {
 	g.self.leaving = true
+	g.view = view{}
 }
 
 // Suspect passes a router over for a while because a call to it failed. A call
@@ -123,6 +125,7 @@
 func (g *Gossiper) Suspect(now time.Time, id uint64) {
 	if e, ok := g.entries[id]; ok && e != g.self {
 		e.suspected = now
+		g.view = view{}
 	}
 }
 
@@ -167,8 +170,14 @@
 }
 
 // Live returns the routers that may be given work, in the order of their IDs.
-// The own router is among them until it leaves.
+// The own router is among them until it leaves. Callers must not change the
+// result. It may lag by viewFor, but not behind this router's own suspicions.
 func (g *Gossiper) Live(now time.Time) []Member {
+	return g.viewAt(now).live
+}
+
+// list works out which routers are live.
+func (g *Gossiper) list(now time.Time) []Member {
 	o := make([]Member, 0, len(g.entries))
 
 	for _, e := range g.entries {
@@ -197,41 +206,9 @@
 // centres, or among all live ones when none is there. It returns none only when
 // this router leaves and knows no other.
 func (g *Gossiper) Homes(now time.Time, key uint64, centres []string, number int) []Member {
-	l := g.Live(now)
-	n := l
-
-	if len(centres) > 0 {
-		n = within(l, centres)
-	}
-
-	if len(n) == 0 {
-		n = l
-	}
+	o := g.viewAt(now).homes(key, centres)
 
-	r := hasher.Rank(key, len(n),
-		func(i int) uint64 { return n[i].ID },
-		func(int) float64 { return 1 })
-	o := make([]Member, min(len(r), number))
-
-	for i := range o {
-		o[i] = n[r[i]]
-	}
-
-	return o
-}
-
-func within(l []Member, centres []string) []Member {
-	var o []Member
-
-	for _, m := range l {
-		for _, c := range centres {
-			if m.DataCentre == c {
-				o = append(o, m)
-			}
-		}
-	}
-
-	return o
+	return o[:min(len(o), number)]
 }
 
 func (g *Gossiper) live(now time.Time, e *entry) bool {
@@ -262,6 +239,11 @@
 
 	e.count = b.Count
 	e.fresh = now
+
+	if !e.suspected.IsZero() || b.Leaving {
+		g.view = view{}
+	}
+
 	e.suspected = time.Time{}
 	// Leaving is final for a process: its successor has another ID.
 	e.leaving = e.leaving || b.Leaving
--- /dev/null
+++ b/internal/gossiper/gossiper_test.go
@@ -0,0 +1,226 @@
+package gossiper_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func member(id uint64, centre string) gossiper.Member {
+	return gossiper.Member{
+		ID: id, Region: "r", DataCentre: centre,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
+	}
+}
+
+// fleet passes gossip on between Gossipers, but not across a cut and not to the
+// dead.
+type fleet struct {
+	members map[netip.AddrPort]*gossiper.Gossiper
+	order   []gossiper.Member
+	now     time.Time
+	dead    map[uint64]bool
+	cut     string
+	bytes   int
+}
+
+func newFleet(n, centres int) *fleet {
+	f := &fleet{members: make(map[netip.AddrPort]*gossiper.Gossiper), now: start, dead: make(map[uint64]bool)}
+
+	for k := range n {
+		m := member(uint64(k+1), "dc-"+strconv.Itoa(k%centres))
+		m.ID |= 1 << 62 // as long as real ones
+		f.order = append(f.order, m)
+		f.members[m.Address] = gossiper.New(gossiper.DefaultSettings(), rand.New(rand.NewPCG(uint64(k), 1)), m)
+	}
+
+	for _, m := range f.order {
+		for _, o := range f.order {
+			f.members[m.Address].Introduce(f.now, o)
+		}
+	}
+
+	return f
+}
+
+func (f *fleet) tick() {
+	f.now = f.now.Add(time.Second)
+
+	for _, m := range f.order {
+		if f.dead[m.ID] {
+			continue
+		}
+
+		for _, x := range f.members[m.Address].Tick(f.now, 1) {
+			f.bytes += messenger.Size(wire.KindGossip, 0, &x.Gossip)
+			f.deliver(m, x)
+		}
+	}
+}
+
+func (f *fleet) deliver(from gossiper.Member, x gossiper.Message) {
+	for _, o := range f.order {
+		if o.Address == x.To && !f.dead[o.ID] && (f.cut == "" || (o.DataCentre == f.cut) == (from.DataCentre == f.cut)) {
+			f.members[x.To].Receive(f.now, x.Gossip)
+		}
+	}
+}
+
+func (f *fleet) live(n int) int { return len(f.members[f.order[n].Address].Live(f.now)) }
+
+// A router is killed. The others must find out within seconds, or each goes on
+// asking it for places.
+func TestAKilledRouterIsFound(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(12, 2)
+
+	for range 5 {
+		f.tick()
+	}
+
+	i.Equal(f.live(0), 12)
+	f.dead[f.order[2].ID] = true // in the data centre of router 0
+
+	for range 12 {
+		f.tick()
+	}
+
+	i.Equal(f.live(0), 11)
+
+	for range 15 {
+		f.tick()
+	}
+
+	for n, m := range f.order {
+		if !f.dead[m.ID] {
+			i.Equal(f.live(n), 11) // also in the other data centre
+		}
+	}
+}
+
+// A data centre is cut off. Each side goes on with its own routers, and after
+// the cut both find each other again though each had given the other up.
+func TestACutHeals(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(8, 2)
+	f.tick()
+
+	f.cut = "dc-1"
+
+	for range 60 {
+		f.tick()
+	}
+
+	i.Equal(f.live(0), 4)
+	i.Equal(f.live(1), 4)
+
+	f.cut = ""
+
+	for range 20 {
+		f.tick()
+	}
+
+	i.Equal(f.live(0), 8)
+	i.Equal(f.live(1), 8)
+}
+
+func TestBeats(t *testing.T) {
+	beat := func(n uint32, leaving bool) wire.Gossip {
+		return wire.Gossip{Beats: []wire.Beat{{ID: 2, Count: n, Leaving: leaving}}}
+	}
+
+	for name, tc := range map[string]struct {
+		then func(g *gossiper.Gossiper)
+		at   time.Duration
+		want int
+	}{
+		"introduced": {func(*gossiper.Gossiper) {}, 0, 2},
+		"silent":     {func(*gossiper.Gossiper) {}, 7 * time.Second, 1},
+		"a new beat": {func(g *gossiper.Gossiper) { g.Receive(start.Add(5*time.Second), beat(9, false)) }, 7 * time.Second, 2},
+		"an old beat is no sign": {func(g *gossiper.Gossiper) {
+			g.Receive(start, beat(9, false))
+			g.Receive(start.Add(5*time.Second), beat(9, false))
+		}, 7 * time.Second, 1},
+		"leaving":                    {func(g *gossiper.Gossiper) { g.Receive(start, beat(9, true)) }, 0, 1},
+		"leaving is final":           {func(g *gossiper.Gossiper) { g.Receive(start, beat(9, true)); g.Receive(start, beat(10, false)) }, 0, 1},
+		"suspected":                  {func(g *gossiper.Gossiper) { g.Suspect(start, 2) }, time.Second, 1},
+		"suspected for a while":      {func(g *gossiper.Gossiper) { g.Suspect(start, 2) }, 4 * time.Second, 2},
+		"a new beat clears it":       {func(g *gossiper.Gossiper) { g.Suspect(start, 2); g.Receive(start, beat(9, false)) }, time.Second, 2},
+		"nobody suspects itself":     {func(g *gossiper.Gossiper) { g.Suspect(start, 1) }, time.Second, 2},
+		"a successor at its address": {func(g *gossiper.Gossiper) { m := member(2, "d"); m.ID = 3; g.Introduce(start, m) }, 0, 2},
+		"not its predecessor": {func(g *gossiper.Gossiper) {
+			m := member(2, "d")
+			m.ID = 0
+			g.Introduce(start, m)
+		}, 0, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			g := gossiper.New(gossiper.DefaultSettings(), rand.New(rand.NewPCG(1, 1)), member(1, "d"))
+			g.Introduce(start, member(2, "d"))
+			tc.then(g)
+			i.Equal(len(g.Live(start.Add(tc.at))), tc.want)
+		})
+	}
+}
+
+// Two routers that know the same others agree on the home of every cell, and
+// the successor of a home is the one that takes over.
+func TestHomesAgree(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(10, 2)
+
+	for k := range uint64(100) {
+		a := f.members[f.order[0].Address].Homes(f.now, k, []string{"dc-0"}, 2)
+		b := f.members[f.order[1].Address].Homes(f.now, k, []string{"dc-0"}, 2)
+		i.Equal(a, b)
+		i.Equal(a[0].DataCentre, "dc-0")
+
+		g := f.members[f.order[1].Address]
+		g.Suspect(f.now, a[0].ID)
+
+		if a[0].ID != f.order[1].ID {
+			i.Equal(g.Homes(f.now, k, []string{"dc-0"}, 1)[0], a[1])
+		}
+
+		for range 4 {
+			f.tick()
+		}
+	}
+
+	i.Equal(len(f.members[f.order[0].Address].Homes(f.now, 1, []string{"gone"}, 1)), 1) // any, when none is there
+}
+
+// BenchmarkTick reports what gossip costs a node at the design size.
+func BenchmarkTick(b *testing.B) {
+	f := newFleet(380, 8)
+	n := 0
+
+	for b.Loop() {
+		f.tick()
+
+		n++
+	}
+
+	b.ReportMetric(float64(f.bytes)*2/float64(n)/380, "bytes/s/node")
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(n)/380, "µs/s/node")
+}
+
+func BenchmarkHome(b *testing.B) {
+	f := newFleet(380, 8)
+	g := f.members[f.order[0].Address]
+
+	for b.Loop() {
+		g.Homes(f.now, 7, []string{"dc-0"}, 1)
+	}
+}
--- /dev/null
+++ b/internal/messenger/messenger_test.go
@@ -0,0 +1,199 @@
+package messenger_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
+	"go.uber.org/goleak"
+
+	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newMessenger(t *testing.T, id uint64) *messenger.Messenger {
+	t.Helper()
+
+	m, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(stop)
+
+	return m
+}
+
+func TestCall(t *testing.T) {
+	i := is.New(t)
+	a, b := newMessenger(t, 1), newMessenger(t, 2)
+
+	b.Handle(wire.KindAsk, func(_ context.Context, from uint64, x []byte) (msgp.Marshaler, error) {
+		var w wire.Ask
+		if _, err := w.UnmarshalMsg(x); err != nil {
+			return nil, err
+		}
+
+		return &wire.Verdict{Target: w.Cell, RetryAfterMs: uint32(from)}, nil
+	})
+	b.Handle(wire.KindState, func(context.Context, uint64, []byte) (msgp.Marshaler, error) {
+		return nil, errors.New("not now")
+	})
+	b.Serve()
+
+	var v wire.Verdict
+
+	for n := range uint32(100) {
+		i.NoErr(a.Call(t.Context(), b.Address(), wire.KindAsk, &wire.Ask{Cell: n}, &v))
+		i.Equal(v.Target, n)
+		i.Equal(v.RetryAfterMs, uint32(1)) // the peer knows who asked
+	}
+
+	err := a.Call(t.Context(), b.Address(), wire.KindState, &wire.StateRequest{}, &v)
+	i.True(errors.Is(err, messenger.ErrRefused))
+
+	err = a.Call(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), wire.KindAsk, &wire.Ask{}, &v)
+	i.True(errors.Is(err, messenger.ErrUnreachable))
+}
+
+// A home answers late, after the entry gave up and asked for the next request.
+// Taken for the answer to that one, it would send one caller's request to the
+// place of another's.
+func TestALateReplyGoesToNoOtherCall(t *testing.T) {
+	i := is.New(t)
+	a, b := newMessenger(t, 1), newMessenger(t, 2)
+	late := make(chan struct{})
+
+	// Claims are answered on their own, so a late one doesn't hold up the next.
+	b.Handle(wire.KindClaim, func(_ context.Context, _ uint64, x []byte) (msgp.Marshaler, error) {
+		var w wire.Claim
+		if _, err := w.UnmarshalMsg(x); err != nil {
+			return nil, err
+		}
+
+		if w.Key == 1 {
+			<-late
+		}
+
+		return &wire.ClaimReply{Status: int(w.Key)}, nil
+	})
+	b.Serve()
+
+	c, stop := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer stop()
+
+	var v wire.ClaimReply
+
+	err := a.Call(c, b.Address(), wire.KindClaim, &wire.Claim{Key: 1}, &v)
+	i.True(errors.Is(err, messenger.ErrTimeout))
+	close(late)
+
+	for n := range uint64(50) {
+		i.NoErr(a.Call(t.Context(), b.Address(), wire.KindClaim, &wire.Claim{Key: n + 2}, &v))
+		i.Equal(v.Status, int(n+2))
+	}
+}
+
+// Whoever reaches the port can send anything. A frame that claims gigabytes must
+// not take them, and one that is no frame ends only its own connection.
+func TestBadFramesEndTheirConnection(t *testing.T) {
+	for name, b := range map[string][]byte{
+		"too long":           {0xff, 0xff, 0xff, 0xff, 0x0f},
+		"no length":          bytes.Repeat([]byte{0xff}, 20),
+		"empty":              {0},
+		"no msgpack":         {3, 0xc1, 0xc1, 0xc1},
+		"not who is there":   frame(t, wire.KindAsk, &wire.Ask{}),
+		"an end in a frame ": frame(t, wire.KindHello, &wire.Hello{From: 1})[:3],
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			m := newMessenger(t, 1)
+			m.Serve()
+
+			c, err := net.Dial("tcp", m.Address().String())
+			i.NoErr(err)
+
+			defer func() { _ = c.Close() }()
+
+			_, err = c.Write(b)
+			i.NoErr(err)
+			i.NoErr(c.(*net.TCPConn).CloseWrite())
+			i.NoErr(c.SetReadDeadline(time.Now().Add(10 * time.Second)))
+
+			_, err = c.Read(make([]byte, 1))
+			i.True(err != nil && !errors.Is(err, context.DeadlineExceeded)) // closed by the peer
+		})
+	}
+}
+
+func frame(t testing.TB, k wire.Kind, m msgp.Marshaler) []byte {
+	t.Helper()
+
+	b, err := messenger.Encode(k, 1, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return b
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(frame(f, wire.KindAsk, &wire.Ask{Chat: 1, Excluded: []uint32{1}}))
+	f.Add([]byte{0xff, 0xff, 0x01})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		x, n, err := messenger.Decode(bufio.NewReader(bytes.NewReader(b)))
+		if err != nil {
+			return
+		}
+
+		if n > len(b) {
+			t.Fatalf("read %d of %d bytes", n, len(b))
+		}
+
+		y, err := messenger.Encode(x.Kind, x.ID, x.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		z, _, err := messenger.Decode(bufio.NewReader(bytes.NewReader(y)))
+		if err != nil || z.Kind != x.Kind || z.ID != x.ID || !bytes.Equal(z.Body, x.Body) {
+			t.Fatalf("%v is not %v: %v", z, x, err)
+		}
+	})
+}
+
+func BenchmarkCall(b *testing.B) {
+	x, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+
+	defer stop()
+
+	x.Handle(wire.KindAsk, func(context.Context, uint64, []byte) (msgp.Marshaler, error) {
+		return &wire.Verdict{Target: 1 << 30}, nil
+	})
+	x.Serve()
+
+	var v wire.Verdict
+
+	q := &wire.Ask{Seq: 1 << 20, Cell: 1 << 30, Rule: 1 << 30, Customer: 1 << 30, Chat: 1 << 60, Prompt: 2000, Hint: 1 << 30}
+
+	for b.Loop() {
+		if err := x.Call(b.Context(), x.Address(), wire.KindAsk, q, &v); err != nil {
+			b.Fatal(err)
+		}
+	}
+
+	s, _ := x.Traffic().Bytes()
+	b.ReportMetric(float64(s)/float64(b.N), "bytes/op")
+}
--- /dev/null
+++ b/internal/parser/parser_test.go
@@ -0,0 +1,76 @@
+package parser_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/parser"
+)
+
+const valid = `{
+  "targets": {"e1": {"address": "127.0.0.1:7000", "kind": "engine", "region": "r", "dataCentre": "d", "capacity": 4, "labels": {"app": "a"}}},
+  "customers": {"c": {"weight": 2}},
+  "rules": {"r": {"targets": "app=a", "traffic": "model in (x,y)", "pathPrefix": "/v1"}},
+  "limits": {"maxLoadFactor": 1.3}
+}`
+
+func TestParse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		replace, by string
+		want        []string
+	}{
+		"a valid one":             {"", "", nil},
+		"no JSON":                 {"{", "", []string{"reading the document"}},
+		"a misspelled field":      {`"weight"`, `"wieght"`, []string{"wieght"}},
+		"text behind it":          {"1.3}\n}", "1.3}\n} x", []string{"follows"}},
+		"a host name":             {"127.0.0.1:7000", "localhost:7000", []string{"targets[e1].address", "IP number"}},
+		"an unknown kind":         {`"engine"`, `"engin"`, []string{"Kind", "oneof=engine service"}},
+		"no capacity":             {`"capacity": 4`, `"capacity": 0`, []string{"Capacity", "min=1"}},
+		"a bad label":             {`"app": "a"`, `"app": "a b"`, []string{"targets[e1].labels"}},
+		"a bad selector":          {"app=a", "app in", []string{"rules[r].targets"}},
+		"a bad traffic selector":  {"model in (x,y)", "=", []string{"rules[r].traffic"}},
+		"a path without a slash":  {`"/v1"`, `"v1"`, []string{"PathPrefix"}},
+		"a bound below the mean":  {"1.3", "0.9", []string{"MaxLoadFactor", "min=1.01"}},
+		"a negative weight":       {`"weight": 2`, `"weight": -2`, []string{"Weight"}},
+		"every fault is reported": {`"region": "r", "dataCentre": "d", "capacity": 4`, `"capacity": 0`, []string{"Region", "DataCentre", "Capacity"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			_, err := parser.Parse([]byte(strings.Replace(valid, tc.replace, tc.by, 1)))
+
+			if tc.want == nil {
+				i.NoErr(err)
+
+				return
+			}
+
+			i.True(errors.Is(err, parser.ErrDocument))
+
+			for _, w := range tc.want {
+				i.True(strings.Contains(err.Error(), w)) // names the path and what is allowed
+			}
+		})
+	}
+}
+
+func TestParseRefusesTwoTargetsAtOneAddress(t *testing.T) {
+	i := is.New(t)
+	x := strings.Replace(valid, `"e1": {`, `"e2": {"address": "127.0.0.1:7000", "kind": "engine", "region": "r", "dataCentre": "d", "capacity": 4}, "e1": {`, 1)
+	_, err := parser.Parse([]byte(x))
+	i.True(err != nil && strings.Contains(err.Error(), "is also the address of"))
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte(`{"targets":null}`))
+	f.Add([]byte(`{"rules":{"":{"targets":"!a"}}}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		d, err := parser.Parse(b)
+		if err == nil && parser.Check(d) != nil {
+			t.Fatal("parsed what does not pass its check")
+		}
+	})
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -12,7 +12,8 @@
 // Settings are the constants of the policy. Their values come from the bench;
 // see docs/decisions.
 type Settings struct {
-	// LoadFactor is the multiple of the mean load that no target may exceed.
+	// LoadFactor is the multiple of the mean load that no target may exceed, but
+	// for one request above the mean where that is more.
 	LoadFactor float64
 	// StickFactor is the multiple up to which a chat goes back to its place.
 	// It is below LoadFactor to leave room for the others.
@@ -116,11 +117,21 @@
 // above the mean shows as slow tokens for every chat on it; the check counts
 // the new request, so the bound holds after the choice and not just before.
 func (b bound) holds(c Candidate, work float64) bool {
-	return !c.Out && c.Load+work <= b.settings.LoadFactor*b.mean*c.Weight
+	return !c.Out && c.Load+work <= b.limit(b.settings.LoadFactor, c)
 }
 
 func (b bound) sticks(c Candidate, work float64) bool {
-	return c.Load+work <= b.settings.StickFactor*b.mean*c.Weight
+	return c.Load+work <= b.limit(b.settings.StickFactor, c)
+}
+
+// limit is a multiple of the mean, or one request above the mean where that is
+// more. With few requests about, a multiple of the mean is less than one
+// request: without the second part a quiet fleet would send each chat away from
+// its place, and lose its prompt caches just when nobody is in a hurry.
+func (b bound) limit(factor float64, c Candidate) float64 {
+	m := b.mean * c.Weight
+
+	return max(factor*m, m+1)
 }
 
 // subset returns the indexes of the customer's targets: a prefix of its own
