internal/router: a fleet in one process, with failures and their stories

Cause: the promises were proved on decisions only.

Found: gin's recovery in the stand-ins turned an aborted handler into an empty answer, so 'lost replies' were none; they now close the connection. An answer of the log that can't be read was taken for a refusal; it is now uncertain, and resolved by reading the stream.

--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -4,7 +4,6 @@
 import (
 	"os"
 
-	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 )
@@ -34,7 +33,6 @@
 	logrus.SetLevel(l)
 	logrus.SetOutput(os.Stderr)
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
-	gin.SetMode(gin.ReleaseMode)
 
 	return nil
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -62,14 +62,18 @@
 	c.values.Set(string(n), expvar.Func(func() any { return f() }))
 }
 
-// Get returns a counted metric.
+// Get returns a metric. One that was never counted is zero.
 func (c *Counter) Get(n Name) int64 {
-	v, ok := c.values.Get(string(n)).(*expvar.Int)
-	if !ok {
+	switch v := c.values.Get(string(n)).(type) {
+	case *expvar.Int:
+		return v.Value()
+	case expvar.Func:
+		i, _ := v.Value().(int64)
+
+		return i
+	default:
 		return 0
 	}
-
-	return v.Value()
 }
 
 // Publish shows the metrics at expvar's own handler under "auburntray". It may
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -49,6 +49,7 @@
 	handlers map[wire.Kind]Handler
 	listener net.Listener
 	done     chan struct{}
+	once     sync.Once
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
@@ -81,7 +82,7 @@
 		conns:    make(map[net.Conn]struct{}),
 	}
 
-	return m, m.close, nil
+	return m, m.Close, nil
 }
 
 // Address returns the address listened on.
@@ -301,7 +302,12 @@
 	delete(m.conns, c)
 }
 
-// close ends all connections and waits for the goroutines that serve them.
+// Close ends all connections and waits for the goroutines that serve them. It
+// is the clean-up function; calling it again does nothing.
+func (m *Messenger) Close() {
+	m.once.Do(m.close)
+}
+
 func (m *Messenger) close() {
 	close(m.done)
 	_ = m.listener.Close()
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -192,8 +192,10 @@
 		return nil
 	}
 
+	// A proxy on the way may answer for a service that acted. What can't be read
+	// tells nothing of that.
 	if err := json.Unmarshal(b, o); err != nil {
-		return errors.Mark(err, ErrAnswer)
+		return errors.Mark(err, ErrUncertain)
 	}
 
 	return nil
--- a/internal/resolver/resolver.go
+++ b/internal/resolver/resolver.go
@@ -49,7 +49,7 @@
 }
 
 // Read takes each setting from its flag, else from the environment, else its
-// default. The error lists every setting that is not valid and is marked with
+// default; without flags it takes the last two. The error lists every setting that is not valid and is marked with
 // ErrSetting.
 func (t Table) Read(f *pflag.FlagSet) error {
 	var l []string
@@ -61,8 +61,10 @@
 			v = e
 		}
 
-		if x := f.Lookup(s.Name); x != nil && x.Changed {
-			v = x.Value.String()
+		if f != nil {
+			if x := f.Lookup(s.Name); x != nil && x.Changed {
+				v = x.Value.String()
+			}
 		}
 
 		if err := s.Read(v); err != nil {
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -9,7 +9,6 @@
 	"go.uber.org/fx"
 
 	"github.com/auburntray/auburntray/internal/follower"
-	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/joiner"
@@ -43,8 +42,8 @@
 	return t, nil
 }
 
-func newMessenger(l fx.Lifecycle, s resolver.Router, self gossiper.Member) (*messenger.Messenger, error) {
-	m, f, err := messenger.New(s.Peer, self.ID)
+func newMessenger(l fx.Lifecycle, s resolver.Router, id processID) (*messenger.Messenger, error) {
+	m, f, err := messenger.New(s.Peer, uint64(id))
 	if err != nil {
 		return nil, errors.Mark(err, ErrStart)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,7 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -63,6 +64,8 @@
 		fx.Supply(s),
 		fx.Provide(
 			counter.New,
+			newID,
+			newPeer,
 			newSelf,
 			newTracer,
 			newMessenger,
@@ -86,9 +89,12 @@
 // LogEvent is part of fxevent.Logger.
 func (quiet) LogEvent(fxevent.Event) {}
 
-// newSelf returns this router as the others will know it. The ID is higher than
-// that of any earlier process at the address, and no two processes share one.
-func newSelf(s resolver.Router) gossiper.Member {
+// processID names this process among all routers' processes.
+type processID uint64
+
+// newID returns an ID that is higher than that of any earlier process at the
+// address, and that no two processes share.
+func newID() processID {
 	var b [8]byte
 
 	_, _ = rand.Read(b[:])
@@ -97,7 +103,19 @@
 
 	n := uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1)
 
-	return gossiper.Member{ID: n, Address: s.Peer, Region: s.Region, DataCentre: s.DataCentre}
+	return processID(n)
+}
+
+// Peer is the address on which this router is reached by others.
+type Peer netip.AddrPort
+
+func newPeer(m *messenger.Messenger) Peer {
+	return Peer(m.Address())
+}
+
+// newSelf returns this router as the others will know it.
+func newSelf(s resolver.Router, id processID, m *messenger.Messenger) gossiper.Member {
+	return gossiper.Member{ID: uint64(id), Address: m.Address(), Region: s.Region, DataCentre: s.DataCentre}
 }
 
 // parts are the services that depend on each other in a circle: the follower
@@ -196,6 +214,8 @@
 
 // handler returns the callers' side: the health paths and the pipeline.
 func (r *Router) handler() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+
 	g := gin.New()
 	g.Use(recoverCall)
 	g.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusOK) })
--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 
@@ -33,8 +32,6 @@
 
 // New returns the command line of the stand-ins.
 func New() *cobra.Command {
-	gin.SetMode(gin.ReleaseMode)
-
 	c := &cobra.Command{
 		Use:           "auburntray-standin",
 		Short:         "Small stand-ins for what auburntray serves and is served by",
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -131,8 +131,12 @@
 
 // Handler returns the HTTP interface.
 func (e *Engine) Handler() http.Handler {
+	// Without gin's recovery an aborted handler closes its connection; with it a
+	// broken answer would end like a whole one.
+	gin.SetMode(gin.ReleaseMode)
+
 	g := gin.New()
-	g.Use(gin.Recovery(), e.describe)
+	g.Use(e.describe)
 	g.GET("/health", e.health)
 	g.GET("/events", e.events)
 	g.POST("/v1/chat/completions", e.complete)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -91,8 +91,11 @@
 
 // Handler returns the HTTP interface.
 func (p *Platform) Handler() http.Handler {
+	// Without gin's recovery an aborted handler closes its connection, as a lost
+	// reply does; with it the caller would get an empty answer.
+	gin.SetMode(gin.ReleaseMode)
+
 	g := gin.New()
-	g.Use(gin.Recovery())
 	g.POST("/admin/faults", p.setFaults)
 	g.GET("/admin/stats", p.stats)
 
@@ -123,11 +126,16 @@
 	c.Status(http.StatusNoContent)
 }
 
-func (p *Platform) stats(c *gin.Context) {
+// Appends returns how many appends took effect.
+func (p *Platform) Appends() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	c.JSON(http.StatusOK, gin.H{"appends": p.appended})
+	return p.appended
+}
+
+func (p *Platform) stats(c *gin.Context) {
+	c.JSON(http.StatusOK, gin.H{"appends": p.Appends()})
 }
 
 // fail causes the faults that hit a request before it takes effect.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -100,8 +100,12 @@
 
 // Handler returns the HTTP interface.
 func (s *Service) Handler() http.Handler {
+	// Without gin's recovery an aborted handler closes its connection; with it a
+	// broken answer would end like a whole one.
+	gin.SetMode(gin.ReleaseMode)
+
 	g := gin.New()
-	g.Use(gin.Recovery(), s.report)
+	g.Use(s.report)
 	g.GET("/health", s.health)
 	g.GET("/admin/counts", func(c *gin.Context) { c.JSON(http.StatusOK, s.Counts()) })
 	g.POST("/admin/leave", func(c *gin.Context) { s.Leave(); c.Status(http.StatusNoContent) })
