internal: tests of the parts that do I/O, and checkpoints by a setting

Cause: a follower wrote checkpoints every ten minutes whatever the log keeps; a test with a short retention found that an instance that starts after the last checkpoint was dropped has no configuration. The interval is now a setting that is documented against the retention.

Measured: go test -race of the packages passes.

--- /dev/null
+++ b/internal/asker/asker_test.go
@@ -0,0 +1,194 @@
+package asker_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/asker"
+	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/granter"
+	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const self = 1
+
+// network is a fake of the other routers and of the own keeper. Each grants
+// target 7 and notes what it is sent.
+type network struct {
+	home  uint64
+	down  map[uint64]bool
+	syncs map[uint64][]wire.Sync
+	asks  map[uint64]int
+	freed map[uint64][]wire.Release
+}
+
+func newNetwork() *network {
+	return &network{
+		home: 2, down: make(map[uint64]bool), syncs: make(map[uint64][]wire.Sync),
+		asks: make(map[uint64]int), freed: make(map[uint64][]wire.Release),
+	}
+}
+
+func address(id uint64) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(id)}), 1)
+}
+
+func (n *network) Home(uint64, []string) (gossiper.Member, bool) {
+	h := n.home
+	for n.down[h] {
+		h++
+	}
+
+	return gossiper.Member{ID: h, Address: address(h)}, true
+}
+
+func (*network) Self() gossiper.Member  { return gossiper.Member{ID: self} }
+func (n *network) Suspect(id uint64)    { n.down[id] = true }
+func id(a netip.AddrPort) uint64        { return uint64(a.Addr().As4()[3]) }
+func (n *network) fails(id uint64) bool { return id > 100 }
+
+func (n *network) Call(_ context.Context, a netip.AddrPort, _ wire.Kind, _ msgp.Marshaler, r msgp.Unmarshaler) error {
+	n.asks[id(a)]++
+
+	if n.fails(id(a)) {
+		return errors.New("gone")
+	}
+
+	v, _ := r.(*wire.Verdict)
+	v.Target = 7
+
+	return nil
+}
+
+func (n *network) Send(_ context.Context, a netip.AddrPort, _ wire.Kind, m msgp.Marshaler) error {
+	switch w := m.(type) {
+	case *wire.Sync:
+		n.syncs[id(a)] = append(n.syncs[id(a)], *w)
+	case *wire.Release:
+		n.freed[id(a)] = append(n.freed[id(a)], *w)
+	}
+
+	return nil
+}
+
+func (n *network) Ask(time.Time, uint64, wire.Ask) (wire.Verdict, error) {
+	n.asks[self]++
+
+	return wire.Verdict{Target: 7}, nil
+}
+
+func (n *network) Release(_ time.Time, _ uint64, w wire.Release) {
+	n.freed[self] = append(n.freed[self], w)
+}
+
+func (n *network) Sync(_ time.Time, _ uint64, w wire.Sync) {
+	n.syncs[self] = append(n.syncs[self], w)
+}
+
+func newAsker(n *network) *asker.Asker {
+	return asker.New(n, n, n, counter.New(), time.Second)
+}
+
+func request() asker.Request {
+	return asker.Request{Cell: &matcher.Cell{ID: 9, DataCentres: []string{"d"}}, Customer: 3}
+}
+
+// A cell's home changes: it was replaced, or routers disagree. The new home must
+// learn what is in flight before it grants, or it takes busy engines for idle
+// ones and buries them.
+func TestANewHomeIsToldWhatIsInFlight(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork()
+	a := newAsker(n)
+
+	for range 3 {
+		_, err := a.Ask(t.Context(), request())
+		i.NoErr(err)
+	}
+
+	n.home = 4
+	p, err := a.Ask(t.Context(), request())
+	i.NoErr(err)
+	i.Equal(len(n.syncs[2]), 0)
+	i.Equal(len(n.syncs[4]), 1)
+	i.Equal(len(n.syncs[4][0].Grants), 3)
+	i.Equal(n.syncs[4][0].UpTo, uint32(3)) // the ask under way is not in the list
+
+	a.Release(p, granter.Outcome{OK: true, Requests: -1})
+	i.Equal(len(n.freed[4]), 1)
+
+	a.SyncAll(t.Context())
+	i.Equal(len(n.syncs[4][1].Grants), 3)
+	i.Equal(n.syncs[4][1].UpTo, uint32(4)) // nothing is under way now
+}
+
+// The home does not answer. The entry asks the next one, and when that fails too
+// decides by what it knows itself; the call goes on.
+func TestAHomeThatIsGoneIsPassedOver(t *testing.T) {
+	for name, tc := range map[string]struct {
+		down   []uint64
+		home   uint64
+		answer uint64
+	}{
+		"the home answers":        {nil, 2, 2},
+		"it is this router":       {nil, self, self},
+		"it is gone":              {[]uint64{101}, 101, 0},
+		"and so is the next":      {nil, 101, self},
+		"the next one is up":      {nil, 2, 2},
+		"suspected ones are past": {[]uint64{101, 102}, 101, self},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			n := newNetwork()
+			n.home = tc.home
+
+			for _, d := range tc.down {
+				n.down[d] = true
+			}
+
+			p, err := newAsker(n).Ask(t.Context(), request())
+			i.NoErr(err)
+			i.Equal(p.Target, uint32(7))
+
+			if tc.answer != 0 {
+				i.Equal(n.asks[tc.answer], 1)
+			}
+		})
+	}
+}
+
+// What a target says of itself costs nine bytes, so it goes along only when it
+// is news.
+func TestATargetsStateIsToldOnce(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork()
+	a := newAsker(n)
+	o := granter.Outcome{OK: true, Requests: 1}
+	o.State.Incarnation = 5
+
+	for range 3 {
+		p, err := a.Ask(t.Context(), request())
+		i.NoErr(err)
+		a.Release(p, o)
+	}
+
+	o.State.Leaving = true
+
+	p, err := a.Ask(t.Context(), request())
+	i.NoErr(err)
+	a.Release(p, o)
+
+	l := n.freed[2]
+	i.Equal(l[0].Incarnation, uint64(5))
+	i.Equal(l[1].Incarnation, uint64(0))
+	i.Equal(l[2].Incarnation, uint64(0))
+	i.True(l[3].Leaving)
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -33,10 +33,8 @@
 	// aheadAfter is how long a peer's newer revision may take to arrive from
 	// the log before the peer is asked for it.
 	aheadAfter = time.Second
-	// checkpointAge and checkpointChanges are after how long, and how many
-	// changes, a checkpoint is due. The age is a small part of any retention
-	// that the platform offers.
-	checkpointAge     = 10 * time.Minute
+	// checkpointChanges is after how many changes a checkpoint is due before its
+	// time.
 	checkpointChanges = 64
 )
 
@@ -67,6 +65,7 @@
 	messenger messenger
 	force     atomic.Pointer[Force]
 	changed   func(*Force)
+	every     time.Duration
 	// responsible says whether this router writes the checkpoints.
 	responsible func() bool
 
@@ -77,10 +76,12 @@
 	asking        bool
 }
 
-// New returns a Follower with an empty configuration. The function is called
-// with each configuration that comes into force.
-func New(l log, m messenger, changed func(*Force), responsible func() bool) *Follower {
-	f := &Follower{log: l, messenger: m, changed: changed, responsible: responsible, folder: folder.New()}
+// New returns a Follower with an empty configuration. The first function is
+// called with each configuration that comes into force, the second says whether
+// this router writes the checkpoints: at least one in the given time, which
+// must be a small part of the log's retention.
+func New(l log, m messenger, changed func(*Force), responsible func() bool, every time.Duration) *Follower {
+	f := &Follower{log: l, messenger: m, changed: changed, responsible: responsible, every: every, folder: folder.New()}
 	s := *f.folder.State()
 	f.force.Store(&Force{State: &s, Matcher: matcher.New(&s.Document)})
 
@@ -204,7 +205,7 @@
 	x, stop := context.WithTimeout(c, readTimeout)
 	defer stop()
 
-	b, err := f.log.Read(x, Stream, n, pollWait)
+	b, err := f.log.Read(x, Stream, n, min(pollWait, f.every))
 	if err != nil {
 		return err
 	}
@@ -265,7 +266,7 @@
 	f.mu.Lock()
 	s := *f.folder.State()
 	d := s.Revision > 0 && f.folder.Anchored() &&
-		(f.sinceRevision >= checkpointChanges || time.Since(f.checkpointed) > checkpointAge)
+		(f.sinceRevision >= checkpointChanges || time.Since(f.checkpointed) > f.every)
 	f.mu.Unlock()
 
 	if !d || !f.responsible() {
--- /dev/null
+++ b/internal/follower/follower_test.go
@@ -0,0 +1,138 @@
+package follower_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/differ"
+	"github.com/auburntray/auburntray/internal/folder"
+	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/parser"
+	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/standin/platform"
+)
+
+func newLog(t *testing.T, retention time.Duration) (*platform.Platform, *recorder.Recorder) {
+	t.Helper()
+	logrus.SetLevel(logrus.FatalLevel)
+
+	p := platform.New(platform.Settings{Retention: retention, AppendsPerSecond: 10000})
+	s := httptest.NewServer(p.Handler())
+	t.Cleanup(s.CloseClientConnections)
+
+	r, stop := recorder.New(netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), "dc")
+	t.Cleanup(stop)
+
+	return p, r
+}
+
+func publish(t *testing.T, r *recorder.Recorder, base uint64, weight float64) {
+	t.Helper()
+
+	b, err := json.Marshal(folder.Record{Base: base, Change: &differ.Change{
+		SetCustomers: map[string]parser.Customer{"c": {Weight: weight}},
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if _, err := r.Append(t.Context(), follower.Stream, [][]byte{b}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// start runs a follower that writes checkpoints or not, and counts its steps
+// back.
+func start(t *testing.T, r *recorder.Recorder, writes bool) (*follower.Follower, *atomic.Int64) {
+	t.Helper()
+
+	var back atomic.Int64
+
+	last := uint64(0)
+	f := follower.New(r, nil, func(x *follower.Force) {
+		if x.State.Revision < last {
+			back.Add(1)
+		}
+
+		last = x.State.Revision
+	}, func() bool { return writes }, 300*time.Millisecond)
+
+	c, stop := context.WithCancel(t.Context())
+	d := make(chan struct{})
+
+	go func() {
+		defer close(d)
+		f.Run(c)
+	}()
+
+	t.Cleanup(func() { stop(); <-d })
+
+	return f, &back
+}
+
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+
+	for range 400 {
+		if f() {
+			return
+		}
+
+		time.Sleep(25 * time.Millisecond)
+	}
+
+	t.Fatal("not in ten seconds")
+}
+
+// The log is down for a while and then back. What was in force stays in force,
+// and changes made since come in without a step back.
+func TestAnOutageKeepsWhatIsInForce(t *testing.T) {
+	i := is.New(t)
+	p, r := newLog(t, time.Hour)
+	publish(t, r, 0, 1)
+
+	f, back := start(t, r, false)
+	eventually(t, func() bool { return f.Revision() == 1 })
+
+	p.SetFaults(platform.Faults{Outage: true})
+	time.Sleep(100 * time.Millisecond)
+	i.Equal(f.Revision(), uint64(1))
+
+	p.SetFaults(platform.Faults{})
+	publish(t, r, 1, 2)
+	eventually(t, func() bool { return f.Revision() == 2 })
+	i.Equal(f.Force().State.Document.Customers["c"].Weight, 2.0)
+	i.Equal(back.Load(), int64(0))
+}
+
+// The log has dropped the change itself. An instance that starts now finds the
+// checkpoint that another wrote in time, and what was changed after it.
+func TestALateStartFindsTheCheckpoint(t *testing.T) {
+	i := is.New(t)
+	_, r := newLog(t, 2*time.Second)
+	publish(t, r, 0, 1)
+
+	f, _ := start(t, r, true)
+	eventually(t, func() bool { return f.Revision() == 1 })
+
+	publish(t, r, 1, 3)
+	eventually(t, func() bool { return f.Revision() > 1 })
+	eventually(t, func() bool { // the changes are gone
+		b, err := r.Read(t.Context(), follower.Stream, 0, 0)
+
+		return err == nil && b.Oldest >= f.Revision()
+	})
+
+	g, _ := start(t, r, false)
+	eventually(t, func() bool { return g.Revision() == f.Revision() })
+	i.Equal(g.Force().State.Document.Customers["c"].Weight, 3.0)
+}
--- /dev/null
+++ b/internal/keeper/keeper_test.go
@@ -0,0 +1,211 @@
+package keeper_test
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/folder"
+	"github.com/auburntray/auburntray/internal/follower"
+	"github.com/auburntray/auburntray/internal/granter"
+	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/keeper"
+	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/parser"
+	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/tracker"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// outside is a fake of targets and of other homes.
+type outside struct {
+	mu         sync.Mutex
+	health     keeper.Health
+	err        error
+	probes     int
+	handed     int
+	replicated int
+}
+
+func (o *outside) Probe(context.Context, netip.AddrPort) (keeper.Health, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.probes++
+
+	return o.health, o.err
+}
+
+func (*outside) Tell(*matcher.Cell, wire.CellLoad) {}
+
+func (o *outside) HandOver(_ *matcher.Cell, w wire.HandOver) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.handed += len(w.Places)
+}
+
+func (o *outside) Replicate(_ *matcher.Cell, w wire.HandOver) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.replicated += len(w.Places)
+}
+
+// places returns how many were replicated and handed over.
+func (o *outside) places() (replicated, handed int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.replicated, o.handed
+}
+
+func (o *outside) probed() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.probes
+}
+
+// force is a configuration with n engines in one cell, of which the drained ones
+// take no work.
+func force(n int, drained ...string) *follower.Force {
+	d := parser.Document{Targets: make(map[string]parser.Target), Rules: map[string]parser.Rule{"r": {Targets: "app=a"}}}
+
+	for k := range n {
+		x := parser.Target{
+			Address: "10.0.0.1:" + strconv.Itoa(k+1), Kind: parser.KindEngine, Region: "r", DataCentre: "d", Capacity: 8,
+			Labels: map[string]string{"app": "a"},
+		}
+
+		for _, y := range drained {
+			x.Drain = x.Drain || y == "e"+strconv.Itoa(k)
+		}
+
+		d.Targets["e"+strconv.Itoa(k)] = x
+	}
+
+	return &follower.Force{State: &folder.State{Revision: 1, Document: d}, Matcher: matcher.New(&d)}
+}
+
+func ask(f *follower.Force, seq uint32) wire.Ask {
+	return wire.Ask{Seq: seq, Cell: f.Matcher.Cells()[0].ID, Rule: hasher.Name("r"), Chat: uint64(seq), Prompt: 100}
+}
+
+func newKeeper(f *follower.Force, o *outside) *keeper.Keeper {
+	return keeper.New(granter.DefaultSettings(), func() *follower.Force { return f }, o, o)
+}
+
+// A router joins and becomes the home of a cell from one that lives on. The
+// former home hands its places over once, and until then replicates new ones.
+func TestPlacesMoveWithTheHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		f, o := force(3), &outside{}
+		k := newKeeper(f, o)
+
+		var gone atomic.Bool
+
+		c, stop := context.WithCancel(t.Context())
+		go k.Run(c, func(*matcher.Cell) bool { return !gone.Load() })
+
+		for n := range uint32(20) {
+			_, err := k.Ask(time.Now(), 1, ask(f, n+1))
+			i.NoErr(err)
+			k.Release(time.Now(), 1, wire.Release{Seq: n + 1, Cell: ask(f, 1).Cell, OK: true, Requests: -1})
+		}
+
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+
+		r, h := o.places()
+		i.True(r >= 20)
+		i.Equal(h, 0)
+		gone.Store(true)
+
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+
+		_, h = o.places()
+		i.Equal(h, 20) // once
+		stop()
+		synctest.Wait()
+	})
+}
+
+// A target that nobody sends to says that it leaves, or is dead. Its home asks
+// it when it is quiet, so that the next caller does not find out.
+func TestQuietTargetsAreProbed(t *testing.T) {
+	for name, tc := range map[string]struct {
+		health keeper.Health
+		err    error
+		want   granter.Reason
+	}{
+		"well":    {keeper.Health{Requests: 0}, nil, granter.Granted},
+		"leaving": {keeper.Health{Requests: 0, State: tracker.State{Incarnation: 1, Leaving: true}}, nil, granter.NoTargets},
+		// All fail, so the fault is taken to be here: see ejector.Panic.
+		"all dead": {keeper.Health{}, errors.New("refused"), granter.Granted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				f, o := force(2), &outside{health: tc.health, err: tc.err}
+				k := newKeeper(f, o)
+
+				c, stop := context.WithCancel(t.Context())
+				go k.Run(c, func(*matcher.Cell) bool { return true })
+
+				time.Sleep(3500 * time.Millisecond)
+				synctest.Wait()
+				i.True(o.probed() >= 4)
+
+				v, err := k.Ask(time.Now(), 1, ask(f, 1))
+				i.NoErr(err)
+				i.Equal(granter.Reason(v.Reason), tc.want)
+				stop()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// The list said that a target leaves before this router became its home.
+func TestAHomeKnowsWhatTheListSaidBefore(t *testing.T) {
+	i := is.New(t)
+	f := force(2)
+	k := newKeeper(f, &outside{})
+	k.Seen(recorder.Instance{Name: "e0", Incarnation: 3, Leaving: true})
+
+	for n := range uint32(6) {
+		v, err := k.Ask(time.Now(), 1, ask(f, n+1))
+		i.NoErr(err)
+		i.Equal(v.Target, hasher.Name("e1"))
+	}
+}
+
+func TestUpdate(t *testing.T) {
+	i := is.New(t)
+	f := force(2)
+	k := newKeeper(f, &outside{})
+	_, err := k.Ask(time.Now(), 1, ask(f, 1))
+	i.NoErr(err)
+
+	k.Update(force(2, "e0"))
+
+	for n := range uint32(6) {
+		v, err := k.Ask(time.Now(), 1, ask(f, n+2))
+		i.NoErr(err)
+		i.Equal(v.Target, hasher.Name("e1"))
+	}
+
+	_, err = k.Ask(time.Now(), 1, wire.Ask{Cell: 12345})
+	i.True(errors.Is(err, keeper.ErrUnknownCell))
+}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -76,13 +76,29 @@
 		return r.Place
 	}
 
-	if i := least(b, c, subset(s, r, c)); i != NoTarget {
+	if i := least(b, c, ranked(r, c, subset(s, r, c))); i != NoTarget {
 		return i
 	}
 
 	return emptiest(r, c)
 }
 
+// ranked orders candidates by rendezvous for the chat, so that among equally
+// loaded ones each chat has its own first. Without it a quiet fleet would put
+// every new chat on one engine, and a home that lost its table would find none
+// of them again.
+func ranked(r Request, c []Candidate, n []int) []int {
+	o := hasher.Rank(r.Chat, len(n),
+		func(i int) uint64 { return uint64(c[n[i]].ID) },
+		func(i int) float64 { return c[n[i]].Weight })
+
+	for i := range o {
+		o[i] = n[o[i]]
+	}
+
+	return o
+}
+
 // bound is the load that a target may carry.
 type bound struct {
 	settings Settings
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -94,6 +94,23 @@
 	})
 }
 
+// The fleet is quiet, so all engines are equally loaded. Chats must not all go
+// to the same one: its cache would be too small for them.
+func TestPickSpreadsChatsOverAQuietFleet(t *testing.T) {
+	i := is.New(t)
+	n := make(map[int]int)
+
+	for k := range 400 {
+		n[picker.Pick(picker.DefaultSettings(), picker.Request{
+			Chat: uint64(k + 1), Share: 1, Place: -1, Work: 1, PlaceWork: 1,
+		}, candidates(0, 0, 0, 0))]++
+	}
+
+	for k := range 4 {
+		i.True(n[k] > 60) // about a hundred each
+	}
+}
+
 // Many chats of one customer begin with the same chart of accounts. Spread over
 // all engines each would have to compute it; they stay on few.
 func TestPickKeepsACustomerOnFewTargets(t *testing.T) {
--- a/internal/resolver/router.go
+++ b/internal/resolver/router.go
@@ -17,24 +17,25 @@
 	Debug    netip.AddrPort
 	Platform netip.AddrPort
 	// Seeds are peers to try before the platform's list is read.
-	Seeds         []netip.AddrPort
-	LogLevel      string
-	MaxBody       int
-	MaxHeader     int
-	MaxInFlight   int
-	IdleTimeout   time.Duration
-	Deadline      time.Duration
-	MaxDeadline   time.Duration
-	DrainNotice   time.Duration
-	ClaimWindow   time.Duration
-	AskTimeout    time.Duration
-	PlaceBytes    int
-	CallerCert    string
-	CallerKey     string
-	TargetCA      string
-	TargetTLS     bool
-	TraceEndpoint string
-	TraceSample   float64
+	Seeds           []netip.AddrPort
+	LogLevel        string
+	MaxBody         int
+	MaxHeader       int
+	MaxInFlight     int
+	IdleTimeout     time.Duration
+	Deadline        time.Duration
+	MaxDeadline     time.Duration
+	DrainNotice     time.Duration
+	ClaimWindow     time.Duration
+	CheckpointEvery time.Duration
+	AskTimeout      time.Duration
+	PlaceBytes      int
+	CallerCert      string
+	CallerKey       string
+	TargetCA        string
+	TargetTLS       bool
+	TraceEndpoint   string
+	TraceSample     float64
 }
 
 // Table returns the settings of a router, which are read into r.
@@ -57,6 +58,7 @@
 		{"max-deadline", "600s", "1s to 1h", "longest deadline that a request may name", Duration(&r.MaxDeadline, time.Second, time.Hour)},
 		{"drain-notice", "3s", "0s to 5m", "how long a planned stop waits for the balancer to notice", Duration(&r.DrainNotice, 0, 5*time.Minute)},
 		{"claim-window", "30m", "1m to 24h, less than the log's retention", "how long an idempotency key is remembered", Duration(&r.ClaimWindow, time.Minute, 24*time.Hour)},
+		{"checkpoint-every", "10m", "100ms to 24h, a small part of the log's retention", "how often the configuration in force is written to the log again", Duration(&r.CheckpointEvery, 100*time.Millisecond, 24*time.Hour)},
 		{"ask-timeout", "50ms", "1ms to 5s", "how long a cell's home may take to grant a place", Duration(&r.AskTimeout, time.Millisecond, 5*time.Second)},
 		{"place-bytes", "33554432", "4096 to 1073741824 bytes", "memory for the places of one cell's chats", Int(&r.PlaceBytes, 4096, 1<<30)},
 		{"caller-cert", "", "a PEM file, or empty for plain HTTP", "certificate shown to callers", File(&r.CallerCert)},
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -110,14 +110,30 @@
 	i.Equal(b.chat(t.Context(), "next", 2, false).outcome(), string(exchanger.Ran))
 }
 
-// A chat returns after its home was stopped as planned. The next home was handed
-// the chat's place, so its prompt cache is used again.
+// Chats return after their home was stopped as planned. The next home was handed
+// their places, so their prompt caches are used again.
 func TestAStoppedHomeHandsItsPlacesOver(t *testing.T) {
 	i := is.New(t)
 	f := newFleet(t, 4, 0)
 	a, b := f.add("dc-1"), f.add("dc-1")
 	f.together()
 
+	if b.router.Home(chatCell()) {
+		a, b = b, a
+	}
+
+	// While three of the four engines are busy, chats get a place on the fourth,
+	// which they would not find again by hashing alone.
+	c, end := context.WithCancel(t.Context())
+
+	var g sync.WaitGroup
+
+	for k := range 3 {
+		g.Go(func() { b.chat(c, "busy "+strconv.Itoa(k), 2000, true) })
+	}
+
+	f.eventually(func() bool { return b.metric(counter.InFlight) == 3 })
+
 	place := make(map[string]string)
 
 	for k := range 12 {
@@ -125,6 +141,9 @@
 		place[q] = b.chat(t.Context(), q, 1, false).header.Get(exchanger.HeaderTarget)
 	}
 
+	end()
+	g.Wait()
+	f.eventually(func() bool { return b.metric(counter.InFlight) == 0 })
 	f.stop(a)
 
 	for q, p := range place {
@@ -411,6 +430,9 @@
 	}
 }
 
+// chatCell returns the cell that the fleet's engines are in.
+func chatCell() uint32 { return hasher.Name("chats/r/0") }
+
 // A home is gone at once, as when its host dies. The entries find out by a
 // failed ask, and go on with the next home without a call being lost.
 func TestALostHomeLosesNoCall(t *testing.T) {
@@ -427,7 +449,7 @@
 	home := 0
 
 	for k, n := range f.nodes {
-		if n.router.Home(hasher.Name("chats/r/0")) {
+		if n.router.Home(chatCell()) {
 			home = k
 		}
 	}
