internal/orderer: orders under a lease from the log

Cause: nothing gave targets their orders. The orderer compares what the configuration wants of each engine with what it reports and repeats; a lease per target from the platform's log picks one router, and the offset of its record is the fencing number. Targets that ignore the number are covered by a look at the holder's own clock right before the send, and by the next pass.

The group append and the fold of a stream stood in the registrar and would have stood twice; both now use internal/streamer.

--- /dev/null
+++ b/internal/leaser/leaser_test.go
@@ -0,0 +1,73 @@
+package leaser_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/auburntray/auburntray/internal/leaser"
+)
+
+func TestFold(t *testing.T) {
+	type entry struct {
+		at     time.Duration
+		holder uint64
+	}
+
+	for name, tc := range map[string]struct {
+		entries []entry
+		at      time.Duration
+		want    uint64
+		fence   uint64
+	}{
+		"none":                    {nil, 0, 0, 0},
+		"the first by offset":     {[]entry{{0, 1}, {0, 2}}, time.Second, 1, 1},
+		"until it ends":           {[]entry{{0, 1}}, 10 * time.Second, 0, 0},
+		"then the next":           {[]entry{{0, 1}, {10 * time.Second, 2}}, 11 * time.Second, 2, 2},
+		"asking early is in vain": {[]entry{{0, 1}, {9 * time.Second, 2}}, 11 * time.Second, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			l := leaser.New()
+			start := time.Unix(1000, 0)
+
+			for n, e := range tc.entries {
+				r := leaser.Record{Target: 7, Holder: e.holder, Lifetime: 10 * time.Second}
+				l.Fold(uint64(n), start.Add(e.at), r)
+				l.Fold(uint64(n), start.Add(e.at), r)
+			}
+
+			x := l.Get(start.Add(tc.at), 7)
+			i.Equal(x.Holder, tc.want)
+			i.Equal(x.Fence, tc.fence)
+		})
+	}
+}
+
+// Whoever asks when, leases on a target never overlap and their numbers rise.
+func TestLeasesNeverOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := leaser.New()
+		now := time.Unix(1000, 0)
+
+		var last leaser.Lease
+
+		for n := range rapid.IntRange(1, 50).Draw(t, "records") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second)
+			l.Fold(uint64(n), now, leaser.Record{Target: 1, Holder: rapid.Uint64Range(1, 3).Draw(t, "holder"), Lifetime: 10 * time.Second})
+
+			x := l.Get(now, 1)
+			if x.Fence == last.Fence {
+				continue
+			}
+
+			if x.Fence < last.Fence || now.Before(last.Ends) {
+				t.Fatalf("%+v after %+v", x, last)
+			}
+
+			last = x
+		}
+	})
+}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -135,12 +135,12 @@
 	}
 }
 
-func frame(t testing.TB, k wire.Kind, m msgp.Marshaler) []byte {
-	t.Helper()
+func frame(tb testing.TB, k wire.Kind, m msgp.Marshaler) []byte {
+	tb.Helper()
 
 	b, err := messenger.Encode(k, 1, m)
 	if err != nil {
-		t.Fatal(err)
+		tb.Fatal(err)
 	}
 
 	return b
--- /dev/null
+++ b/internal/orderer/orderer_test.go
@@ -0,0 +1,200 @@
+package orderer_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/orderer"
+	"github.com/auburntray/auburntray/internal/parser"
+	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/sender"
+	"github.com/auburntray/auburntray/internal/standin/engine"
+)
+
+// log is a fake of the platform's log on the test's clock. Appends can be slow
+// to answer.
+type log struct {
+	mu      sync.Mutex
+	records []recorder.Record
+	slow    time.Duration
+	down    bool
+}
+
+func (l *log) Append(_ context.Context, _ string, d [][]byte) (uint64, error) {
+	l.mu.Lock()
+	o := uint64(len(l.records))
+
+	for _, x := range d {
+		l.records = append(l.records, recorder.Record{Offset: uint64(len(l.records)), Time: time.Now(), Data: x})
+	}
+
+	s, down := l.slow, l.down
+	l.mu.Unlock()
+	time.Sleep(s)
+
+	if down {
+		return 0, recorder.ErrUncertain
+	}
+
+	return o, nil
+}
+
+func (l *log) Read(_ context.Context, _ string, from uint64, _ time.Duration) (recorder.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return recorder.Batch{
+		Next: uint64(len(l.records)), Now: time.Now(), Records: append([]recorder.Record(nil), l.records[from:]...),
+	}, nil
+}
+
+// target is a fake of an engine that takes orders.
+type target struct {
+	checks bool
+	model  string
+	fence  uint64
+	orders int
+	// before runs right before an order arrives.
+	before func()
+}
+
+func (x *target) Ordered(context.Context, netip.AddrPort) (string, uint64, error) {
+	return x.model, x.fence, nil
+}
+
+func (x *target) Order(_ context.Context, _ netip.AddrPort, model string, fence uint64) error {
+	if f := x.before; f != nil {
+		x.before = nil
+		f()
+	}
+
+	if x.checks && fence < x.fence {
+		return sender.ErrFenced
+	}
+
+	x.model, x.fence = model, max(fence, x.fence)
+	x.orders++
+
+	return nil
+}
+
+func wanted(model string) *matcher.Target {
+	return &matcher.Target{Target: parser.Target{Model: model}, Name: "t", ID: 7}
+}
+
+func TestReconcile(t *testing.T) {
+	logrus.SetLevel(logrus.FatalLevel)
+
+	for name, tc := range map[string]struct {
+		log    *log
+		model  string
+		err    error
+		orders int
+		want   string
+	}{
+		"they differ":               {&log{}, "old", nil, 1, "new"},
+		"they agree":                {&log{}, "new", nil, 0, "new"},
+		"the lease's reply is lost": {&log{down: true}, "old", orderer.ErrNoLease, 0, "old"},
+		"paused after the lease":    {&log{slow: 6 * time.Second}, "old", orderer.ErrLapsed, 0, "old"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				x := &target{model: tc.model}
+				err := orderer.New(tc.log, x, counter.New(), 1).Reconcile(t.Context(), wanted("new"))
+				i.True(errors.Is(err, tc.err))
+				i.Equal(x.orders, tc.orders)
+				i.Equal(x.model, tc.want)
+			})
+		})
+	}
+}
+
+// A router is paused with an order in its hand, right after it looked at the
+// clock. Meanwhile its lease lapses, a shift changes the model and another
+// router orders it. Then the old order arrives. A target that checks the number
+// refuses it; one that does not runs the old model until the next pass.
+func TestAStaleOrderDoesNotStand(t *testing.T) {
+	logrus.SetLevel(logrus.FatalLevel)
+
+	for name, checks := range map[string]bool{"the target checks": true, "the target does not": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				l, x := &log{}, &target{checks: checks, model: "old"}
+				a, b := orderer.New(l, x, counter.New(), 1), orderer.New(l, x, counter.New(), 2)
+
+				x.before = func() {
+					time.Sleep(11 * time.Second)
+					i.NoErr(b.Reconcile(t.Context(), wanted("new")))
+				}
+
+				err := a.Reconcile(t.Context(), wanted("stale"))
+				i.Equal(errors.Is(err, sender.ErrFenced), checks)
+
+				time.Sleep(11 * time.Second)
+				i.NoErr(b.Reconcile(t.Context(), wanted("new")))
+				i.Equal(x.model, "new")
+			})
+		})
+	}
+}
+
+// Two routers that disagree on who sees to a target order at the same time. Only
+// the one whose lease comes first in the log may.
+func TestOnlyTheHolderOrders(t *testing.T) {
+	logrus.SetLevel(logrus.FatalLevel)
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		l, x := &log{}, &target{model: "old"}
+		a, b := orderer.New(l, x, counter.New(), 1), orderer.New(l, x, counter.New(), 2)
+
+		x.before = func() { i.True(errors.Is(b.Reconcile(t.Context(), wanted("new")), orderer.ErrNoLease)) }
+
+		i.NoErr(a.Reconcile(t.Context(), wanted("new")))
+		i.Equal(x.orders, 1)
+	})
+}
+
+// The stand-in keeps the engine's contract on the wire.
+func TestOrdersOnTheWire(t *testing.T) {
+	for name, checks := range map[string]bool{"checks": true, "ignores": false} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+
+			e, stop, err := engine.New(engine.Settings{CacheTokens: 100, ChecksFence: checks})
+			i.NoErr(err)
+
+			defer stop()
+
+			h := httptest.NewServer(e.Handler())
+			defer h.Close()
+
+			s, end, err := sender.New(sender.TLS{})
+			i.NoErr(err)
+
+			defer end()
+
+			a := netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))
+			i.NoErr(s.Order(t.Context(), a, "one", 5))
+			i.Equal(errors.Is(s.Order(t.Context(), a, "two", 4), sender.ErrFenced), checks)
+
+			m, f, err := s.Ordered(t.Context(), a)
+			i.NoErr(err)
+			i.Equal(f, uint64(5))
+			i.Equal(m == "one", checks)
+		})
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -16,6 +16,7 @@
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/streamer"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -73,7 +74,7 @@
 
 // New returns a Registrar that has read nothing. A key is remembered for the
 // window after its claim.
-func New(l log, p peers, m members, window time.Duration) *Registrar {
+func New(l streamer.Log, p peers, m members, window time.Duration) *Registrar {
 	r := &Registrar{peers: p, members: m}
 
 	for i := range r.partitions {
@@ -196,7 +197,7 @@
 	// A key that is known costs no append: its answer is replayed also while
 	// the log takes none.
 	if o, a, d := p.look(q.Key, q.ID, q.Body); o != claimer.Unclaimed {
-		if o != claimer.InProgress || p.catchUp(c, 0) != nil {
+		if o != claimer.InProgress || p.CatchUp(c, 0) != nil {
 			return Standing{Outcome: o, Answer: a, RetryAfter: d}, nil
 		}
 
@@ -214,7 +215,7 @@
 	}
 
 	if err == nil {
-		err = p.catchUp(c, n)
+		err = p.CatchUp(c, n)
 	}
 
 	if err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -28,6 +28,7 @@
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/keeper"
 	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/orderer"
 	"github.com/auburntray/auburntray/internal/recorder"
 	"github.com/auburntray/auburntray/internal/registrar"
 	"github.com/auburntray/auburntray/internal/resolver"
@@ -44,6 +45,7 @@
 	joiner    *joiner.Joiner
 	keeper    *keeper.Keeper
 	asker     *asker.Asker
+	orderer   *orderer.Orderer
 	messenger *messenger.Messenger
 	recorder  *recorder.Recorder
 	pipeline  *filterer.Pipeline
@@ -128,6 +130,7 @@
 	Keeper    *keeper.Keeper
 	Asker     *asker.Asker
 	Registrar *registrar.Registrar
+	Orderer   *orderer.Orderer
 	Drainer   *drainer.Drainer
 }
 
@@ -148,6 +151,7 @@
 	})
 	o.Asker = asker.New(m, o.Joiner, o.Keeper, n, s.AskTimeout)
 	o.Registrar = registrar.New(r, m, o.Joiner, s.ClaimWindow)
+	o.Orderer = orderer.New(r, t, n, self.ID)
 	o.Drainer = drainer.New(s.DrainNotice, s.MaxInFlight)
 
 	return o
@@ -179,6 +183,7 @@
 	Keeper    *keeper.Keeper
 	Asker     *asker.Asker
 	Registrar *registrar.Registrar
+	Orderer   *orderer.Orderer
 	Messenger *messenger.Messenger
 	Recorder  *recorder.Recorder
 	Pipeline  *filterer.Pipeline
@@ -194,7 +199,7 @@
 
 	r := &Router{
 		settings: i.Settings, follower: i.Follower, joiner: i.Joiner, keeper: i.Keeper, asker: i.Asker,
-		messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, drainer: i.Drainer,
+		orderer: i.Orderer, messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, drainer: i.Drainer,
 		counter: i.Counter, listener: l,
 	}
 	r.register(i.Registrar)
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -55,6 +55,7 @@
 	r.background(func() { r.follower.Run(c) })
 	r.background(func() { r.asker.Run(c) })
 	r.background(func() { r.keeper.Run(c, r.mine) })
+	r.background(func() { r.orderer.Run(c, r.follower.Force, r.mine) })
 	r.background(r.serve)
 
 	if r.settings.Debug.IsValid() {
