internal/router: a data centre cut off from peers, targets and platform

Routers take the dialer for peers and targets from outside, so a test can cut one data centre off from the other on real sockets: each side serves on with its own engine, a change made outside waits and comes in when the cut heals.

Found: the stand-in let a long poll that began before a cut bring the change in (revision 4 instead of 2 inside the cut); a cut now ends it.

--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -41,10 +41,16 @@
 func (t *Traffic) in(n int)  { t.received.Add(int64(n)) }
 func (t *Traffic) out(n int) { t.sent.Add(int64(n)) }
 
+// dialer makes connections; a net.Dialer does.
+type dialer interface {
+	DialContext(c context.Context, network, address string) (net.Conn, error)
+}
+
 // Messenger sends messages to peers and answers theirs. It is safe for
 // concurrent use once its handlers are set.
 type Messenger struct {
 	id       uint64
+	dialer   dialer
 	traffic  Traffic
 	handlers map[wire.Kind]Handler
 	listener net.Listener
@@ -64,10 +70,10 @@
 }
 
 // New listens on an address and returns a Messenger with its clean-up
-// function, which closes all connections. It sends under the given ID. Messages
-// are answered from Serve on. It fails with ErrUnreachable when the address
-// can't be listened on.
-func New(a netip.AddrPort, id uint64) (*Messenger, func(), error) {
+// function, which closes all connections. It sends under the given ID, over
+// connections that the dialer makes. Messages are answered from Serve on. It
+// fails with ErrUnreachable when the address can't be listened on.
+func New(a netip.AddrPort, id uint64, d dialer) (*Messenger, func(), error) {
 	l, err := net.Listen("tcp", a.String()) //nolint:noctx // Ended by the clean-up function.
 	if err != nil {
 		return nil, nil, errors.Mark(errors.Wrap(err, "listening for peers"), ErrUnreachable)
@@ -75,6 +81,7 @@
 
 	m := &Messenger{
 		id:       id,
+		dialer:   d,
 		handlers: make(map[wire.Kind]Handler),
 		listener: l,
 		done:     make(chan struct{}),
@@ -176,9 +183,10 @@
 		return nil, ErrUnreachable
 	}
 
-	d := net.Dialer{Timeout: dialTimeout}
+	x, stop := context.WithTimeout(c, dialTimeout)
+	defer stop()
 
-	n, err := d.DialContext(c, "tcp", a.String())
+	n, err := m.dialer.DialContext(x, "tcp", a.String())
 	if err != nil {
 		p.failed = time.Now()
 
--- a/internal/orderer/orderer_test.go
+++ b/internal/orderer/orderer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -182,7 +183,7 @@
 			h := httptest.NewServer(e.Handler())
 			defer h.Close()
 
-			s, end, err := sender.New(sender.TLS{})
+			s, end, err := sender.New(sender.TLS{}, &net.Dialer{})
 			i.NoErr(err)
 
 			defer end()
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -37,6 +37,7 @@
 	services []*service.Service
 	targets  map[string]any
 	nodes    []*node
+	network  *network
 }
 
 // node is one router.
@@ -52,7 +53,7 @@
 	t.Helper()
 	logrus.SetLevel(logrus.FatalLevel)
 
-	f := &fleet{t: t, platform: platform.New(platform.Settings{Retention: time.Hour, AppendsPerSecond: 10000}), targets: make(map[string]any)}
+	f := &fleet{t: t, platform: platform.New(platform.Settings{Retention: time.Hour, AppendsPerSecond: 10000}), targets: make(map[string]any), network: newNetwork()}
 	f.address = f.serve(f.platform.Handler())
 
 	for n := range engines {
@@ -95,6 +96,17 @@
 		"address": a.String(), "kind": kind, "region": "r", "dataCentre": "dc-1", "capacity": 16,
 		"labels": map[string]string{"app": kind},
 	}
+	f.network.place(a, "dc-1")
+}
+
+// move puts a target into another data centre.
+func (f *fleet) move(name, centre string) {
+	f.t.Helper()
+
+	x, _ := f.targets[name].(map[string]any)
+	x["dataCentre"] = centre
+	a, _ := x["address"].(string)
+	f.network.place(netip.MustParseAddrPort(a), centre)
 }
 
 // publish publishes the fleet's targets on a base and returns the revision.
@@ -156,13 +168,14 @@
 
 	var m router.Peer
 
-	n.app = fx.New(router.Options(s), fx.Populate(&n.router, &m))
+	n.app = fx.New(router.Options(s), fx.Populate(&n.router, &m), fx.Decorate(func() router.Dialer { return f.network.from(centre) }))
 	if err := n.app.Start(f.t.Context()); err != nil {
 		f.t.Fatal(err)
 	}
 
 	n.url = "http://" + n.router.Address().String()
 	n.peer = netip.AddrPort(m)
+	f.network.place(n.peer, centre)
 	f.nodes = append(f.nodes, n)
 	f.t.Cleanup(func() { f.stop(n) })
 
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +32,15 @@
 	}})
 }
 
+// Dialer makes the connections to peers and targets.
+type Dialer interface {
+	DialContext(c context.Context, network, address string) (net.Conn, error)
+}
+
+func newDialer() Dialer {
+	return &net.Dialer{}
+}
+
 func newTracer(l fx.Lifecycle, s resolver.Router) (trace.Tracer, error) {
 	t, f, err := tracer.New(context.Background(), s.TraceEndpoint, s.Name, s.TraceSample)
 	if err != nil {
@@ -42,8 +52,8 @@
 	return t, nil
 }
 
-func newMessenger(l fx.Lifecycle, s resolver.Router, id processID) (*messenger.Messenger, error) {
-	m, f, err := messenger.New(s.Peer, uint64(id))
+func newMessenger(l fx.Lifecycle, s resolver.Router, id processID, d Dialer) (*messenger.Messenger, error) {
+	m, f, err := messenger.New(s.Peer, uint64(id), d)
 	if err != nil {
 		return nil, errors.Mark(err, ErrStart)
 	}
@@ -60,8 +70,8 @@
 	return r
 }
 
-func newSender(l fx.Lifecycle, s resolver.Router) (*sender.Sender, error) {
-	x, f, err := sender.New(sender.TLS{Enabled: s.TargetTLS, Authorities: s.TargetCA})
+func newSender(l fx.Lifecycle, s resolver.Router, d Dialer) (*sender.Sender, error) {
+	x, f, err := sender.New(sender.TLS{Enabled: s.TargetTLS, Authorities: s.TargetCA}, d)
 	if err != nil {
 		return nil, errors.Mark(err, ErrStart)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,6 +68,7 @@
 			counter.New,
 			newID,
 			newPeer,
+			newDialer,
 			newSelf,
 			newTracer,
 			newMessenger,
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -461,3 +461,47 @@
 		i.Equal(n.chat(t.Context(), "q"+strconv.Itoa(k), 1, false).outcome(), string(exchanger.Ran))
 	}
 }
+
+// A data centre is cut off from the other and from the platform. Each side goes
+// on serving with its own engine and the configuration it has; a change made
+// meanwhile waits outside and comes in when the cut heals, and nobody steps back.
+func TestACutOffDataCentreServesOn(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(t, 2, 0)
+	f.move("e1", "dc-2")
+	r := int64(f.publish(1))
+	a, b := f.add("dc-1"), f.add("dc-2")
+	f.together()
+	f.eventually(func() bool { return a.metric(counter.Revision) == r && b.metric(counter.Revision) == r })
+
+	f.platform.SetFaults(platform.Faults{Cut: []string{"dc-2"}})
+	f.network.isolate("dc-2")
+
+	served := func(n *node, name string) map[string]bool {
+		o := make(map[string]bool)
+
+		for k := range 20 {
+			x := n.chat(t.Context(), name+strconv.Itoa(k), 1, k%2 == 0)
+			i.Equal(x.outcome(), string(exchanger.Ran))
+
+			o[x.header.Get(exchanger.HeaderTarget)] = true
+		}
+
+		return o
+	}
+
+	i.Equal(served(a, "a"), map[string]bool{"e0": true})
+	i.Equal(served(b, "b"), map[string]bool{"e1": true})
+
+	f.target("late", "engine", f.dead())
+	next := int64(f.publish(uint64(r)))
+	f.eventually(func() bool { return a.metric(counter.Revision) == next })
+	i.Equal(b.metric(counter.Revision), r)
+
+	f.platform.SetFaults(platform.Faults{})
+	f.network.isolate("")
+	f.together()
+	f.eventually(func() bool { return b.metric(counter.Revision) == next })
+	served(a, "c")
+	served(b, "d")
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -35,6 +35,11 @@
 	maxOrder      = 64 << 10
 )
 
+// dialer makes connections; a net.Dialer does.
+type dialer interface {
+	DialContext(c context.Context, network, address string) (net.Conn, error)
+}
+
 // TLS says how targets are spoken to.
 type TLS struct {
 	Enabled bool
@@ -50,8 +55,9 @@
 	fresh  *http.Transport
 }
 
-// New returns a Sender and its clean-up function. It fails with ErrSettings.
-func New(t TLS) (*Sender, func(), error) {
+// New returns a Sender, over connections that the dialer makes, and its clean-up
+// function. It fails with ErrSettings.
+func New(t TLS, d dialer) (*Sender, func(), error) {
 	s := &Sender{scheme: "http"}
 
 	var c *tls.Config
@@ -70,16 +76,21 @@
 		}
 	}
 
-	d := &net.Dialer{Timeout: dialTimeout}
+	dial := func(c context.Context, network, address string) (net.Conn, error) {
+		x, stop := context.WithTimeout(c, dialTimeout)
+		defer stop()
+
+		return d.DialContext(x, network, address)
+	}
 	s.reused = &http.Transport{
-		DialContext: d.DialContext, TLSClientConfig: c, IdleConnTimeout: idleTimeout,
+		DialContext: dial, TLSClientConfig: c, IdleConnTimeout: idleTimeout,
 		MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true,
 	}
 	// The library sends a request again by itself when a kept connection breaks
 	// under it. For a call that may not be repeated that would be a second run,
 	// so such calls go over connections of their own, where it never does.
 	s.fresh = &http.Transport{
-		DialContext: d.DialContext, TLSClientConfig: c, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: dial, TLSClientConfig: c, DisableKeepAlives: true, DisableCompression: true,
 	}
 
 	return s, s.reused.CloseIdleConnections, nil
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -150,11 +150,19 @@
 		return
 	}
 
-	if f.Outage || contains(f.Cut, c.GetHeader(centreHeader)) {
+	if p.unreachable(c) {
 		c.AbortWithStatusJSON(http.StatusServiceUnavailable, gin.H{"error": "the log service is down"})
 	}
 }
 
+// unreachable says that the caller can't reach the platform at present.
+func (p *Platform) unreachable(c *gin.Context) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.faults.Outage || contains(p.faults.Cut, c.GetHeader(centreHeader))
+}
+
 func (p *Platform) append(c *gin.Context) {
 	var b struct {
 		Records [][]byte `json:"records"`
@@ -215,6 +223,11 @@
 		l, o, n, _ = s.read(time.Now(), f, maxRecords)
 	}
 
+	// A cut also ends the long polls that began before it.
+	if p.unreachable(c) {
+		panic(http.ErrAbortHandler)
+	}
+
 	if l == nil {
 		l = []Record{}
 	}
