--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -17,6 +17,7 @@
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -33,8 +34,8 @@
 // either.
 var ErrNoPlace = errors.New("no place could be asked for")
 
-// messenger talks to peers.
-type messenger interface {
+// peers talks to peers.
+type peers interface {
 	Call(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error
 	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
 }
@@ -82,11 +83,11 @@
 
 // Asker keeps the list of this router's grants. It is safe for concurrent use.
 type Asker struct {
-	messenger messenger
-	members   members
-	keeper    keeper
-	counter   *counter.Counter
-	timeout   time.Duration
+	peers   peers
+	members members
+	keeper  keeper
+	counter *counter.Counter
+	timeout time.Duration
 
 	mu     sync.Mutex
 	seq    uint32
@@ -109,9 +110,9 @@
 }
 
 // New returns an Asker without grants. The timeout bounds one ask.
-func New(m messenger, l members, k keeper, n *counter.Counter, timeout time.Duration) *Asker {
+func New(m peers, l members, k keeper, n *counter.Counter, timeout time.Duration) *Asker {
 	return &Asker{
-		messenger: m, members: l, keeper: k, counter: n, timeout: timeout,
+		peers: m, members: l, keeper: k, counter: n, timeout: timeout,
 		asking: make(map[uint32]bool), cells: make(map[uint32]*cell), told: make(map[uint32]telling),
 	}
 }
@@ -156,6 +157,12 @@
 			return Place{}, errors.Mark(c.Err(), ErrNoPlace)
 		}
 
+		// A home that answers that it does not know the cell or the rule is a
+		// revision behind, or ahead. It is well, and its other cells need it.
+		if errors.Is(err, messenger.ErrRefused) {
+			break
+		}
+
 		a.counter.Add(counter.AsksFailed, 1)
 		logrus.WithFields(logrus.Fields{"event": "askFailed", "peer": h.Address, "error": err}).Warn()
 		a.members.Suspect(h.ID)
@@ -205,7 +212,7 @@
 	defer stop()
 
 	// A lost release is made good by the next list of grants.
-	if err := a.messenger.Send(c, h.Address, wire.KindRelease, &w); err != nil {
+	if err := a.peers.Send(c, h.Address, wire.KindRelease, &w); err != nil {
 		a.members.Suspect(h.ID)
 	}
 }
@@ -272,7 +279,7 @@
 
 	var v wire.Verdict
 
-	err := a.messenger.Call(x, h.Address, wire.KindAsk, &w, &v)
+	err := a.peers.Call(x, h.Address, wire.KindAsk, &w, &v)
 
 	return v, err
 }
@@ -303,7 +310,7 @@
 	t, stop := context.WithTimeout(c, sendTimeout)
 	defer stop()
 
-	if err := a.messenger.Send(t, h.Address, wire.KindSync, &w); err != nil {
+	if err := a.peers.Send(t, h.Address, wire.KindSync, &w); err != nil {
 		logrus.WithFields(logrus.Fields{"event": "syncFailed", "peer": h.Address, "error": err}).Debug()
 	}
 }
--- a/internal/bencher/size.go
+++ b/internal/bencher/size.go
@@ -58,6 +58,8 @@
 const (
 	// Steady is no trouble.
 	Steady Condition = "steady"
+	// Quiet is a fifteenth of the usual traffic.
+	Quiet Condition = "quiet"
 	// Churn loses a target, and a router, from time to time; they come back
 	// empty.
 	Churn Condition = "churn"
@@ -70,5 +72,5 @@
 
 // Conditions returns all conditions.
 func Conditions() []Condition {
-	return []Condition{Steady, Churn, Surge, Cut}
+	return []Condition{Steady, Quiet, Churn, Surge, Cut}
 }
--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -20,6 +20,7 @@
 	// leastRunning is the mean of requests on a target below which one request
 	// more or less says nothing about skew.
 	leastRunning = 10.0
+	quietPart    = 15
 	surgeStart   = 0.6
 	surgeEnd     = 0.85
 )
@@ -178,6 +179,10 @@
 }
 
 func (w *world) rate() float64 {
+	if w.condition == Quiet {
+		return w.size.Rate / quietPart
+	}
+
 	if w.surging() {
 		return (1 + w.surge) * w.size.Rate
 	}
@@ -312,7 +317,7 @@
 			w.loseTarget()
 			w.policy.lose(w, w.random.IntN(len(w.routers)))
 		}
-	case Steady, Surge:
+	case Steady, Quiet, Surge:
 	}
 }
 
--- a/internal/filterer/relay.go
+++ b/internal/filterer/relay.go
@@ -47,7 +47,7 @@
 
 	var err error
 
-	if strings.HasPrefix(x.Response.Header.Get("Content-Type"), "text/event-stream") {
+	if x.Assistant && strings.HasPrefix(x.Response.Header.Get("Content-Type"), "text/event-stream") {
 		err = r.stream(c, x)
 	} else {
 		err = r.whole(x)
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -60,6 +60,12 @@
 	Engine   bool
 }
 
+// Limits are the limits on the load of one target; see picker.Settings.
+type Limits struct {
+	LoadFactor float64
+	Slack      float64
+}
+
 // Ask is a request for a place.
 type Ask struct {
 	ID       ID
@@ -192,10 +198,10 @@
 	}
 }
 
-// Update sets the targets of the cell and the bound that is in force.
-func (g *Granter) Update(t []Target, loadFactor float64) {
+// Update sets the targets of the cell and the limits that are in force.
+func (g *Granter) Update(t []Target, l Limits) {
 	k := make(map[uint32]*target, len(t))
-	l := make([]*target, 0, len(t))
+	n := make([]*target, 0, len(t))
 
 	for _, x := range t {
 		o, ok := g.byID[x.ID]
@@ -205,7 +211,7 @@
 
 		o.Target = x
 		k[x.ID] = o
-		l = append(l, o)
+		n = append(n, o)
 	}
 
 	for id := range g.byID {
@@ -216,9 +222,9 @@
 	}
 
 	g.byID = k
-	g.targets = l
-	g.settings.Picker.LoadFactor = loadFactor
-	g.settings.Picker.StickFactor = min(g.settings.Picker.StickFactor, loadFactor)
+	g.targets = n
+	g.settings.Picker.LoadFactor = l.LoadFactor
+	g.settings.Picker.Slack = l.Slack
 }
 
 // Ask decides on a request for a place. A grant counts until Release, or until
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -31,8 +31,8 @@
 	// ErrMessage marks a message that can't be read.
 	ErrMessage = errors.New("the message is not valid")
 	// ErrUnknownCell means that the configuration in force here has no such
-	// cell; the asker's may be newer or older.
-	ErrUnknownCell = errors.New("no such cell")
+	// cell or rule; the asker's may be newer or older.
+	ErrUnknownCell = errors.New("no such cell or rule")
 )
 
 // home is one cell's Granter. Requests for different cells don't wait for each
@@ -98,7 +98,7 @@
 		}
 
 		h.mu.Lock()
-		h.granter.Update(targets(x), f.Matcher.LoadFactor())
+		h.granter.Update(targets(x), limits(f.Matcher))
 		h.mu.Unlock()
 	}
 }
@@ -112,6 +112,11 @@
 		return wire.Verdict{}, err
 	}
 
+	r := f.Matcher.Rule(w.Rule)
+	if r == nil {
+		return wire.Verdict{}, ErrUnknownCell
+	}
+
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
@@ -124,7 +129,7 @@
 		Prompt:   int(w.Prompt),
 		Waited:   time.Duration(w.WaitedMs) * time.Millisecond,
 		Hint:     w.Hint,
-		Allowed:  allowed(f.Matcher, w.Rule),
+		Allowed:  allowed(f.Matcher, r),
 		Excluded: w.Excluded,
 		Sent:     w.Sent,
 	})
@@ -292,7 +297,7 @@
 
 	r := rand.New(rand.NewPCG(rand.Uint64(), uint64(cell))) //nolint:gosec // Jitter.
 	h := &home{granter: granter.New(k.settings, r), used: now}
-	h.granter.Update(targets(x), f.Matcher.LoadFactor())
+	h.granter.Update(targets(x), limits(f.Matcher))
 
 	for _, t := range x.Targets {
 		h.granter.Report(now, t.ID, -1, k.states.Get(t.ID))
@@ -350,12 +355,13 @@
 	return o
 }
 
-func allowed(m *matcher.Matcher, rule uint32) func(uint32) bool {
-	r := m.Rule(rule)
-	if r == nil {
-		return func(uint32) bool { return false }
-	}
+func limits(m *matcher.Matcher) granter.Limits {
+	l := m.Limits()
+
+	return granter.Limits{LoadFactor: l.LoadFactor(), Slack: float64(l.Slack())}
+}
 
+func allowed(m *matcher.Matcher, r *matcher.Rule) func(uint32) bool {
 	return func(t uint32) bool {
 		x := m.Target(t)
 
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -138,9 +138,9 @@
 	return parser.DefaultWeight
 }
 
-// LoadFactor returns the bound on an engine's load over the mean.
-func (m *Matcher) LoadFactor() float64 {
-	return m.document.Limits.LoadFactor()
+// Limits returns the document's limits.
+func (m *Matcher) Limits() parser.Limits {
+	return m.document.Limits
 }
 
 func readTargets(d *parser.Document) []*Target {
--- a/internal/parser/document.go
+++ b/internal/parser/document.go
@@ -14,6 +14,7 @@
 const (
 	DefaultMaxLoadFactor = 1.25
 	DefaultWeight        = 1.0
+	DefaultSlackRequests = 3
 	DefaultCellTargets   = 24
 )
 
@@ -77,6 +78,11 @@
 	// MaxLoadFactor is the multiple of the mean load that no engine may
 	// exceed; zero means DefaultMaxLoadFactor.
 	MaxLoadFactor float64 `json:"maxLoadFactor,omitempty" validate:"omitempty,min=1.01,max=100"`
+	// SlackRequests is how many requests above the mean an engine may have where
+	// that is more than the multiple allows, as it is on a quiet fleet; zero
+	// means DefaultSlackRequests. More reuses prompt caches better in quiet
+	// hours, fewer spreads quiet load more evenly.
+	SlackRequests int `json:"slackRequests,omitempty" validate:"min=0,max=10000"`
 	// CellTargets is about how many targets one instance grants places on; zero
 	// means DefaultCellTargets. A large fleet lowers it so that no instance
 	// spends too much on control.
@@ -92,6 +98,15 @@
 	return l.CellTargets
 }
 
+// Slack returns the requests above the mean that are in force.
+func (l Limits) Slack() int {
+	if l.SlackRequests == 0 {
+		return DefaultSlackRequests
+	}
+
+	return l.SlackRequests
+}
+
 // LoadFactor returns the bound that is in force.
 func (l Limits) LoadFactor() float64 {
 	if l.MaxLoadFactor == 0 {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -12,12 +12,13 @@
 // Settings are the constants of the policy. Their values come from the bench;
 // see docs/decisions.
 type Settings struct {
-	// LoadFactor is the multiple of the mean load that no target may exceed, but
-	// for one request above the mean where that is more.
+	// LoadFactor is the multiple of the mean load that no target may exceed, and
+	// Slack how many requests above the mean it may have where that is more.
 	LoadFactor float64
-	// StickFactor is the multiple up to which a chat goes back to its place.
-	// It is below LoadFactor to leave room for the others.
-	StickFactor float64
+	Slack      float64
+	// StickMargin is how far below LoadFactor the multiple is up to which a chat
+	// goes back to its place. It leaves room for the others.
+	StickMargin float64
 	// SubsetSpare and SubsetFactor size a customer's subset: its share of the
 	// targets times the factor, plus the spare.
 	SubsetSpare  int
@@ -26,7 +27,7 @@
 
 // DefaultSettings returns the settings that routers use.
 func DefaultSettings() Settings {
-	return Settings{LoadFactor: 1.25, StickFactor: 1.22, SubsetSpare: 3, SubsetFactor: 2}
+	return Settings{LoadFactor: 1.25, Slack: 3, StickMargin: 0.03, SubsetSpare: 3, SubsetFactor: 2}
 }
 
 // Candidate is a target as the picker sees it.
@@ -137,17 +138,17 @@
 }
 
 func (b bound) sticks(c Candidate, work float64) bool {
-	return c.Load+work <= b.limit(b.settings.StickFactor, c)
+	return c.Load+work <= b.limit(b.settings.LoadFactor-b.settings.StickMargin, c)
 }
 
-// limit is a multiple of the mean, or one request above the mean where that is
+// limit is a multiple of the mean, or a few requests above the mean where that is
 // more. With few requests about, a multiple of the mean is less than one
 // request: without the second part a quiet fleet would send each chat away from
-// its place, and lose its prompt caches just when nobody is in a hurry.
+// its place, and lose its prompt caches though no engine is near its capacity.
 func (b bound) limit(factor float64, c Candidate) float64 {
 	m := b.mean * c.Weight
 
-	return max(factor*m, m+1)
+	return max(factor*m, m+b.settings.Slack)
 }
 
 // subset returns the indexes of the customer's targets: a prefix of its own
