internal/registrar: claims in msgpack, in 64 partitions, with fewer appends

Cause: the slopes on real processes showed 27 KB/s between a router and the log at 20 bookings a second on it: records were JSON inside the log's own JSON, and each settlement was an append of its own.

A quiet partition still settles at once: waiting always made an immediate repeat see 'in progress' where it had the answer before (TestOutcomesAreTrue), so that was taken back.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 SHELL := /bin/bash
 
-.PHONY: build test demo failures bench lint generate fuzz
+.PHONY: build test demo failures bench slopes lint generate fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,6 +21,10 @@
 bench: build
 	./bin/auburntray bench
 
+# What a router spends as the rate of calls grows, on real processes.
+slopes: build
+	./scripts/slopes.sh
+
 lint:
 	./scripts/lint.sh
 
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -41,25 +41,25 @@
 
 // Answer is the recorded answer to a call.
 type Answer struct {
-	Status      int    `json:"status,omitempty"`
-	ContentType string `json:"contentType,omitempty"`
-	Body        []byte `json:"body,omitempty"`
+	Status      int
+	ContentType string
+	Body        []byte
 	// Truncated says that the answer was too long to record.
-	Truncated bool `json:"truncated,omitempty"`
+	Truncated bool
 }
 
 // Record is one entry of a claims stream: a claim, or how it was settled.
 type Record struct {
-	Key uint64 `json:"key"`
+	Key uint64
 	// ID is the claim's own number.
-	ID uint64 `json:"id"`
+	ID uint64
 	// Body is the hash of the request's body. Only claims carry it.
-	Body uint64 `json:"body,omitempty"`
+	Body uint64
 	// Lifetime is how long after its append the holder may still run the call.
-	Lifetime time.Duration `json:"lifetime,omitempty"`
+	Lifetime time.Duration
 	// Settled is Ran, Unknown or NotRun on the record that settles a claim.
-	Settled Outcome `json:"settled,omitempty"`
-	Answer  *Answer `json:"answer,omitempty"`
+	Settled Outcome
+	Answer  *Answer
 }
 
 type claim struct {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -115,3 +115,16 @@
 		}
 	})
 }
+
+// BenchmarkFold gives the memory of a remembered key: its claim and its record.
+func BenchmarkFold(b *testing.B) {
+	c := claimer.New(time.Hour)
+	now := time.Unix(1000, 0)
+	k := uint64(0)
+
+	for b.Loop() {
+		k++
+		c.Fold(2*k, now, claimer.Record{Key: k, ID: k, Body: k, Lifetime: lifetime})
+		c.Fold(2*k+1, now, claimer.Record{Key: k, ID: k, Settled: claimer.Ran, Answer: &claimer.Answer{Status: 200}})
+	}
+}
--- a/internal/filterer/claim.go
+++ b/internal/filterer/claim.go
@@ -135,14 +135,11 @@
 
 	d := make(chan struct{})
 
-	p.settling.Add(1)
-
-	go func() {
-		defer p.settling.Done()
+	p.settling.Go(func() {
 		defer close(d)
 
 		_ = p.claims.Settle(context.Background(), *x.Claim, o, a)
-	}()
+	})
 
 	t := time.NewTimer(settleWait)
 	defer t.Stop()
--- a/internal/filterer/stream.go
+++ b/internal/filterer/stream.go
@@ -76,6 +76,11 @@
 		return errors.Mark(err, errCaller)
 	}
 
+	// What has arrived together goes out together; each flush is a system call.
+	if s.events.Buffered() {
+		return nil
+	}
+
 	if err := http.NewResponseController(x.Writer).Flush(); err != nil {
 		return errors.Mark(err, errCaller)
 	}
--- a/internal/folder/folder_test.go
+++ b/internal/folder/folder_test.go
@@ -1,6 +1,7 @@
 package folder_test
 
 import (
+	"encoding/json"
 	"strconv"
 	"testing"
 
@@ -180,3 +181,41 @@
 	i.Equal(g.Fold(5, folder.Record{Checkpoint: &s}), folder.Restored)
 	i.Equal(g.State().ID, "z") // the change since the checkpoint's state counts
 }
+
+// BenchmarkFold folds a change into a document of the design size: 600 targets,
+// 7,600 customers, 32 rules.
+func BenchmarkFold(b *testing.B) {
+	c := &differ.Change{
+		SetTargets: make(map[string]parser.Target), SetCustomers: make(map[string]parser.Customer), SetRules: make(map[string]parser.Rule),
+	}
+
+	for k := range 600 {
+		c.SetTargets["target-"+strconv.Itoa(k)] = parser.Target{
+			Address: "10.0." + strconv.Itoa(k/250) + "." + strconv.Itoa(k%250) + ":80", Kind: parser.KindEngine,
+			Region: "region-1", DataCentre: "dc-" + strconv.Itoa(k%8), Capacity: 80, Labels: map[string]string{"model": strconv.Itoa(k % 32)},
+		}
+	}
+
+	for k := range 7600 {
+		c.SetCustomers["customer-"+strconv.Itoa(k)] = parser.Customer{Weight: 2}
+	}
+
+	for k := range 32 {
+		c.SetRules["rule-"+strconv.Itoa(k)] = parser.Rule{Targets: "model=" + strconv.Itoa(k), Traffic: "model=" + strconv.Itoa(k)}
+	}
+
+	f := folder.New()
+	if f.Fold(0, folder.Record{Change: c}) != folder.Accepted {
+		b.Fatal("not accepted")
+	}
+
+	n := uint64(1)
+
+	for b.Loop() {
+		f.Fold(n, change("x", f.State().Revision, float64(n)))
+		n++
+	}
+
+	j, _ := json.Marshal(f.State())
+	b.ReportMetric(float64(len(j)), "documentBytes")
+}
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -354,13 +355,19 @@
 	})
 }
 
+// BenchmarkAskAndRelease gives the slope of a decision over the targets of a
+// cell.
 func BenchmarkAskAndRelease(b *testing.B) {
-	f := newFixture(16)
-	k := uint64(0)
-
-	for b.Loop() {
-		k++
-		id, _ := f.ask(1, k%10000+1, uint32(k%50))
-		f.Release(f.now, id, granter.Outcome{OK: true, Requests: -1})
+	for _, n := range []int{4, 8, 16, 24} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			f := newFixture(n)
+			k := uint64(0)
+
+			for b.Loop() {
+				k++
+				id, _ := f.ask(1, k%10000+1, uint32(k%50))
+				f.Release(f.now, id, granter.Outcome{OK: true, Requests: -1})
+			}
+		})
 	}
 }
--- a/internal/matcher/matcher_test.go
+++ b/internal/matcher/matcher_test.go
@@ -128,3 +128,48 @@
 
 	i.Equal(len(m.Siblings(m.Cells()[0])), 0) // cells of two regions do not share a mean
 }
+
+// BenchmarkNew reads a document of the design size into the form that requests
+// need, and BenchmarkMatch finds a rule in it.
+func BenchmarkNew(b *testing.B) {
+	d := designSize()
+
+	for b.Loop() {
+		matcher.New(d)
+	}
+}
+
+func BenchmarkMatch(b *testing.B) {
+	m := matcher.New(designSize())
+
+	for b.Loop() {
+		r := m.Match(matcher.Traffic{Path: "/v1/chat/completions", Model: "m31", Customer: "c7"})
+		m.Ranked(r, "r", 7)
+	}
+}
+
+func designSize() *parser.Document {
+	d := document(75, "a", "b", "c", "d", "e", "f", "g", "h")
+	d.Limits.CellTargets = 8
+
+	for k := range 7600 {
+		d.Customers["c"+strconv.Itoa(k)] = parser.Customer{Weight: 1, Labels: map[string]string{"tier": "gold"}}
+	}
+
+	delete(d.Rules, "all")
+
+	n := 0
+
+	for k, x := range d.Targets {
+		x.Labels = map[string]string{"model": "m" + strconv.Itoa(n%32)}
+		d.Targets[k] = x
+		n++
+	}
+
+	for k := range 32 {
+		m := "model=m" + strconv.Itoa(k)
+		d.Rules["r"+strconv.Itoa(k)] = parser.Rule{Order: k, Traffic: m, Targets: m}
+	}
+
+	return d
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -22,7 +22,7 @@
 
 const (
 	// partitions is the number of claims streams.
-	partitions = 16
+	partitions = 64
 	// lifetimeMargin is how long after the deadline of a call its answer may
 	// still be recorded before others are told that it is unknown.
 	lifetimeMargin = 5 * time.Second
@@ -33,7 +33,7 @@
 	releaseTries = 20
 	releasePause = 500 * time.Millisecond
 	// settleRoom is how much of an answer is recorded, in bytes.
-	settleRoom = 16 << 10
+	settleRoom = 4 << 10
 	retryPause = 300 * time.Millisecond
 )
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -274,7 +274,7 @@
 
 	for n := range uint64(200) {
 		g.Go(func() {
-			_, err := r.Claim(t.Context(), claim(n*16, n+1)) // one partition
+			_, err := r.Claim(t.Context(), claim(n*64, n+1)) // one partition
 			if err != nil {
 				t.Error(err)
 			}
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"net/netip"
 	"time"
 
@@ -142,10 +143,12 @@
 	}
 }
 
-// debug serves the metrics until the context ends.
+// debug serves the metrics and profiles until the context ends.
 func (r *Router) debug(c context.Context) {
 	m := http.NewServeMux()
 	m.Handle("/debug/vars", counter.Handler())
+	m.HandleFunc("/debug/pprof/", pprof.Index)
+	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
 
 	s := &http.Server{Addr: r.settings.Debug.String(), Handler: m, ReadHeaderTimeout: headerTimeout}
 
--- a/internal/sender/event.go
+++ b/internal/sender/event.go
@@ -88,6 +88,11 @@
 	}
 }
 
+// Buffered says that more of the answer is here already.
+func (e *EventReader) Buffered() bool {
+	return e.reader.Buffered() > 0
+}
+
 func (e *Event) read(d []byte) {
 	if string(d) == dataDone {
 		e.Done = true
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -46,6 +46,8 @@
 	mu    sync.Mutex
 	fold  Fold
 	queue []*pending
+	// flushed is when the last append began.
+	flushed time.Time
 	// clock is the log's clock at a time of this router's own clock.
 	clock, read time.Time
 }
@@ -68,12 +70,36 @@
 // next, so the appends a second stay few however many records come. It returns
 // the offset after the record, or the log's error.
 func (s *Streamer) Append(c context.Context, data []byte) (uint64, error) {
-	x := &pending{data: data, done: make(chan struct{})}
+	x := s.enqueue(data)
+
+	s.writing.Lock()
+	s.flush(c)
+	s.writing.Unlock()
+
+	<-x.done
+
+	return x.next, x.err
+}
+
+// AppendAfter does as Append does, but where there was an append within the given
+// time it waits for the rest of that time, or for another record to go along
+// with. So such records cost a busy stream few appends and a quiet one no delay.
+func (s *Streamer) AppendAfter(c context.Context, data []byte, gap time.Duration) (uint64, error) {
+	x := s.enqueue(data)
 
 	s.mu.Lock()
-	s.queue = append(s.queue, x)
+	w := gap - time.Since(s.flushed)
 	s.mu.Unlock()
 
+	t := time.NewTimer(max(w, 0))
+	defer t.Stop()
+
+	select {
+	case <-x.done:
+		return x.next, x.err
+	case <-t.C:
+	}
+
 	s.writing.Lock()
 	s.flush(c)
 	s.writing.Unlock()
@@ -83,6 +109,17 @@
 	return x.next, x.err
 }
 
+func (s *Streamer) enqueue(data []byte) *pending {
+	x := &pending{data: data, done: make(chan struct{})}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.queue = append(s.queue, x)
+
+	return x
+}
+
 // CatchUp folds the stream until the given offset, or to its present end when
 // the offset is zero.
 func (s *Streamer) CatchUp(c context.Context, until uint64) error {
@@ -125,6 +162,10 @@
 		return
 	}
 
+	s.mu.Lock()
+	s.flushed = time.Now()
+	s.mu.Unlock()
+
 	d := make([][]byte, len(q))
 	for i, x := range q {
 		d[i] = x.data
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -192,3 +192,17 @@
 	Milli  uint64
 	Weight uint32
 }
+
+// ClaimRecord is one entry of a claims stream in the platform's log: a claim, or
+// how it was settled, when Settled is a claimer.Outcome other than zero.
+type ClaimRecord struct {
+	Key         uint64
+	ID          uint64
+	Body        uint64
+	LifetimeMs  int64
+	Settled     uint8
+	Status      int
+	ContentType string
+	Answer      []byte
+	Truncated   bool
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -598,6 +598,205 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ClaimRecord) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Body, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Body")
+		return
+	}
+	z.LifetimeMs, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "LifetimeMs")
+		return
+	}
+	z.Settled, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "Settled")
+		return
+	}
+	z.Status, err = dc.ReadInt()
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	z.ContentType, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "ContentType")
+		return
+	}
+	z.Answer, err = dc.ReadBytes(z.Answer)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer")
+		return
+	}
+	z.Truncated, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Truncated")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ClaimRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 9
+	err = en.Append(0x99)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteUint64(z.Body)
+	if err != nil {
+		err = msgp.WrapError(err, "Body")
+		return
+	}
+	err = en.WriteInt64(z.LifetimeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "LifetimeMs")
+		return
+	}
+	err = en.WriteUint8(z.Settled)
+	if err != nil {
+		err = msgp.WrapError(err, "Settled")
+		return
+	}
+	err = en.WriteInt(z.Status)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	err = en.WriteString(z.ContentType)
+	if err != nil {
+		err = msgp.WrapError(err, "ContentType")
+		return
+	}
+	err = en.WriteBytes(z.Answer)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer")
+		return
+	}
+	err = en.WriteBool(z.Truncated)
+	if err != nil {
+		err = msgp.WrapError(err, "Truncated")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ClaimRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 9
+	o = append(o, 0x99)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendUint64(o, z.Body)
+	o = msgp.AppendInt64(o, z.LifetimeMs)
+	o = msgp.AppendUint8(o, z.Settled)
+	o = msgp.AppendInt(o, z.Status)
+	o = msgp.AppendString(o, z.ContentType)
+	o = msgp.AppendBytes(o, z.Answer)
+	o = msgp.AppendBool(o, z.Truncated)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ClaimRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Body, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Body")
+		return
+	}
+	z.LifetimeMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LifetimeMs")
+		return
+	}
+	z.Settled, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Settled")
+		return
+	}
+	z.Status, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Status")
+		return
+	}
+	z.ContentType, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ContentType")
+		return
+	}
+	z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
+	if err != nil {
+		err = msgp.WrapError(err, "Answer")
+		return
+	}
+	z.Truncated, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Truncated")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ClaimRecord) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.Int64Size + msgp.Uint8Size + msgp.IntSize + msgp.StringPrefixSize + len(z.ContentType) + msgp.BytesPrefixSize + len(z.Answer) + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *ClaimReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
