internal/keeper: the successor of a lost home hands its replica over

Cause: a home that is lost and replaced by a new process at once, before its successor ever was the home, left the new process with an empty table, though the successor held a replica.

Change: a router hands the places that it holds to whatever home has not got them yet, and knows who has them. The margin for returning chats goes from 0.03 to 0.06 below the bound.

--- a/internal/bencher/homes.go
+++ b/internal/bencher/homes.go
@@ -168,7 +168,7 @@
 
 	// The entries tell a home that is new to them of what they have in flight.
 	if o, ok := h.was[k]; i >= 0 && (!ok || o != w.routers[i].id) {
-		if g, ok := h.granters[granterKey{cell: c.ID, home: o}]; ok && k.home == 0 {
+		if g := h.holder(w, c, o, i); g != nil && k.home == 0 {
 			h.moving = append(h.moving, handover{cell: c, from: g})
 		}
 
@@ -179,6 +179,21 @@
 	return i
 }
 
+// holder returns the Granter that hands its places over to a new home: the
+// former home's, or when that is lost, the one that it replicated to.
+func (h *homes) holder(w *world, c *matcher.Cell, former uint64, home int) *granter.Granter {
+	if g, ok := h.granters[granterKey{cell: c.ID, home: former}]; ok {
+		return g
+	}
+
+	j := h.first(w, w.routers[home], c, home)
+	if j < 0 {
+		return nil
+	}
+
+	return h.granters[granterKey{cell: c.ID, home: w.routers[j].id}]
+}
+
 // first returns the first router by rendezvous among those that a router
 // reaches in the cell's data centres, without one of them.
 func (h *homes) first(w *world, r *router, c *matcher.Cell, without int) int {
--- a/internal/keeper/handlers.go
+++ b/internal/keeper/handlers.go
@@ -22,7 +22,7 @@
 	r.Handle(wire.KindRelease, oneWay(func(from uint64, w *wire.Release) { k.Release(time.Now(), from, *w) }))
 	r.Handle(wire.KindSync, oneWay(func(from uint64, w *wire.Sync) { k.Sync(time.Now(), from, *w) }))
 	r.Handle(wire.KindCellLoad, oneWay(func(_ uint64, w *wire.CellLoad) { k.Other(time.Now(), *w) }))
-	r.Handle(wire.KindHandOver, oneWay(func(_ uint64, w *wire.HandOver) { k.HandOver(time.Now(), *w) }))
+	r.Handle(wire.KindHandOver, oneWay(func(from uint64, w *wire.HandOver) { k.HandOver(time.Now(), from, *w) }))
 }
 
 func (k *Keeper) onAsk(_ context.Context, from uint64, b []byte) (msgp.Marshaler, error) {
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -41,9 +41,10 @@
 	mu      sync.Mutex
 	granter *granter.Granter
 	used    time.Time
-	// moved says that another router has become the cell's home, and handed how
-	// far the places have been handed over to it.
-	moved  bool
+	// holder is the router that has the places held here: the home that they
+	// were handed over to, or that replicated them. Zero is none. While they are
+	// handed over to a new home, handed is how far.
+	holder uint64
 	handed int
 }
 
@@ -52,6 +53,7 @@
 // request without a place while routers disagree.
 type Keeper struct {
 	settings granter.Settings
+	self     uint64
 	force    func() *follower.Force
 	prober   prober
 	teller   teller
@@ -63,21 +65,21 @@
 	states *tracker.Tracker
 }
 
-// New returns a Keeper without cells.
-func New(s granter.Settings, force func() *follower.Force, p prober, t teller) *Keeper {
-	return &Keeper{settings: s, force: force, prober: p, teller: t, homes: make(map[uint32]*home), states: tracker.New()}
+// New returns a Keeper without cells. Self names this router.
+func New(s granter.Settings, self uint64, force func() *follower.Force, p prober, t teller) *Keeper {
+	return &Keeper{settings: s, self: self, force: force, prober: p, teller: t, homes: make(map[uint32]*home), states: tracker.New()}
 }
 
-// Run sweeps the cells until the context ends. The function says whether this
-// router is a cell's home.
-func (k *Keeper) Run(c context.Context, mine func(*matcher.Cell) bool) {
+// Run sweeps the cells until the context ends. The function says which router is
+// a cell's home.
+func (k *Keeper) Run(c context.Context, home func(*matcher.Cell) uint64) {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
 
 	for {
 		select {
 		case <-t.C:
-			k.sweep(c, mine)
+			k.sweep(c, home)
 		case <-c.Done():
 			return
 		}
@@ -208,8 +210,9 @@
 	h.granter.Other(now, w.From, float64(w.Milli)/milli, float64(w.Weight))
 }
 
-// HandOver takes the places of a cell from its former home.
-func (k *Keeper) HandOver(now time.Time, w wire.HandOver) {
+// HandOver takes places of a cell from its former home, or from its home for the
+// case that it is lost.
+func (k *Keeper) HandOver(now time.Time, from uint64, w wire.HandOver) {
 	h, err := k.home(now, k.force(), w.Cell)
 	if err != nil {
 		return
@@ -218,6 +221,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
+	h.holder = from
+
 	for _, p := range w.Places {
 		h.granter.Remember(now, p.Chat, placer.Place{Target: p.Target, Tokens: int(p.Tokens)})
 	}
@@ -310,19 +315,19 @@
 
 // sweep expires grants, drops unused cells and probes quiet targets of the own
 // cells.
-func (k *Keeper) sweep(c context.Context, mine func(*matcher.Cell) bool) {
+func (k *Keeper) sweep(c context.Context, home func(*matcher.Cell) uint64) {
 	n := time.Now()
 	f := k.force()
 
 	for _, x := range f.Matcher.Cells() {
-		if !mine(x) {
-			k.handOver(x)
+		if y := home(x); y != k.self {
+			k.handOver(x, y)
 
 			continue
 		}
 
 		if h, err := k.home(n, f, x.ID); err == nil {
-			h.stay()
+			h.own()
 			k.probe(c, n, f.Matcher, h)
 			k.tell(n, f.Matcher, x, h)
 			k.replicate(x, h)
@@ -335,7 +340,7 @@
 		u := n.Sub(h.used) > idleAfter && h.granter.Len() == 0
 		h.mu.Unlock()
 
-		if x := f.Matcher.Cell(id); u && (x == nil || !mine(x)) {
+		if x := f.Matcher.Cell(id); u && (x == nil || home(x) != k.self) {
 			k.mu.Lock()
 			delete(k.homes, id)
 			k.mu.Unlock()
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -25,6 +25,8 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
+const self = 1
+
 // outside is a fake of targets and of other homes.
 type outside struct {
 	mu         sync.Mutex
@@ -101,7 +103,7 @@
 }
 
 func newKeeper(f *follower.Force, o *outside) *keeper.Keeper {
-	return keeper.New(granter.DefaultSettings(), func() *follower.Force { return f }, o, o)
+	return keeper.New(granter.DefaultSettings(), self, func() *follower.Force { return f }, o, o)
 }
 
 // A router joins and becomes the home of a cell from one that lives on. The
@@ -112,10 +114,12 @@
 		f, o := force(3), &outside{}
 		k := newKeeper(f, o)
 
-		var gone atomic.Bool
+		var home atomic.Uint64
+
+		home.Store(self)
 
 		c, stop := context.WithCancel(t.Context())
-		go k.Run(c, func(*matcher.Cell) bool { return !gone.Load() })
+		go k.Run(c, func(*matcher.Cell) uint64 { return home.Load() })
 
 		for n := range uint32(20) {
 			_, err := k.Ask(time.Now(), 1, ask(f, n+1))
@@ -129,13 +133,30 @@
 		r, h := o.places()
 		i.True(r >= 20)
 		i.Equal(h, 0)
-		gone.Store(true)
+		home.Store(2)
 
 		time.Sleep(3 * time.Second)
 		synctest.Wait()
 
 		_, h = o.places()
 		i.Equal(h, 20) // once
+
+		// The new home is lost at once, and replaced by another process.
+		home.Store(3)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+
+		_, h = o.places()
+		i.Equal(h, 40)
+
+		// What a home replicates here it need not get back.
+		k.HandOver(time.Now(), 4, wire.HandOver{Cell: ask(f, 1).Cell})
+		home.Store(4)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+
+		_, h = o.places()
+		i.Equal(h, 40)
 		stop()
 		synctest.Wait()
 	})
@@ -161,7 +182,7 @@
 				k := newKeeper(f, o)
 
 				c, stop := context.WithCancel(t.Context())
-				go k.Run(c, func(*matcher.Cell) bool { return true })
+				go k.Run(c, func(*matcher.Cell) uint64 { return self })
 
 				time.Sleep(3500 * time.Millisecond)
 				synctest.Wait()
--- a/internal/keeper/tell.go
+++ b/internal/keeper/tell.go
@@ -43,20 +43,21 @@
 	}
 }
 
-// stay notes that this router is the cell's home.
-func (h *home) stay() {
+// own notes that this router is the cell's home.
+func (h *home) own() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	h.moved = false
+	h.holder = 0
 	h.handed = 0
 }
 
 // handOver passes the places of a cell on to the router that has become its
 // home, a part each second. A router that joins takes the homes of some cells
 // over from routers that live on; without this, each start of a router would
-// cost these cells' chats their prompt caches.
-func (k *Keeper) handOver(x *matcher.Cell) {
+// cost these cells' chats their prompt caches. The successor of a home that was
+// lost does the same when a new process is the home before it ever was.
+func (k *Keeper) handOver(x *matcher.Cell, to uint64) {
 	k.mu.Lock()
 	h, ok := k.homes[x.ID]
 	k.mu.Unlock()
@@ -66,15 +67,19 @@
 	}
 
 	h.mu.Lock()
-	if h.moved && h.handed == 0 {
+	if h.holder == to {
 		h.mu.Unlock()
 
 		return
 	}
 
 	l, next := h.granter.Places().Scan(h.handed, handedPlaces)
-	h.moved = true
 	h.handed = next
+
+	if next == 0 {
+		h.holder = to
+	}
+
 	h.mu.Unlock()
 
 	if len(l) > 0 {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -27,7 +27,7 @@
 
 // DefaultSettings returns the settings that routers use.
 func DefaultSettings() Settings {
-	return Settings{LoadFactor: 1.25, Slack: 3, StickMargin: 0.03, SubsetSpare: 3, SubsetFactor: 2}
+	return Settings{LoadFactor: 1.25, Slack: 3, StickMargin: 0.06, SubsetSpare: 3, SubsetFactor: 2}
 }
 
 // Candidate is a target as the picker sees it.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -140,7 +140,7 @@
 ) parts {
 	var o parts
 
-	o.Keeper = keeper.New(granterSettings(s), func() *follower.Force { return o.Follower.Force() }, t,
+	o.Keeper = keeper.New(granterSettings(s), self.ID, func() *follower.Force { return o.Follower.Force() }, t,
 		teller{messenger: m, joiner: func() *joiner.Joiner { return o.Joiner }, keeper: func() *keeper.Keeper { return o.Keeper }})
 	o.Follower = follower.New(r, m, o.Keeper.Update, func() bool { return responsible(o.Joiner, checkpointKey) }, s.CheckpointEvery)
 
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -55,7 +55,7 @@
 	r.background(func() { r.joiner.Run(c) })
 	r.background(func() { r.follower.Run(c) })
 	r.background(func() { r.asker.Run(c) })
-	r.background(func() { r.keeper.Run(c, r.mine) })
+	r.background(func() { r.keeper.Run(c, r.home) })
 	r.background(func() { r.orderer.Run(c, r.follower.Force, r.mine) })
 	r.background(r.serve)
 
@@ -159,11 +159,16 @@
 	}
 }
 
+// home returns the router that is a cell's home, or zero when none is known.
+func (r *Router) home(x *matcher.Cell) uint64 {
+	h, _ := r.joiner.Home(uint64(x.ID), x.DataCentres)
+
+	return h.ID
+}
+
 // mine says whether this router is a cell's home.
 func (r *Router) mine(x *matcher.Cell) bool {
-	h, ok := r.joiner.Home(uint64(x.ID), x.DataCentres)
-
-	return ok && h.ID == r.joiner.Self().ID
+	return r.home(x) == r.joiner.Self().ID
 }
 
 // handOver passes the places of each cell to its next home. Without it, each
