internal/parser, pkg/publisher: errors as an operator reads them

Cause: followed as a new operator, a refused document named fields as the code does (Targets[e1].Capacity), an outage of the log read 'status 503', and every router of a fleet that starts together wrote a checkpoint.

Change: paths are those of the document, the outage says that nothing was done, and a router takes itself for responsible ten seconds after its start.

--- a/internal/parser/parser.go
+++ b/internal/parser/parser.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/netip"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -60,6 +61,12 @@
 // fieldFaults returns what the field tags find wrong.
 func fieldFaults(d *Document) []string {
 	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		n, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+
+		return n
+	})
+
 	err := v.Struct(d)
 
 	var e validator.ValidationErrors
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/trace"
@@ -88,8 +89,17 @@
 	return g
 }
 
-// responsible says whether this router is the home of a key among all routers.
-func responsible(j *joiner.Joiner, key string) bool {
+// settleIn is how long after its start a router knows the others. Before, each of
+// many that start together would take itself for responsible.
+const settleIn = 10 * time.Second
+
+// responsible says whether this router, which started at a time, is the home of
+// a key among all routers.
+func responsible(j *joiner.Joiner, key string, started time.Time) bool {
+	if time.Since(started) < settleIn {
+		return false
+	}
+
 	h, ok := j.Home(hasher.Key(key), nil)
 
 	return ok && h.ID == j.Self().ID
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -140,9 +140,10 @@
 ) parts {
 	var o parts
 
+	b := time.Now()
 	o.Keeper = keeper.New(granterSettings(s), self.ID, func() *follower.Force { return o.Follower.Force() }, t,
 		teller{messenger: m, joiner: func() *joiner.Joiner { return o.Joiner }, keeper: func() *keeper.Keeper { return o.Keeper }})
-	o.Follower = follower.New(r, m, o.Keeper.Update, func() bool { return responsible(o.Joiner, checkpointKey) }, s.CheckpointEvery)
+	o.Follower = follower.New(r, m, o.Keeper.Update, func() bool { return responsible(o.Joiner, checkpointKey, b) }, s.CheckpointEvery)
 
 	g := gossiper.New(gossiper.DefaultSettings(), mathrand.New(mathrand.NewPCG(self.ID, 0)), self) //nolint:gosec // Spreads messages.
 	o.Joiner = joiner.New(m, r, g, self, s.Seeds, joiner.Hooks{
--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -249,7 +249,7 @@
 		}
 
 		if errors.Is(err, recorder.ErrAnswer) {
-			return o, errors.Mark(err, ErrUnavailable)
+			return o, errors.Mark(errors.Wrap(err, ErrUnavailable.Error()), ErrUnavailable)
 		}
 
 		pause(c)
--- a/pkg/publisher/reader.go
+++ b/pkg/publisher/reader.go
@@ -32,7 +32,7 @@
 		n := r.folder.Next()
 
 		if err := r.step(c, 0); err != nil {
-			return errors.Mark(err, ErrUnavailable)
+			return errors.Mark(errors.Wrap(err, ErrUnavailable.Error()), ErrUnavailable)
 		}
 
 		if r.folder.Next() == n {
