--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -216,11 +216,25 @@
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(n)/380, "µs/s/node")
 }
 
+// BenchmarkHome finds the homes of cells at the design size: again within a
+// view, and anew with each view.
 func BenchmarkHome(b *testing.B) {
-	f := newFleet(380, 8)
-	g := f.members[f.order[0].Address]
-
-	for b.Loop() {
-		g.Homes(f.now, 7, []string{"dc-0"}, 1)
+	region := []string{"dc-0", "dc-1", "dc-2", "dc-3"}
+
+	for name, step := range map[string]time.Duration{"again": 0, "anew": time.Second} {
+		b.Run(name, func(b *testing.B) {
+			f := newFleet(380, 8)
+			g := f.members[f.order[0].Address]
+
+			for b.Loop() {
+				// To and fro, so that nobody gets old.
+				f.now = f.now.Add(step)
+				step = -step
+
+				for k := range uint64(100) {
+					g.Homes(f.now, k, region, 1)
+				}
+			}
+		})
 	}
 }
