internal/sender: a call without a connection was never sent

Cause: a target whose TLS handshake fails was answered 'unknown', though nothing had left; only refused dials counted as not sent. TestTLS failed with unknown where the service had counted no run.

Change: what matters is whether a connection was had, which the transport's trace tells; so handshakes and waits for a connection count as well.

--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -149,6 +149,13 @@
 func (f *fleet) start(centre string) *node {
 	f.t.Helper()
 
+	return f.startWith(centre, func(*resolver.Router) {})
+}
+
+// startWith starts a router with changed settings.
+func (f *fleet) startWith(centre string, change func(*resolver.Router)) *node {
+	f.t.Helper()
+
 	s := resolver.Router{}
 	if err := s.Table().Read(nil); err != nil {
 		f.t.Fatal(err)
@@ -164,6 +171,8 @@
 		s.Seeds = append(s.Seeds, o.peer)
 	}
 
+	change(&s)
+
 	n := &node{}
 
 	var m router.Peer
--- /dev/null
+++ b/internal/router/tls_test.go
@@ -0,0 +1,129 @@
+package router_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/resolver"
+	"github.com/auburntray/auburntray/internal/standin/service"
+)
+
+// certificate writes a certificate for loopback and its key, and returns the
+// names of the files.
+func certificate(t *testing.T) (cert, key string) {
+	t.Helper()
+
+	k, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	x := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+
+	b, err := x509.CreateCertificate(rand.Reader, x, x, &k.PublicKey, k)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	p, err := x509.MarshalPKCS8PrivateKey(k)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	d := t.TempDir()
+	cert, key = filepath.Join(d, "cert.pem"), filepath.Join(d, "key.pem")
+	write(t, cert, "CERTIFICATE", b)
+	write(t, key, "PRIVATE KEY", p)
+
+	return cert, key
+}
+
+func write(t *testing.T, name, kind string, b []byte) {
+	t.Helper()
+
+	if err := os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: b}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// With certificates given, callers are served and targets are spoken to over
+// TLS only, and a target that shows another certificate gets nothing.
+func TestTLS(t *testing.T) {
+	i := is.New(t)
+	cert, key := certificate(t)
+	pair, err := tls.LoadX509KeyPair(cert, key)
+	i.NoErr(err)
+
+	s := service.New(service.Settings{})
+	h := httptest.NewUnstartedServer(s.Handler())
+	h.TLS = &tls.Config{Certificates: []tls.Certificate{pair}}
+	h.StartTLS()
+
+	defer h.Close()
+
+	stranger := httptest.NewTLSServer(s.Handler())
+	defer stranger.Close()
+
+	f := newFleet(t, 0, 0)
+	f.target("s0", "service", netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "https://")))
+	f.publish(1)
+
+	n := f.startWith("dc-1", func(r *resolver.Router) {
+		r.CallerCert, r.CallerKey, r.TargetTLS, r.TargetCA = cert, key, true, cert
+	})
+	f.eventually(func() bool { return n.metric(counter.Revision) == 2 })
+
+	roots := x509.NewCertPool()
+	b, err := os.ReadFile(cert)
+	i.NoErr(err)
+	i.True(roots.AppendCertsFromPEM(b))
+
+	c := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}, DisableKeepAlives: true}}
+	book := func(key string) string {
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, strings.Replace(n.url, "http://", "https://", 1)+"/book", nil)
+		i.NoErr(err)
+		q.Header.Set("Auburntray-Customer", "c")
+		q.Header.Set("Idempotency-Key", key)
+
+		r, err := c.Do(q)
+		i.NoErr(err)
+
+		defer func() { _ = r.Body.Close() }()
+
+		_, err = io.Copy(io.Discard, r.Body)
+		i.NoErr(err)
+
+		return r.Header.Get("Auburntray-Outcome")
+	}
+
+	i.Equal(book("one"), "ran")
+	i.Equal(n.do(t.Context(), http.MethodGet, "/readyz", "", "").status, http.StatusBadRequest) // plain HTTP
+
+	f.target("s0", "service", netip.MustParseAddrPort(strings.TrimPrefix(stranger.URL, "https://")))
+	f.publish(2)
+	f.eventually(func() bool { return n.metric(counter.Revision) == 3 })
+	i.Equal(book("two"), "notRun") // and truly: no connection was made
+	i.Equal(s.Counts()["two"], 0)
+}
--- a/internal/sender/errors.go
+++ b/internal/sender/errors.go
@@ -3,9 +3,9 @@
 import "github.com/cockroachdb/errors"
 
 var (
-	// ErrNeverSent means that the target could not be dialled: the request
+	// ErrNeverSent means that no connection to the target was had: the request
 	// provably did not run.
-	ErrNeverSent = errors.New("the target could not be dialled")
+	ErrNeverSent = errors.New("no connection to the target")
 	// ErrBroken means that the connection broke before the answer was whole.
 	ErrBroken = errors.New("the answer broke off")
 	// ErrStranger means that an answer carries another request's id.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -10,10 +10,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -291,16 +293,23 @@
 	return &url.URL{Scheme: s.scheme, Host: a.String(), Path: path}
 }
 
+// do sends a request. Without a connection, be it that the dial, the handshake or
+// the wait for one failed, nothing of it has left.
 func do(t *http.Transport, q *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+
+	q = q.WithContext(httptrace.WithClientTrace(q.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	}))
+
 	r, err := t.RoundTrip(q)
-	if err == nil {
-		return r, nil
-	}
 
-	var o *net.OpError
-	if errors.As(err, &o) && o.Op == "dial" {
+	switch {
+	case err == nil:
+		return r, nil
+	case connected.Load():
+		return nil, errors.Mark(err, ErrBroken)
+	default:
 		return nil, errors.Mark(err, ErrNeverSent)
 	}
-
-	return nil, errors.Mark(err, ErrBroken)
 }
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -179,7 +179,7 @@
 	o, err := s.log.Append(x, s.stream, d)
 
 	for i, y := range q {
-		y.next = o + uint64(i) + 1 //nolint:gosec // Not negative.
+		y.next = o + uint64(i) + 1
 		y.err = err
 		close(y.done)
 	}
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -51,19 +51,42 @@
 
 all() { echo "$(router_address 1),$(router_address 2),$(router_address 3)"; }
 
+# under ADDRESSES DURATION FLAGS... sends a load in the background, and ended
+# waits for it.
+under() {
+  load "$@" &
+  loading=$!
+  pids+=("$loading")
+  sleep 2
+}
+ended() { wait "$loading"; }
+
+others() { echo "$(router_address 1),$(router_address 3)"; }
+
+# renew_router NUMBER starts a router again where one has ended.
+renew_router() {
+  start_router "$1" "dc-$((($1 + 1) % 2 + 1))" --drain-notice 1s
+  eventually 10 ready "$1"
+}
+
+# kill_router NUMBER kills a router as a host that dies does.
+kill_router() {
+  local name=pid_router_$1
+  kill -KILL "${!name}"
+  wait "${!name}" 2>/dev/null || true
+}
+
 # A rolling restart of all routers under load: callers see every call served.
 case_restart() {
-  load "$(all)" 28s &
-  local l=$! i name
-  pids+=("$l")
+  under "$(all)" 28s
+  local i name
   for i in 1 2 3; do
     name=pid_router_$i
     kill -TERM "${!name}"
     wait "${!name}" || return 1
-    start_router "$i" "dc-$(((i + 1) % 2 + 1))" --drain-notice 1s
-    eventually 10 ready "$i"
+    renew_router "$i" || return 1
   done
-  wait "$l"
+  ended
   whole && once
 }
 
@@ -71,28 +94,20 @@
 # the others. Those that ask it for places must go on without it, and when it
 # wakes up it must not send what it had claimed.
 case_freeze() {
-  load "$(router_address 1),$(router_address 3)" 10s &
-  local l=$!
-  pids+=("$l")
-  sleep 2
+  under "$(others)" 10s
   kill -STOP "$pid_router_2"
   sleep 4
   kill -CONT "$pid_router_2"
-  wait "$l"
+  ended
   whole && once
 }
 
 # Router 2 is killed while calls come in through the others.
 case_kill() {
-  load "$(router_address 1),$(router_address 3)" 10s &
-  local l=$!
-  pids+=("$l")
-  sleep 2
-  kill -KILL "$pid_router_2"
-  wait "$pid_router_2" 2>/dev/null || true
-  wait "$l"
-  start_router 2 dc-1 --drain-notice 1s
-  eventually 10 ready 2
+  under "$(others)" 10s
+  kill_router 2
+  ended
+  renew_router 2
   whole && once
 }
 
@@ -100,15 +115,10 @@
 # cut, which can't be helped; bookings are sent again under their keys and must
 # not run twice.
 case_kill_entry() {
-  load "$(all)" 10s --booking-part 0.8 --call-deadline 8s &
-  local l=$!
-  pids+=("$l")
-  sleep 2
-  kill -KILL "$pid_router_2"
-  wait "$pid_router_2" 2>/dev/null || true
-  wait "$l"
-  start_router 2 dc-1 --drain-notice 1s
-  eventually 10 ready 2
+  under "$(all)" 10s --booking-part 0.8 --call-deadline 8s
+  kill_router 2
+  ended
+  renew_router 2
   [ "$(value wrong)" -eq 0 ] && [ "$(value refused)" -eq 0 ] && once
 }
 
@@ -160,13 +170,10 @@
 # An engine says that it leaves. It gets no new work within seconds and what it
 # runs ends whole.
 case_leave() {
-  load "$(all)" 10s &
-  local l=$!
-  pids+=("$l")
-  sleep 2
+  under "$(all)" 10s
   kill -TERM "$pid_engine_4"
   wait "$pid_engine_4" || return 1
-  wait "$l"
+  ended
   start_engine 4 dc-2
   whole
 }
