internal/claimer: a key whose call may still run is not forgotten

Cause: read again for holes, a key was dropped once its window was over, also while its call could still run: with a window of a minute and a deadline of ten, a repeat would have run the call again (TestExpireKeepsWhatMayStillRun failed).

Change: such a key stays; a window that is not longer than the longest deadline is refused with the settings. A target that leaves and is drained stays leaving when the drain is taken back. Unused functions are gone, and large files are split by their types.

Measured: go test ./internal/... passes.

--- /dev/null
+++ b/internal/bencher/exchange.go
@@ -0,0 +1,100 @@
+package bencher
+
+import (
+	"time"
+
+	"github.com/auburntray/auburntray/internal/granter"
+	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// tick does what the routers do from time to time.
+func (h *homes) tick(w *world) {
+	clear(h.homeOf)
+
+	// The home outside a cut was the home before it, and is so after it for all
+	// entries; those that were cut off find it anew.
+	if w.healed {
+		clear(h.was)
+	}
+
+	if w.now%time.Second != 0 {
+		return
+	}
+
+	h.tell(w)
+	h.replicate(w)
+	h.handOver(w)
+
+	for _, g := range h.granters {
+		g.Expire(epoch.Add(w.now))
+	}
+}
+
+// replicate has each home pass its new places on to the home after it.
+func (h *homes) replicate(w *world) {
+	for _, c := range h.matcher.Cells() {
+		i := h.home(w, &router{centre: h.byID[c.Targets[0].ID].centre}, c)
+
+		j := h.first(w, w.routers[i], c, i)
+		if j < 0 {
+			continue
+		}
+
+		m := wire.HandOver{Cell: c.ID}
+		for _, p := range h.granter(c, w.routers[i].id).Changed(128, 16) { //nolint:mnd // As the routers do.
+			h.granter(c, w.routers[j].id).Remember(epoch.Add(w.now), p.Chat, p.Place)
+			m.Places = append(m.Places, wire.Place{Chat: p.Chat, Target: p.Target, Tokens: uint32(p.Tokens)}) //nolint:gosec // Not negative.
+		}
+
+		if len(m.Places) > 0 {
+			h.send(w, i, j, wire.KindHandOver, 0, &m)
+		}
+	}
+}
+
+// handover is a former home's table on its way to the new one.
+type handover struct {
+	cell *matcher.Cell
+	from *granter.Granter
+	at   int
+}
+
+// handOver has the former homes of cells that live on pass their places on.
+func (h *homes) handOver(w *world) {
+	var l []handover
+
+	for _, x := range h.moving {
+		i := h.home(w, &router{centre: h.byID[x.cell.Targets[0].ID].centre}, x.cell)
+		g := h.granter(x.cell, w.routers[i].id)
+
+		p, next := x.from.Places().Scan(x.at, 2048) //nolint:mnd // As the routers do.
+		for _, c := range p {
+			g.Remember(epoch.Add(w.now), c.Chat, c.Place)
+		}
+
+		if x.at = next; next > 0 {
+			l = append(l, x)
+		}
+	}
+
+	h.moving = l
+}
+
+// tell has each cell's home tell those of the pool's other cells of its load.
+func (h *homes) tell(w *world) {
+	for _, c := range h.matcher.Cells() {
+		for _, y := range h.matcher.Siblings(c) {
+			h.tellOne(w, c, y)
+		}
+	}
+}
+
+func (h *homes) tellOne(w *world, from, to *matcher.Cell) {
+	i := h.home(w, &router{centre: h.byID[from.Targets[0].ID].centre}, from)
+	j := h.home(w, w.routers[i], to)
+	l, x := h.granter(from, w.routers[i].id).Total(epoch.Add(w.now))
+
+	h.granter(to, w.routers[j].id).Other(epoch.Add(w.now), from.ID, l, x)
+	h.send(w, i, j, wire.KindCellLoad, 0, &wire.CellLoad{From: from.ID, To: to.ID, Milli: uint64(l * skewUnit), Weight: uint32(x)})
+}
--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -149,10 +149,12 @@
 	}
 }
 
-// Expire drops the keys whose window is over at a time by the log's clock.
+// Expire drops the keys whose window is over at a time by the log's clock. A key
+// whose call may still run stays, however short the window: dropped, it would be
+// free for a second run.
 func (c *Claimer) Expire(now time.Time) {
 	for k, o := range c.claims {
-		if now.Sub(o.appended) > c.window {
+		if now.Sub(o.appended) > c.window && !now.Before(o.ends) {
 			delete(c.claims, k)
 		}
 	}
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -73,6 +73,19 @@
 	i.Equal(c.Len(), 0)
 }
 
+// A call may take longer than its key is remembered. Forgotten while it runs, the
+// key would let a repeat run it again.
+func TestExpireKeepsWhatMayStillRun(t *testing.T) {
+	i := is.New(t)
+	c := claimer.New(time.Second)
+	now := time.Unix(1000, 0)
+	c.Fold(0, now, claim(1))
+	c.Expire(now.Add(lifetime - time.Second))
+
+	o, _, _ := c.Look(now.Add(lifetime-time.Second), 1, 2, 5)
+	i.Equal(o, claimer.InProgress)
+}
+
 // Routers that disagree claim one key through different homes, append twice
 // when replies are lost, and release claims they gave up. Whoever reads the
 // stream to its end finds at most one claim that may send, and once the call
--- a/internal/commander/router.go
+++ b/internal/commander/router.go
@@ -19,13 +19,12 @@
 		check bool
 	)
 
-	t := s.Table()
 	c := &cobra.Command{
 		Use:   "router",
 		Short: "Run an entry instance until SIGTERM, then stop as planned",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			if err := t.Read(c.Flags()); err != nil {
+			if err := s.Read(c.Flags()); err != nil {
 				return err
 			}
 
@@ -39,7 +38,7 @@
 		},
 	}
 
-	t.AddFlags(c.Flags())
+	s.Table().AddFlags(c.Flags())
 	c.Flags().BoolVar(&check, "check", false, "check the settings and end")
 
 	return c
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -11,30 +11,6 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
-// Settings bounds the gossip.
-type Settings struct {
-	// Fanout is to how many routers a tick sends.
-	Fanout int
-	// Near and Far are how many beats of the own data centre and of others a
-	// message carries.
-	Near, Far int
-	// NearTimeout and FarTimeout are how long after its last new beat a router
-	// of the own data centre, or of another, counts as live.
-	NearTimeout, FarTimeout time.Duration
-	// SuspectFor is how long a router that could not be reached is passed over.
-	SuspectFor time.Duration
-}
-
-// DefaultSettings returns the settings that routers use with a tick a second.
-func DefaultSettings() Settings {
-	return Settings{
-		Fanout: 2, Near: 16, Far: 8,
-		NearTimeout: 6 * time.Second,
-		FarTimeout:  20 * time.Second,
-		SuspectFor:  3 * time.Second,
-	}
-}
-
 // forgetAfter is how long a dead router is remembered, so that late gossip
 // can't bring it back.
 const forgetAfter = 10 * time.Minute
@@ -70,12 +46,6 @@
 	view     view
 }
 
-// Message is gossip with the address that it goes to.
-type Message struct {
-	To     netip.AddrPort
-	Gossip wire.Gossip
-}
-
 // New returns a Gossiper that knows only its own router.
 func New(s Settings, r *rand.Rand, self Member) *Gossiper {
 	e := &entry{Member: self, count: 1}
@@ -249,93 +219,6 @@
 	e.leaving = e.leaving || b.Leaving
 }
 
-// partners chooses whom to send to: one of the own data centre and the others
-// from everywhere, and now and then one that seems dead, so that two sides of
-// a cut find each other again.
-func (g *Gossiper) partners(now time.Time) []*entry {
-	var near, all, dead []*entry
-
-	for _, e := range g.sorted() {
-		switch {
-		case e == g.self || e.leaving:
-		case !g.live(now, e):
-			dead = append(dead, e)
-		default:
-			all = append(all, e)
-
-			if e.DataCentre == g.self.DataCentre {
-				near = append(near, e)
-			}
-		}
-	}
-
-	var o []*entry
-
-	o = g.choose(o, near, 1)
-	o = g.choose(o, all, g.settings.Fanout)
-
-	if g.ticks%2 == 0 || len(o) == 0 {
-		o = g.choose(o, dead, len(o)+1)
-	}
-
-	return o
-}
-
-// choose adds random ones of l to o until it has n.
-func (g *Gossiper) choose(o, l []*entry, n int) []*entry {
-	for _, i := range g.random.Perm(len(l)) {
-		if len(o) >= n {
-			break
-		}
-
-		d := false
-		for _, x := range o {
-			d = d || x == l[i]
-		}
-
-		if !d {
-			o = append(o, l[i])
-		}
-	}
-
-	return o
-}
-
-func (g *Gossiper) gossip(revision uint64) wire.Gossip {
-	w := wire.Gossip{Revision: revision, Members: []wire.Member{introduction(g.self.Member)}}
-	w.Beats = append(w.Beats, g.stamp(g.self))
-
-	var near, far []*entry
-
-	for _, e := range g.sorted() {
-		switch {
-		case e == g.self:
-		case e.DataCentre == g.self.DataCentre:
-			near = append(near, e)
-		default:
-			far = append(far, e)
-		}
-	}
-
-	for _, e := range append(leastSent(near, g.settings.Near), leastSent(far, g.settings.Far)...) {
-		w.Beats = append(w.Beats, g.stamp(e))
-	}
-
-	for id := range g.unknown {
-		w.Unknown = append(w.Unknown, id)
-	}
-
-	clear(g.unknown)
-
-	return w
-}
-
-func (g *Gossiper) stamp(e *entry) wire.Beat {
-	e.sent++
-
-	return wire.Beat{ID: e.ID, Count: e.count, Leaving: e.leaving}
-}
-
 // forget drops routers that have been dead for long.
 func (g *Gossiper) forget(now time.Time) {
 	for id, e := range g.entries {
@@ -355,14 +238,3 @@
 
 	return o
 }
-
-// leastSent returns the n entries that were passed on least often.
-func leastSent(l []*entry, n int) []*entry {
-	sort.SliceStable(l, func(a, b int) bool { return l[a].sent < l[b].sent })
-
-	return l[:min(n, len(l))]
-}
-
-func introduction(m Member) wire.Member {
-	return wire.Member{ID: m.ID, Address: m.Address.String(), Region: m.Region, DataCentre: m.DataCentre}
-}
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -14,141 +14,6 @@
 	"github.com/auburntray/auburntray/internal/tracker"
 )
 
-// Settings are the constants of a Granter.
-type Settings struct {
-	Picker  picker.Settings
-	Ejector ejector.Settings
-	// PrefillCost is the work of one uncached prompt token, in requests. The
-	// unit of work is a request in flight: each takes a slot of its engine's
-	// batch for as long as it runs, however long its answer turns out.
-	PrefillCost float64
-	// PrefillTime is how long an engine takes for an uncached prompt token. A
-	// request may wait for its place up to the time that its cached prefix
-	// saves, and MaxWait.
-	PrefillTime time.Duration
-	MaxWait     time.Duration
-	// PlaceBytes bounds the memory for places.
-	PlaceBytes int
-	// EntryTimeout is how long the grants of an entry instance count after it
-	// was last heard of.
-	EntryTimeout time.Duration
-}
-
-// DefaultSettings returns the settings that routers use.
-func DefaultSettings() Settings {
-	return Settings{
-		Picker:       picker.DefaultSettings(),
-		Ejector:      ejector.DefaultSettings(),
-		PrefillCost:  0.00005,
-		PrefillTime:  100 * time.Microsecond,
-		MaxWait:      400 * time.Millisecond,
-		PlaceBytes:   32 << 20,
-		EntryTimeout: 15 * time.Second,
-	}
-}
-
-// ID names a grant: the entry instance that asked and its own number for it.
-type ID struct {
-	Entry uint64
-	Seq   uint32
-}
-
-// Target is a target of the cell.
-type Target struct {
-	ID       uint32
-	Capacity int
-	Engine   bool
-}
-
-// Limits are the limits on the load of one target; see picker.Settings.
-type Limits struct {
-	LoadFactor float64
-	Slack      float64
-}
-
-// Ask is a request for a place.
-type Ask struct {
-	ID       ID
-	Chat     uint64
-	Customer uint32
-	Weight   float64
-	// Prompt is the prompt's length in tokens.
-	Prompt int
-	// Waited is how long the request has waited for its place so far.
-	Waited time.Duration
-	// Hint is the target that served the chat last by the caller's word; zero
-	// means that the caller has none. It is taken only for a chat that is not
-	// remembered, and never past the bound.
-	Hint uint32
-	// Allowed says which targets the rule selects; nil allows all.
-	Allowed func(target uint32) bool
-	// Excluded are targets that were tried already.
-	Excluded []uint32
-	// Sent says that another cell's Granter sent the request here; it is then
-	// not sent on.
-	Sent bool
-}
-
-// Reason says why an Ask was refused.
-type Reason uint8
-
-// The reasons.
-const (
-	// Granted is no refusal.
-	Granted Reason = iota
-	// Full means that no target has room.
-	Full
-	// OverShare means that the customer has its share and no capacity is idle.
-	OverShare
-	// NoTargets means that no target in service is selected.
-	NoTargets
-	// Wait means that the chat's place is over its bound for the moment, and
-	// waiting a little costs less than a place without the chat's prefix.
-	Wait
-	// Elsewhere means that another cell of the pool, given in Cell, holds the
-	// chat or is less loaded.
-	Elsewhere
-)
-
-// String returns the reason's name.
-func (r Reason) String() string {
-	return [...]string{"granted", "full", "overShare", "noTargets", "wait", "elsewhere"}[r]
-}
-
-// Verdict is the answer to an Ask.
-type Verdict struct {
-	Reason Reason
-	Target uint32
-	// Cell is the cell to ask when the request is sent elsewhere.
-	Cell uint32
-	// Returned says that the target holds the chat's prefix by what is known.
-	Returned bool
-	// RetryAfter is when to ask again after a refusal.
-	RetryAfter time.Duration
-}
-
-// Grant is one granted place.
-type Grant struct {
-	ID       ID
-	Target   uint32
-	Customer uint32
-	// Work is in requests.
-	Work float64
-}
-
-// Outcome is how a granted request ended.
-type Outcome struct {
-	// OK says that the target answered; a caller's own fault counts as OK.
-	OK bool
-	// NeverSent says that the target did not see the request and was not found
-	// failing either.
-	NeverSent bool
-	// Requests is the number of requests in flight that the target reported
-	// with its answer; negative means no report.
-	Requests int
-	State    tracker.State
-}
-
 type target struct {
 	Target
 
@@ -198,7 +63,9 @@
 	}
 }
 
-// Update sets the targets of the cell and the limits that are in force.
+// Update sets the targets of the cell and the limits that are in force. What is
+// known of the incarnations of removed targets stays: one that leaves, is
+// drained and put back must not get new work.
 func (g *Granter) Update(t []Target, l Limits) {
 	k := make(map[uint32]*target, len(t))
 	n := make([]*target, 0, len(t))
@@ -217,7 +84,6 @@
 	for id := range g.byID {
 		if _, ok := k[id]; !ok {
 			g.ejector.Forget(id)
-			g.tracker.Forget(id)
 		}
 	}
 
@@ -330,51 +196,6 @@
 	g.ejector.Result(now, t, ok)
 }
 
-// Sync replaces what is known of an entry's grants by the entry's own list. An
-// entry sends it to a new home and from time to time, so that a lost release
-// or a grant whose answer was lost doesn't count for ever. Grants numbered
-// after upTo are younger than the list and stay.
-func (g *Granter) Sync(now time.Time, entry uint64, upTo uint32, l []Grant) {
-	g.entries[entry] = now
-	k := make(map[ID]bool, len(l))
-
-	for _, x := range l {
-		k[x.ID] = true
-
-		if _, ok := g.grants[x.ID]; !ok {
-			g.start(now, x, 1)
-		}
-	}
-
-	for id := range g.grants {
-		if id.Entry == entry && id.Seq <= upTo && !k[id] {
-			g.drop(id)
-		}
-	}
-}
-
-// Forget drops the grants of an entry that is gone.
-func (g *Granter) Forget(entry uint64) {
-	for id := range g.grants {
-		if id.Entry == entry {
-			g.drop(id)
-		}
-	}
-
-	delete(g.entries, entry)
-}
-
-// Expire forgets the entries that were not heard of for EntryTimeout. Without
-// it the work of a killed entry would count for ever and push its targets'
-// share onto the others.
-func (g *Granter) Expire(now time.Time) {
-	for e, t := range g.entries {
-		if now.Sub(t) > g.settings.EntryTimeout {
-			g.Forget(e)
-		}
-	}
-}
-
 // Remember notes a chat's place, as the home before this one told it. What this
 // Granter granted itself since is newer and stays.
 func (g *Granter) Remember(now time.Time, chat uint64, p placer.Place) {
@@ -429,16 +250,6 @@
 	return len(g.grants)
 }
 
-// State returns what is known of a target's incarnation.
-func (g *Granter) State(t uint32) tracker.State {
-	return g.tracker.Get(t)
-}
-
-// Ejected says that a target is out because it failed.
-func (g *Granter) Ejected(now time.Time, t uint32) bool {
-	return g.ejector.Out(now, t)
-}
-
 // Idle lists the targets that have not reported since a time.
 func (g *Granter) Idle(since time.Time) []uint32 {
 	var o []uint32
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -100,11 +100,21 @@
 		}
 
 		h.mu.Lock()
-		h.granter.Update(targets(x), limits(f.Matcher))
+		k.update(h, f, x)
 		h.mu.Unlock()
 	}
 }
 
+// update brings a configuration to one cell, and what the platform's list said
+// of its targets while they were not in it. The caller holds both locks.
+func (k *Keeper) update(h *home, f *follower.Force, x *matcher.Cell) {
+	h.granter.Update(targets(x), limits(f.Matcher))
+
+	for _, t := range x.Targets {
+		h.granter.Report(time.Now(), t.ID, -1, k.states.Get(t.ID))
+	}
+}
+
 // Ask decides on an entry's request for a place. It fails with ErrUnknownCell.
 func (k *Keeper) Ask(now time.Time, entry uint64, w wire.Ask) (wire.Verdict, error) {
 	f := k.force()
@@ -252,28 +262,6 @@
 	}
 }
 
-// Load returns the work and requests counted on each target of a cell, by the
-// target's name.
-func (k *Keeper) Load(cell *matcher.Cell) map[string]int {
-	k.mu.Lock()
-	h, ok := k.homes[cell.ID]
-	k.mu.Unlock()
-
-	if !ok {
-		return nil
-	}
-
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	o := make(map[string]int, len(cell.Targets))
-	for _, t := range cell.Targets {
-		_, o[t.Name] = h.granter.Load(t.ID)
-	}
-
-	return o
-}
-
 func (k *Keeper) snapshot() map[uint32]*home {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -302,12 +290,7 @@
 
 	r := rand.New(rand.NewPCG(rand.Uint64(), uint64(cell))) //nolint:gosec // Jitter.
 	h := &home{granter: granter.New(k.settings, r), used: now}
-	h.granter.Update(targets(x), limits(f.Matcher))
-
-	for _, t := range x.Targets {
-		h.granter.Report(now, t.ID, -1, k.states.Get(t.ID))
-	}
-
+	k.update(h, f, x)
 	k.homes[cell] = h
 
 	return h, nil
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -212,6 +212,26 @@
 	}
 }
 
+// A target leaves; operators drain it, and the next shift takes the drain back
+// while the same process is still leaving. It must not get new work.
+func TestALeavingTargetIsNotBroughtBackByItsDrain(t *testing.T) {
+	i := is.New(t)
+	f := force(2)
+	k := newKeeper(f, &outside{})
+
+	_, err := k.Ask(time.Now(), 1, ask(f, 100))
+	i.NoErr(err)
+	k.Seen(recorder.Instance{Name: "e0", Incarnation: 3, Leaving: true})
+	k.Update(force(2, "e0"))
+	k.Update(f)
+
+	for n := range uint32(6) {
+		v, err := k.Ask(time.Now(), 1, ask(f, n+1))
+		i.NoErr(err)
+		i.Equal(v.Target, hasher.Name("e1"))
+	}
+}
+
 func TestUpdate(t *testing.T) {
 	i := is.New(t)
 	f := force(2)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -2,12 +2,10 @@
 package messenger
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,19 +26,6 @@
 // none.
 type Handler func(c context.Context, from uint64, body []byte) (msgp.Marshaler, error)
 
-// Traffic counts the bytes of control messages, both ways.
-type Traffic struct {
-	sent, received atomic.Int64
-}
-
-// Bytes returns the bytes sent and received so far.
-func (t *Traffic) Bytes() (sent, received int64) {
-	return t.sent.Load(), t.received.Load()
-}
-
-func (t *Traffic) in(n int)  { t.received.Add(int64(n)) }
-func (t *Traffic) out(n int) { t.sent.Add(int64(n)) }
-
 // dialer makes connections; a net.Dialer does.
 type dialer interface {
 	DialContext(c context.Context, network, address string) (net.Conn, error)
@@ -201,115 +186,6 @@
 	return p.conn, nil
 }
 
-// answer serves one incoming connection.
-func (m *Messenger) answer(c net.Conn) {
-	defer m.group.Done()
-	defer m.untrack(c)
-
-	if !m.track(c) {
-		return
-	}
-
-	x, stop := context.WithCancel(context.Background())
-	defer stop()
-
-	var w sync.Mutex
-
-	r := bufio.NewReader(c)
-
-	from, err := m.greeted(r)
-	if err != nil {
-		return
-	}
-
-	for {
-		f, n, err := decode(r)
-		if err != nil {
-			return
-		}
-
-		m.traffic.in(n)
-
-		h, ok := m.handlers[f.Kind]
-		if !ok {
-			continue
-		}
-
-		// A claim waits for the log; answering it in line would hold up the
-		// asks behind it on the same connection.
-		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle {
-			go m.reply(x, c, &w, from, h, f)
-
-			continue
-		}
-
-		m.reply(x, c, &w, from, h, f)
-	}
-}
-
-// greeted reads the first frame of a connection, which says who is there.
-func (m *Messenger) greeted(r *bufio.Reader) (uint64, error) {
-	f, n, err := decode(r)
-	if err != nil {
-		return 0, err
-	}
-
-	m.traffic.in(n)
-
-	var h wire.Hello
-	if _, err := h.UnmarshalMsg(f.Body); err != nil || f.Kind != wire.KindHello {
-		return 0, ErrFrame
-	}
-
-	return h.From, nil
-}
-
-func (m *Messenger) reply(x context.Context, c net.Conn, w *sync.Mutex, from uint64, h Handler, f wire.Frame) {
-	r, err := h(x, from, f.Body)
-	if f.ID == 0 {
-		return
-	}
-
-	k := wire.KindReply
-	if err != nil || r == nil {
-		k, r = wire.KindError, nil
-	}
-
-	b, err := encode(k, f.ID, r)
-	if err != nil {
-		return
-	}
-
-	w.Lock()
-	defer w.Unlock()
-
-	_ = writeAll(c, b, &m.traffic)
-}
-
-func (m *Messenger) track(c net.Conn) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-
-	select {
-	case <-m.done:
-		return false
-	default:
-	}
-
-	m.conns[c] = struct{}{}
-
-	return true
-}
-
-func (m *Messenger) untrack(c net.Conn) {
-	_ = c.Close()
-
-	m.mu.Lock()
-	defer m.mu.Unlock()
-
-	delete(m.conns, c)
-}
-
 // Close ends all connections and waits for the goroutines that serve them. It
 // is the clean-up function; calling it again does nothing.
 func (m *Messenger) Close() {
--- a/internal/resolver/resolver_test.go
+++ b/internal/resolver/resolver_test.go
@@ -20,15 +20,17 @@
 		check func(r resolver.Router) bool
 		err   []string
 	}{
-		"defaults":          {nil, nil, func(r resolver.Router) bool { return r.Deadline == 120*time.Second }, nil},
-		"a flag":            {[]string{"--deadline", "5s"}, nil, func(r resolver.Router) bool { return r.Deadline == 5*time.Second }, nil},
-		"the environment":   {nil, map[string]string{"AUBURNTRAY_DATA_CENTRE": "yaba"}, func(r resolver.Router) bool { return r.DataCentre == "yaba" }, nil},
-		"a flag goes first": {[]string{"--name", "a"}, map[string]string{"AUBURNTRAY_NAME": "b"}, func(r resolver.Router) bool { return r.Name == "a" }, nil},
-		"a host name":       {[]string{"--listen", "localhost:80"}, nil, nil, []string{"--listen", `"localhost:80"`, "an IP number and a port"}},
-		"out of bounds":     {[]string{"--max-body", "1"}, nil, nil, []string{"--max-body", "1024 to"}},
-		"no number":         {[]string{"--trace-sample", "NaN"}, nil, nil, []string{"--trace-sample", "0 to 1"}},
-		"no file":           {[]string{"--caller-cert", "/nowhere"}, nil, nil, []string{"--caller-cert", "PEM"}},
-		"every fault":       {[]string{"--name", "", "--deadline", "x", "--seeds", "y"}, nil, nil, []string{"--name", "--deadline", "--seeds"}},
+		"defaults":                      {nil, nil, func(r resolver.Router) bool { return r.Deadline == 120*time.Second }, nil},
+		"a flag":                        {[]string{"--deadline", "5s"}, nil, func(r resolver.Router) bool { return r.Deadline == 5*time.Second }, nil},
+		"the environment":               {nil, map[string]string{"AUBURNTRAY_DATA_CENTRE": "yaba"}, func(r resolver.Router) bool { return r.DataCentre == "yaba" }, nil},
+		"a flag goes first":             {[]string{"--name", "a"}, map[string]string{"AUBURNTRAY_NAME": "b"}, func(r resolver.Router) bool { return r.Name == "a" }, nil},
+		"a host name":                   {[]string{"--listen", "localhost:80"}, nil, nil, []string{"--listen", `"localhost:80"`, "an IP number and a port"}},
+		"out of bounds":                 {[]string{"--max-body", "1"}, nil, nil, []string{"--max-body", "1024 to"}},
+		"no number":                     {[]string{"--trace-sample", "NaN"}, nil, nil, []string{"--trace-sample", "0 to 1"}},
+		"no file":                       {[]string{"--caller-cert", "/nowhere"}, nil, nil, []string{"--caller-cert", "PEM"}},
+		"a window shorter than a call":  {[]string{"--claim-window", "5m"}, nil, nil, []string{"--claim-window", "--max-deadline"}},
+		"a certificate without its key": {[]string{"--caller-cert", "resolver_test.go"}, nil, nil, []string{"--caller-key"}},
+		"every fault":                   {[]string{"--name", "", "--deadline", "x", "--seeds", "y"}, nil, nil, []string{"--name", "--deadline", "--seeds"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
@@ -40,11 +42,10 @@
 			var r resolver.Router
 
 			f := pflag.NewFlagSet("test", pflag.ContinueOnError)
-			x := r.Table()
-			x.AddFlags(f)
+			r.Table().AddFlags(f)
 			i.NoErr(f.Parse(tc.args))
 
-			err := x.Read(f)
+			err := r.Read(f)
 			if tc.err == nil {
 				i.NoErr(err)
 				i.True(tc.check(r))
--- a/internal/resolver/router.go
+++ b/internal/resolver/router.go
@@ -3,6 +3,9 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/pflag"
 )
 
 // Router holds the settings of a router.
@@ -38,6 +41,25 @@
 	TraceSample     float64
 }
 
+// Read takes the settings from flags and the environment and checks them, each by
+// itself and against each other. It fails with ErrSetting.
+func (r *Router) Read(f *pflag.FlagSet) error {
+	if err := r.Table().Read(f); err != nil {
+		return err
+	}
+
+	if r.ClaimWindow <= r.MaxDeadline {
+		return errors.Mark(errors.Newf("--claim-window is %q but must be more than --max-deadline, which is %q",
+			r.ClaimWindow, r.MaxDeadline), ErrSetting)
+	}
+
+	if (r.CallerCert == "") != (r.CallerKey == "") {
+		return errors.Mark(errors.New("--caller-cert and --caller-key must be given together"), ErrSetting)
+	}
+
+	return nil
+}
+
 // Table returns the settings of a router, which are read into r.
 func (r *Router) Table() Table {
 	return Table{
--- a/internal/retrier/retrier.go
+++ b/internal/retrier/retrier.go
@@ -48,11 +48,6 @@
 	r.budget = min(r.budget+budgetPart, budgetMax)
 }
 
-// Budget returns how many retries are left.
-func (r *Retrier) Budget() float64 {
-	return r.budget
-}
-
 // Next says whether to send again, and how long to wait before.
 //
 // Without the budget a fleet whose targets fail multiplies its load just then,
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -157,7 +157,7 @@
 	f.t.Helper()
 
 	s := resolver.Router{}
-	if err := s.Table().Read(nil); err != nil {
+	if err := s.Read(nil); err != nil {
 		f.t.Fatal(err)
 	}
 
--- a/internal/tracker/tracker.go
+++ b/internal/tracker/tracker.go
@@ -45,15 +45,3 @@
 func (t *Tracker) Get(target uint32) State {
 	return t.states[target]
 }
-
-// Each calls f for each known target.
-func (t *Tracker) Each(f func(target uint32, s State)) {
-	for k, s := range t.states {
-		f(k, s)
-	}
-}
-
-// Forget drops a target that is no longer configured.
-func (t *Tracker) Forget(target uint32) {
-	delete(t.states, target)
-}
