internal/drainer, internal/granter: the end of a stop, and reports that are fresh

Clients that send on while a router stops see, in the instant its listener closes, connections reset with a request on its way; a test that hammered a stopping router over ten stops saw 23 of them, all on fresh connections and none with an answer begun. Not it: kept connections, answers in progress, the hand-over. A stop now answers 'not run' until no request has come for a second (or its notice, where that is shorter), for ten notices at most. The load tool leaves out routers that show not ready, as the platform's balancer does; it sent to them until dials were refused.

Cause 2: a target's load and its word that it leaves went to its home with the release, which is the end of an answer that began long before. A busy target that leaves was heard of only when an answer that began after that had ended (TestABusyTargetsWordIsHeard failed: its home went on granting). Reports now go when an answer begins: when it is news, or when the home, once a second, asks with its verdict. Releases are smaller for it.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -51,6 +51,7 @@
 type keeper interface {
 	Ask(now time.Time, entry uint64, w wire.Ask) (wire.Verdict, error)
 	Release(now time.Time, entry uint64, w wire.Release)
+	Report(now time.Time, w wire.Report)
 	Sync(now time.Time, entry uint64, w wire.Sync)
 }
 
@@ -79,6 +80,8 @@
 
 	cell *matcher.Cell
 	seq  uint32
+	// tell says that the home wants a report.
+	tell bool
 }
 
 // Asker keeps the list of this router's grants. It is safe for concurrent use.
@@ -180,39 +183,64 @@
 	return a.take(r, w, v), nil
 }
 
-// Release gives a place back with what the target's answer told.
+// Release gives a place back.
 func (a *Asker) Release(p Place, o granter.Outcome) {
 	a.mu.Lock()
-	x, ok := a.cells[p.cell.ID]
-
-	if ok {
+	if x, ok := a.cells[p.cell.ID]; ok {
 		delete(x.grants, p.seq)
 	}
-
 	a.mu.Unlock()
 
-	w := wire.Release{
-		Seq: p.seq, Cell: p.cell.ID,
-		OK: o.OK, NeverSent: o.NeverSent, Requests: int32(min(o.Requests, math.MaxInt32)), //nolint:gosec // Bounded.
+	w := wire.Release{Seq: p.seq, Cell: p.cell.ID, OK: o.OK, NeverSent: o.NeverSent}
+
+	h, ok := a.away(p.cell)
+	if !ok {
+		a.keeper.Release(time.Now(), a.members.Self().ID, w)
+
+		return
 	}
 
-	if a.news(p.Target, o.State) {
-		w.Incarnation = o.State.Incarnation
-		w.Leaving = o.State.Leaving
+	// A lost release is made good by the next list of grants.
+	a.send(h, wire.KindRelease, &w)
+}
+
+// Report tells the home what a target said of itself as its answer began, when
+// the home wants to know or it is news. It must not wait for the answer's end: a
+// target that says that it leaves would get new work until then.
+func (a *Asker) Report(p Place, requests int, s tracker.State) {
+	n := a.news(p.Target, s)
+	if !p.tell && !n {
+		return
 	}
 
-	h, ok := a.members.Home(uint64(p.cell.ID), p.cell.DataCentres)
-	if !ok || h.ID == a.members.Self().ID {
-		a.keeper.Release(time.Now(), a.members.Self().ID, w)
+	w := wire.Report{Cell: p.cell.ID, Target: p.Target, Requests: int32(min(requests, math.MaxInt32))} //nolint:gosec // Bounded.
+	if n {
+		w.Incarnation = s.Incarnation
+		w.Leaving = s.Leaving
+	}
+
+	h, ok := a.away(p.cell)
+	if !ok {
+		a.keeper.Report(time.Now(), w)
 
 		return
 	}
 
+	a.send(h, wire.KindReport, &w)
+}
+
+// away returns the home of a cell when it is another router.
+func (a *Asker) away(x *matcher.Cell) (gossiper.Member, bool) {
+	h, ok := a.members.Home(uint64(x.ID), x.DataCentres)
+
+	return h, ok && h.ID != a.members.Self().ID
+}
+
+func (a *Asker) send(h gossiper.Member, k wire.Kind, m msgp.Marshaler) {
 	c, stop := context.WithTimeout(context.Background(), sendTimeout)
 	defer stop()
 
-	// A lost release is made good by the next list of grants.
-	if err := a.peers.Send(c, h.Address, wire.KindRelease, &w); err != nil {
+	if err := a.peers.Send(c, h.Address, k, m); err != nil {
 		a.members.Suspect(h.ID)
 	}
 }
@@ -281,7 +309,7 @@
 // take notes a grant.
 func (a *Asker) take(r Request, w wire.Ask, v wire.Verdict) Place {
 	p := Place{
-		Reason: granter.Reason(v.Reason), Target: v.Target, Returned: v.Returned,
+		Reason: granter.Reason(v.Reason), Target: v.Target, Returned: v.Flags&wire.FlagReturned != 0, tell: v.Flags&wire.FlagTell != 0,
 		RetryAfter: time.Duration(v.RetryAfterMs) * time.Millisecond, cell: r.Cell, seq: w.Seq,
 	}
 
--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -15,6 +15,7 @@
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -28,12 +29,15 @@
 	syncs map[uint64][]wire.Sync
 	asks  map[uint64]int
 	freed map[uint64][]wire.Release
+	// reports are what each home was told of targets, and tell makes homes ask.
+	reports map[uint64][]wire.Report
+	tell    bool
 }
 
 func newNetwork() *network {
 	return &network{
 		home: 2, down: make(map[uint64]bool), syncs: make(map[uint64][]wire.Sync),
-		asks: make(map[uint64]int), freed: make(map[uint64][]wire.Release),
+		asks: make(map[uint64]int), freed: make(map[uint64][]wire.Release), reports: make(map[uint64][]wire.Report),
 	}
 }
 
@@ -65,6 +69,10 @@
 	v, _ := r.(*wire.Verdict)
 	v.Target = 7
 
+	if n.tell {
+		v.Flags = wire.FlagTell
+	}
+
 	return nil
 }
 
@@ -72,6 +80,8 @@
 	switch w := m.(type) {
 	case *wire.Sync:
 		n.syncs[id(a)] = append(n.syncs[id(a)], *w)
+	case *wire.Report:
+		n.reports[id(a)] = append(n.reports[id(a)], *w)
 	case *wire.Release:
 		n.freed[id(a)] = append(n.freed[id(a)], *w)
 	}
@@ -89,6 +99,10 @@
 	n.freed[self] = append(n.freed[self], w)
 }
 
+func (n *network) Report(_ time.Time, w wire.Report) {
+	n.reports[self] = append(n.reports[self], w)
+}
+
 func (n *network) Sync(_ time.Time, _ uint64, w wire.Sync) {
 	n.syncs[self] = append(n.syncs[self], w)
 }
@@ -122,7 +136,7 @@
 	i.Equal(len(n.syncs[4][0].Grants), 3)
 	i.Equal(n.syncs[4][0].UpTo, uint32(3)) // the ask under way is not in the list
 
-	a.Release(p, granter.Outcome{OK: true, Requests: -1})
+	a.Release(p, granter.Outcome{OK: true})
 	i.Equal(len(n.freed[4]), 1)
 
 	a.SyncAll(t.Context())
@@ -165,30 +179,36 @@
 	}
 }
 
-// What a target says of itself costs nine bytes, so it goes along only when it
-// is news.
+// What a target says of itself goes to the home only when it is news or the home
+// wants it, and then at once.
 func TestATargetsStateIsToldOnce(t *testing.T) {
 	i := is.New(t)
 	n := newNetwork()
 	a := newAsker(n)
-	o := granter.Outcome{OK: true, Requests: 1}
-	o.State.Incarnation = 5
+	s := tracker.State{Incarnation: 5}
 
 	for range 3 {
 		p, err := a.Ask(t.Context(), request())
 		i.NoErr(err)
-		a.Release(p, o)
+		a.Report(p, 1, s)
 	}
 
-	o.State.Leaving = true
+	i.Equal(len(n.reports[2]), 1)
+	i.Equal(n.reports[2][0].Incarnation, uint64(5))
+
+	s.Leaving = true
 
 	p, err := a.Ask(t.Context(), request())
 	i.NoErr(err)
-	a.Release(p, o)
+	a.Report(p, 1, s) // at once, not at the end of the answer
+	i.Equal(len(n.reports[2]), 2)
+	i.True(n.reports[2][1].Leaving)
 
-	l := n.freed[2]
-	i.Equal(l[0].Incarnation, uint64(5))
-	i.Equal(l[1].Incarnation, uint64(0))
-	i.Equal(l[2].Incarnation, uint64(0))
-	i.True(l[3].Leaving)
+	n.tell = true
+	p, err = a.Ask(t.Context(), request())
+	i.NoErr(err)
+	a.Report(p, 9, s)
+	i.Equal(len(n.reports[2]), 3) // the home wanted to know
+	i.Equal(n.reports[2][2].Requests, int32(9))
+	i.Equal(n.reports[2][2].Incarnation, uint64(0))
 }
--- a/internal/bencher/homes.go
+++ b/internal/bencher/homes.go
@@ -12,6 +12,7 @@
 	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/parser"
+	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -135,23 +136,35 @@
 
 	h.send(w, q.router, i, wire.KindAsk, 1, &a)
 	h.send(w, q.router, i, wire.KindReply, 1, &wire.Verdict{
-		Reason: uint8(v.Reason), Target: v.Target | v.Cell, Returned: v.Returned, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), //nolint:gosec // Small.
+		Reason: uint8(v.Reason), Target: v.Target | v.Cell, Flags: flags(v), RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), //nolint:gosec // Small.
 	})
 
 	q.seq, q.entry, q.cell = a.Seq, r.id, c.ID
 
+	if v.Tell {
+		t := h.byID[v.Target]
+		h.granter(c, w.routers[i].id).Report(epoch.Add(w.now), v.Target, t.report(), tracker.State{})
+		h.send(w, q.router, i, wire.KindReport, 0, &wire.Report{Cell: c.ID, Target: v.Target, Requests: int32(t.report())}) //nolint:gosec // Small.
+	}
+
 	return v
 }
 
+func flags(v granter.Verdict) uint8 {
+	if v.Tell {
+		return wire.FlagTell
+	}
+
+	return wire.FlagReturned
+}
+
 func (h *homes) done(w *world, q *request) {
 	c := h.matcher.Cell(q.cell)
 	i := h.home(w, w.routers[q.router], c)
 
 	h.granter(c, w.routers[i].id).Release(epoch.Add(w.now), granter.ID{Entry: q.entry, Seq: q.seq},
-		granter.Outcome{OK: true, Requests: q.target.report()})
-	h.send(w, q.router, i, wire.KindRelease, 0, &wire.Release{
-		Seq: q.seq, Cell: q.cell, OK: true, Requests: int32(q.target.report()), //nolint:gosec // Small.
-	})
+		granter.Outcome{OK: true})
+	h.send(w, q.router, i, wire.KindRelease, 0, &wire.Release{Seq: q.seq, Cell: q.cell, OK: true})
 }
 
 // send counts the bytes of a message on both of its ends. Frames are numbered
--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -18,10 +18,19 @@
 	Noticed
 	// Refusing answers new requests that they were not run.
 	Refusing
-	// Done means that the last request has ended.
+	// Done means that the last request has ended and no more come.
 	Done
 )
 
+const (
+	// quietMost is how long no request may have come before the end. It is
+	// shorter where the notice is.
+	quietMost = time.Second
+	// lingerParts is for how many notices a stop waits for that, where callers
+	// send on to a router that shows not ready.
+	lingerParts = 10
+)
+
 // Drainer counts the requests in progress and follows a planned stop. It is
 // safe for concurrent use.
 type Drainer struct {
@@ -32,6 +41,7 @@
 	running int
 	limit   int
 	since   time.Time
+	arrived time.Time
 	done    chan struct{}
 }
 
@@ -44,10 +54,12 @@
 // Enter counts a request in and says whether it may be served. A request that
 // entered is always waited for: counting and refusing are one step, or a stop
 // could end between them and cut the request that had just been let in.
-func (d *Drainer) Enter() (Phase, bool) {
+func (d *Drainer) Enter(now time.Time) (Phase, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
+	d.arrived = now
+
 	if d.phase >= Refusing || d.running >= d.limit {
 		return d.phase, false
 	}
@@ -63,7 +75,6 @@
 	defer d.mu.Unlock()
 
 	d.running--
-	d.end()
 }
 
 // Ready says whether the balancer should send requests.
@@ -93,28 +104,35 @@
 	}
 }
 
-// Advance moves on when the notice is over, and returns the phase.
+// Advance moves on when it is time, and returns the phase.
+//
+// The instant in which the listener closes can't be told to callers: a request
+// on its way then gets its connection reset, without an answer. So a stop goes
+// on answering until none has come for a while, which a balancer that noticed
+// makes soon true.
 func (d *Drainer) Advance(now time.Time) Phase {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
 	if d.phase == Noticed && now.Sub(d.since) >= d.notice {
 		d.phase = Refusing
-		d.end()
+		d.since = now
+	}
+
+	if d.phase == Refusing && d.running == 0 && (d.quiet(now) || now.Sub(d.since) >= lingerParts*d.notice) {
+		d.phase = Done
+		close(d.done)
 	}
 
 	return d.phase
 }
 
+// quiet says that no request came for a while.
+func (d *Drainer) quiet(now time.Time) bool {
+	return now.Sub(d.arrived) >= min(d.notice, quietMost)
+}
+
 // Done is closed when the stop has waited for every request.
 func (d *Drainer) Done() <-chan struct{} {
 	return d.done
 }
-
-// end finishes the stop when nothing is in progress. The caller holds the lock.
-func (d *Drainer) end() {
-	if d.phase == Refusing && d.running == 0 {
-		d.phase = Done
-		close(d.done)
-	}
-}
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -19,31 +19,29 @@
 		i := is.New(t)
 		d := drainer.New(3*time.Second, 10)
 
-		_, ok := d.Enter()
+		_, ok := d.Enter(time.Now())
 		i.True(ok)
 
 		d.Notice(time.Now())
 		i.True(!d.Ready())
 
-		_, ok = d.Enter()
+		_, ok = d.Enter(time.Now())
 		i.True(ok) // the balancer has not noticed yet
 
 		time.Sleep(3 * time.Second)
 		i.Equal(d.Advance(time.Now()), drainer.Refusing)
 
-		_, ok = d.Enter()
+		_, ok = d.Enter(time.Now())
 		i.True(!ok)
 
 		d.Exit()
 		i.Equal(d.Advance(time.Now()), drainer.Refusing) // one is left
 
-		go func() {
-			time.Sleep(time.Minute)
-			d.Exit()
-		}()
-
-		<-d.Done()
+		time.Sleep(time.Minute)
+		i.Equal(d.Advance(time.Now()), drainer.Refusing) // however long it takes
+		d.Exit()
 		i.Equal(d.Advance(time.Now()), drainer.Done)
+		<-d.Done()
 	})
 }
 
@@ -54,12 +52,48 @@
 	i.Equal(d.Advance(time.Unix(0, 0)), drainer.Done)
 }
 
+// Callers send on to a router that shows not ready. Closing between two of their
+// requests would reset a connection with a request on its way, so the stop waits
+// until none comes, but not for ever.
+func TestAStopAnswersUntilNoneComes(t *testing.T) {
+	for name, tc := range map[string]struct {
+		every time.Duration
+		least time.Duration
+		most  time.Duration
+	}{
+		"nobody calls":        {time.Hour, 3 * time.Second, 4 * time.Second},
+		"calls go on":         {100 * time.Millisecond, 33 * time.Second, 34 * time.Second},
+		"calls are far apart": {1500 * time.Millisecond, 3 * time.Second, 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			d := drainer.New(3*time.Second, 10)
+			start := time.Unix(1000, 0)
+			d.Notice(start)
+
+			now := start
+			for d.Advance(now) != drainer.Done {
+				now = now.Add(100 * time.Millisecond)
+
+				if now.Sub(start)%tc.every == 0 {
+					if _, ok := d.Enter(now); ok {
+						d.Exit()
+					}
+				}
+			}
+
+			i.True(now.Sub(start) >= tc.least)
+			i.True(now.Sub(start) <= tc.most)
+		})
+	}
+}
+
 func TestEnterIsLimited(t *testing.T) {
 	i := is.New(t)
 	d := drainer.New(0, 2)
 
 	for _, want := range []bool{true, true, false} {
-		_, ok := d.Enter()
+		_, ok := d.Enter(time.Now())
 		i.Equal(ok, want)
 	}
 }
@@ -78,7 +112,7 @@
 
 	for range 100 {
 		g.Go(func() {
-			if _, ok := d.Enter(); ok {
+			if _, ok := d.Enter(time.Now()); ok {
 				m.Lock()
 				n++
 				m.Unlock()
@@ -87,9 +121,9 @@
 		})
 	}
 
-	d.Notice(time.Unix(0, 0))
-	d.Advance(time.Unix(0, 0))
+	d.Notice(time.Now())
+	d.Advance(time.Now())
 	g.Wait()
-	<-d.Done()
+	i.Equal(d.Advance(time.Now()), drainer.Done)
 	i.Equal(d.Running(), 0)
 }
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -87,6 +87,8 @@
 			return answer{outcome: Refused, code: "dial"}, time.Millisecond, true
 		}
 
+		d.result.example(err)
+
 		return answer{outcome: Cut, code: "connection"}, cutPause, q.keyed
 	}
 
@@ -103,6 +105,8 @@
 
 	b, first, err := f(p)
 	if err != nil {
+		d.result.example(err)
+
 		return answer{outcome: Cut, code: "answer"}, 0, false
 	}
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -56,6 +56,8 @@
 	random *rand.Rand
 	chats  []*chat
 	next   int
+	// unready are the routers that the balancer leaves out.
+	unready map[netip.AddrPort]bool
 }
 
 const (
@@ -79,6 +81,7 @@
 		settings: s,
 		result:   newResult(),
 		flights:  newFlights(),
+		unready:  make(map[netip.AddrPort]bool),
 		random:   rand.New(rand.NewPCG(s.Seed, 0)), //nolint:gosec // Reproducible load.
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -100,22 +103,13 @@
 
 	var g sync.WaitGroup
 
-	g.Add(1)
-
-	go func() {
-		defer g.Done()
-		d.watch(x)
-	}()
+	g.Go(func() { d.watch(x) })
+	g.Go(func() { d.balance(x) })
 
 	l := rate.NewLimiter(rate.Limit(d.settings.Rate), 1)
 
 	for l.Wait(x) == nil {
-		g.Add(1)
-
-		go func() {
-			defer g.Done()
-			d.one(c)
-		}()
+		g.Go(func() { d.one(c) })
 	}
 
 	<-x.Done()
@@ -178,15 +172,60 @@
 	d.chats = append(d.chats, h)
 }
 
-// address returns the address of the next router, as a balancer that goes
-// round would.
+// address returns the address of the next router that is ready, as a balancer
+// that goes round would; when none is, of the next.
 func (d *Driver) address() netip.AddrPort {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.next++
+	l := d.settings.Addresses
+
+	for range l {
+		d.next++
+
+		if a := l[d.next%len(l)]; !d.unready[a] {
+			return a
+		}
+	}
+
+	return l[d.next%len(l)]
+}
+
+// balance asks the routers whether they are ready, as the platform's balancer
+// does, until the context ends.
+func (d *Driver) balance(c context.Context) {
+	const askEvery = 200 * time.Millisecond
+
+	t := time.NewTicker(askEvery)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			for _, a := range d.settings.Addresses {
+				d.ask(c, a)
+			}
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+func (d *Driver) ask(c context.Context, a netip.AddrPort) {
+	q, err := http.NewRequestWithContext(c, http.MethodGet, "http://"+a.String()+"/readyz", nil)
+	if err != nil {
+		return
+	}
+
+	r, err := d.client.Do(q)
+	if err == nil {
+		_ = r.Body.Close()
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
 
-	return d.settings.Addresses[d.next%len(d.settings.Addresses)]
+	d.unready[a] = err != nil || r.StatusCode != http.StatusOK
 }
 
 // watch samples the skew and shows the progress until the context ends.
--- a/internal/driver/result.go
+++ b/internal/driver/result.go
@@ -37,10 +37,12 @@
 type Result struct {
 	Outcomes map[Outcome]int `json:"outcomes"`
 	// Retries is how often callers came back after a "not run".
-	Retries    int            `json:"retries"`
-	Codes      map[string]int `json:"codes"`
-	FirstToken Quantiles      `json:"firstToken"`
-	Total      Quantiles      `json:"total"`
+	Retries int            `json:"retries"`
+	Codes   map[string]int `json:"codes"`
+	// Examples are the errors of the first calls that were cut.
+	Examples   []string  `json:"examples,omitempty"`
+	FirstToken Quantiles `json:"firstToken"`
+	Total      Quantiles `json:"total"`
 	// Reuse is the part of the prompt tokens that came from caches.
 	Reuse    float64 `json:"reuse"`
 	SkewMean float64 `json:"skewMean"`
@@ -81,6 +83,18 @@
 	}
 }
 
+// example keeps the error of a call that was cut.
+func (r *Result) example(err error) {
+	const most = 5
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if len(r.Examples) < most {
+		r.Examples = append(r.Examples, err.Error())
+	}
+}
+
 func (r *Result) retried() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/filterer/attempt.go
+++ b/internal/filterer/attempt.go
@@ -14,7 +14,6 @@
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/retrier"
-	"github.com/auburntray/auburntray/internal/sender"
 )
 
 // Attempt runs the steps of one attempt, and again while that is allowed.
@@ -78,15 +77,9 @@
 		return err
 	}
 
-	o := granter.Outcome{OK: !x.Result.TargetFailed, NeverSent: !x.Result.Sent && !x.Result.TargetFailed, Requests: -1}
-
-	if x.Response != nil {
-		h := sender.Report(x.Response.Header)
-		o.Requests = h.Requests
-		o.State = h.State
-	}
-
-	a.Places.Release(x.Place, o)
+	a.Places.Release(x.Place, granter.Outcome{
+		OK: !x.Result.TargetFailed, NeverSent: !x.Result.Sent && !x.Result.TargetFailed,
+	})
 
 	if err != nil {
 		x.MayHaveRun = x.MayHaveRun || (x.Result.Sent && !x.Result.NotRun)
--- a/internal/filterer/pick.go
+++ b/internal/filterer/pick.go
@@ -11,6 +11,7 @@
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/tracker"
 )
 
 // maxCells is how many cells a call asks for a place.
@@ -20,6 +21,7 @@
 type places interface {
 	Ask(c context.Context, r asker.Request) (asker.Place, error)
 	Release(p asker.Place, o granter.Outcome)
+	Report(p asker.Place, requests int, s tracker.State)
 }
 
 // Pick gets a place on a target.
@@ -108,7 +110,7 @@
 	// The home may already follow a revision with a target that is not known
 	// here yet.
 	if x.Target == nil {
-		p.Places.Release(r, granter.Outcome{OK: true, NeverSent: true, Requests: -1})
+		p.Places.Release(r, granter.Outcome{OK: true, NeverSent: true})
 
 		return exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeNotReady, time.Second,
 			"this router is a revision behind")
--- a/internal/filterer/pipeline.go
+++ b/internal/filterer/pipeline.go
@@ -51,7 +51,7 @@
 
 	p.counter.Add(counter.Requests, 1)
 
-	s, ok := p.drainer.Enter()
+	s, ok := p.drainer.Enter(time.Now())
 	if s != drainer.Serving {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/filterer/send.go
+++ b/internal/filterer/send.go
@@ -24,6 +24,7 @@
 // Send sends the call to its target.
 type Send struct {
 	Targets targets
+	Places  places
 }
 
 // Name returns the name of the step.
@@ -50,6 +51,8 @@
 	}
 
 	x.Response = r
+	h := sender.Report(r.Header)
+	s.Places.Report(x.Place, h.Requests, h.State)
 
 	return s.status(x, r)
 }
--- a/internal/granter/choose.go
+++ b/internal/granter/choose.go
@@ -12,6 +12,8 @@
 	// reportWindow covers the lag of load reports: a report is compared with
 	// the highest own count of the last one to two windows.
 	reportWindow = 2 * time.Second
+	// reportEvery is how often an entry is asked to report a target.
+	reportEvery = time.Second
 	// reportTimeout is how long a report counts.
 	reportTimeout = 6 * time.Second
 	// The times at which refused callers are told to come back.
--- a/internal/granter/grant.go
+++ b/internal/granter/grant.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/auburntray/auburntray/internal/tracker"
 )
 
 // Grant is one granted place.
@@ -22,10 +20,6 @@
 	// NeverSent says that the target did not see the request and was not found
 	// failing either.
 	NeverSent bool
-	// Requests is the number of requests in flight that the target reported
-	// with its answer; negative means no report.
-	Requests int
-	State    tracker.State
 }
 
 // Sync replaces what is known of an entry's grants by the entry's own list. An
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -24,6 +24,8 @@
 	peak, before int
 	reported     int
 	reportedAt   time.Time
+	// askedAt is when an entry was last asked to report.
+	askedAt time.Time
 }
 
 // Granter holds the cell's counts. It is not safe for concurrent use.
@@ -146,7 +148,19 @@
 
 	g.grant(now, a, g.targets[i], w)
 
-	return Verdict{Target: g.targets[i].ID, Returned: i == p}
+	return Verdict{Target: g.targets[i].ID, Returned: i == p, Tell: g.targets[i].tell(now)}
+}
+
+// tell says whether a report of the target is due. One a second is enough, and
+// costs much less than one with each request.
+func (t *target) tell(now time.Time) bool {
+	if now.Sub(t.reportedAt) < reportEvery || now.Sub(t.askedAt) < reportEvery {
+		return false
+	}
+
+	t.askedAt = now
+
+	return true
 }
 
 // Release ends a grant. Releasing a grant that is not known, or twice, does
@@ -169,11 +183,10 @@
 	if !o.NeverSent {
 		g.ejector.Result(now, x.Target, o.OK)
 	}
-
-	g.Report(now, x.Target, o.Requests, o.State)
 }
 
-// Report takes what a target says of itself. A negative number of requests is
+// Report takes what a target says of itself at present: the beginning of an answer
+// or a health check, not the end of an answer that began long ago. A negative number of requests is
 // no report of load; a zero State none of its incarnation.
 func (g *Granter) Report(now time.Time, t uint32, requests int, s tracker.State) {
 	x, ok := g.byID[t]
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -89,8 +89,11 @@
 		ids = append(ids, id)
 	}
 
+	f.Report(f.now, 1, 10, tracker.State{})
+	f.Report(f.now, 2, 10, tracker.State{})
+
 	for _, id := range ids {
-		f.Release(f.now, id, granter.Outcome{OK: true, Requests: 10})
+		f.Release(f.now, id, granter.Outcome{OK: true})
 	}
 
 	n := make(map[uint32]int)
@@ -110,7 +113,7 @@
 	i := is.New(t)
 	f := newFixture(4)
 	id, v := f.ask(1, 77, 1)
-	f.Release(f.now, id, granter.Outcome{OK: true, Requests: -1})
+	f.Release(f.now, id, granter.Outcome{OK: true})
 
 	_, w := f.ask(2, 77, 1)
 	i.Equal(w.Target, v.Target)
@@ -138,8 +141,8 @@
 			f.Expire(f.now.Add(granter.DefaultSettings().EntryTimeout + time.Second))
 		}, 0},
 		"releasing twice counts once": {func(f *fixture, k granter.ID) {
-			f.Release(f.now, k, granter.Outcome{OK: true, Requests: -1})
-			f.Release(f.now, k, granter.Outcome{OK: true, Requests: -1})
+			f.Release(f.now, k, granter.Outcome{OK: true})
+			f.Release(f.now, k, granter.Outcome{OK: true})
 		}, 2},
 		"another entry's list changes nothing": {func(f *fixture, _ granter.ID) { f.Sync(f.now, 2, 100, nil) }, 3},
 	} {
@@ -170,10 +173,11 @@
 	b, _ := f.ask(1, 2, 1)
 	c, v := f.ask(1, 3, 1)
 
-	f.Release(f.now, a, granter.Outcome{OK: true, Requests: -1})
+	f.Release(f.now, a, granter.Outcome{OK: true})
 	f.Report(f.now, v.Target, -1, tracker.State{Incarnation: 9, Leaving: true})
-	f.Release(f.now, b, granter.Outcome{OK: true, Requests: -1})
-	f.Release(f.now, c, granter.Outcome{OK: true, Requests: -1, State: tracker.State{Incarnation: 9}})
+	f.Release(f.now, b, granter.Outcome{OK: true})
+	f.Release(f.now, c, granter.Outcome{OK: true})
+	f.Report(f.now, v.Target, -1, tracker.State{Incarnation: 9})
 
 	for k := range 20 {
 		_, w := f.ask(1, uint64(k+3), 1)
@@ -289,7 +293,7 @@
 		f.now = f.now.Add(10 * time.Millisecond)
 
 		for len(open) > 0 && !open[0].ends.After(f.now) {
-			f.Release(f.now, open[0].id, granter.Outcome{OK: true, Requests: -1})
+			f.Release(f.now, open[0].id, granter.Outcome{OK: true})
 			open = open[1:]
 		}
 
@@ -334,7 +338,7 @@
 				}
 			} else {
 				for id := range open {
-					f.Release(f.now, id, granter.Outcome{OK: true, Requests: -1})
+					f.Release(f.now, id, granter.Outcome{OK: true})
 					delete(open, id)
 
 					break
@@ -355,6 +359,26 @@
 	})
 }
 
+// Reports keep a home's view honest, but one with each request would add a fifth
+// to the control traffic.
+func TestReportsAreAskedForOnceASecond(t *testing.T) {
+	i := is.New(t)
+	f := newFixture(1)
+	n := 0
+
+	for k := range 100 {
+		_, v := f.ask(1, uint64(k+1), uint32(k))
+		f.Release(f.now, granter.ID{Entry: 1, Seq: f.seq}, granter.Outcome{OK: true})
+		f.now = f.now.Add(100 * time.Millisecond)
+
+		if v.Tell {
+			n++
+		}
+	}
+
+	i.Equal(n, 10)
+}
+
 // BenchmarkAskAndRelease gives the slope of a decision over the targets of a
 // cell.
 func BenchmarkAskAndRelease(b *testing.B) {
@@ -366,7 +390,7 @@
 			for b.Loop() {
 				k++
 				id, _ := f.ask(1, k%10000+1, uint32(k%50))
-				f.Release(f.now, id, granter.Outcome{OK: true, Requests: -1})
+				f.Release(f.now, id, granter.Outcome{OK: true})
 			}
 		})
 	}
--- a/internal/granter/verdict.go
+++ b/internal/granter/verdict.go
@@ -38,6 +38,8 @@
 	Cell uint32
 	// Returned says that the target holds the chat's prefix by what is known.
 	Returned bool
+	// Tell asks for a Report when the target's answer begins.
+	Tell bool
 	// RetryAfter is when to ask again after a refusal.
 	RetryAfter time.Duration
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -147,7 +147,7 @@
 	})
 
 	return wire.Verdict{
-		Reason: uint8(v.Reason), Target: v.Target | v.Cell, Returned: v.Returned,
+		Reason: uint8(v.Reason), Target: v.Target | v.Cell, Flags: flags(v),
 		RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), //nolint:gosec // A few seconds.
 	}, nil
 }
@@ -163,11 +163,23 @@
 	defer h.mu.Unlock()
 
 	h.granter.Release(now, granter.ID{Entry: entry, Seq: w.Seq}, granter.Outcome{
-		OK: w.OK, NeverSent: w.NeverSent, Requests: int(w.Requests),
-		State: tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving},
+		OK: w.OK, NeverSent: w.NeverSent,
 	})
 }
 
+// Report takes what an entry heard of a target.
+func (k *Keeper) Report(now time.Time, w wire.Report) {
+	h, err := k.home(now, k.force(), w.Cell)
+	if err != nil {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.granter.Report(now, w.Target, int(w.Requests), tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving})
+}
+
 // Sync takes an entry's list of its grants in a cell.
 func (k *Keeper) Sync(now time.Time, entry uint64, w wire.Sync) {
 	h, err := k.home(now, k.force(), w.Cell)
@@ -343,6 +355,20 @@
 	return o
 }
 
+func flags(v granter.Verdict) uint8 {
+	var f uint8
+
+	if v.Returned {
+		f |= wire.FlagReturned
+	}
+
+	if v.Tell {
+		f |= wire.FlagTell
+	}
+
+	return f
+}
+
 func limits(m *matcher.Matcher) granter.Limits {
 	l := m.Limits()
 
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -124,7 +124,7 @@
 		for n := range uint32(20) {
 			_, err := k.Ask(time.Now(), 1, ask(f, n+1))
 			i.NoErr(err)
-			k.Release(time.Now(), 1, wire.Release{Seq: n + 1, Cell: ask(f, 1).Cell, OK: true, Requests: -1})
+			k.Release(time.Now(), 1, wire.Release{Seq: n + 1, Cell: ask(f, 1).Cell, OK: true})
 		}
 
 		time.Sleep(1500 * time.Millisecond)
@@ -184,7 +184,7 @@
 				c, stop := context.WithCancel(t.Context())
 				go k.Run(c, func(*matcher.Cell) uint64 { return self })
 
-				time.Sleep(3500 * time.Millisecond)
+				time.Sleep(3 * time.Second)
 				synctest.Wait()
 				i.True(o.probed() >= 4)
 
@@ -198,6 +198,35 @@
 	}
 }
 
+// A busy target says that it leaves. Answers that began before it did end all the
+// time, and new ones take long to end; the home must hear of it all the same,
+// within three seconds.
+func TestABusyTargetsWordIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		f, o := force(2), &outside{health: keeper.Health{Requests: 5, State: tracker.State{Incarnation: 1, Leaving: true}}}
+		k := newKeeper(f, o)
+
+		c, stop := context.WithCancel(t.Context())
+		go k.Run(c, func(*matcher.Cell) uint64 { return self })
+
+		for n := range uint32(30) {
+			_, err := k.Ask(time.Now(), 1, ask(f, n+1))
+			i.NoErr(err)
+			time.Sleep(100 * time.Millisecond)
+			k.Release(time.Now(), 1, wire.Release{Seq: n + 1, Cell: ask(f, 1).Cell, OK: true})
+		}
+
+		synctest.Wait()
+
+		v, err := k.Ask(time.Now(), 1, ask(f, 100))
+		i.NoErr(err)
+		i.Equal(granter.Reason(v.Reason), granter.NoTargets)
+		stop()
+		synctest.Wait()
+	})
+}
+
 // The list said that a target leaves before this router became its home.
 func TestAHomeKnowsWhatTheListSaidBefore(t *testing.T) {
 	i := is.New(t)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -169,7 +169,7 @@
 		filterer.Claim{Claims: g, Counter: n},
 		filterer.NewAttempt(a, n,
 			filterer.Pick{Places: a, Region: s.Region, Counter: n},
-			filterer.Send{Targets: x},
+			filterer.Send{Targets: x, Places: a},
 			filterer.Relay{Targets: x, Counter: n},
 		),
 	)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -20,6 +20,7 @@
 	KindGossip
 	KindAsk
 	KindRelease
+	KindReport
 	KindSync
 	KindClaim
 	KindSettle
@@ -90,21 +91,35 @@
 }
 
 // Verdict answers an Ask. Reason is a granter.Reason. When it sends the request
-// elsewhere, Target is the cell to ask.
+// elsewhere, Target is the cell to ask. Flags are FlagReturned and FlagTell.
 type Verdict struct {
 	Reason       uint8
 	Target       uint32
-	Returned     bool
+	Flags        uint8
 	RetryAfterMs uint32
 }
 
-// Release ends a grant. Incarnation is zero when nothing new is known of the
-// target's.
+// The flags of a Verdict.
+const (
+	// FlagReturned says that the target holds the chat's prefix.
+	FlagReturned uint8 = 1 << iota
+	// FlagTell asks for a Report when the target's answer begins.
+	FlagTell
+)
+
+// Release ends a grant.
 type Release struct {
-	Seq         uint32
+	Seq       uint32
+	Cell      uint32
+	OK        bool
+	NeverSent bool
+}
+
+// Report passes on what a target said of itself as its answer began. Requests is
+// negative when it reports no load, Incarnation zero when nothing is new.
+type Report struct {
 	Cell        uint32
-	OK          bool
-	NeverSent   bool
+	Target      uint32
 	Requests    int32
 	Incarnation uint64
 	Leaving     bool
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -1995,8 +1995,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Seq, err = dc.ReadUint32()
@@ -2019,51 +2019,150 @@
 		err = msgp.WrapError(err, "NeverSent")
 		return
 	}
-	z.Requests, err = dc.ReadInt32()
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Release) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
-		err = msgp.WrapError(err, "Requests")
 		return
 	}
-	z.Incarnation, err = dc.ReadUint64()
+	err = en.WriteUint32(z.Seq)
 	if err != nil {
-		err = msgp.WrapError(err, "Incarnation")
+		err = msgp.WrapError(err, "Seq")
 		return
 	}
-	z.Leaving, err = dc.ReadBool()
+	err = en.WriteUint32(z.Cell)
 	if err != nil {
-		err = msgp.WrapError(err, "Leaving")
+		err = msgp.WrapError(err, "Cell")
+		return
+	}
+	err = en.WriteBool(z.OK)
+	if err != nil {
+		err = msgp.WrapError(err, "OK")
+		return
+	}
+	err = en.WriteBool(z.NeverSent)
+	if err != nil {
+		err = msgp.WrapError(err, "NeverSent")
 		return
 	}
 	return
 }
 
-// EncodeMsg implements msgp.Encodable
-func (z *Release) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+// MarshalMsg implements msgp.Marshaler
+func (z *Release) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.Seq)
+	o = msgp.AppendUint32(o, z.Cell)
+	o = msgp.AppendBool(o, z.OK)
+	o = msgp.AppendBool(o, z.NeverSent)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Release) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
+		err = msgp.WrapError(err)
 		return
 	}
-	err = en.WriteUint32(z.Seq)
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Seq, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Seq")
 		return
 	}
-	err = en.WriteUint32(z.Cell)
+	z.Cell, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Cell")
 		return
 	}
-	err = en.WriteBool(z.OK)
+	z.OK, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "OK")
 		return
 	}
-	err = en.WriteBool(z.NeverSent)
+	z.NeverSent, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "NeverSent")
 		return
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Release) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Report) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Cell, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Cell")
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Requests, err = dc.ReadInt32()
+	if err != nil {
+		err = msgp.WrapError(err, "Requests")
+		return
+	}
+	z.Incarnation, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.Leaving, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Leaving")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Report) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Cell)
+	if err != nil {
+		err = msgp.WrapError(err, "Cell")
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
 	err = en.WriteInt32(z.Requests)
 	if err != nil {
 		err = msgp.WrapError(err, "Requests")
@@ -2083,14 +2182,12 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Release) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Report) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
-	o = msgp.AppendUint32(o, z.Seq)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendUint32(o, z.Cell)
-	o = msgp.AppendBool(o, z.OK)
-	o = msgp.AppendBool(o, z.NeverSent)
+	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendInt32(o, z.Requests)
 	o = msgp.AppendUint64(o, z.Incarnation)
 	o = msgp.AppendBool(o, z.Leaving)
@@ -2098,20 +2195,15 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Release) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Report) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
-		return
-	}
-	z.Seq, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Cell, bts, err = msgp.ReadUint32Bytes(bts)
@@ -2119,14 +2211,9 @@
 		err = msgp.WrapError(err, "Cell")
 		return
 	}
-	z.OK, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "OK")
-		return
-	}
-	z.NeverSent, bts, err = msgp.ReadBoolBytes(bts)
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "NeverSent")
+		err = msgp.WrapError(err, "Target")
 		return
 	}
 	z.Requests, bts, err = msgp.ReadInt32Bytes(bts)
@@ -2149,8 +2236,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Release) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize + msgp.Int32Size + msgp.Uint64Size + msgp.BoolSize
+func (z *Report) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Int32Size + msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
@@ -2770,9 +2857,9 @@
 		err = msgp.WrapError(err, "Target")
 		return
 	}
-	z.Returned, err = dc.ReadBool()
+	z.Flags, err = dc.ReadUint8()
 	if err != nil {
-		err = msgp.WrapError(err, "Returned")
+		err = msgp.WrapError(err, "Flags")
 		return
 	}
 	z.RetryAfterMs, err = dc.ReadUint32()
@@ -2800,9 +2887,9 @@
 		err = msgp.WrapError(err, "Target")
 		return
 	}
-	err = en.WriteBool(z.Returned)
+	err = en.WriteUint8(z.Flags)
 	if err != nil {
-		err = msgp.WrapError(err, "Returned")
+		err = msgp.WrapError(err, "Flags")
 		return
 	}
 	err = en.WriteUint32(z.RetryAfterMs)
@@ -2820,7 +2907,7 @@
 	o = append(o, 0x94)
 	o = msgp.AppendUint8(o, z.Reason)
 	o = msgp.AppendUint32(o, z.Target)
-	o = msgp.AppendBool(o, z.Returned)
+	o = msgp.AppendUint8(o, z.Flags)
 	o = msgp.AppendUint32(o, z.RetryAfterMs)
 	return
 }
@@ -2847,9 +2934,9 @@
 		err = msgp.WrapError(err, "Target")
 		return
 	}
-	z.Returned, bts, err = msgp.ReadBoolBytes(bts)
+	z.Flags, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Returned")
+		err = msgp.WrapError(err, "Flags")
 		return
 	}
 	z.RetryAfterMs, bts, err = msgp.ReadUint32Bytes(bts)
@@ -2863,6 +2950,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Verdict) Msgsize() (s int) {
-	s = 1 + msgp.Uint8Size + msgp.Uint32Size + msgp.BoolSize + msgp.Uint32Size
+	s = 1 + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size
 	return
 }
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -43,7 +43,8 @@
   else
     failed=$((failed + 1))
     echo "failures: $name FAILED: $(tail -1 "$dir/load.out" 2>/dev/null)"
-    tail -3 "$dir"/router_*.log || true
+    grep -A 6 examples "$dir/load.out" || true
+    for i in 1 2 3; do tail -n 3 "$dir/router_$i.log"; done
   fi
 }
 
