internal/filterer: a span for each ask and each resumed stream

Cause: spans covered the steps of a call, but not the hops inside them: asks of homes and resumed streams. And no test showed that traces leave the router.

--- a/internal/filterer/pick.go
+++ b/internal/filterer/pick.go
@@ -69,7 +69,10 @@
 // or once more where the cell sends it.
 func (p Pick) ask(c context.Context, m *matcher.Matcher, r asker.Request) (asker.Place, error) {
 	for {
-		v, err := p.Places.Ask(c, r)
+		y, end := span(c, "ask")
+		v, err := p.Places.Ask(y, r)
+		end(err)
+
 		if err != nil || v.Reason != granter.Wait && v.Reason != granter.Elsewhere {
 			return v, err
 		}
--- a/internal/filterer/pipeline.go
+++ b/internal/filterer/pipeline.go
@@ -107,10 +107,8 @@
 
 // run applies filters in their order, each in a span.
 func run(c context.Context, x *exchanger.Exchange, l []exchanger.Filter) error {
-	t, _ := c.Value(tracerKey{}).(trace.Tracer)
-
 	for _, f := range l {
-		if err := step(c, t, x, f); err != nil {
+		if err := step(c, x, f); err != nil {
 			return err
 		}
 	}
@@ -118,20 +116,30 @@
 	return nil
 }
 
-func step(c context.Context, t trace.Tracer, x *exchanger.Exchange, f exchanger.Filter) error {
-	if t == nil {
-		return f.Apply(c, x)
-	}
+func step(c context.Context, x *exchanger.Exchange, f exchanger.Filter) error {
+	c, end := span(c, f.Name())
+	err := f.Apply(c, x)
+	end(err)
 
-	c, s := t.Start(c, f.Name())
-	defer s.End()
+	return err
+}
 
-	err := f.Apply(c, x)
-	if err != nil && !errors.Is(err, errAnswered) {
-		s.SetStatus(codes.Error, err.Error())
+// span begins a span of the call's trace and returns what ends it.
+func span(c context.Context, name string) (context.Context, func(error)) {
+	t, ok := c.Value(tracerKey{}).(trace.Tracer)
+	if !ok {
+		return c, func(error) {}
 	}
 
-	return err
+	c, s := t.Start(c, name)
+
+	return c, func(err error) {
+		if err != nil && !errors.Is(err, errAnswered) {
+			s.SetStatus(codes.Error, err.Error())
+		}
+
+		s.End()
+	}
 }
 
 func (p *Pipeline) closed(s drainer.Phase) error {
--- a/internal/filterer/stream.go
+++ b/internal/filterer/stream.go
@@ -99,7 +99,10 @@
 		return errors.Mark(c.Err(), sender.ErrBroken)
 	}
 
-	r, err := s.relay.Targets.Resume(c, s.exchange, s.offset)
+	y, end := span(c, "resume")
+	r, err := s.relay.Targets.Resume(y, s.exchange, s.offset)
+	end(err)
+
 	if err != nil {
 		return err
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -1,9 +1,12 @@
 package router_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,6 +19,7 @@
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/resolver"
 	"github.com/auburntray/auburntray/internal/standin/engine"
 	"github.com/auburntray/auburntray/internal/standin/platform"
 	"github.com/auburntray/auburntray/internal/standin/service"
@@ -505,3 +509,40 @@
 	served(a, "c")
 	served(b, "d")
 }
+
+// An operator looks for the hop on which a slow call spent its time. Each step has
+// a span in the call's own trace, and targets are told of it.
+func TestTraces(t *testing.T) {
+	i := is.New(t)
+
+	var (
+		m sync.Mutex
+		b []byte
+	)
+
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		x, _ := io.ReadAll(r.Body)
+
+		m.Lock()
+		defer m.Unlock()
+
+		b = append(b, x...)
+	}))
+	defer collector.Close()
+
+	f := newFleet(t, 1, 1)
+	n := f.startWith("dc-1", func(r *resolver.Router) {
+		r.TraceEndpoint, r.TraceSample = strings.TrimPrefix(collector.URL, "http://"), 1
+	})
+	f.eventually(func() bool { return n.metric(counter.Revision) > 0 })
+	i.Equal(n.chat(t.Context(), "q", 2, true).outcome(), string(exchanger.Ran))
+	i.Equal(n.do(t.Context(), http.MethodPost, "/book", "k", "").outcome(), string(exchanger.Ran))
+	f.stop(n)
+
+	m.Lock()
+	defer m.Unlock()
+
+	for _, s := range []string{"call", "accept", "identify", "match", "claim", "attempt", "pick", "ask", "send", "relay"} {
+		i.True(bytes.Contains(b, []byte(s)))
+	}
+}
