internal/messenger: mutual TLS between routers, where certificates are given

Cause: whoever reached the port for peers could release grants, hand over places or call itself a home, and a connection that said nothing was kept for ever.

A peer has five seconds to say who it is.

Measured: a router with a stranger's certificate and one without stay alone while two others work together (TestOnlyRoutersOfTheFleetArePeers).

--- a/internal/messenger/answer.go
+++ b/internal/messenger/answer.go
@@ -5,10 +5,14 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
+// greetTimeout is how long a peer may take to say who it is.
+const greetTimeout = 5 * time.Second
+
 // answer serves one incoming connection.
 func (m *Messenger) answer(c net.Conn) {
 	defer m.group.Done()
@@ -25,11 +29,16 @@
 
 	r := bufio.NewReader(c)
 
+	// Whoever connects and says nothing must not hold a connection for ever.
+	_ = c.SetReadDeadline(time.Now().Add(greetTimeout))
+
 	from, err := m.greeted(r)
 	if err != nil {
 		return
 	}
 
+	_ = c.SetReadDeadline(time.Time{})
+
 	for {
 		f, n, err := decode(r)
 		if err != nil {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
@@ -36,9 +37,11 @@
 type Messenger struct {
 	id       uint64
 	dialer   dialer
+	tls      *tls.Config
 	traffic  Traffic
 	handlers map[wire.Kind]Handler
 	listener net.Listener
+	address  netip.AddrPort
 	done     chan struct{}
 	once     sync.Once
 
@@ -56,17 +59,24 @@
 
 // New listens on an address and returns a Messenger with its clean-up
 // function, which closes all connections. It sends under the given ID, over
-// connections that the dialer makes. Messages are answered from Serve on. It
+// connections that the dialer makes, by TLS when it is configured. Messages are answered from Serve on. It
 // fails with ErrUnreachable when the address can't be listened on.
-func New(a netip.AddrPort, id uint64, d dialer) (*Messenger, func(), error) {
+func New(a netip.AddrPort, id uint64, d dialer, s *tls.Config) (*Messenger, func(), error) {
 	l, err := net.Listen("tcp", a.String()) //nolint:noctx // Ended by the clean-up function.
 	if err != nil {
 		return nil, nil, errors.Mark(errors.Wrap(err, "listening for peers"), ErrUnreachable)
 	}
 
+	address, _ := l.Addr().(*net.TCPAddr)
+	if s != nil {
+		l = tls.NewListener(l, s)
+	}
+
 	m := &Messenger{
 		id:       id,
 		dialer:   d,
+		tls:      s,
+		address:  address.AddrPort(),
 		handlers: make(map[wire.Kind]Handler),
 		listener: l,
 		done:     make(chan struct{}),
@@ -79,9 +89,7 @@
 
 // Address returns the address listened on.
 func (m *Messenger) Address() netip.AddrPort {
-	a, _ := m.listener.Addr().(*net.TCPAddr)
-
-	return a.AddrPort()
+	return m.address
 }
 
 // Traffic returns the counter of control bytes.
@@ -171,7 +179,7 @@
 	x, stop := context.WithTimeout(c, dialTimeout)
 	defer stop()
 
-	n, err := m.dialer.DialContext(x, "tcp", a.String())
+	n, err := m.connect(x, a)
 	if err != nil {
 		p.failed = time.Now()
 
@@ -192,6 +200,23 @@
 	m.once.Do(m.close)
 }
 
+// connect makes a connection, with its handshake.
+func (m *Messenger) connect(c context.Context, a netip.AddrPort) (net.Conn, error) {
+	n, err := m.dialer.DialContext(c, "tcp", a.String())
+	if err != nil || m.tls == nil {
+		return n, err
+	}
+
+	t := tls.Client(n, m.tls)
+	if err := t.HandshakeContext(c); err != nil {
+		_ = n.Close()
+
+		return nil, err
+	}
+
+	return t, nil
+}
+
 func (m *Messenger) close() {
 	close(m.done)
 	_ = m.listener.Close()
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -23,7 +23,7 @@
 func newMessenger(t *testing.T, id uint64) *messenger.Messenger {
 	t.Helper()
 
-	m, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), id, &net.Dialer{})
+	m, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), id, &net.Dialer{}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -172,7 +172,7 @@
 }
 
 func BenchmarkCall(b *testing.B) {
-	x, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), 1, &net.Dialer{})
+	x, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), 1, &net.Dialer{}, nil)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/resolver/router.go
+++ b/internal/resolver/router.go
@@ -36,6 +36,9 @@
 	CallerCert      string
 	CallerKey       string
 	TargetCA        string
+	PeerCert        string
+	PeerKey         string
+	PeerCA          string
 	TargetTLS       bool
 	TraceEndpoint   string
 	TraceSample     float64
@@ -57,9 +60,26 @@
 		return errors.Mark(errors.New("--caller-cert and --caller-key must be given together"), ErrSetting)
 	}
 
+	if n := given(r.PeerCert, r.PeerKey, r.PeerCA); n != 0 && n != 3 {
+		return errors.Mark(errors.New("--peer-cert, --peer-key and --peer-ca must be given together"), ErrSetting)
+	}
+
 	return nil
 }
 
+// given counts the texts that are not empty.
+func given(l ...string) int {
+	n := 0
+
+	for _, x := range l {
+		if x != "" {
+			n++
+		}
+	}
+
+	return n
+}
+
 // Table returns the settings of a router, which are read into r.
 func (r *Router) Table() Table {
 	return Table{
@@ -85,6 +105,9 @@
 		{"place-bytes", "33554432", "4096 to 1073741824 bytes", "memory for the places of one cell's chats", Int(&r.PlaceBytes, 4096, 1<<30)},
 		{"caller-cert", "", "a PEM file, or empty for plain HTTP", "certificate shown to callers", File(&r.CallerCert)},
 		{"caller-key", "", "a PEM file, or empty for plain HTTP", "key of that certificate", File(&r.CallerKey)},
+		{"peer-cert", "", "a PEM file, or empty for plain TCP", "certificate shown to other routers, issued to \"auburntray\"", File(&r.PeerCert)},
+		{"peer-key", "", "a PEM file, or empty for plain TCP", "key of that certificate", File(&r.PeerKey)},
+		{"peer-ca", "", "a PEM file, or empty for plain TCP", "authorities of the other routers' certificates", File(&r.PeerCA)},
 		{"target-tls", "false", "true or false", "speak TLS to targets", Bool(&r.TargetTLS)},
 		{"target-ca", "", "a PEM file, or empty for the system's", "authorities of the targets' certificates", File(&r.TargetCA)},
 		{"trace-endpoint", "", "a host and port that takes OTLP over HTTP, or empty", "where traces go", Free(&r.TraceEndpoint)},
--- a/internal/router/parts.go
+++ b/internal/router/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"time"
@@ -10,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 
+	"github.com/auburntray/auburntray/internal/certifier"
 	"github.com/auburntray/auburntray/internal/follower"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/hasher"
@@ -54,7 +56,18 @@
 }
 
 func newMessenger(l fx.Lifecycle, s resolver.Router, id processID, d Dialer) (*messenger.Messenger, error) {
-	m, f, err := messenger.New(s.Peer, uint64(id), d)
+	var c *tls.Config
+
+	if s.PeerCert != "" {
+		x, err := certifier.Peers(s.PeerCert, s.PeerKey, s.PeerCA)
+		if err != nil {
+			return nil, errors.Mark(err, ErrStart)
+		}
+
+		c = x
+	}
+
+	m, f, err := messenger.New(s.Peer, uint64(id), d, c)
 	if err != nil {
 		return nil, errors.Mark(err, ErrStart)
 	}
--- a/internal/router/tls_test.go
+++ b/internal/router/tls_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/auburntray/auburntray/internal/certifier"
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/resolver"
 	"github.com/auburntray/auburntray/internal/standin/service"
@@ -38,7 +39,7 @@
 
 	x := &x509.Certificate{
 		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, DNSNames: []string{certifier.PeerName}, IsCA: true, BasicConstraintsValid: true,
 		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
 	}
 
@@ -127,3 +128,36 @@
 	i.Equal(book("two"), "notRun") // and truly: no connection was made
 	i.Equal(s.Counts()["two"], 0)
 }
+
+// Whoever reaches the port for peers could hand over places, release grants or
+// claim to be a home. With certificates given, a process that shows none of the
+// fleet's own is no peer, and the others go on among themselves.
+func TestOnlyRoutersOfTheFleetArePeers(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(t, 1, 0)
+
+	with := func(cert, key string) *node {
+		return f.startWith("dc-1", func(r *resolver.Router) { r.PeerCert, r.PeerKey, r.PeerCA = cert, key, cert })
+	}
+
+	cert, key := certificate(t)
+	a, b := with(cert, key), with(cert, key)
+	f.together()
+
+	strange, strangeKey := certificate(t)
+	with(strange, strangeKey)
+	f.start("dc-1") // and one without any
+
+	i.Equal(a.chat(t.Context(), "q", 1, false).outcome(), "ran")
+	i.Equal(b.chat(t.Context(), "q", 1, false).outcome(), "ran")
+	time.Sleep(2500 * time.Millisecond) // two rounds of gossip
+
+	for _, n := range f.nodes {
+		want := int64(1)
+		if n == a || n == b {
+			want = 2
+		}
+
+		i.Equal(n.metric(counter.Routers), want)
+	}
+}
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net"
@@ -13,7 +12,6 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
-	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -21,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/auburntray/auburntray/internal/certifier"
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/keeper"
 	"github.com/auburntray/auburntray/internal/tracker"
@@ -69,9 +68,9 @@
 		c = &tls.Config{MinVersion: tls.VersionTLS12}
 
 		if t.Authorities != "" {
-			p, err := pool(t.Authorities)
+			p, err := certifier.Pool(t.Authorities)
 			if err != nil {
-				return nil, nil, err
+				return nil, nil, errors.Mark(err, ErrSettings)
 			}
 
 			c.RootCAs = p
@@ -98,20 +97,6 @@
 	return s, s.reused.CloseIdleConnections, nil
 }
 
-func pool(file string) (*x509.CertPool, error) {
-	b, err := os.ReadFile(file) //nolint:gosec // The operator names the file.
-	if err != nil {
-		return nil, errors.Mark(err, ErrSettings)
-	}
-
-	p := x509.NewCertPool()
-	if !p.AppendCertsFromPEM(b) {
-		return nil, errors.Mark(errors.Newf("%s holds no certificate", file), ErrSettings)
-	}
-
-	return p, nil
-}
-
 // RequestID returns the id under which the present attempt is sent.
 func RequestID(x *exchanger.Exchange) string {
 	return x.ID + "-" + strconv.Itoa(x.Attempt)
