--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,4 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./internal/parser
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./internal/messenger
+	go test -run '^$$' -fuzz FuzzNext -fuzztime 20s ./internal/sender
--- a/internal/bencher/home.go
+++ b/internal/bencher/home.go
@@ -62,12 +62,12 @@
 // first returns the first router for a cell, without one, on a router's side of
 // a cut.
 func (h *homes) first(w *world, r *router, c *matcher.Cell, without int) int {
-	side := w.cut >= 0 && r.centre == w.cut
+	s := w.cut >= 0 && r.centre == w.cut
 
-	a, ok := h.assigned[side]
+	a, ok := h.assigned[s]
 	if !ok {
 		a = h.assign(w, r)
-		h.assigned[side] = a
+		h.assigned[s] = a
 	}
 
 	for _, m := range a[uint64(c.ID)] {
--- a/internal/bencher/homes.go
+++ b/internal/bencher/homes.go
@@ -78,10 +78,10 @@
 func (h *homes) pick(w *world, q *request) (*target, time.Duration) {
 	r := w.routers[q.router]
 	l := h.matcher.Ranked(h.rules[q.chat.customer.model], centreName("region", r.region), q.chat.key)
-	hint := uint32(0)
+	t := uint32(0)
 
 	if h.tokens {
-		hint = q.chat.place
+		t = q.chat.place
 	}
 
 	for i, c := range l {
@@ -89,16 +89,16 @@
 			break
 		}
 
-		if i > 0 && hint != 0 && c.Holds(hint) {
+		if i > 0 && t != 0 && c.Holds(t) {
 			copy(l[1:i+1], l[:i])
 			l[0] = c
 		}
 	}
 
 	for i, c := range l[:min(len(l), 4)] { //nolint:mnd // As the routers do.
-		v := h.ask(w, r, q, c, hint, false)
+		v := h.ask(w, r, q, c, t, false)
 		if v.Reason == granter.Elsewhere {
-			v = h.ask(w, r, q, h.matcher.Cell(v.Cell), hint, true)
+			v = h.ask(w, r, q, h.matcher.Cell(v.Cell), t, true)
 		}
 
 		switch v.Reason {
--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -80,11 +80,11 @@
 		skew: hdrhistogram.New(1, skewMost, digits), work: hdrhistogram.New(1, skewMost, digits),
 	}
 
-	perModel := spread(s.Targets, s.Models)
-	w.surge = float64(perModel[0]) / float64(s.Targets)
+	p := spread(s.Targets, s.Models)
+	w.surge = float64(p[0]) / float64(s.Targets)
 	i := 0
 
-	for m, n := range perModel {
+	for m, n := range p {
 		for range n {
 			t := newTarget(i, s)
 			t.model = m
@@ -125,8 +125,8 @@
 
 // run follows the fleet to its end.
 func (w *world) run() {
-	arrive := time.Duration(0)
-	tick := tickEvery
+	a := time.Duration(0)
+	t := tickEvery
 
 	for w.now < w.size.Length {
 		e := w.size.Length
@@ -134,17 +134,17 @@
 			e = min(e, w.running[0].ends)
 		}
 
-		w.now = min(arrive, tick, e)
+		w.now = min(a, t, e)
 
 		switch w.now {
-		case arrive:
+		case a:
 			w.arrive()
 
-			arrive += time.Duration(w.random.ExpFloat64() / w.rate() * float64(time.Second))
-		case tick:
+			a += time.Duration(w.random.ExpFloat64() / w.rate() * float64(time.Second))
+		case t:
 			w.tick()
 
-			tick += tickEvery
+			t += tickEvery
 		default:
 			w.end()
 		}
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -139,9 +139,9 @@
 	}
 
 	// "In progress" asks to come back for the answer of the same call.
-	again := w > 0 && (a.outcome == Refused || e.Error.Code == string(exchanger.CodeInProgress))
+	r := w > 0 && (a.outcome == Refused || e.Error.Code == string(exchanger.CodeInProgress))
 
-	return a, w, again
+	return a, w, r
 }
 
 func sleep(c context.Context, d time.Duration) {
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -62,10 +62,10 @@
 	}
 
 	s.failures++
-	probed := !s.probing.IsZero()
+	p := !s.probing.IsZero()
 	s.probing = time.Time{}
 
-	if s.failures < e.settings.Failures && !probed {
+	if s.failures < e.settings.Failures && !p {
 		return
 	}
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -117,11 +117,11 @@
 // it, as in a data centre that is cut off from the platform, the peer does.
 func (f *Follower) Ahead(c context.Context, a netip.AddrPort, revision uint64) {
 	f.mu.Lock()
-	busy := f.asking
+	b := f.asking
 	f.asking = true
 	f.mu.Unlock()
 
-	if busy {
+	if b {
 		return
 	}
 
--- a/internal/gossiper/assign.go
+++ b/internal/gossiper/assign.go
@@ -29,8 +29,8 @@
 func Assign(live []Member, keys []Key) map[uint64][]Member {
 	keys = slices.SortedFunc(slices.Values(keys), func(a, b Key) int { return cmp.Compare(a.Key, b.Key) })
 	o := make(map[uint64][]Member, len(keys))
-	// keeps holds, for each router that is a home, the key that it keeps.
-	keeps := make(map[uint64]uint64, len(keys))
+	// h holds, for each router that is a home, the key that it keeps.
+	h := make(map[uint64]uint64, len(keys))
 
 	for _, k := range keys {
 		l := rank(live, k)
@@ -40,22 +40,22 @@
 			continue
 		}
 
-		if b, ok := keeps[l[0].ID]; !ok || before(k.Key, b, l[0].ID) {
-			keeps[l[0].ID] = k.Key
+		if b, ok := h[l[0].ID]; !ok || before(k.Key, b, l[0].ID) {
+			h[l[0].ID] = k.Key
 		}
 	}
 
 	for _, k := range keys {
 		l := o[k.Key]
-		if len(l) == 0 || keeps[l[0].ID] == k.Key {
+		if len(l) == 0 || h[l[0].ID] == k.Key {
 			continue
 		}
 
-		l = standBack(l, keeps)
+		l = standBack(l, h)
 		o[k.Key] = l
 
-		if _, ok := keeps[l[0].ID]; !ok {
-			keeps[l[0].ID] = k.Key
+		if _, ok := h[l[0].ID]; !ok {
+			h[l[0].ID] = k.Key
 		}
 	}
 
--- a/internal/keeper/tell.go
+++ b/internal/keeper/tell.go
@@ -104,10 +104,10 @@
 	}
 
 	h.mu.Lock()
-	load, weight := h.granter.Total(now)
+	a, w := h.granter.Total(now)
 	h.mu.Unlock()
 
 	for _, y := range l {
-		k.teller.Tell(y, wire.CellLoad{From: x.ID, To: y.ID, Milli: uint64(load * milli), Weight: uint32(weight)})
+		k.teller.Tell(y, wire.CellLoad{From: x.ID, To: y.ID, Milli: uint64(a * milli), Weight: uint32(w)})
 	}
 }
--- a/internal/matcher/cell.go
+++ b/internal/matcher/cell.go
@@ -190,12 +190,12 @@
 }
 
 func (m *Matcher) add(name, pool, region string, t *Target) {
-	id := hasher.Name(name)
-	c, ok := m.cells[id]
+	h := hasher.Name(name)
+	c, ok := m.cells[h]
 
 	if !ok {
-		c = &Cell{ID: id, Name: name, Pool: pool, Region: region}
-		m.cells[id] = c
+		c = &Cell{ID: h, Name: name, Pool: pool, Region: region}
+		m.cells[h] = c
 	}
 
 	c.Targets = append(c.Targets, t)
--- a/internal/messenger/connection.go
+++ b/internal/messenger/connection.go
@@ -36,14 +36,14 @@
 func (x *connection) call(c context.Context, k wire.Kind, m msgp.Marshaler) (wire.Frame, error) {
 	w := make(chan wire.Frame, 1)
 
-	id, ok := x.expect(w)
+	n, ok := x.expect(w)
 	if !ok {
 		return wire.Frame{}, ErrUnreachable
 	}
 
-	defer x.forget(id)
+	defer x.forget(n)
 
-	if err := x.write(k, id, m); err != nil {
+	if err := x.write(k, n, m); err != nil {
 		return wire.Frame{}, err
 	}
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -67,7 +67,7 @@
 		return nil, nil, errors.Mark(errors.Wrap(err, "listening for peers"), ErrUnreachable)
 	}
 
-	address, _ := l.Addr().(*net.TCPAddr)
+	x, _ := l.Addr().(*net.TCPAddr)
 	if s != nil {
 		l = tls.NewListener(l, s)
 	}
@@ -76,7 +76,7 @@
 		id:       id,
 		dialer:   d,
 		tls:      s,
-		address:  address.AddrPort(),
+		address:  x.AddrPort(),
 		handlers: make(map[wire.Kind]Handler),
 		listener: l,
 		done:     make(chan struct{}),
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -125,14 +125,14 @@
 		return err
 	}
 
-	begin := time.Now()
+	b := time.Now()
 
 	f, err := o.lease(c, t.ID)
 	if err != nil {
 		return err
 	}
 
-	return o.order(c, t, f, begin)
+	return o.order(c, t, f, b)
 }
 
 // lease asks for a target's lease and reads back who got it.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -77,21 +77,21 @@
 		}
 	}
 
-	dial := func(c context.Context, network, address string) (net.Conn, error) {
+	f := func(c context.Context, network, address string) (net.Conn, error) {
 		x, stop := context.WithTimeout(c, dialTimeout)
 		defer stop()
 
 		return d.DialContext(x, network, address)
 	}
 	s.reused = &http.Transport{
-		DialContext: dial, TLSClientConfig: c, IdleConnTimeout: idleTimeout,
+		DialContext: f, TLSClientConfig: c, IdleConnTimeout: idleTimeout,
 		MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true,
 	}
 	// The library sends a request again by itself when a kept connection breaks
 	// under it. For a call that may not be repeated that would be a second run,
 	// so such calls go over connections of their own, where it never does.
 	s.fresh = &http.Transport{
-		DialContext: dial, TLSClientConfig: c, DisableKeepAlives: true, DisableCompression: true,
+		DialContext: f, TLSClientConfig: c, DisableKeepAlives: true, DisableCompression: true,
 	}
 
 	return s, s.reused.CloseIdleConnections, nil
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -57,21 +57,21 @@
 
 	d := xxhash.New()
 	n := 0
-	hit := true
+	h := true
 
 	for i := 0; i+blockBytes <= len(prompt); i += blockBytes {
 		_, _ = d.Write(prompt[i : i+blockBytes])
 		k := d.Sum64()
 
 		if _, ok := c.blocks.Get(k); ok {
-			if hit {
+			if h {
 				n += blockTokens
 			}
 
 			continue
 		}
 
-		hit = false
+		h = false
 
 		c.blocks.Add(k, struct{}{})
 		c.note(k, false)
--- a/internal/standin/engine/completion.go
+++ b/internal/standin/engine/completion.go
@@ -68,13 +68,13 @@
 		return
 	}
 
-	id := c.GetHeader(headerRequestID)
-	if id == "" {
-		id = uuid.NewString()
+	n := c.GetHeader(headerRequestID)
+	if n == "" {
+		n = uuid.NewString()
 	}
 
-	s := e.start(id, q, c.GetHeader(headerPriority))
-	e.send(c, id, s, 0, q.Stream, f)
+	s := e.start(n, q, c.GetHeader(headerPriority))
+	e.send(c, n, s, 0, q.Stream, f)
 }
 
 // start begins to generate. The answer belongs to the engine and not to the
@@ -201,7 +201,7 @@
 	c.Header(headerRequestID, id)
 	c.Status(http.StatusOK)
 
-	sent := 0
+	n := 0
 
 	for {
 		l, done, err := s.next(c.Request.Context(), offset)
@@ -210,19 +210,19 @@
 		}
 
 		for _, w := range l {
-			if f.BreakAfter > 0 && sent >= f.BreakAfter {
+			if f.BreakAfter > 0 && n >= f.BreakAfter {
 				panic(http.ErrAbortHandler)
 			}
 
 			writeEvent(c.Writer, chunk(id, w, nil))
 
-			sent++
+			n++
 			offset++
 		}
 
 		if done {
-			stop := "stop"
-			writeEvent(c.Writer, chunk(id, "", &stop))
+			z := "stop"
+			writeEvent(c.Writer, chunk(id, "", &z))
 			writeEvent(c.Writer, gin.H{"id": id, "object": "chat.completion.chunk", "choices": []any{}, "usage": usage(s)})
 			_, _ = io.WriteString(c.Writer, "data: [DONE]\n\n")
 			c.Writer.Flush()
--- a/pkg/publisher/publisher.go
+++ b/pkg/publisher/publisher.go
@@ -195,7 +195,7 @@
 // first, until the context ends. While the log can't be read it tries again.
 func (p *Publisher) Watch(c context.Context, f func(State)) error {
 	r := newReader(p.log)
-	last := uint64(0)
+	n := uint64(0)
 
 	for c.Err() == nil {
 		if err := r.step(c, readBack); err != nil {
@@ -204,8 +204,8 @@
 			continue
 		}
 
-		if s := r.folder.State(); s.Revision != last {
-			last = s.Revision
+		if s := r.folder.State(); s.Revision != n {
+			n = s.Revision
 
 			x, err := state(s)
 			if err != nil {
