--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -102,6 +102,19 @@
 	return wire.Ask{Seq: seq, Cell: f.Matcher.Cells()[0].ID, Rule: hasher.Name("r"), Chat: uint64(seq), Prompt: 100}
 }
 
+// allGoTo checks that new chats go to one target only.
+func allGoTo(t *testing.T, k *keeper.Keeper, f *follower.Force, target string) {
+	t.Helper()
+
+	i := is.New(t)
+
+	for n := range uint32(6) {
+		v, err := k.Ask(time.Now(), 1, ask(f, n+10))
+		i.NoErr(err)
+		i.Equal(v.Target, hasher.Name(target))
+	}
+}
+
 func newKeeper(f *follower.Force, o *outside) *keeper.Keeper {
 	return keeper.New(granter.DefaultSettings(), self, func() *follower.Force { return f }, o, o)
 }
@@ -229,16 +242,11 @@
 
 // The list said that a target leaves before this router became its home.
 func TestAHomeKnowsWhatTheListSaidBefore(t *testing.T) {
-	i := is.New(t)
 	f := force(2)
 	k := newKeeper(f, &outside{})
 	k.Seen(recorder.Instance{Name: "e0", Incarnation: 3, Leaving: true})
 
-	for n := range uint32(6) {
-		v, err := k.Ask(time.Now(), 1, ask(f, n+1))
-		i.NoErr(err)
-		i.Equal(v.Target, hasher.Name("e1"))
-	}
+	allGoTo(t, k, f, "e1")
 }
 
 // A target leaves; operators drain it, and the next shift takes the drain back
@@ -254,11 +262,7 @@
 	k.Update(force(2, "e0"))
 	k.Update(f)
 
-	for n := range uint32(6) {
-		v, err := k.Ask(time.Now(), 1, ask(f, n+1))
-		i.NoErr(err)
-		i.Equal(v.Target, hasher.Name("e1"))
-	}
+	allGoTo(t, k, f, "e1")
 }
 
 func TestUpdate(t *testing.T) {
@@ -270,11 +274,7 @@
 
 	k.Update(force(2, "e0"))
 
-	for n := range uint32(6) {
-		v, err := k.Ask(time.Now(), 1, ask(f, n+2))
-		i.NoErr(err)
-		i.Equal(v.Target, hasher.Name("e1"))
-	}
+	allGoTo(t, k, f, "e1")
 
 	_, err = k.Ask(time.Now(), 1, wire.Ask{Cell: 12345})
 	i.True(errors.Is(err, keeper.ErrUnknownCell))
