internal/bencher: reuse before, during and after

Cause: reuse over a whole run hides what a cut costs while it lasts and after it.

All other columns are as before.

--- a/internal/bencher/bencher.go
+++ b/internal/bencher/bencher.go
@@ -19,6 +19,8 @@
 	Policy string
 	// Reuse is the part of the prompt tokens seen before that came from caches.
 	Reuse float64
+	// Phases is the reuse before, during and after the time of a surge or cut.
+	Phases [phases]float64
 	// SkewMean and SkewP99 are of the highest load over the mean load of the
 	// engines of a model in a region, by requests in flight as engines report
 	// them; WorkMean and WorkP99 by the true work of these requests, of which
@@ -41,14 +43,16 @@
 
 	waited                                  time.Duration
 	requests, refused, surged, surgeRefused int
-	reusable, reused                        int
+	reusable, reused                        [phases]int
 }
 
+const phases = 3
+
 // Line returns the result in one line.
 func (r *Result) Line() string {
-	return fmt.Sprintf("case=%s policy=%s reuse=%.3f skewMean=%.2f skewP99=%.2f workMean=%.2f workP99=%.2f controlBytesPerSecond=%.0f "+
+	return fmt.Sprintf("case=%s policy=%s reuse=%.3f reusePhases=%.3f/%.3f/%.3f skewMean=%.2f skewP99=%.2f workMean=%.2f workP99=%.2f controlBytesPerSecond=%.0f "+
 		"controlBytesMax=%.0f cpuMicrosPerRequest=%.1f bytesPerNode=%d refused=%.4f surgeRefused=%.3f waitedMs=%.1f",
-		r.Case, r.Policy, r.Reuse, r.SkewMean, r.SkewP99, r.WorkMean, r.WorkP99, r.ControlMean, r.ControlMax,
+		r.Case, r.Policy, r.Reuse, r.Phases[0], r.Phases[1], r.Phases[2], r.SkewMean, r.SkewP99, r.WorkMean, r.WorkP99, r.ControlMean, r.ControlMax,
 		float64(r.CPU)/float64(time.Microsecond), r.Bytes, r.Refused, r.SurgeRefused,
 		float64(r.Waited)/float64(time.Millisecond))
 }
@@ -112,7 +116,16 @@
 func (w *world) finish(name string, h *homes) *Result {
 	r := w.result
 	r.Policy = name
-	r.Reuse = float64(r.reused) / float64(max(r.reusable, 1))
+
+	a, b := 0, 0
+
+	for i := range phases {
+		r.Phases[i] = float64(r.reused[i]) / float64(max(r.reusable[i], 1))
+		a += r.reused[i]
+		b += r.reusable[i]
+	}
+
+	r.Reuse = float64(a) / float64(max(b, 1))
 	r.SkewMean = w.skew.Mean() / skewUnit
 	r.SkewP99 = float64(w.skew.ValueAtPercentile(99)) / skewUnit //nolint:mnd // A percentile.
 	r.WorkMean = w.work.Mean() / skewUnit
--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -207,8 +207,8 @@
 
 	if w.measuring() {
 		w.result.waited += q.waited
-		w.result.reusable += q.reusable
-		w.result.reused += min(h, q.reusable)
+		w.result.reusable[w.phase()] += q.reusable
+		w.result.reused[w.phase()] += min(h, q.reusable)
 	}
 
 	heap.Push(&w.running, flight{ends: w.now + e, request: q})
@@ -242,6 +242,20 @@
 	}
 }
 
+// phase is 0 before the time of a surge or cut, 1 during it and 2 after it.
+func (w *world) phase() int {
+	p := float64(w.now) / float64(w.size.Length)
+
+	switch {
+	case p <= surgeStart:
+		return 0
+	case p < surgeEnd:
+		return 1
+	default:
+		return 2
+	}
+}
+
 func (w *world) end() {
 	f, _ := heap.Pop(&w.running).(flight)
 	if f.request.target == nil {
