internal: what the last reading found twice, or in the wrong place

Cause: read once more as a whole. The streamer asked each fold for its cursor, which claims and leases then kept alike; it now keeps it. Five methods of the keeper found and locked a cell in the same words; the introduction of a router stood three times; the granter built a list for each ask that changes with the configuration only; the matcher sorted all cells at each question, and its siblings came in the order of a map. A function of a stand-in was unused.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -85,17 +85,6 @@
 	return &Claimer{window: window, claims: make(map[uint64]*claim)}
 }
 
-// Next returns the offset of the first record that is not folded yet.
-func (c *Claimer) Next() uint64 {
-	return c.next
-}
-
-// Skip notes that the log keeps nothing before an offset. What was dropped is
-// older than the window.
-func (c *Claimer) Skip(oldest uint64) {
-	c.next = max(c.next, oldest)
-}
-
 // Fold takes the record at an offset, which the log appended at a time by its
 // own clock. Records that were folded already are ignored.
 func (c *Claimer) Fold(offset uint64, appended time.Time, r Record) {
--- a/internal/gossiper/gossip.go
+++ b/internal/gossiper/gossip.go
@@ -67,7 +67,7 @@
 }
 
 func (g *Gossiper) gossip(revision uint64) wire.Gossip {
-	w := wire.Gossip{Revision: revision, Members: []wire.Member{introduction(g.self.Member)}}
+	w := wire.Gossip{Revision: revision, Members: []wire.Member{g.self.Introduction()}}
 	w.Beats = append(w.Beats, g.stamp(g.self))
 
 	var near, far []*entry
@@ -108,6 +108,7 @@
 	return l[:min(n, len(l))]
 }
 
-func introduction(m Member) wire.Member {
+// Introduction returns what introduces the router to others.
+func (m Member) Introduction() wire.Member {
 	return wire.Member{ID: m.ID, Address: m.Address.String(), Region: m.Region, DataCentre: m.DataCentre}
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -133,7 +133,7 @@
 
 	for _, id := range w.Unknown {
 		if e, ok := g.entries[id]; ok {
-			o = append(o, introduction(e.Member))
+			o = append(o, e.Introduction())
 		}
 	}
 
--- a/internal/granter/choose.go
+++ b/internal/granter/choose.go
@@ -27,7 +27,7 @@
 func (g *Granter) candidates(now time.Time, a Ask) ([]picker.Candidate, int) {
 	c := g.scratch[:0]
 	n := 0
-	p := g.panic(now)
+	p := g.ejector.Panic(now, g.ids)
 
 	for _, t := range g.targets {
 		l, r := g.load(now, t)
@@ -53,15 +53,6 @@
 	return c, n
 }
 
-func (g *Granter) panic(now time.Time) bool {
-	n := make([]uint32, len(g.targets))
-	for i, t := range g.targets {
-		n[i] = t.ID
-	}
-
-	return g.ejector.Panic(now, n)
-}
-
 // load returns the work and requests on a target: what this home granted, and
 // what others must have sent. Two routers that both believe to be the home each
 // see the other's part only in the target's reports; without it they would
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -33,6 +33,7 @@
 	settings Settings
 	random   *rand.Rand
 	targets  []*target
+	ids      []uint32
 	byID     map[uint32]*target
 	grants   map[ID]Grant
 	entries  map[uint64]time.Time
@@ -71,6 +72,7 @@
 func (g *Granter) Update(t []Target, l Limits) {
 	k := make(map[uint32]*target, len(t))
 	n := make([]*target, 0, len(t))
+	g.ids = make([]uint32, 0, len(t))
 
 	for _, x := range t {
 		o, ok := g.byID[x.ID]
@@ -81,6 +83,7 @@
 		o.Target = x
 		k[x.ID] = o
 		n = append(n, o)
+		g.ids = append(g.ids, x.ID)
 	}
 
 	for id := range g.byID {
@@ -186,8 +189,8 @@
 }
 
 // Report takes what a target says of itself at present: the beginning of an answer
-// or a health check, not the end of an answer that began long ago. A negative number of requests is
-// no report of load; a zero State none of its incarnation.
+// or a health check, not the end of an answer that began long ago. A negative
+// number of requests is no report of load; a zero State none of its incarnation.
 func (g *Granter) Report(now time.Time, t uint32, requests int, s tracker.State) {
 	x, ok := g.byID[t]
 	if !ok {
--- a/internal/granter/spill.go
+++ b/internal/granter/spill.go
@@ -55,10 +55,13 @@
 // Total returns the load and the capacity of the cell's targets that are in
 // service, to be told to the other cells of the pool.
 func (g *Granter) Total(now time.Time) (load, weight float64) {
-	return sum(g.candidates(now, Ask{}))
+	c, _ := g.candidates(now, Ask{})
+
+	return sum(c)
 }
 
-func sum(c []picker.Candidate, _ int) (load, weight float64) {
+// sum adds up the candidates that count.
+func sum(c []picker.Candidate) (load, weight float64) {
 	for _, x := range c {
 		if x.Counted {
 			load += x.Load
@@ -105,7 +108,7 @@
 		}
 	}
 
-	l, w := sum(c, 0)
+	l, w := sum(c)
 	if w == 0 || l/w <= spillFactor*(l+load)/(w+weight) {
 		return Verdict{}, false
 	}
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -121,10 +121,7 @@
 	// A router that is new here gets an introduction at once, so that two
 	// routers know each other after one message and not after a random one.
 	if !known {
-		m = append(m, wire.Member{
-			ID: j.self.ID, Address: j.self.Address.String(),
-			Region: j.self.Region, DataCentre: j.self.DataCentre,
-		})
+		m = append(m, j.self.Introduction())
 	}
 
 	if len(m) > 0 {
@@ -218,9 +215,7 @@
 		k[m.Address] = true
 	}
 
-	w := wire.Gossip{Members: []wire.Member{{
-		ID: j.self.ID, Address: j.self.Address.String(), Region: j.self.Region, DataCentre: j.self.DataCentre,
-	}}}
+	w := wire.Gossip{Members: []wire.Member{j.self.Introduction()}}
 
 	var o []gossiper.Message
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -154,39 +154,22 @@
 
 // Release ends a grant.
 func (k *Keeper) Release(now time.Time, entry uint64, w wire.Release) {
-	h, err := k.home(now, k.force(), w.Cell)
-	if err != nil {
-		return
-	}
-
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	h.granter.Release(now, granter.ID{Entry: entry, Seq: w.Seq}, granter.Outcome{
-		OK: w.OK, NeverSent: w.NeverSent,
+	k.at(now, w.Cell, func(h *home) {
+		h.granter.Release(now, granter.ID{Entry: entry, Seq: w.Seq}, granter.Outcome{
+			OK: w.OK, NeverSent: w.NeverSent,
+		})
 	})
 }
 
 // Report takes what an entry heard of a target.
 func (k *Keeper) Report(now time.Time, w wire.Report) {
-	h, err := k.home(now, k.force(), w.Cell)
-	if err != nil {
-		return
-	}
-
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	h.granter.Report(now, w.Target, int(w.Requests), tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving})
+	k.at(now, w.Cell, func(h *home) {
+		h.granter.Report(now, w.Target, int(w.Requests), tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving})
+	})
 }
 
 // Sync takes an entry's list of its grants in a cell.
 func (k *Keeper) Sync(now time.Time, entry uint64, w wire.Sync) {
-	h, err := k.home(now, k.force(), w.Cell)
-	if err != nil {
-		return
-	}
-
 	l := make([]granter.Grant, len(w.Grants))
 	for i, g := range w.Grants {
 		l[i] = granter.Grant{
@@ -194,10 +177,9 @@
 		}
 	}
 
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	h.granter.Sync(now, entry, w.UpTo, l)
+	k.at(now, w.Cell, func(h *home) {
+		h.granter.Sync(now, entry, w.UpTo, l)
+	})
 }
 
 // Seen takes what the platform's list says of a target.
@@ -221,33 +203,21 @@
 
 // Other takes the load of another cell of a pool.
 func (k *Keeper) Other(now time.Time, w wire.CellLoad) {
-	h, err := k.home(now, k.force(), w.To)
-	if err != nil {
-		return
-	}
-
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	h.granter.Other(now, w.From, float64(w.Milli)/milli, float64(w.Weight))
+	k.at(now, w.To, func(h *home) {
+		h.granter.Other(now, w.From, float64(w.Milli)/milli, float64(w.Weight))
+	})
 }
 
 // HandOver takes places of a cell from its former home, or from its home for the
 // case that it is lost.
 func (k *Keeper) HandOver(now time.Time, from uint64, w wire.HandOver) {
-	h, err := k.home(now, k.force(), w.Cell)
-	if err != nil {
-		return
-	}
-
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	h.holder = from
+	k.at(now, w.Cell, func(h *home) {
+		h.holder = from
 
-	for _, p := range w.Places {
-		h.granter.Remember(now, p.Chat, placer.Place{Target: p.Target, Tokens: int(p.Tokens)})
-	}
+		for _, p := range w.Places {
+			h.granter.Remember(now, p.Chat, placer.Place{Target: p.Target, Tokens: int(p.Tokens)})
+		}
+	})
 }
 
 // Places returns how many chats all cells remember.
@@ -286,6 +256,20 @@
 	return o
 }
 
+// at calls f with a cell under its lock. What comes for a cell that is not in the
+// configuration in force here is dropped: its sender follows another revision.
+func (k *Keeper) at(now time.Time, cell uint32, f func(h *home)) {
+	h, err := k.home(now, k.force(), cell)
+	if err != nil {
+		return
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	f(h)
+}
+
 // home returns the Granter of a cell, making it when a first ask comes.
 func (k *Keeper) home(now time.Time, f *follower.Force, cell uint32) (*home, error) {
 	k.mu.Lock()
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -33,17 +33,6 @@
 	return &Leaser{leases: make(map[uint32]Lease)}
 }
 
-// Next returns the offset of the first record that is not folded yet.
-func (l *Leaser) Next() uint64 {
-	return l.next
-}
-
-// Skip notes that the log keeps nothing before an offset. Leases are far shorter
-// than its retention, so what was dropped has ended.
-func (l *Leaser) Skip(oldest uint64) {
-	l.next = max(l.next, oldest)
-}
-
 // Fold takes the record at an offset, which the log appended at a time. It gives
 // the lease if the target's last one has ended by then.
 func (l *Leaser) Fold(offset uint64, at time.Time, r Record) {
--- a/internal/matcher/cell.go
+++ b/internal/matcher/cell.go
@@ -45,7 +45,7 @@
 func (m *Matcher) Siblings(c *Cell) []*Cell {
 	var o []*Cell
 
-	for _, x := range m.cells {
+	for _, x := range m.ordered {
 		if x != c && x.Pool == c.Pool && x.Region == c.Region {
 			o = append(o, x)
 		}
@@ -54,16 +54,10 @@
 	return o
 }
 
-// Cells returns all cells in the order of their names.
+// Cells returns all cells in the order of their names. Callers must not change
+// the result.
 func (m *Matcher) Cells() []*Cell {
-	o := make([]*Cell, 0, len(m.cells))
-	for _, c := range m.cells {
-		o = append(o, c)
-	}
-
-	sort.Slice(o, func(a, b int) bool { return o[a].Name < o[b].Name })
-
-	return o
+	return m.ordered
 }
 
 func rank(c []*Cell, r *Rule, chat uint64) []*Cell {
@@ -171,9 +165,9 @@
 	m.index()
 }
 
-// split adds targets to the cells of a part of a pool, so that none has many more than
-// the limit: one home's control traffic grows with its cells. The number of cells is a power of
-// two and each target chooses by rendezvous, so that adding a target moves no
+// split adds targets to the cells of a part of a pool, so that none has many more
+// than the limit: one home's control traffic grows with its cells. The number of
+// cells is a power of two and each target chooses by rendezvous, so that adding a target moves no
 // other until the number doubles.
 func (m *Matcher) split(pool, region, part string, t []*Target) {
 	n := 1
@@ -207,7 +201,13 @@
 		r.cells = make(map[string][]*Cell)
 	}
 
-	for _, c := range m.Cells() {
+	for _, c := range m.cells {
+		m.ordered = append(m.ordered, c)
+	}
+
+	sort.Slice(m.ordered, func(a, b int) bool { return m.ordered[a].Name < m.ordered[b].Name })
+
+	for _, c := range m.ordered {
 		sort.Slice(c.Targets, func(a, b int) bool { return c.Targets[a].Name < c.Targets[b].Name })
 
 		s := make(map[string]bool)
--- a/internal/matcher/matcher.go
+++ b/internal/matcher/matcher.go
@@ -60,6 +60,7 @@
 	byID     map[uint32]*Rule
 	targets  map[uint32]*Target
 	cells    map[uint32]*Cell
+	ordered  []*Cell
 	weights  map[uint32]float64
 }
 
--- a/internal/registrar/partition.go
+++ b/internal/registrar/partition.go
@@ -35,12 +35,6 @@
 	return p
 }
 
-// Next is part of streamer.Fold.
-func (p *partition) Next() uint64 { return p.claimer.Next() }
-
-// Skip is part of streamer.Fold.
-func (p *partition) Skip(oldest uint64) { p.claimer.Skip(oldest) }
-
 // Record is part of streamer.Fold. A record that can't be read is folded as one
 // that changes nothing, by every reader alike.
 func (p *partition) Record(offset uint64, at time.Time, data []byte) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -67,11 +67,6 @@
 	s.leaving.Store(true)
 }
 
-// Running returns the number of calls in progress.
-func (s *Service) Running() int {
-	return int(s.running.Load())
-}
-
 // Incarnation returns the number that is higher for each new process.
 func (s *Service) Incarnation() uint64 {
 	return s.incarnation
--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -24,12 +24,9 @@
 }
 
 // Fold holds what follows from the records of a stream. The Streamer calls it
-// under the lock that View takes.
+// under the lock that View takes, with each record that the log keeps once and in
+// their order.
 type Fold interface {
-	// Next returns the offset of the first record that is not folded yet.
-	Next() uint64
-	// Skip notes that the log keeps nothing before an offset.
-	Skip(oldest uint64)
 	// Record folds the record at an offset, which the log appended at a time.
 	Record(offset uint64, at time.Time, data []byte)
 }
@@ -43,8 +40,10 @@
 	// writing is held by the caller that appends for all that wait.
 	writing sync.Mutex
 
-	mu    sync.Mutex
-	fold  Fold
+	mu   sync.Mutex
+	fold Fold
+	// next is the offset of the first record that is not folded yet.
+	next  uint64
 	queue []*pending
 	// flushed is when the last append began.
 	flushed time.Time
@@ -70,15 +69,7 @@
 // next, so the appends a second stay few however many records come. It returns
 // the offset after the record, or the log's error.
 func (s *Streamer) Append(c context.Context, data []byte) (uint64, error) {
-	x := s.enqueue(data)
-
-	s.writing.Lock()
-	s.flush(c)
-	s.writing.Unlock()
-
-	<-x.done
-
-	return x.next, x.err
+	return s.finish(c, s.enqueue(data))
 }
 
 // AppendAfter does as Append does, but where there was an append within the given
@@ -98,8 +89,12 @@
 	case <-x.done:
 		return x.next, x.err
 	case <-t.C:
+		return s.finish(c, x)
 	}
+}
 
+// finish appends what waits, a record with it, and returns what became of it.
+func (s *Streamer) finish(c context.Context, x *pending) (uint64, error) {
 	s.writing.Lock()
 	s.flush(c)
 	s.writing.Unlock()
@@ -125,7 +120,7 @@
 func (s *Streamer) CatchUp(c context.Context, until uint64) error {
 	for {
 		s.mu.Lock()
-		n := s.fold.Next()
+		n := s.next
 		s.mu.Unlock()
 
 		if until > 0 && n >= until {
@@ -200,11 +195,18 @@
 
 	s.clock = b.Now
 	s.read = time.Now()
-	s.fold.Skip(b.Oldest)
+	// What the log has dropped is older than what any fold still needs.
+	s.next = max(s.next, b.Oldest)
 
 	for _, r := range b.Records {
+		// Two readers may have read the same.
+		if r.Offset < s.next {
+			continue
+		}
+
+		s.next = r.Offset + 1
 		s.fold.Record(r.Offset, r.Time, r.Data)
 	}
 
-	return s.fold.Next() >= b.Next, nil
+	return s.next >= b.Next, nil
 }
