internal/bencher: count the lists of grants, and the same digits each run

Grants were dropped in the order of a map, and sums of works like 1.0345 depend on their order in the last digit. Works are now rounded to 1/1024, of which sums are exact.

Cause 2, found by it: entries' lists of grants, which routers send each 5 s, were not in the bench. Entries that were quiet towards a cell were forgotten there after 15 s with calls in flight, and the bytes of the lists were not counted.

The lists themselves stay as they are here.

--- a/internal/bencher/exchange.go
+++ b/internal/bencher/exchange.go
@@ -30,11 +30,56 @@
 	h.replicate(w)
 	h.handOver(w)
 
+	if w.now%syncEvery == 0 {
+		h.list(w)
+	}
+
 	for _, g := range h.granters {
 		g.Expire(epoch.Add(w.now))
 	}
 }
 
+// syncEvery is how often entries send the homes their list of grants.
+const syncEvery = 5 * time.Second
+
+// list has each entry send the home of each cell that it uses its whole list.
+func (h *homes) list(w *world) {
+	l := make(map[usage][]granter.Grant)
+
+	for _, f := range w.running {
+		if q := f.request; q.target != nil && w.routers[q.router].id == q.entry {
+			k := usage{q.cell, q.router}
+			l[k] = append(l[k], h.grant(q))
+		}
+	}
+
+	for _, c := range h.matcher.Cells() {
+		for i, r := range w.routers {
+			k := usage{c.ID, i}
+			if !h.used[k] {
+				continue
+			}
+
+			j := h.home(w, r, c)
+			h.granter(c, w.routers[j].id).Sync(epoch.Add(w.now), r.id, h.seq, l[k])
+
+			m := wire.Sync{Cell: c.ID, UpTo: h.seq}
+			for _, g := range l[k] {
+				m.Grants = append(m.Grants, wire.Grant{Seq: g.ID.Seq, Target: g.Target, Customer: g.Customer})
+			}
+
+			h.send(w, i, j, wire.KindSync, 0, &m)
+		}
+	}
+}
+
+// grant returns the grant under which a request runs.
+func (h *homes) grant(q *request) granter.Grant {
+	return granter.Grant{
+		ID: granter.ID{Entry: q.entry, Seq: q.seq}, Target: h.ids[q.target.index], Customer: q.chat.customer.id, Work: 1,
+	}
+}
+
 // replicate has each home pass its new places on to the home after it.
 func (h *homes) replicate(w *world) {
 	for _, c := range h.matcher.Cells() {
--- a/internal/bencher/home.go
+++ b/internal/bencher/home.go
@@ -130,9 +130,7 @@
 			continue
 		}
 
-		l[q.entry] = append(l[q.entry], granter.Grant{
-			ID: granter.ID{Entry: q.entry, Seq: q.seq}, Target: h.ids[q.target.index], Customer: q.chat.customer.id, Work: 1,
-		})
+		l[q.entry] = append(l[q.entry], h.grant(q))
 	}
 
 	g := h.granter(c, w.routers[home].id)
--- a/internal/bencher/homes.go
+++ b/internal/bencher/homes.go
@@ -35,14 +35,22 @@
 	homeOf map[granterKey]int
 	was    map[granterKey]uint64
 	moving []handover
+	// used are the cells that routers have asked.
+	used map[usage]bool
 	// assigned are the homes on the two sides, until routers change.
 	assigned map[bool]map[uint64][]gossiper.Member
 }
 
+// usage is a cell that a router has asked for a place.
+type usage struct {
+	cell   uint32
+	router int
+}
+
 func newHomes(w *world, tokens bool) *homes {
 	h := &homes{
 		tokens: tokens, byID: make(map[uint32]*target),
-		granters: make(map[granterKey]*granter.Granter), homeOf: make(map[granterKey]int), was: make(map[granterKey]uint64), assigned: make(map[bool]map[uint64][]gossiper.Member),
+		granters: make(map[granterKey]*granter.Granter), homeOf: make(map[granterKey]int), was: make(map[granterKey]uint64), used: make(map[usage]bool), assigned: make(map[bool]map[uint64][]gossiper.Member),
 	}
 	d := &parser.Document{
 		Targets: make(map[string]parser.Target), Customers: map[string]parser.Customer{}, Rules: make(map[string]parser.Rule),
@@ -143,6 +151,7 @@
 	})
 
 	q.seq, q.entry, q.cell = a.Seq, r.id, c.ID
+	h.used[usage{c.ID, q.router}] = true
 
 	if v.Tell {
 		t := h.byID[v.Target]
--- a/internal/granter/choose.go
+++ b/internal/granter/choose.go
@@ -1,6 +1,7 @@
 package granter
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -111,9 +112,13 @@
 	return picker.NoTarget, 0
 }
 
+// workParts is into how many parts a request's work is rounded. Sums of such
+// parts are exact, so a load is the same in whatever order grants come and go.
+const workParts = 1024
+
 // work is what a request with so many uncached prompt tokens counts for.
 func (g *Granter) work(uncached int) float64 {
-	return 1 + float64(uncached)*g.settings.PrefillCost
+	return 1 + math.Round(float64(uncached)*g.settings.PrefillCost*workParts)/workParts
 }
 
 // worthWaiting says that a request should wait on for its place: computing the
