internal, platform: a thin gateway on the users' platform

Cause: the product had no way to serve calls by host and path with customers known by keys, from a catalog that someone else's store holds.

--- /dev/null
+++ b/internal/enroller/enroller.go
@@ -0,0 +1,172 @@
+// Package enroller decides which targets may be given calls, from the list that
+// the platform keeps of them.
+package enroller
+
+import (
+	"net/netip"
+	"sort"
+	"time"
+)
+
+// Target is one incarnation of a target, as the list has it.
+type Target struct {
+	// ID names the incarnation: a target that starts again has another.
+	ID         string
+	Group      string
+	Address    netip.AddrPort
+	DataCentre string
+	// Slots is how many calls it runs at a time; zero when it does not say.
+	Slots int
+	// Draining says that it is about to leave and takes no new calls.
+	Draining bool
+	// Cold is how much longer it is slow after its start.
+	Cold time.Duration
+}
+
+// Roster is the list at one moment. Nothing in it changes; it is safe for
+// concurrent use.
+type Roster struct {
+	// Groups holds the targets that take new calls, by group, in the order of
+	// their IDs.
+	Groups map[string][]*Target
+	// Known holds all targets on the list, those that are draining too.
+	Known map[string]*Target
+}
+
+// Settings bounds how long entries are believed.
+type Settings struct {
+	// Grace is how long after the list's return an entry that vanished while it
+	// was away is still believed: a target that lives enters itself again.
+	Grace time.Duration
+}
+
+// DefaultSettings returns the settings of a gateway. Targets that live are back
+// on the list within about two seconds of its return; a little more would keep
+// dead ones longer than the two seconds in which leaving must take effect.
+func DefaultSettings() Settings {
+	return Settings{Grace: 2 * time.Second}
+}
+
+type entry struct {
+	target *Target
+	// held says that the list dropped the entry while its word was not to be
+	// trusted; it goes at the end of the grace unless it comes back.
+	held bool
+}
+
+// Enroller holds the list as far as it is believed. It is not safe for
+// concurrent use.
+type Enroller struct {
+	settings Settings
+	entries  map[string]*entry
+	// regained is when the list was last back after it had been away.
+	regained time.Time
+	roster   *Roster
+}
+
+// New returns an Enroller without targets.
+func New(s Settings) *Enroller {
+	e := &Enroller{settings: s, entries: make(map[string]*entry)}
+	e.roll()
+
+	return e
+}
+
+// Roster returns the targets that are believed now.
+func (e *Enroller) Roster() *Roster {
+	return e.roster
+}
+
+// Regained notes that the list can be read again after it was away.
+func (e *Enroller) Regained(now time.Time) {
+	e.regained = now
+}
+
+// Set enters a target or changes its entry.
+func (e *Enroller) Set(t Target) {
+	e.entries[t.ID] = &entry{target: &t}
+	e.roll()
+}
+
+// Remove takes a target off. It says whether the target was dropped at once and
+// not held.
+//
+// While the list is away the entries of targets that live run out too. They show
+// as removals just after its return, all at once, and dropping them would leave
+// every call without a target; those who live are back before the grace is over.
+func (e *Enroller) Remove(now time.Time, id string) bool {
+	x, ok := e.entries[id]
+	if !ok {
+		return false
+	}
+
+	if now.Before(e.regained.Add(e.settings.Grace)) && !x.target.Draining {
+		x.held = true
+
+		return false
+	}
+
+	delete(e.entries, id)
+	e.roll()
+
+	return true
+}
+
+// Reset takes the whole list. Entries that are not on it are removed.
+func (e *Enroller) Reset(now time.Time, l []Target) {
+	k := make(map[string]bool, len(l))
+
+	for _, t := range l {
+		k[t.ID] = true
+		e.entries[t.ID] = &entry{target: &t}
+	}
+
+	for id := range e.entries {
+		if !k[id] {
+			e.Remove(now, id)
+		}
+	}
+
+	e.roll()
+}
+
+// Settle drops the held entries whose grace is over and returns their IDs.
+func (e *Enroller) Settle(now time.Time) []string {
+	if now.Before(e.regained.Add(e.settings.Grace)) {
+		return nil
+	}
+
+	var o []string
+
+	for id, x := range e.entries {
+		if x.held {
+			delete(e.entries, id)
+			o = append(o, id)
+		}
+	}
+
+	if len(o) > 0 {
+		e.roll()
+		sort.Strings(o)
+	}
+
+	return o
+}
+
+// roll makes the roster anew.
+func (e *Enroller) roll() {
+	r := &Roster{Groups: make(map[string][]*Target), Known: make(map[string]*Target, len(e.entries))}
+
+	for id, x := range e.entries {
+		r.Known[id] = x.target
+		if !x.target.Draining {
+			r.Groups[x.target.Group] = append(r.Groups[x.target.Group], x.target)
+		}
+	}
+
+	for _, l := range r.Groups {
+		sort.Slice(l, func(a, b int) bool { return l[a].ID < l[b].ID })
+	}
+
+	e.roster = r
+}
--- /dev/null
+++ b/internal/forwarder/attempt.go
@@ -0,0 +1,218 @@
+package forwarder
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
+)
+
+// result is how one attempt ended.
+type result struct {
+	// err is nil when the call has its answer.
+	err error
+	// notRun says that the target provably did not run the call.
+	notRun bool
+	// outcome is what it says of the target.
+	outcome chooser.Outcome
+	// answer is an answer that says that the target failed; the caller gets it
+	// when there is no better one.
+	answer *whole
+}
+
+// attempts sends a call to targets until one has answered it.
+func (f *Forwarder) attempts(c context.Context, x *exchange) error {
+	x.group = x.rule.Group(x.key())
+
+	f.mu.Lock()
+	f.budgeter.Call(time.Now(), x.group)
+	f.mu.Unlock()
+
+	var last result
+
+	for {
+		t, ok := f.choose(x)
+		if !ok {
+			return f.giveUp(c, x, last)
+		}
+
+		last = f.attempt(c, x, t)
+		if last.err == nil {
+			return nil
+		}
+
+		logrus.WithFields(x.fields()).WithFields(logrus.Fields{
+			"event": "attemptFailed", "target": t.ID, "address": t.Address, "notRun": last.notRun, "error": last.err,
+		}).Info()
+
+		if c.Err() != nil || !f.again(x, last) {
+			return f.giveUp(c, x, last)
+		}
+	}
+}
+
+// choose picks the next target and counts the call there.
+func (f *Forwarder) choose(x *exchange) (*enroller.Target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	n := time.Now()
+
+	t, ok := f.chooser.Choose(n, f.facts.Roster().Groups[x.group], x.query(f.settings.DataCentre))
+	if ok {
+		f.chooser.Start(n, t.ID)
+	}
+
+	return t, ok
+}
+
+// again says whether a call is sent to one more target.
+func (f *Forwarder) again(x *exchange, r result) bool {
+	if len(x.tried) >= x.rule.Attempts || !r.notRun && !x.rule.Repeatable() {
+		return false
+	}
+
+	if x.relayed && x.lastEvent == "" {
+		return false
+	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.budgeter.Repeat(time.Now(), x.group, f.facts.Instances())
+}
+
+// giveUp returns the final answer to a call that no target answered.
+func (f *Forwarder) giveUp(c context.Context, x *exchange, r result) error {
+	switch {
+	case x.request.Context().Err() != nil:
+		return errors.Mark(errors.Newf("%v", r.err), errCallerLeft)
+	case x.relayed:
+		return r.err
+	case r.answer != nil && !promises(r.answer.status):
+		r.answer.write(x.writer)
+		x.relayed = true
+
+		return nil
+	case !x.mayHaveRun:
+		return refuse(http.StatusServiceUnavailable, failWait, "no target took the call")
+	case c.Err() != nil:
+		return refuse(http.StatusGatewayTimeout, 0, "the answer did not come in time")
+	default:
+		return refuse(http.StatusBadGateway, 0, "the target did not answer")
+	}
+}
+
+// promises says that callers take a status for the word that a call was not run.
+// A target that answers so without saying it did not run the call must not make
+// that promise in the gateway's name.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// attempt sends a call to one target and relays its answer.
+func (f *Forwarder) attempt(c context.Context, x *exchange, t *enroller.Target) result {
+	c, s := f.tracer.Start(c, "attempt")
+	defer s.End()
+
+	c, stop := context.WithCancelCause(c)
+	defer stop(nil)
+
+	var r result
+
+	x.tried = append(x.tried, t.ID)
+
+	if x.rule.Kind == cataloger.Stream {
+		r = f.stream(c, stop, x, t)
+	} else {
+		r = f.whole(c, stop, x, t)
+	}
+
+	x.mayHaveRun = x.mayHaveRun || !r.notRun
+
+	if x.request.Context().Err() != nil {
+		r.outcome = chooser.Neither
+	}
+
+	f.mu.Lock()
+	f.chooser.Finish(time.Now(), t.ID, r.outcome)
+	f.mu.Unlock()
+
+	return r
+}
+
+// send sends a call and checks that the answer is one to it.
+func (f *Forwarder) send(c context.Context, x *exchange, t *enroller.Target) (*http.Response, Reply, result) {
+	h := forwarded(x.request.Header)
+	f.dialect.Write(h, Orders{
+		Incarnation: t.ID, Customer: x.customer, Priority: x.priority,
+		Left: time.Until(x.deadline), LastEvent: x.lastEvent,
+	})
+
+	a, err := f.client.send(c, x, t.Address.String(), h)
+	if err != nil {
+		return nil, Reply{}, result{err: err, notRun: errors.Is(err, errNeverSent), outcome: chooser.Bad}
+	}
+
+	p := f.dialect.Answer(a.Header, a.StatusCode)
+
+	// An answer to an earlier call may come late, where that to this one is due.
+	// Its ID shows it; passing it on would give the caller another's answer.
+	if p.ID != x.call.ID && !p.NotRun {
+		_ = a.Body.Close()
+
+		return nil, p, result{err: errors.Mark(errors.Newf("the answer is to call %q", p.ID), errBroken), outcome: chooser.Bad}
+	}
+
+	if p.NotRun {
+		_ = a.Body.Close()
+
+		o := chooser.Shed
+		if p.Misdirected {
+			o = chooser.Bad
+		}
+
+		return nil, p, result{err: errors.Newf("the target turned the call away with status %d", a.StatusCode), notRun: true, outcome: o}
+	}
+
+	return a, p, result{}
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{ //nolint:gochecknoglobals // A constant table.
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// forwarded returns the headers that go on to the other side.
+func forwarded(h http.Header) http.Header {
+	o := h.Clone()
+
+	for _, v := range h["Connection"] {
+		for n := range strings.SplitSeq(v, ",") {
+			o.Del(strings.TrimSpace(n))
+		}
+	}
+
+	for _, n := range hopHeaders {
+		o.Del(n)
+	}
+
+	// The library adds its own name where there is none.
+	if _, ok := o["User-Agent"]; !ok {
+		o["User-Agent"] = nil
+	}
+
+	return o
+}
--- /dev/null
+++ b/internal/forwarder/forwarder.go
@@ -0,0 +1,251 @@
+// Package forwarder takes calls from callers, sends them to targets and brings
+// back their answers.
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/auburntray/auburntray/internal/budgeter"
+	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
+)
+
+// Facts is what is known of the world when a call comes.
+type Facts interface {
+	// Catalog returns the catalog in force, nil while none is known.
+	Catalog() *cataloger.Catalog
+	// Roster returns the targets.
+	Roster() *enroller.Roster
+	// Instances returns how many instances share the retry budget.
+	Instances() int
+}
+
+// Settings bounds a Forwarder.
+type Settings struct {
+	// DataCentre is where this instance is.
+	DataCentre string
+	// Patience is how long callers wait that do not say.
+	Patience time.Duration
+	// MaxBody bounds a body where the catalog does not.
+	MaxBody int64
+}
+
+// Forwarder serves calls. It is safe for concurrent use.
+type Forwarder struct {
+	settings Settings
+	dialect  Dialect
+	facts    Facts
+	tracer   trace.Tracer
+	client   *client
+
+	mu       sync.Mutex
+	chooser  *chooser.Chooser
+	budgeter *budgeter.Budgeter
+
+	stopping chan struct{}
+	stopOnce sync.Once
+}
+
+// Dialer makes connections; a net.Dialer does.
+type Dialer interface {
+	DialContext(c context.Context, network, address string) (net.Conn, error)
+}
+
+// New returns a Forwarder and its clean-up function, which closes the kept
+// connections to targets.
+func New(s Settings, d Dialect, f Facts, t trace.Tracer, x Dialer, c *chooser.Chooser, b *budgeter.Budgeter) (*Forwarder, func()) {
+	k := newClient(x)
+
+	return &Forwarder{
+		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b,
+		stopping: make(chan struct{}),
+	}, k.close
+}
+
+// Stop makes each answer from now on end its connection, so that callers go on
+// at other instances.
+func (f *Forwarder) Stop() {
+	f.stopOnce.Do(func() { close(f.stopping) })
+}
+
+// ServeHTTP serves one call.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-f.stopping:
+		w.Header().Set("Connection", "close")
+	default:
+	}
+
+	c, s := f.tracer.Start(r.Context(), "call")
+	defer s.End()
+
+	x := &exchange{writer: w, request: r, start: time.Now()}
+
+	err := f.serve(c, x)
+	s.SetAttributes(attribute.String("id", x.call.ID), attribute.Int("attempts", len(x.tried)))
+	f.end(x, err)
+}
+
+// serve takes the steps of a call. Each may end it with a refusal.
+func (f *Forwarder) serve(c context.Context, x *exchange) error {
+	for _, s := range []func(*exchange) error{f.identify, f.match, f.authorize, f.accept} {
+		if err := s(x); err != nil {
+			return err
+		}
+	}
+
+	d, stop := context.WithDeadline(c, x.deadline)
+	defer stop()
+
+	return f.attempts(d, x)
+}
+
+// identify reads what the caller says of its call.
+func (f *Forwarder) identify(x *exchange) error {
+	c, err := f.dialect.Read(x.request.Header)
+	if err != nil {
+		return refuse(http.StatusBadRequest, 0, "%v", err)
+	}
+
+	x.call = c
+	x.lastEvent = c.LastEvent
+
+	return nil
+}
+
+// match finds the catalog in force, which the call keeps to its end, and the rule.
+func (f *Forwarder) match(x *exchange) error {
+	x.catalog = f.facts.Catalog()
+	if x.catalog == nil {
+		return refuse(http.StatusServiceUnavailable, startWait, "no catalog is known yet")
+	}
+
+	r, ok := x.catalog.Match(hostOf(x.request), x.request.URL.Path)
+	if !ok {
+		return refuse(http.StatusNotFound, 0, "no rule matches")
+	}
+
+	x.rule = r
+	x.priority = r.Priority
+	x.deadline = x.start.Add(f.patience(x))
+
+	return nil
+}
+
+// patience returns how long a call may be kept.
+func (f *Forwarder) patience(x *exchange) time.Duration {
+	d := x.call.Patience
+	if d <= 0 {
+		d = f.settings.Patience
+	}
+
+	if x.rule.Longest > 0 {
+		d = min(d, x.rule.Longest)
+	}
+
+	return d
+}
+
+// authorize finds the customer by its key.
+func (f *Forwarder) authorize(x *exchange) error {
+	if x.rule.Public || !x.catalog.Keyed() {
+		return nil
+	}
+
+	u, ok := x.catalog.Customer(x.call.Key)
+	if !ok {
+		return refuse(http.StatusUnauthorized, 0, "the key is not known")
+	}
+
+	x.customer = u.Name
+	if u.Ranked {
+		x.priority = u.Priority
+	}
+
+	return nil
+}
+
+// accept reads the body whole, so that it can be sent again and a caller that is
+// slow holds no target.
+func (f *Forwarder) accept(x *exchange) error {
+	n := f.settings.MaxBody
+	if l := x.catalog.Limits.Body; l > 0 {
+		n = l
+	}
+
+	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, n))
+
+	var m *http.MaxBytesError
+
+	switch {
+	case errors.As(err, &m):
+		return refuse(http.StatusRequestEntityTooLarge, 0, "the body is longer than %d bytes", n)
+	case err != nil:
+		return errors.Mark(err, errCallerLeft)
+	}
+
+	x.body = b
+
+	return nil
+}
+
+// end answers a call that was given up on, and logs how it ended.
+func (f *Forwarder) end(x *exchange, err error) {
+	var r *Refusal
+
+	l := logrus.WithFields(x.fields())
+
+	switch {
+	case err == nil:
+		l.WithField("event", "callServed").Debug()
+	case errors.Is(err, errCallerLeft):
+		l.WithFields(logrus.Fields{"event": "callerLeft", "error": err}).Info()
+	case errors.As(err, &r) && !x.relayed:
+		l.WithFields(logrus.Fields{"event": "callRefused", "status": r.Status, "wait": r.Wait, "reason": r.Message}).Info()
+		r.write(x.writer)
+	default:
+		l.WithFields(logrus.Fields{"event": "callBroken", "error": err}).Warn()
+		// The connection ends without the end of the answer: what the caller got
+		// so far must not look whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func hostOf(r *http.Request) string {
+	h, _, err := net.SplitHostPort(r.Host)
+	if err != nil {
+		return r.Host
+	}
+
+	return h
+}
+
+// Turn answers a call that is not taken, since the instance is stopping or has
+// too many.
+func (f *Forwarder) Turn(w http.ResponseWriter, stopping bool) {
+	m := "this instance has too many calls"
+	if stopping {
+		m = "this instance is stopping"
+	}
+
+	refuse(http.StatusServiceUnavailable, turnWait, "%s", m).write(w)
+}
+
+// Forget drops what is known of targets that are no longer listed.
+func (f *Forwarder) Forget(known map[string]*enroller.Target) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.chooser.Forget(known)
+}
--- /dev/null
+++ b/internal/forwarder/refusal.go
@@ -0,0 +1,55 @@
+package forwarder
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// errCallerLeft means that the caller closed its connection.
+var errCallerLeft = errors.New("the caller left")
+
+const (
+	// startWait is when to come back to an instance that has just started: it
+	// reads its catalog within a few hundred milliseconds.
+	startWait = 300 * time.Millisecond
+	// turnWait is when to come back to another instance; the balancer chooses one
+	// at once.
+	turnWait = 50 * time.Millisecond
+	// failWait is when to come back after no target could take a call. It is
+	// about how long a full target needs to have room again.
+	failWait = 250 * time.Millisecond
+)
+
+// Refusal is the gateway's own answer to a call that it has given up on. With
+// the status 503 the call was not run and never will be.
+type Refusal struct {
+	Status int
+	// Wait is when to come back; zero says that it would not help.
+	Wait    time.Duration
+	Message string
+}
+
+// Error returns the status and the message.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%d: %s", r.Status, r.Message)
+}
+
+func refuse(status int, wait time.Duration, format string, a ...any) *Refusal {
+	return &Refusal{Status: status, Wait: wait, Message: fmt.Sprintf(format, a...)}
+}
+
+func (r *Refusal) write(w http.ResponseWriter) {
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+
+	if r.Wait > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(r.Wait.Seconds(), 'f', 2, 64))
+	}
+
+	w.WriteHeader(r.Status)
+	_, _ = w.Write([]byte(r.Message + "\n"))
+}
--- /dev/null
+++ b/internal/forwarder/whole.go
@@ -0,0 +1,100 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
+)
+
+const (
+	// maxAnswer bounds an answer that is read whole.
+	maxAnswer = 16 << 20
+	// waitFactor is how many times the time of full use an idempotent call waits
+	// for a target before it goes to another. Below two, targets that are only
+	// busy would be given the same work twice.
+	waitFactor = 2
+)
+
+var (
+	errSlow = errors.New("the target is too slow")
+	errLong = errors.New("the answer is too long")
+)
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a *whole) write(w http.ResponseWriter) {
+	copyHeader(w.Header(), a.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+}
+
+// whole makes an attempt whose answer is read whole before anything of it is
+// passed on, so that one that breaks off can be asked for again.
+func (f *Forwarder) whole(c context.Context, stop context.CancelCauseFunc, x *exchange, t *enroller.Target) result {
+	if d := f.firstWait(x); d > 0 {
+		w := time.AfterFunc(d, func() { stop(errSlow) })
+		defer w.Stop()
+	}
+
+	a, p, r := f.send(c, x, t)
+	if r.err != nil {
+		return r
+	}
+
+	defer a.Body.Close() //nolint:errcheck // Read to its end, or given up.
+
+	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		err = errLong
+	}
+
+	if err != nil {
+		return result{err: errors.Mark(err, errBroken), outcome: chooser.Bad}
+	}
+
+	o := &whole{status: a.StatusCode, header: a.Header, body: b}
+
+	if a.StatusCode >= http.StatusInternalServerError {
+		return result{err: errors.Newf("the target answered with status %d", a.StatusCode), answer: o, outcome: chooser.Bad}
+	}
+
+	if a.StatusCode < http.StatusMultipleChoices && !p.Sealed {
+		return result{err: errors.Mark(errors.New("the answer has no proof that a target made it"), errBroken), outcome: chooser.Bad}
+	}
+
+	x.relayed = true
+	o.write(x.writer)
+
+	return result{}
+}
+
+// firstWait is how long an attempt waits for its answer, or the first event of
+// it, before the call goes to another target; zero when it can't.
+func (f *Forwarder) firstWait(x *exchange) time.Duration {
+	if !x.rule.Repeatable() || len(x.tried) >= x.rule.Attempts || x.rule.Latency <= 0 {
+		return 0
+	}
+
+	return waitFactor * x.rule.Latency
+}
+
+func copyHeader(to, from http.Header) {
+	for k, v := range forwarded(from) {
+		if v != nil {
+			to[k] = v
+		}
+	}
+}
--- /dev/null
+++ b/internal/gatekeeper/facts.go
@@ -0,0 +1,205 @@
+package gatekeeper
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/watcher"
+)
+
+// facts holds what is known of the world. It is safe for concurrent use.
+type facts struct {
+	catalog atomic.Pointer[cataloger.Catalog]
+	roster  atomic.Pointer[enroller.Roster]
+	dropped func(known map[string]*enroller.Target)
+
+	mu       sync.Mutex
+	enroller *enroller.Enroller
+}
+
+var _ forwarder.Facts = (*facts)(nil)
+
+func newFacts() *facts {
+	f := &facts{enroller: enroller.New(enroller.DefaultSettings())}
+	f.roster.Store(f.enroller.Roster())
+
+	return f
+}
+
+// Catalog is part of forwarder.Facts.
+func (f *facts) Catalog() *cataloger.Catalog { return f.catalog.Load() }
+
+// Roster is part of forwarder.Facts.
+func (f *facts) Roster() *enroller.Roster { return f.roster.Load() }
+
+// Instances is part of forwarder.Facts.
+func (f *facts) Instances() int { return assumedInstances }
+
+// assumedInstances is how many instances are taken to share the retry budget.
+const assumedInstances = 12
+
+// enforce takes a catalog unless it is older than the one in force: reads may be
+// answered from an older state, and a version that callers have seen the effect
+// of never steps back.
+func (f *facts) enforce(c *cataloger.Catalog, source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	o := f.catalog.Load()
+	if o != nil && o.Version >= c.Version {
+		return
+	}
+
+	f.catalog.Store(c)
+	logrus.WithFields(logrus.Fields{"event": "catalogInForce", "version": c.Version, "source": source}).Info()
+}
+
+// update changes the list of targets and puts it in force.
+func (f *facts) update(u func(now time.Time, e *enroller.Enroller)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	u(time.Now(), f.enroller)
+
+	r := f.enroller.Roster()
+	if r == f.roster.Load() {
+		return
+	}
+
+	f.roster.Store(r)
+	f.dropped(r.Known)
+}
+
+// configSink puts the configurations that are read in force.
+type configSink struct {
+	facts  *facts
+	key    string
+	decode func([]byte) (cataloger.Document, error)
+}
+
+var _ watcher.Sink = (*configSink)(nil)
+
+// Reset is part of watcher.Sink.
+func (s *configSink) Reset(l []watcher.Record) {
+	for _, r := range l {
+		s.Change(r)
+	}
+}
+
+// Change is part of watcher.Sink. A configuration that can't be used is passed
+// over; the one in force stands.
+func (s *configSink) Change(r watcher.Record) {
+	if r.Key != s.key || len(r.Value) == 0 {
+		return
+	}
+
+	d, err := s.decode(r.Value)
+	if err == nil {
+		var c *cataloger.Catalog
+
+		if c, err = cataloger.New(d); err == nil {
+			s.facts.enforce(c, "stream")
+
+			return
+		}
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "catalogRefused", "version": d.Version, "offset": r.Offset, "error": err}).Error()
+}
+
+// Read is part of watcher.Sink.
+func (s *configSink) Read(time.Duration) {}
+
+// Failed is part of watcher.Sink.
+func (s *configSink) Failed(error) {}
+
+// targetSink puts the list of targets in force.
+type targetSink struct {
+	facts  *facts
+	decode func(key string, b []byte) (enroller.Target, error)
+	// offsets is the newest record seen of each key.
+	offsets map[string]int64
+}
+
+var _ watcher.Sink = (*targetSink)(nil)
+
+// Reset is part of watcher.Sink.
+func (s *targetSink) Reset(l []watcher.Record) {
+	var t []enroller.Target
+
+	clear(s.offsets)
+
+	for _, r := range l {
+		s.offsets[r.Key] = r.Offset
+
+		if x, err := s.decode(r.Key, r.Value); err == nil {
+			t = append(t, x)
+		} else {
+			refused(r, err)
+		}
+	}
+
+	s.facts.update(func(n time.Time, e *enroller.Enroller) { e.Reset(n, t) })
+}
+
+// Change is part of watcher.Sink.
+func (s *targetSink) Change(r watcher.Record) {
+	if o, ok := s.offsets[r.Key]; ok && r.Offset <= o {
+		return
+	}
+
+	s.offsets[r.Key] = r.Offset
+
+	if len(r.Value) == 0 {
+		s.facts.update(func(n time.Time, e *enroller.Enroller) {
+			d := e.Remove(n, r.Key)
+			logrus.WithFields(logrus.Fields{"event": "targetRemoved", "target": r.Key, "held": !d, "offset": r.Offset}).Info()
+		})
+
+		return
+	}
+
+	t, err := s.decode(r.Key, r.Value)
+	if err != nil {
+		refused(r, err)
+
+		return
+	}
+
+	s.facts.update(func(_ time.Time, e *enroller.Enroller) {
+		if o, ok := e.Roster().Known[t.ID]; !ok || o.Draining != t.Draining {
+			logrus.WithFields(logrus.Fields{
+				"event": "targetListed", "target": t.ID, "group": t.Group, "address": t.Address,
+				"draining": t.Draining, "offset": r.Offset,
+			}).Info()
+		}
+
+		e.Set(t)
+	})
+}
+
+// Read is part of watcher.Sink.
+func (s *targetSink) Read(away time.Duration) {
+	s.facts.update(func(n time.Time, e *enroller.Enroller) {
+		if away > 0 {
+			e.Regained(n)
+		}
+
+		for _, id := range e.Settle(n) {
+			logrus.WithFields(logrus.Fields{"event": "targetLapsed", "target": id}).Info()
+		}
+	})
+}
+
+// Failed is part of watcher.Sink.
+func (s *targetSink) Failed(error) {}
+
+func refused(r watcher.Record, err error) {
+	logrus.WithFields(logrus.Fields{"event": "targetRefused", "target": r.Key, "offset": r.Offset, "error": err}).Error()
+}
--- /dev/null
+++ b/internal/gatekeeper/gatekeeper.go
@@ -0,0 +1,246 @@
+// Package gatekeeper puts the parts of a gateway together and runs them.
+package gatekeeper
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gin-gonic/gin"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/auburntray/auburntray/internal/budgeter"
+	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/drainer"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/tracer"
+	"github.com/auburntray/auburntray/internal/watcher"
+)
+
+// ErrStart means that the gateway could not start.
+var ErrStart = errors.New("the gateway can't start")
+
+// Settings are those of one instance.
+type Settings struct {
+	Name       string
+	DataCentre string
+	// Callers is where calls come in, Ready where the balancer asks whether to
+	// send any.
+	Callers netip.AddrPort
+	Ready   netip.AddrPort
+	// Stop is how long a planned stop may take.
+	Stop time.Duration
+	// Retries bounds the repeats of all instances together.
+	Retries budgeter.Settings
+}
+
+// World is what surrounds a gateway: where its catalog and targets come from, and
+// how callers and targets speak.
+type World struct {
+	Dialect forwarder.Dialect
+	// Config is the stream with the configuration, under ConfigKey.
+	Config       watcher.Source
+	ConfigKey    string
+	DecodeConfig func([]byte) (cataloger.Document, error)
+	// Targets is the stream with an entry for each target.
+	Targets      watcher.Source
+	DecodeTarget func(key string, b []byte) (enroller.Target, error)
+	// ReadyPath is where the balancer asks.
+	ReadyPath string
+}
+
+const (
+	headerTimeout = 10 * time.Second
+	maxHeader     = 64 << 10
+	maxBody       = 16 << 20
+	// patience is how long callers wait that do not say.
+	patience = 30 * time.Second
+	// drainNotice is how long a balancer that asks once a second, and believes
+	// two answers, takes to send no more.
+	drainNotice = 2500 * time.Millisecond
+	// stopMargin is what a stop leaves of its time, so that it ends by itself.
+	stopMargin   = 300 * time.Millisecond
+	advanceEvery = 50 * time.Millisecond
+	// changeRest is the pause between two reads of a stream that changes all the
+	// time. Each read has a price; a change must be known within two seconds.
+	configRest = 100 * time.Millisecond
+	targetRest = 600 * time.Millisecond
+	maxCalls   = 4096
+)
+
+// Gatekeeper is one instance of a gateway. It is safe for concurrent use.
+type Gatekeeper struct {
+	settings  Settings
+	facts     *facts
+	forwarder *forwarder.Forwarder
+	drainer   *drainer.Drainer
+	watchers  []*watcher.Watcher
+	callers   *http.Server
+	ready     *http.Server
+	group     sync.WaitGroup
+	end       context.CancelFunc
+}
+
+// Options returns the fx options of a gateway. The application serves when it
+// starts, and stops as planned when it stops.
+func Options(s Settings, w World) fx.Option {
+	return fx.Options(
+		fx.Supply(s, w),
+		fx.Provide(newFacts, newTracer, newForwarder, newGatekeeper),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(s.Stop),
+		fx.Invoke(func(l fx.Lifecycle, g *Gatekeeper) {
+			l.Append(fx.Hook{OnStart: g.Start, OnStop: g.Stop})
+		}),
+	)
+}
+
+func newTracer(s Settings) (trace.Tracer, error) {
+	t, _, err := tracer.New(context.Background(), "", s.Name, 0)
+
+	return t, err
+}
+
+func newForwarder(l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer) *forwarder.Forwarder {
+	x, stop := forwarder.New(
+		forwarder.Settings{DataCentre: s.DataCentre, Patience: patience, MaxBody: maxBody},
+		w.Dialect, f, t, &net.Dialer{}, chooser.New(chooser.DefaultSettings()), budgeter.New(s.Retries, time.Now()))
+	f.dropped = x.Forget
+
+	l.Append(fx.Hook{OnStop: func(context.Context) error {
+		stop()
+
+		return nil
+	}})
+
+	return x
+}
+
+func newGatekeeper(s Settings, w World, f *facts, x *forwarder.Forwarder) *Gatekeeper {
+	g := &Gatekeeper{
+		settings: s, facts: f, forwarder: x, drainer: drainer.New(drainNotice, maxCalls),
+		watchers: []*watcher.Watcher{
+			watcher.New("config", w.Config, &configSink{facts: f, key: w.ConfigKey, decode: w.DecodeConfig}, configRest),
+			watcher.New("targets", w.Targets, &targetSink{facts: f, decode: w.DecodeTarget, offsets: make(map[string]int64)}, targetRest),
+		},
+	}
+
+	gin.SetMode(gin.ReleaseMode)
+
+	c := gin.New()
+	c.NoRoute(gin.WrapF(g.serve))
+	c.RemoveExtraSlash = false
+	c.RedirectTrailingSlash = false
+
+	r := gin.New()
+	r.GET(w.ReadyPath, g.answerReady)
+
+	g.callers = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	g.ready = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+
+	return g
+}
+
+// serve counts a call in and out, so that a stop waits for it.
+func (g *Gatekeeper) serve(w http.ResponseWriter, r *http.Request) {
+	if p, ok := g.drainer.Enter(time.Now()); !ok {
+		w.Header().Set("Connection", "close")
+		g.forwarder.Turn(w, p >= drainer.Refusing)
+
+		return
+	}
+
+	defer g.drainer.Exit()
+
+	g.forwarder.ServeHTTP(w, r)
+}
+
+// answerReady says whether the balancer should send calls: a catalog and targets
+// are known, and no stop has begun.
+func (g *Gatekeeper) answerReady(c *gin.Context) {
+	if g.facts.Catalog() == nil || len(g.facts.Roster().Groups) == 0 || !g.drainer.Ready() {
+		c.Status(http.StatusServiceUnavailable)
+
+		return
+	}
+
+	c.Status(http.StatusOK)
+}
+
+// Start serves callers and follows the streams in the background.
+func (g *Gatekeeper) Start(c context.Context) error {
+	for _, s := range []struct {
+		server  *http.Server
+		address netip.AddrPort
+	}{{g.callers, g.settings.Callers}, {g.ready, g.settings.Ready}} {
+		l, err := (&net.ListenConfig{}).Listen(c, "tcp", s.address.String())
+		if err != nil {
+			return errors.Mark(err, ErrStart)
+		}
+
+		g.background(func() {
+			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				logrus.WithFields(logrus.Fields{"event": "serveFailed", "error": err}).Error()
+			}
+		})
+	}
+
+	x, end := context.WithCancel(context.Background())
+	g.end = end
+
+	for _, w := range g.watchers {
+		g.background(func() { w.Run(x) })
+	}
+
+	logrus.WithFields(logrus.Fields{
+		"event": "started", "name": g.settings.Name, "dataCentre": g.settings.DataCentre, "callers": g.settings.Callers,
+	}).Info()
+
+	return nil
+}
+
+// Stop stops as planned: it shows not ready, serves what still comes until the
+// balancer has noticed, and ends when the last call has.
+func (g *Gatekeeper) Stop(c context.Context) error {
+	g.drainer.Notice(time.Now())
+	g.forwarder.Stop()
+	logrus.WithFields(logrus.Fields{"event": "stopping", "name": g.settings.Name, "running": g.drainer.Running()}).Info()
+
+	t := time.NewTicker(advanceEvery)
+	defer t.Stop()
+
+	for g.drainer.Advance(time.Now()) != drainer.Done && c.Err() == nil {
+		select {
+		case <-t.C:
+		case <-c.Done():
+		}
+	}
+
+	n := g.drainer.Running()
+
+	g.end()
+	_ = g.callers.Close()
+	_ = g.ready.Close()
+	g.group.Wait()
+	logrus.WithFields(logrus.Fields{"event": "stopped", "name": g.settings.Name, "cut": n}).Info()
+
+	return nil
+}
+
+func (g *Gatekeeper) background(f func()) {
+	g.group.Add(1)
+
+	go func() {
+		defer g.group.Done()
+		f()
+	}()
+}
--- /dev/null
+++ b/internal/watcher/watcher.go
@@ -0,0 +1,182 @@
+// Package watcher follows a stream of keyed records: the newest record of each
+// key first, then the changes as they come.
+package watcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// ErrForgotten is what a Source returns when the records after an offset are no
+// longer kept.
+var ErrForgotten = errors.New("the records are no longer kept")
+
+const (
+	// waitTime is how long a read waits for a change. Each read has a price, so
+	// it is long; a connection that went silent shows by its missing answer
+	// after silentAfter more.
+	waitTime    = 4 * time.Second
+	silentAfter = time.Second
+	// newestTimeout bounds a read of all keys.
+	newestTimeout = 2 * time.Second
+	// The pause after a failed read; changes must be in force two seconds after
+	// they were made, and the source may be back any moment.
+	retryLeast = 150 * time.Millisecond
+	retryMost  = 350 * time.Millisecond
+)
+
+// Record is the newest value of a key. No value means that the key was dropped.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Source reads one stream.
+type Source interface {
+	// Newest returns the newest record of each key, and the offset after the
+	// last record that is surely among them.
+	Newest(c context.Context) ([]Record, int64, error)
+	// Follow returns the records from an offset on, in their order, and the
+	// offset after the last. It waits for one up to a time.
+	Follow(c context.Context, from int64, wait time.Duration) ([]Record, int64, error)
+}
+
+// Sink takes what a Watcher reads.
+type Sink interface {
+	// Reset takes the newest record of each key.
+	Reset(l []Record)
+	// Change takes one record.
+	Change(r Record)
+	// Read is called after each read that succeeded, with how long the source
+	// had been away before it; zero when it had not.
+	Read(away time.Duration)
+	// Failed is called after each read that failed.
+	Failed(err error)
+}
+
+// Watcher follows one stream. Its method Run may be called once.
+type Watcher struct {
+	name   string
+	source Source
+	sink   Sink
+	// rest is the pause after a read that brought records, so that a stream
+	// which changes all the time is read a few times a second at most.
+	rest time.Duration
+
+	next   int64
+	failed time.Time
+}
+
+// New returns a Watcher with the stream's name in logs and the pause after a
+// read that brought records.
+func New(name string, s Source, k Sink, rest time.Duration) *Watcher {
+	return &Watcher{name: name, source: s, sink: k, rest: rest, next: -1}
+}
+
+// Run follows the stream until the context ends.
+func (w *Watcher) Run(c context.Context) {
+	for c.Err() == nil {
+		n, err := w.read(c)
+
+		switch {
+		case c.Err() != nil:
+		case err != nil:
+			w.fail(err)
+			sleep(c, retryLeast+rand.N(retryMost-retryLeast)) //nolint:gosec // Spreads reads.
+		default:
+			w.succeed()
+
+			if n > 0 {
+				sleep(c, w.rest)
+			}
+		}
+	}
+}
+
+// read takes the next step and returns how many records it brought.
+func (w *Watcher) read(c context.Context) (int, error) {
+	if w.next < 0 {
+		return w.reset(c)
+	}
+
+	x, stop := context.WithTimeout(c, waitTime+silentAfter)
+	defer stop()
+
+	l, n, err := w.source.Follow(x, w.next, waitTime)
+	if errors.Is(err, ErrForgotten) {
+		logrus.WithFields(logrus.Fields{"event": "historyForgotten", "stream": w.name, "offset": w.next}).Warn()
+
+		return w.reset(c)
+	}
+
+	if err != nil {
+		return 0, err
+	}
+
+	for _, r := range l {
+		w.sink.Change(r)
+	}
+
+	w.next = n
+
+	return len(l), nil
+}
+
+// reset reads the newest record of each key.
+//
+// Reads may be answered from an older state than the one already seen. Such an
+// answer shows by its end, and taking it would bring back what was dropped.
+func (w *Watcher) reset(c context.Context) (int, error) {
+	x, stop := context.WithTimeout(c, newestTimeout)
+	defer stop()
+
+	l, n, err := w.source.Newest(x)
+	if err != nil {
+		return 0, err
+	}
+
+	if n < w.next {
+		return 0, errors.Newf("the answer ends at %d, before %d that was read already", n, w.next)
+	}
+
+	w.sink.Reset(l)
+	w.next = n
+
+	return len(l), nil
+}
+
+func (w *Watcher) fail(err error) {
+	if w.failed.IsZero() {
+		w.failed = time.Now()
+		logrus.WithFields(logrus.Fields{"event": "streamLost", "stream": w.name, "offset": w.next, "error": err}).Warn()
+	}
+
+	w.sink.Failed(err)
+}
+
+func (w *Watcher) succeed() {
+	var d time.Duration
+
+	if !w.failed.IsZero() {
+		d = time.Since(w.failed)
+		w.failed = time.Time{}
+		logrus.WithFields(logrus.Fields{"event": "streamRegained", "stream": w.name, "offset": w.next, "away": d}).Info()
+	}
+
+	w.sink.Read(d)
+}
+
+func sleep(c context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-c.Done():
+	}
+}
