internal/repeater: instances read the platform's streams through each other

Ruled out: versions that step back (none did). Change: one instance of a data centre reads for it; one that is turned away reads from any other; reads that may hang are given up within two seconds; what is not in a catalog that may be old is answered 503 with when to come back.

--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -32,6 +32,7 @@
 func gatewaySettings(s platform.Settings) gatekeeper.Settings {
 	return gatekeeper.Settings{
 		Name: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Ready: s.Ready, Stop: s.Stop,
+		Peers: s.Peers, Seeds: s.Seeds, Region: s.Region,
 		Retries: budgeter.Settings{Ratio: s.RetryRatio, Window: s.RetryWindow, Slack: s.RetrySlack},
 	}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -25,6 +25,9 @@
 type Facts interface {
 	// Catalog returns the catalog in force, nil while none is known.
 	Catalog() *cataloger.Catalog
+	// Fresh says that the catalog was confirmed lately: what it does not hold is
+	// not there.
+	Fresh() bool
 	// Roster returns the targets.
 	Roster() *enroller.Roster
 	// Instances returns how many instances share the retry budget.
@@ -133,7 +136,7 @@
 
 	r, ok := x.catalog.Match(hostOf(x.request), x.request.URL.Path)
 	if !ok {
-		return refuse(http.StatusNotFound, 0, "no rule matches")
+		return f.deny(http.StatusNotFound, "no rule matches")
 	}
 
 	x.rule = r
@@ -143,6 +146,18 @@
 	return nil
 }
 
+// deny returns the final answer to a call that the catalog does not allow. An
+// instance that is cut off from the platform may not know the newest rules and
+// keys: its callers are asked to come back, which brings them to another one,
+// where a final answer would send them away for good.
+func (f *Forwarder) deny(status int, m string) error {
+	if !f.facts.Fresh() {
+		return refuse(http.StatusServiceUnavailable, staleWait, "%s in a catalog that may be old", m)
+	}
+
+	return refuse(status, 0, "%s", m)
+}
+
 // patience returns how long a call may be kept.
 func (f *Forwarder) patience(x *exchange) time.Duration {
 	d := x.call.Patience
@@ -165,7 +180,7 @@
 
 	u, ok := x.catalog.Customer(x.call.Key)
 	if !ok {
-		return refuse(http.StatusUnauthorized, 0, "the key is not known")
+		return f.deny(http.StatusUnauthorized, "the key is not known")
 	}
 
 	x.customer = u.Name
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -16,6 +16,9 @@
 	// startWait is when to come back to an instance that has just started: it
 	// reads its catalog within a few hundred milliseconds.
 	startWait = 300 * time.Millisecond
+	// staleWait is when to come back to an instance that may not know the newest
+	// catalog; by then it has asked the platform and others again.
+	staleWait = 300 * time.Millisecond
 	// turnWait is when to come back to another instance; the balancer chooses one
 	// at once.
 	turnWait = 50 * time.Millisecond
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -18,6 +18,10 @@
 	catalog atomic.Pointer[cataloger.Catalog]
 	roster  atomic.Pointer[enroller.Roster]
 	dropped func(known map[string]*enroller.Target)
+	// instances is how many share the retry budget.
+	instances func() int
+	// heard is when the platform last confirmed the catalog.
+	heard func() time.Time
 
 	mu       sync.Mutex
 	enroller *enroller.Enroller
@@ -38,11 +42,26 @@
 // Roster is part of forwarder.Facts.
 func (f *facts) Roster() *enroller.Roster { return f.roster.Load() }
 
+// version returns the version of the catalog in force; zero means none.
+func (f *facts) version() uint64 {
+	c := f.catalog.Load()
+	if c == nil {
+		return 0
+	}
+
+	return c.Version
+}
+
 // Instances is part of forwarder.Facts.
-func (f *facts) Instances() int { return assumedInstances }
+func (f *facts) Instances() int { return f.instances() }
+
+// freshFor is how long after the platform confirmed the catalog an instance takes
+// its own word for it that a rule or a key is not there. Changes are in force two
+// seconds after they were made.
+const freshFor = 1900 * time.Millisecond
 
-// assumedInstances is how many instances are taken to share the retry budget.
-const assumedInstances = 12
+// Fresh is part of forwarder.Facts.
+func (f *facts) Fresh() bool { return time.Since(f.heard()) < freshFor }
 
 // enforce takes a catalog unless it is older than the one in force: reads may be
 // answered from an older state, and a version that callers have seen the effect
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -22,8 +22,12 @@
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/joiner"
+	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/repeater"
 	"github.com/auburntray/auburntray/internal/tracer"
 	"github.com/auburntray/auburntray/internal/watcher"
+	"github.com/auburntray/auburntray/internal/wire"
 )
 
 // ErrStart means that the gateway could not start.
@@ -37,6 +41,10 @@
 	// send any.
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
+	// Peers is where other instances call, Seeds where a few of them may be found.
+	Peers  netip.AddrPort
+	Seeds  []netip.AddrPort
+	Region string
 	// Stop is how long a planned stop may take.
 	Stop time.Duration
 	// Retries bounds the repeats of all instances together.
@@ -83,6 +91,8 @@
 	facts     *facts
 	forwarder *forwarder.Forwarder
 	drainer   *drainer.Drainer
+	messenger *messenger.Messenger
+	joiner    *joiner.Joiner
 	watchers  []*watcher.Watcher
 	callers   *http.Server
 	ready     *http.Server
@@ -95,7 +105,7 @@
 func Options(s Settings, w World) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(newFacts, newTracer, newForwarder, newGatekeeper),
+		fx.Provide(newFacts, newTracer, newMessenger, newMembers, newRepeater, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.Stop),
 		fx.Invoke(func(l fx.Lifecycle, g *Gatekeeper) {
@@ -125,15 +135,28 @@
 	return x
 }
 
-func newGatekeeper(s Settings, w World, f *facts, x *forwarder.Forwarder) *Gatekeeper {
+func newGatekeeper(s Settings, w World, f *facts, x *forwarder.Forwarder, m *messenger.Messenger, j *joiner.Joiner, r *repeater.Repeater) *Gatekeeper {
+	const config, targets = "config", "targets"
+
+	c, t := r.Stream(config, w.Config), r.Stream(targets, w.Targets)
+	f.heard = c.Heard
+	m.Handle(wire.KindStream, r.Answer)
+	m.Handle(wire.KindGossip, j.Gossip)
+
 	g := &Gatekeeper{
-		settings: s, facts: f, forwarder: x, drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
-			watcher.New("config", w.Config, &configSink{facts: f, key: w.ConfigKey, decode: w.DecodeConfig}, configRest),
-			watcher.New("targets", w.Targets, &targetSink{facts: f, decode: w.DecodeTarget, offsets: make(map[string]int64)}, targetRest),
+			watcher.New(config, c, &configSink{facts: f, key: w.ConfigKey, decode: w.DecodeConfig}, configRest),
+			watcher.New(targets, t, &targetSink{facts: f, decode: w.DecodeTarget, offsets: make(map[string]int64)}, targetRest),
 		},
 	}
+	g.handle(w.ReadyPath)
+
+	return g
+}
 
+// handle sets up the callers' and the balancer's side.
+func (g *Gatekeeper) handle(readyPath string) {
 	gin.SetMode(gin.ReleaseMode)
 
 	c := gin.New()
@@ -142,12 +165,10 @@
 	c.RedirectTrailingSlash = false
 
 	r := gin.New()
-	r.GET(w.ReadyPath, g.answerReady)
+	r.GET(readyPath, g.answerReady)
 
 	g.callers = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 	g.ready = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
-
-	return g
 }
 
 // serve counts a call in and out, so that a stop waits for it.
@@ -197,6 +218,9 @@
 	x, end := context.WithCancel(context.Background())
 	g.end = end
 
+	g.messenger.Serve()
+	g.background(func() { g.joiner.Run(x) })
+
 	for _, w := range g.watchers {
 		g.background(func() { w.Run(x) })
 	}
@@ -215,6 +239,8 @@
 	g.forwarder.Stop()
 	logrus.WithFields(logrus.Fields{"event": "stopping", "name": g.settings.Name, "running": g.drainer.Running()}).Info()
 
+	g.joiner.Leave(c)
+
 	t := time.NewTicker(advanceEvery)
 	defer t.Stop()
 
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -72,7 +72,10 @@
 			continue
 		}
 
-		if e.ID > m.ID || e == g.self {
+		// A process that starts while its clock is behind has a lower ID than the
+		// one before it at its address. Waiting until that one counts as dead keeps
+		// late gossip about old processes out, and lets the new one in.
+		if e.ID > m.ID && g.live(now, e) || e == g.self {
 			return
 		}
 
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"net/netip"
 	"sync"
 	"time"
@@ -58,6 +60,18 @@
 	version  uint64
 }
 
+// NewID returns an ID for this process that is higher than that of any earlier one
+// at its address, as far as its clock goes, and that no two processes share.
+func NewID() uint64 {
+	var b [8]byte
+
+	_, _ = rand.Read(b[:])
+
+	const randomBits = 12
+
+	return uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1)
+}
+
 // Hooks connect a Joiner with the rest of the router.
 type Hooks struct {
 	Revision func() uint64
--- a/internal/messenger/answer.go
+++ b/internal/messenger/answer.go
@@ -52,9 +52,9 @@
 			continue
 		}
 
-		// A claim waits for the log; answering it in line would hold up the
-		// asks behind it on the same connection.
-		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle {
+		// These wait for the log; answering them in line would hold up the asks
+		// behind them on the same connection.
+		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle || f.Kind == wire.KindStream {
 			go m.reply(x, c, &w, from, h, f)
 
 			continue
--- /dev/null
+++ b/internal/repeater/repeater.go
@@ -0,0 +1,353 @@
+// Package repeater lets instances read the platform's streams through each other:
+// one instance of a data centre reads for all of it, and one that the platform
+// turns away reads from others.
+package repeater
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/watcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// ErrPeer marks failures to read from other instances.
+var ErrPeer = errors.New("no instance could tell")
+
+const (
+	// staleAfter is how old an instance's own knowledge may be for others to
+	// take it. It is a little more than a read that waits for changes takes.
+	staleAfter = 2500 * time.Millisecond
+	// peerTimeout bounds a call that does not wait; instances are a millisecond
+	// apart.
+	peerTimeout = 250 * time.Millisecond
+	// peerSlack is how much later than it should an answer to one that waits is
+	// given up.
+	peerSlack = 250 * time.Millisecond
+	// othersWait is how long another instance is asked to wait for a change while
+	// the platform turns this one away. After it the platform is asked again; each
+	// refusal has a price too.
+	othersWait = 500 * time.Millisecond
+)
+
+// Members knows the other instances.
+type Members interface {
+	Home(key uint64, centres []string) (gossiper.Member, bool)
+	Live() []gossiper.Member
+	Suspect(id uint64)
+	Self() gossiper.Member
+}
+
+// Messenger calls other instances.
+type Messenger interface {
+	Call(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error
+}
+
+// Repeater holds the streams of one instance. It is safe for concurrent use once
+// its streams are added.
+type Repeater struct {
+	messenger Messenger
+	members   Members
+	streams   map[string]*Stream
+}
+
+// New returns a Repeater without streams.
+func New(m Messenger, x Members) *Repeater {
+	return &Repeater{messenger: m, members: x, streams: make(map[string]*Stream)}
+}
+
+// Stream adds a stream that is read from a source, or from other instances.
+func (r *Repeater) Stream(name string, s watcher.Source) *Stream {
+	x := &Stream{
+		name: name, repeater: r, source: s, tape: newTape(), changed: make(chan struct{}),
+	}
+	r.streams[name] = x
+
+	return x
+}
+
+// Answer answers an instance that reads from this one.
+func (r *Repeater) Answer(c context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
+	var q wire.StreamRequest
+	if _, err := q.UnmarshalMsg(body); err != nil {
+		return nil, errors.Mark(err, ErrPeer)
+	}
+
+	s, ok := r.streams[q.Stream]
+	if !ok {
+		return nil, ErrPeer
+	}
+
+	return s.answer(c, q)
+}
+
+// Stream is one stream as this instance knows it. It is safe for concurrent use.
+type Stream struct {
+	name     string
+	repeater *Repeater
+	source   watcher.Source
+
+	mu      sync.Mutex
+	tape    *tape
+	changed chan struct{}
+}
+
+var _ watcher.Source = (*Stream)(nil)
+
+// Heard returns when the platform last confirmed what is known of the stream.
+func (s *Stream) Heard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.tape.heard
+}
+
+// Newest is part of watcher.Source.
+func (s *Stream) Newest(c context.Context) ([]watcher.Record, int64, error) {
+	l, n, err := s.source.Newest(c)
+	if err == nil {
+		s.reset(time.Now(), l, n)
+
+		return l, n, nil
+	}
+
+	p, x := s.others(c, -1, 0)
+	if x != nil {
+		return nil, 0, errors.CombineErrors(err, x)
+	}
+
+	s.reset(s.age(p), records(p), p.Next)
+
+	return records(p), p.Next, nil
+}
+
+// Follow is part of watcher.Source. It reads from the one instance of the data
+// centre that reads for all, unless that is this one; from the platform when that
+// instance does not answer; and from any other when the platform does not.
+func (s *Stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+	if h, ok := s.reader(); ok {
+		p, err := s.ask(c, h, from, wait)
+		if err == nil {
+			return s.take(p, from)
+		}
+
+		s.repeater.members.Suspect(h.ID)
+		logrus.WithFields(logrus.Fields{"event": "readerLost", "stream": s.name, "peer": h.Address, "error": err}).Info()
+
+		// The time that was meant for waiting is gone; the platform still has to
+		// be asked before changes are late.
+		wait = 0
+	}
+
+	b := time.Now()
+	l, n, err := s.source.Follow(c, from, wait)
+
+	if err == nil {
+		s.add(b, l, n)
+
+		return l, n, nil
+	}
+
+	if errors.Is(err, watcher.ErrForgotten) {
+		return nil, 0, err
+	}
+
+	// A context of its own: the one for the platform may have run out.
+	x, stop := context.WithTimeout(context.WithoutCancel(c), othersWait+2*peerSlack)
+	defer stop()
+
+	p, e := s.others(x, from, othersWait)
+	if e != nil {
+		return nil, 0, errors.CombineErrors(err, e)
+	}
+
+	return s.take(p, from)
+}
+
+// take turns what another instance said into records after an offset.
+func (s *Stream) take(p *wire.StreamReply, from int64) ([]watcher.Record, int64, error) {
+	if !p.Whole {
+		s.add(s.age(p), records(p), max(p.Next, from))
+
+		return records(p), max(p.Next, from), nil
+	}
+
+	if p.Next < from {
+		return nil, from, nil
+	}
+
+	// Keys that are not among the records are gone: for the sink that is a
+	// record without a value.
+	l := records(p)
+
+	k := make(map[string]bool, len(l))
+	for _, r := range l {
+		k[r.Key] = true
+	}
+
+	s.mu.Lock()
+
+	for key, r := range s.tape.records {
+		if !k[key] && len(r.Value) > 0 {
+			l = append(l, watcher.Record{Key: key, Offset: p.Next - 1})
+		}
+	}
+
+	s.mu.Unlock()
+	s.add(s.age(p), l, p.Next)
+
+	return l, p.Next, nil
+}
+
+// reader returns the instance that reads for this one's data centre, and false
+// when it is this one.
+func (s *Stream) reader() (gossiper.Member, bool) {
+	m := s.repeater.members
+	h, ok := m.Home(hasher.Key("reader", s.name), []string{m.Self().DataCentre})
+
+	return h, ok && h.ID != m.Self().ID && h.DataCentre == m.Self().DataCentre
+}
+
+// others asks the other instances in turn, until one has heard of the platform
+// lately.
+func (s *Stream) others(c context.Context, from int64, wait time.Duration) (*wire.StreamReply, error) {
+	m := s.repeater.members
+
+	for _, x := range m.Live() {
+		if x.ID == m.Self().ID {
+			continue
+		}
+
+		p, err := s.ask(c, x, from, wait)
+		if err == nil {
+			return p, nil
+		}
+
+		if c.Err() != nil {
+			break
+		}
+	}
+
+	return nil, ErrPeer
+}
+
+// ask asks one instance.
+func (s *Stream) ask(c context.Context, m gossiper.Member, from int64, wait time.Duration) (*wire.StreamReply, error) {
+	d := peerTimeout
+	if wait > 0 {
+		d = wait + peerSlack
+	}
+
+	x, stop := context.WithTimeout(c, d)
+	defer stop()
+
+	var p wire.StreamReply
+
+	err := s.repeater.messenger.Call(x, m.Address, wire.KindStream,
+		&wire.StreamRequest{Stream: s.name, From: from, WaitMs: uint32(wait.Milliseconds())}, &p) //nolint:gosec // A few seconds.
+	if err != nil {
+		return nil, errors.Mark(err, ErrPeer)
+	}
+
+	if time.Duration(p.AgeMs)*time.Millisecond > staleAfter {
+		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), ErrPeer)
+	}
+
+	return &p, nil
+}
+
+// answer tells another instance what it asks for, as soon as there is something.
+func (s *Stream) answer(c context.Context, q wire.StreamRequest) (*wire.StreamReply, error) {
+	t := time.NewTimer(time.Duration(q.WaitMs) * time.Millisecond)
+	defer t.Stop()
+
+	for {
+		s.mu.Lock()
+		n, w := s.tape.next, s.changed
+		s.mu.Unlock()
+
+		if n < 0 {
+			return nil, ErrPeer
+		}
+
+		if n > q.From {
+			return s.reply(q.From), nil
+		}
+
+		select {
+		case <-w:
+		case <-t.C:
+			return s.reply(q.From), nil
+		case <-c.Done():
+			return nil, c.Err()
+		}
+	}
+}
+
+func (s *Stream) reply(from int64) *wire.StreamReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	l, w := s.tape.since(from)
+	p := &wire.StreamReply{
+		Next: s.tape.next, Whole: w,
+		AgeMs: uint32(min(time.Since(s.tape.heard), time.Hour).Milliseconds()), //nolint:gosec // An hour at most.
+	}
+
+	for _, r := range l {
+		p.Records = append(p.Records, wire.StreamRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+
+	return p
+}
+
+func (s *Stream) reset(heard time.Time, l []watcher.Record, next int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.tape.reset(heard, l, next)
+	s.wake()
+}
+
+func (s *Stream) add(heard time.Time, l []watcher.Record, next int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if heard.Before(s.tape.heard) {
+		heard = s.tape.heard
+	}
+
+	s.tape.add(heard, l, next)
+
+	if len(l) > 0 {
+		s.wake()
+	}
+}
+
+// wake answers the instances that wait.
+func (s *Stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// age returns when what an instance said was the platform's word.
+func (s *Stream) age(p *wire.StreamReply) time.Time {
+	return time.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
+}
+
+func records(p *wire.StreamReply) []watcher.Record {
+	o := make([]watcher.Record, 0, len(p.Records))
+	for _, r := range p.Records {
+		o = append(o, watcher.Record{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+
+	return o
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -95,18 +93,8 @@
 // processID names this process among all routers' processes.
 type processID uint64
 
-// newID returns an ID that is higher than that of any earlier process at the
-// address, and that no two processes share.
 func newID() processID {
-	var b [8]byte
-
-	_, _ = rand.Read(b[:])
-
-	const randomBits = 12
-
-	n := uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1)
-
-	return processID(n)
+	return processID(joiner.NewID())
 }
 
 // Peer is the address on which this router is reached by others.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -16,15 +16,19 @@
 var ErrForgotten = errors.New("the records are no longer kept")
 
 const (
-	// waitTime is how long a read waits for a change. Each read has a price, so
-	// it is long; a connection that went silent shows by its missing answer
-	// after silentAfter more.
-	waitTime    = 4 * time.Second
-	silentAfter = time.Second
-	// newestTimeout bounds a read of all keys.
-	newestTimeout = 2 * time.Second
-	// The pause after a failed read; changes must be in force two seconds after
-	// they were made, and the source may be back any moment.
+	// waitTime is how long a read waits for a change. Each read has a price, but
+	// one that was under way when the network was cut is never answered, and
+	// nothing is heard until it is given up: with silentAfter it stays below the
+	// two seconds in which a change must be in force.
+	waitTime    = 1500 * time.Millisecond
+	silentAfter = 400 * time.Millisecond
+	// newestTimeout bounds a read of all keys. The source answers within a few
+	// milliseconds, a quarter of a second when it is slow.
+	newestTimeout = 800 * time.Millisecond
+	// While reads fail they do not wait for changes, and are given up after
+	// shortTimeout: a wait that began during an outage would hide its end.
+	shortTimeout = 600 * time.Millisecond
+	// The pause after a failed read; the source may be back any moment.
 	retryLeast = 150 * time.Millisecond
 	retryMost  = 350 * time.Millisecond
 )
@@ -104,10 +108,15 @@
 		return w.reset(c)
 	}
 
-	x, stop := context.WithTimeout(c, waitTime+silentAfter)
+	d, most := waitTime, waitTime+silentAfter
+	if !w.failed.IsZero() {
+		d, most = 0, shortTimeout
+	}
+
+	x, stop := context.WithTimeout(c, most)
 	defer stop()
 
-	l, n, err := w.source.Follow(x, w.next, waitTime)
+	l, n, err := w.source.Follow(x, w.next, d)
 	if errors.Is(err, ErrForgotten) {
 		logrus.WithFields(logrus.Fields{"event": "historyForgotten", "stream": w.name, "offset": w.next}).Warn()
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -31,6 +31,8 @@
 	KindHello
 	// KindError is a reply that carries no body: the peer could not answer.
 	KindError
+	// KindStream asks for the records of a stream.
+	KindStream
 )
 
 // Hello is the first message on a connection and says who sends on it, so that
@@ -221,3 +223,29 @@
 	Answer      []byte
 	Truncated   bool
 }
+
+// StreamRequest asks an instance for the records of a stream that it has read,
+// from an offset on. It waits for one up to a time. With From below zero it asks
+// for the newest record of each key.
+type StreamRequest struct {
+	Stream string
+	From   int64
+	WaitMs uint32
+}
+
+// StreamReply carries records in their order, and the offset after the last. With
+// Whole they are the newest of each key, and keys that are not among them are
+// gone. AgeMs is how long ago the sender last heard from the platform.
+type StreamReply struct {
+	Next    int64
+	Whole   bool
+	AgeMs   uint32
+	Records []StreamRecord
+}
+
+// StreamRecord is one record. Without a value its key was dropped.
+type StreamRecord struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -2637,6 +2637,429 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StreamRecord) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Value, err = dc.ReadBytes(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	z.Offset, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamRecord) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteBytes(z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	err = en.WriteInt64(z.Offset)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Key)
+	o = msgp.AppendBytes(o, z.Value)
+	o = msgp.AppendInt64(o, z.Offset)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamRecord) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.BytesPrefixSize + len(z.Value) + msgp.Int64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Next, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	z.Whole, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	z.AgeMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	if cap(z.Records) >= int(zb0002) {
+		z.Records = (z.Records)[:zb0002]
+	} else {
+		z.Records = make([]StreamRecord, zb0002)
+	}
+	for za0001 := range z.Records {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Records[za0001].Key, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Key")
+			return
+		}
+		z.Records[za0001].Value, err = dc.ReadBytes(z.Records[za0001].Value)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Value")
+			return
+		}
+		z.Records[za0001].Offset, err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Offset")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt64(z.Next)
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	err = en.WriteBool(z.Whole)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	err = en.WriteUint32(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Records)))
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	for za0001 := range z.Records {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Records[za0001].Key)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Key")
+			return
+		}
+		err = en.WriteBytes(z.Records[za0001].Value)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Value")
+			return
+		}
+		err = en.WriteInt64(z.Records[za0001].Offset)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Offset")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt64(o, z.Next)
+	o = msgp.AppendBool(o, z.Whole)
+	o = msgp.AppendUint32(o, z.AgeMs)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+	for za0001 := range z.Records {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendString(o, z.Records[za0001].Key)
+		o = msgp.AppendBytes(o, z.Records[za0001].Value)
+		o = msgp.AppendInt64(o, z.Records[za0001].Offset)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Next")
+		return
+	}
+	z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Whole")
+		return
+	}
+	z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	if cap(z.Records) >= int(zb0002) {
+		z.Records = (z.Records)[:zb0002]
+	} else {
+		z.Records = make([]StreamRecord, zb0002)
+	}
+	for za0001 := range z.Records {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Records[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Key")
+			return
+		}
+		z.Records[za0001].Value, bts, err = msgp.ReadBytesBytes(bts, z.Records[za0001].Value)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Value")
+			return
+		}
+		z.Records[za0001].Offset, bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001, "Offset")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamReply) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.Uint32Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Records {
+		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value) + msgp.Int64Size
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stream, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.From, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.WaitMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StreamRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Stream)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	err = en.WriteInt64(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	err = en.WriteUint32(z.WaitMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StreamRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Stream)
+	o = msgp.AppendInt64(o, z.From)
+	o = msgp.AppendUint32(o, z.WaitMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stream, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.From, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.WaitMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WaitMs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StreamRequest) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Stream) + msgp.Int64Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Sync) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
