internal/chooser: reach by data centre, slow targets, prompts fetched from holders

Ruled out: sending streams elsewhere after 0.6 of their time (a fifth more of the prompts was read twice; kept for calls without a stream).

--- /dev/null
+++ b/internal/chooser/health.go
@@ -0,0 +1,196 @@
+package chooser
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/ejector"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+// Outcome is how a call at a target ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Good is an answer.
+	Good Outcome = iota
+	// Bad is a failure of the target's.
+	Bad
+	// Unreachable means that no connection was made.
+	Unreachable
+	// Shed is the target's word that it took no more.
+	Shed
+	// Neither says nothing about the target: the caller left, say.
+	Neither
+)
+
+const (
+	// slowLeast is the part of the time of full use above which a target's answers
+	// are slow at all, and slowTimes how many times the usual of its group they
+	// must be besides. A target that is merely busy is below both.
+	slowLeast = 0.4
+	slowTimes = 3
+	// slowWeight is how much the last answer counts against those before it.
+	slowWeight = 0.3
+	// slowSamples is how many answers it takes to judge a target.
+	slowSamples = 3
+	// slowTrial is how often a slow target is given a call, to see whether it
+	// still is.
+	slowTrial = time.Second
+)
+
+// pace is how fast a target's answers begin.
+type pace struct {
+	part    float64
+	samples int
+	trial   time.Time
+}
+
+// health judges targets by their answers. It is not safe for concurrent use.
+type health struct {
+	// targets and centres are those that can't be reached.
+	targets *ejector.Ejector
+	centres *ejector.Ejector
+	// failing are the targets that can be reached and fail.
+	failing *ejector.Ejector
+	paces   map[string]*pace
+}
+
+func newHealth() *health {
+	return &health{
+		// One connection that is not made says enough: others are a millisecond
+		// away. It costs a few milliseconds to try again, so the times are short.
+		targets: ejector.New(ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 4 * time.Second, PanicPart: 1}),
+		// When a data centre is cut off, each of its targets would cost a call the
+		// time of a dial. Two in a row are enough to leave them all alone.
+		centres: ejector.New(ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
+		failing: ejector.New(ejector.DefaultSettings()),
+		paces:   make(map[string]*pace),
+	}
+}
+
+// usable returns those of the targets that may be given a call; all when there
+// would be none.
+func (h *health) usable(now time.Time, l []*enroller.Target) []*enroller.Target {
+	r := filter(l, func(t *enroller.Target) bool { return h.reached(now, t) })
+	n := make([]uint32, len(r))
+
+	for i, t := range r {
+		n[i] = hasher.Name(t.ID)
+	}
+
+	// When most fail, the fault is more likely here than there.
+	if !h.failing.Panic(now, n) {
+		r = filter(r, func(t *enroller.Target) bool { return !h.failing.Out(now, hasher.Name(t.ID)) })
+	}
+
+	m := slowTimes * h.median(r)
+
+	return filter(r, func(t *enroller.Target) bool { return !h.slow(now, t, m) })
+}
+
+// filter returns those that a test lets through, and all when there are none.
+func filter(l []*enroller.Target, f func(*enroller.Target) bool) []*enroller.Target {
+	var o []*enroller.Target
+
+	for _, t := range l {
+		if f(t) {
+			o = append(o, t)
+		}
+	}
+
+	if len(o) == 0 {
+		return l
+	}
+
+	return o
+}
+
+// well says that a target can be reached and does not fail.
+func (h *health) well(now time.Time, t *enroller.Target) bool {
+	return h.reached(now, t) && !h.failing.Out(now, hasher.Name(t.ID))
+}
+
+func (h *health) reached(now time.Time, t *enroller.Target) bool {
+	return !h.targets.Out(now, hasher.Name(t.ID)) && !h.centres.Out(now, hasher.Name(t.DataCentre))
+}
+
+// slow says that a target's answers begin much later than usual. Calls that may
+// run once only can't leave it again, so it is found by the others' answers.
+func (h *health) slow(now time.Time, t *enroller.Target, most float64) bool {
+	p, ok := h.paces[t.ID]
+	if !ok || p.samples < slowSamples || p.part < max(slowLeast, most) {
+		return false
+	}
+
+	return now.Sub(p.trial) < slowTrial
+}
+
+// median returns the usual pace of the targets.
+func (h *health) median(l []*enroller.Target) float64 {
+	var o []float64
+
+	for _, t := range l {
+		if p, ok := h.paces[t.ID]; ok && p.samples >= slowSamples {
+			o = append(o, p.part)
+		}
+	}
+
+	if len(o) == 0 {
+		return 0
+	}
+
+	slices.Sort(o)
+
+	return o[len(o)/2]
+}
+
+func (h *health) start(now time.Time, t *enroller.Target) {
+	h.targets.Probe(now, hasher.Name(t.ID))
+	h.centres.Probe(now, hasher.Name(t.DataCentre))
+	h.failing.Probe(now, hasher.Name(t.ID))
+
+	if p, ok := h.paces[t.ID]; ok && now.Sub(p.trial) >= slowTrial {
+		p.trial = now
+	}
+}
+
+func (h *health) begun(_ time.Time, t *enroller.Target, part float64) {
+	p, ok := h.paces[t.ID]
+	if !ok {
+		p = &pace{part: part}
+		h.paces[t.ID] = p
+	}
+
+	p.part += slowWeight * (part - p.part)
+	p.samples++
+}
+
+func (h *health) finish(now time.Time, t *enroller.Target, o Outcome) {
+	n, c := hasher.Name(t.ID), hasher.Name(t.DataCentre)
+
+	switch o {
+	case Unreachable:
+		h.targets.Result(now, n, false)
+		h.centres.Result(now, c, false)
+	case Bad:
+		h.failing.Result(now, n, false)
+	case Good:
+		h.failing.Result(now, n, true)
+		h.targets.Result(now, n, true)
+		h.centres.Result(now, c, true)
+	case Shed:
+		h.targets.Result(now, n, true)
+		h.centres.Result(now, c, true)
+	case Neither:
+	}
+}
+
+func (h *health) forget(id string) {
+	n := hasher.Name(id)
+	h.targets.Forget(n)
+	h.failing.Forget(n)
+	delete(h.paces, id)
+}
--- /dev/null
+++ b/internal/chooser/place.go
@@ -0,0 +1,106 @@
+package chooser
+
+import (
+	"slices"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+const (
+	// maxKeys bounds how many prompt parts are remembered. An entry takes about
+	// 200 bytes.
+	maxKeys = 1 << 15
+	// maxHolders bounds how many targets are remembered for a part; a part that is
+	// at more finds one of these.
+	maxHolders = 4
+	// holdFor is how long a target is taken to keep a part after its last use.
+	// Engines keep what was used least recently for tens of seconds and more.
+	holdFor = time.Minute
+	// tellAgain is how old the last word on a place may be before others are told
+	// that it is still used.
+	tellAgain = 20 * time.Second
+)
+
+// Place says that a target holds a prompt's part.
+type Place struct {
+	Key    uint64
+	Target uint32
+}
+
+type holder struct {
+	target uint32
+	used   time.Time
+	told   time.Time
+}
+
+// places remembers which targets hold which parts. It is not safe for concurrent
+// use.
+type places struct {
+	keys *lru.Cache[uint64, []holder]
+	news []Place
+}
+
+func newPlaces() *places {
+	c, err := lru.New[uint64, []holder](maxKeys)
+	if err != nil {
+		panic(err) // The size is a constant above zero.
+	}
+
+	return &places{keys: c}
+}
+
+// holders returns the targets that hold a part, the last used first.
+func (p *places) holders(now time.Time, key uint64) []uint32 {
+	l, _ := p.keys.Get(key)
+
+	o := make([]uint32, 0, len(l))
+	for _, h := range l {
+		if now.Sub(h.used) < holdFor {
+			o = append(o, h.target)
+		}
+	}
+
+	return o
+}
+
+// use notes that a call with a part was sent to a target by this instance.
+func (p *places) use(now time.Time, key uint64, target uint32) {
+	h := p.put(now, key, target)
+
+	if now.Sub(h.told) >= tellAgain {
+		h.told = now
+		p.news = append(p.news, Place{Key: key, Target: target})
+	}
+}
+
+// learn notes what another instance told.
+func (p *places) learn(now time.Time, x Place) {
+	p.put(now, x.Key, x.Target).told = now
+}
+
+// put moves a holder to the front and returns it.
+func (p *places) put(now time.Time, key uint64, target uint32) *holder {
+	l, _ := p.keys.Get(key)
+	h := holder{target: target}
+
+	if i := slices.IndexFunc(l, func(x holder) bool { return x.target == target }); i >= 0 {
+		h = l[i]
+		l = slices.Delete(l, i, i+1)
+	}
+
+	h.used = now
+	l = slices.Insert(l, 0, h)
+	l = l[:min(len(l), maxHolders)]
+	p.keys.Add(key, l)
+
+	return &l[0]
+}
+
+// take returns the places that others have not been told of.
+func (p *places) take() []Place {
+	o := p.news
+	p.news = nil
+
+	return o
+}
--- /dev/null
+++ b/internal/chooser/state.go
@@ -0,0 +1,33 @@
+package chooser
+
+import "time"
+
+const (
+	// shedFor is how long a target that turned a call away is passed over. It is
+	// about the time in which a full one runs a few calls to their end.
+	shedFor = 100 * time.Millisecond
+	// reportFor is how long a target's word on its load is used. Calls run for a
+	// second or two; after that it says little.
+	reportFor = 2 * time.Second
+)
+
+// state is what this instance knows of the load on a target.
+type state struct {
+	// running counts this instance's calls.
+	running int
+	shed    time.Time
+	// reported is the load of all instances at the time at, when running was base.
+	reported int
+	base     int
+	at       time.Time
+}
+
+// load estimates the calls of all instances at a target: what it said last, and
+// what this instance has begun and ended since.
+func (s *state) load(now time.Time, instances int) float64 {
+	if now.Sub(s.at) < reportFor {
+		return float64(max(s.reported+s.running-s.base, s.running))
+	}
+
+	return float64(s.running * instances)
+}
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"sort"
 	"time"
+
+	"github.com/auburntray/auburntray/internal/hasher"
 )
 
 // Target is one incarnation of a target, as the list has it.
@@ -31,6 +33,8 @@
 	Groups map[string][]*Target
 	// Known holds all targets on the list, those that are draining too.
 	Known map[string]*Target
+	// Names holds the same by the hashes of their IDs.
+	Names map[uint32]*Target
 }
 
 // Settings bounds how long entries are believed.
@@ -38,13 +42,16 @@
 	// Grace is how long after the list's return an entry that vanished while it
 	// was away is still believed: a target that lives enters itself again.
 	Grace time.Duration
+	// Lapse is how long the list must have been away for entries of targets that
+	// live to have run out meanwhile.
+	Lapse time.Duration
 }
 
 // DefaultSettings returns the settings of a gateway. Targets that live are back
 // on the list within about two seconds of its return; a little more would keep
 // dead ones longer than the two seconds in which leaving must take effect.
 func DefaultSettings() Settings {
-	return Settings{Grace: 2 * time.Second}
+	return Settings{Grace: 2 * time.Second, Lapse: 3 * time.Second}
 }
 
 type entry struct {
@@ -77,9 +84,11 @@
 	return e.roster
 }
 
-// Regained notes that the list can be read again after it was away.
-func (e *Enroller) Regained(now time.Time) {
-	e.regained = now
+// Regained notes that the list can be read again after it was away for a time.
+func (e *Enroller) Regained(now time.Time, away time.Duration) {
+	if away >= e.settings.Lapse {
+		e.regained = now
+	}
 }
 
 // Set enters a target or changes its entry.
@@ -155,10 +164,12 @@
 
 // roll makes the roster anew.
 func (e *Enroller) roll() {
-	r := &Roster{Groups: make(map[string][]*Target), Known: make(map[string]*Target, len(e.entries))}
+	r := &Roster{Groups: make(map[string][]*Target), Known: make(map[string]*Target, len(e.entries)), Names: make(map[uint32]*Target, len(e.entries))}
 
 	for id, x := range e.entries {
 		r.Known[id] = x.target
+		r.Names[hasher.Name(id)] = x.target
+
 		if !x.target.Draining {
 			r.Groups[x.target.Group] = append(r.Groups[x.target.Group], x.target)
 		}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -11,9 +11,12 @@
 
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
-	"github.com/auburntray/auburntray/internal/enroller"
 )
 
+// maxTried bounds the targets that a call is tried at when they can't be reached.
+// With dialTimeout each, that is about half a second.
+const maxTried = 5
+
 // result is how one attempt ended.
 type result struct {
 	// err is nil when the call has its answer.
@@ -29,7 +32,8 @@
 
 // attempts sends a call to targets until one has answered it.
 func (f *Forwarder) attempts(c context.Context, x *exchange) error {
-	x.group = x.rule.Group(x.key())
+	x.shared = x.prefixes()
+	x.group = x.rule.Group(x.splitKey())
 
 	f.mu.Lock()
 	f.budgeter.Call(time.Now(), x.group)
@@ -49,7 +53,7 @@
 		}
 
 		logrus.WithFields(x.fields()).WithFields(logrus.Fields{
-			"event": "attemptFailed", "target": t.ID, "address": t.Address, "notRun": last.notRun, "error": last.err,
+			"event": "attemptFailed", "target": t.Target.ID, "address": t.Target.Address, "notRun": last.notRun, "error": last.err,
 		}).Info()
 
 		if c.Err() != nil || !f.again(x, last) {
@@ -59,15 +63,15 @@
 }
 
 // choose picks the next target and counts the call there.
-func (f *Forwarder) choose(x *exchange) (*enroller.Target, bool) {
+func (f *Forwarder) choose(x *exchange) (chooser.Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	n := time.Now()
 
-	t, ok := f.chooser.Choose(n, f.facts.Roster().Groups[x.group], x.query(f.settings.DataCentre))
+	t, ok := f.chooser.Choose(n, f.facts.Roster(), x.group, x.query(f.settings.DataCentre, f.facts.Instances()))
 	if ok {
-		f.chooser.Start(n, t.ID)
+		f.chooser.Start(n, t.Target)
 	}
 
 	return t, ok
@@ -75,7 +79,12 @@
 
 // again says whether a call is sent to one more target.
 func (f *Forwarder) again(x *exchange, r result) bool {
-	if len(x.tried) >= x.rule.Attempts || !r.notRun && !x.rule.Repeatable() {
+	// A call that never left this instance costs no target anything.
+	if errors.Is(r.err, errNeverSent) {
+		return len(x.tried) < maxTried
+	}
+
+	if x.sent >= x.rule.Attempts || !r.notRun && !x.rule.Repeatable() {
 		return false
 	}
 
@@ -123,7 +132,7 @@
 }
 
 // attempt sends a call to one target and relays its answer.
-func (f *Forwarder) attempt(c context.Context, x *exchange, t *enroller.Target) result {
+func (f *Forwarder) attempt(c context.Context, x *exchange, t chooser.Choice) result {
 	c, s := f.tracer.Start(c, "attempt")
 	defer s.End()
 
@@ -132,7 +141,8 @@
 
 	var r result
 
-	x.tried = append(x.tried, t.ID)
+	x.tried = append(x.tried, t.Target.ID)
+	x.sentAt = time.Now()
 
 	if x.rule.Kind == cataloger.Stream {
 		r = f.stream(c, stop, x, t)
@@ -142,31 +152,47 @@
 
 	x.mayHaveRun = x.mayHaveRun || !r.notRun
 
+	if !errors.Is(r.err, errNeverSent) {
+		x.sent++
+	}
+
 	if x.request.Context().Err() != nil {
 		r.outcome = chooser.Neither
 	}
 
 	f.mu.Lock()
-	f.chooser.Finish(time.Now(), t.ID, r.outcome)
+	f.chooser.Finish(time.Now(), t.Target, r.outcome)
 	f.mu.Unlock()
 
 	return r
 }
 
 // send sends a call and checks that the answer is one to it.
-func (f *Forwarder) send(c context.Context, x *exchange, t *enroller.Target) (*http.Response, Reply, result) {
+func (f *Forwarder) send(c context.Context, x *exchange, t chooser.Choice) (*http.Response, Reply, result) {
 	h := forwarded(x.request.Header)
-	f.dialect.Write(h, Orders{
-		Incarnation: t.ID, Customer: x.customer, Priority: x.priority,
+	o := Orders{
+		Incarnation: t.Target.ID, Customer: x.customer, Priority: x.priority,
 		Left: time.Until(x.deadline), LastEvent: x.lastEvent,
-	})
+	}
 
-	a, err := f.client.send(c, x, t.Address.String(), h)
+	if t.Source != nil {
+		o.Source = t.Source.Address
+	}
+
+	f.dialect.Write(h, o)
+
+	a, err := f.client.send(c, x, t.Target.Address.String(), h)
 	if err != nil {
-		return nil, Reply{}, result{err: err, notRun: errors.Is(err, errNeverSent), outcome: chooser.Bad}
+		o := chooser.Bad
+		if errors.Is(err, errNeverSent) {
+			o = chooser.Unreachable
+		}
+
+		return nil, Reply{}, result{err: err, notRun: o == chooser.Unreachable, outcome: o}
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
+	f.report(t.Target.ID, p)
 
 	// An answer to an earlier call may come late, where that to this one is due.
 	// Its ID shows it; passing it on would give the caller another's answer.
@@ -179,17 +205,38 @@
 	if p.NotRun {
 		_ = a.Body.Close()
 
-		o := chooser.Shed
+		w := chooser.Shed
 		if p.Misdirected {
-			o = chooser.Bad
+			w = chooser.Bad
 		}
 
-		return nil, p, result{err: errors.Newf("the target turned the call away with status %d", a.StatusCode), notRun: true, outcome: o}
+		return nil, p, result{err: errors.Newf("the target turned the call away with status %d", a.StatusCode), notRun: true, outcome: w}
 	}
 
 	return a, p, result{}
 }
 
+func (f *Forwarder) report(id string, p Reply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.chooser.Report(time.Now(), id, chooser.Report{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
+}
+
+// begun notes how long a target took until its answer began.
+func (f *Forwarder) begun(x *exchange, t chooser.Choice) {
+	if x.rule.Latency <= 0 {
+		return
+	}
+
+	n := time.Now()
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.chooser.Begun(n, t.Target, float64(n.Sub(x.sentAt))/float64(x.rule.Latency))
+}
+
 // hopHeaders concern one connection only.
 var hopHeaders = []string{ //nolint:gochecknoglobals // A constant table.
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -25,7 +25,7 @@
 	// dialTimeout bounds a connection to a target. One data centre is about a
 	// millisecond from another; a target that takes this long is not there, and
 	// the call has time to go elsewhere.
-	dialTimeout = 300 * time.Millisecond
+	dialTimeout = 120 * time.Millisecond
 	// idleTimeout is how long a connection is kept. Targets close theirs after
 	// some seconds, and a call that meets the close is lost.
 	idleTimeout   = 2 * time.Second
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -59,6 +60,9 @@
 	Priority int
 	// LastEvent is the ID of the event after which the stream goes on.
 	LastEvent string
+	// Source is a target that holds the call's prompt, from which this one may
+	// fetch what it lacks; zero when there is none.
+	Source netip.AddrPort
 }
 
 // Reply is what a target says of its answer.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,9 +26,15 @@
 	deadline time.Time
 	body     []byte
 
-	group string
-	// tried are the IDs of the targets that the call was sent to.
+	// shared are the beginnings of the prompt that other calls share.
+	shared []chooser.Prefix
+	group  string
+	// tried are the IDs of the targets that were chosen; sent is how many of them
+	// the call was sent to.
 	tried []string
+	sent  int
+	// sentAt is when the present attempt began.
+	sentAt time.Time
 	// mayHaveRun says that one of them may have run it.
 	mayHaveRun bool
 	// relayed says that a part of the answer is with the caller.
@@ -36,19 +43,39 @@
 	lastEvent string
 }
 
-// key returns the hash of the prompt's last part that other calls share, zero
-// when there is none.
-func (x *exchange) key() uint64 {
+// prefixes returns the hashes of the prompt's beginnings that other calls share,
+// the longest first. The last part belongs to the call alone, unless it is the
+// only one.
+func (x *exchange) prefixes() []chooser.Prefix {
 	p := x.call.Prompt.Parts
-	if len(p) == 0 {
-		return 0
+
+	var o []chooser.Prefix
+
+	k, n := hasher.Key(x.call.Prompt.Model), 0
+
+	for i := range max(len(p)-1, min(len(p), 1)) {
+		k = hasher.Mix(k, hasher.Key(p[i].ID))
+		n += p[i].Tokens
+		o = append(o, chooser.Prefix{Key: k, Tokens: n})
+	}
+
+	slices.Reverse(o)
+
+	return o
+}
+
+// splitKey is the same for the calls that share a prompt's beginning; the others
+// are split by their IDs.
+func (x *exchange) splitKey() uint64 {
+	if len(x.shared) > 0 {
+		return x.shared[0].Key
 	}
 
-	return hasher.Key(x.call.Prompt.Model, p[max(len(p)-2, 0)].ID)
+	return hasher.Key(x.call.ID)
 }
 
-func (x *exchange) query(centre string) chooser.Query {
-	return chooser.Query{Key: x.key(), DataCentre: centre, Excluded: x.tried}
+func (x *exchange) query(centre string, instances int) chooser.Query {
+	return chooser.Query{Prefixes: x.shared, Instances: instances, DataCentre: centre, Excluded: x.tried}
 }
 
 // fields are those that each line of log about the call has.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -25,6 +25,8 @@
 type Facts interface {
 	// Catalog returns the catalog in force, nil while none is known.
 	Catalog() *cataloger.Catalog
+	// Known is closed when a catalog is known.
+	Known() <-chan struct{}
 	// Fresh says that the catalog was confirmed lately: what it does not hold is
 	// not there.
 	Fresh() bool
@@ -44,6 +46,10 @@
 	MaxBody int64
 }
 
+// knownWait is how long a call waits for the first catalog. A read of it takes a
+// few milliseconds once the process runs.
+const knownWait = 150 * time.Millisecond
+
 // Forwarder serves calls. It is safe for concurrent use.
 type Forwarder struct {
 	settings Settings
@@ -96,7 +102,7 @@
 	x := &exchange{writer: w, request: r, start: time.Now()}
 
 	err := f.serve(c, x)
-	s.SetAttributes(attribute.String("id", x.call.ID), attribute.Int("attempts", len(x.tried)))
+	s.SetAttributes(attribute.String("id", x.call.ID), attribute.Int("attempts", x.sent))
 	f.end(x, err)
 }
 
@@ -129,6 +135,18 @@
 
 // match finds the catalog in force, which the call keeps to its end, and the rule.
 func (f *Forwarder) match(x *exchange) error {
+	// An instance that has just started knows its catalog within milliseconds; a
+	// refusal would cost the caller one of its few tries.
+	t := time.NewTimer(knownWait)
+	defer t.Stop()
+
+	select {
+	case <-f.facts.Known():
+	case <-t.C:
+	case <-x.request.Context().Done():
+		return errCallerLeft
+	}
+
 	x.catalog = f.facts.Catalog()
 	if x.catalog == nil {
 		return refuse(http.StatusServiceUnavailable, startWait, "no catalog is known yet")
@@ -264,3 +282,19 @@
 
 	f.chooser.Forget(known)
 }
+
+// Learn takes what another instance told of the places of prompts.
+func (f *Forwarder) Learn(l []chooser.Place) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.chooser.Learn(time.Now(), l)
+}
+
+// News returns the places of prompts that other instances should be told of.
+func (f *Forwarder) News() []chooser.Place {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.chooser.News()
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburntray/auburntray/internal/chooser"
-	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/splitter"
 )
 
@@ -19,7 +18,7 @@
 const pauseFactor = 4
 
 // stream makes an attempt whose answer is passed on event by event.
-func (f *Forwarder) stream(c context.Context, stop context.CancelCauseFunc, x *exchange, t *enroller.Target) result {
+func (f *Forwarder) stream(c context.Context, stop context.CancelCauseFunc, x *exchange, t chooser.Choice) result {
 	g := newGuard(stop)
 	defer g.end()
 
@@ -52,6 +51,10 @@
 			return result{err: errors.Mark(errors.Newf("event %q came after %q", id, x.lastEvent), errBroken), outcome: chooser.Bad}
 		}
 
+		if !x.relayed {
+			f.begun(x, t)
+		}
+
 		f.begin(x, a)
 
 		if _, err := x.writer.Write(e); err != nil {
@@ -103,7 +106,7 @@
 // pause is how long the next event may take before a stream goes on elsewhere;
 // zero when it can't.
 func (f *Forwarder) pause(x *exchange) time.Duration {
-	if !x.rule.Resumable || len(x.tried) >= x.rule.Attempts {
+	if !x.rule.Resumable || x.sent+1 >= x.rule.Attempts {
 		return 0
 	}
 
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -9,17 +9,21 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
-	"github.com/auburntray/auburntray/internal/enroller"
 )
 
 const (
 	// maxAnswer bounds an answer that is read whole.
 	maxAnswer = 16 << 20
-	// waitFactor is how many times the time of full use an idempotent call waits
-	// for a target before it goes to another. Below two, targets that are only
-	// busy would be given the same work twice.
-	waitFactor = 2
+	// waitPart is the part of the time of full use that an idempotent call waits
+	// for a target before it goes to another, which then still has time to answer.
+	// Well over nine in ten answers come before it.
+	waitPart = 0.6
+	// streamWait is the same for the first event of a stream. An engine that reads
+	// long prompts is slow for a while, and the prompt would be read twice: with
+	// 0.6 here, a fifth more of all prompts was read.
+	streamWait = 1.5
 )
 
 var (
@@ -43,7 +47,7 @@
 
 // whole makes an attempt whose answer is read whole before anything of it is
 // passed on, so that one that breaks off can be asked for again.
-func (f *Forwarder) whole(c context.Context, stop context.CancelCauseFunc, x *exchange, t *enroller.Target) result {
+func (f *Forwarder) whole(c context.Context, stop context.CancelCauseFunc, x *exchange, t chooser.Choice) result {
 	if d := f.firstWait(x); d > 0 {
 		w := time.AfterFunc(d, func() { stop(errSlow) })
 		defer w.Stop()
@@ -75,6 +79,8 @@
 		return result{err: errors.Mark(errors.New("the answer has no proof that a target made it"), errBroken), outcome: chooser.Bad}
 	}
 
+	f.begun(x, t)
+
 	x.relayed = true
 	o.write(x.writer)
 
@@ -84,11 +90,16 @@
 // firstWait is how long an attempt waits for its answer, or the first event of
 // it, before the call goes to another target; zero when it can't.
 func (f *Forwarder) firstWait(x *exchange) time.Duration {
-	if !x.rule.Repeatable() || len(x.tried) >= x.rule.Attempts || x.rule.Latency <= 0 {
+	if !x.rule.Repeatable() || x.sent+1 >= x.rule.Attempts || x.rule.Latency <= 0 {
 		return 0
 	}
 
-	return waitFactor * x.rule.Latency
+	w := waitPart
+	if x.rule.Kind == cataloger.Stream {
+		w = streamWait
+	}
+
+	return time.Duration(w * float64(x.rule.Latency))
 }
 
 func copyHeader(to, from http.Header) {
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -17,6 +17,8 @@
 type facts struct {
 	catalog atomic.Pointer[cataloger.Catalog]
 	roster  atomic.Pointer[enroller.Roster]
+	// known is closed when there is a catalog.
+	known chan struct{}
 	dropped func(known map[string]*enroller.Target)
 	// instances is how many share the retry budget.
 	instances func() int
@@ -30,7 +32,7 @@
 var _ forwarder.Facts = (*facts)(nil)
 
 func newFacts() *facts {
-	f := &facts{enroller: enroller.New(enroller.DefaultSettings())}
+	f := &facts{enroller: enroller.New(enroller.DefaultSettings()), known: make(chan struct{})}
 	f.roster.Store(f.enroller.Roster())
 
 	return f
@@ -39,6 +41,9 @@
 // Catalog is part of forwarder.Facts.
 func (f *facts) Catalog() *cataloger.Catalog { return f.catalog.Load() }
 
+// Known is part of forwarder.Facts.
+func (f *facts) Known() <-chan struct{} { return f.known }
+
 // Roster is part of forwarder.Facts.
 func (f *facts) Roster() *enroller.Roster { return f.roster.Load() }
 
@@ -76,6 +81,11 @@
 	}
 
 	f.catalog.Store(c)
+
+	if o == nil {
+		close(f.known)
+	}
+
 	logrus.WithFields(logrus.Fields{"event": "catalogInForce", "version": c.Version, "source": source}).Info()
 }
 
@@ -95,6 +105,15 @@
 	f.dropped(r.Known)
 }
 
+// settle drops the targets whose entries have not come back in time.
+func (f *facts) settle() {
+	f.update(func(n time.Time, e *enroller.Enroller) {
+		for _, id := range e.Settle(n) {
+			logrus.WithFields(logrus.Fields{"event": "targetLapsed", "target": id}).Info()
+		}
+	})
+}
+
 // configSink puts the configurations that are read in force.
 type configSink struct {
 	facts  *facts
@@ -206,13 +225,7 @@
 // Read is part of watcher.Sink.
 func (s *targetSink) Read(away time.Duration) {
 	s.facts.update(func(n time.Time, e *enroller.Enroller) {
-		if away > 0 {
-			e.Regained(n)
-		}
-
-		for _, id := range e.Settle(n) {
-			logrus.WithFields(logrus.Fields{"event": "targetLapsed", "target": id}).Info()
-		}
+		e.Regained(n, away)
 	})
 }
 
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -83,6 +83,8 @@
 	configRest = 100 * time.Millisecond
 	targetRest = 600 * time.Millisecond
 	maxCalls   = 4096
+	// settleEvery is how late the end of a grace may be noticed.
+	settleEvery = 100 * time.Millisecond
 )
 
 // Gatekeeper is one instance of a gateway. It is safe for concurrent use.
@@ -218,6 +220,7 @@
 	x, end := context.WithCancel(context.Background())
 	g.end = end
 
+	g.background(func() { every(x, settleEvery, g.facts.settle) })
 	g.messenger.Serve()
 	g.background(func() { g.joiner.Run(x) })
 
@@ -270,3 +273,18 @@
 		f()
 	}()
 }
+
+// every calls a function again and again until the context ends.
+func every(c context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			f()
+		case <-c.Done():
+			return
+		}
+	}
+}
--- a/internal/hasher/hasher.go
+++ b/internal/hasher/hasher.go
@@ -41,6 +41,17 @@
 	return d.Sum64()
 }
 
+// Mix returns the hash of a chain that goes on with one more link. It is safe for
+// concurrent use.
+func Mix(chain, link uint64) uint64 {
+	var b [2 * wordBytes]byte
+
+	binary.LittleEndian.PutUint64(b[:wordBytes], chain)
+	binary.LittleEndian.PutUint64(b[wordBytes:], link)
+
+	return xxhash.Sum64(b[:])
+}
+
 // Score returns the weighted rendezvous score of a candidate for a key: the
 // highest score wins, and a candidate wins in proportion to its weight. A
 // weight of zero or less never wins. It is safe for concurrent use.
@@ -52,12 +63,7 @@
 		return math.Inf(-1)
 	}
 
-	var b [2 * wordBytes]byte
-
-	binary.LittleEndian.PutUint64(b[:wordBytes], key)
-	binary.LittleEndian.PutUint64(b[wordBytes:], candidate)
-
-	h := xxhash.Sum64(b[:]) >> (wordBits - mantissaBits)
+	h := Mix(key, candidate) >> (wordBits - mantissaBits)
 	u := (float64(h) + 0.5) / (1 << mantissaBits)
 
 	return -weight / math.Log(u)
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -151,7 +151,7 @@
 	l, n, err := s.source.Follow(c, from, wait)
 
 	if err == nil {
-		s.add(b, l, n)
+		s.add(heard(b, wait, l), l, n)
 
 		return l, n, nil
 	}
@@ -172,6 +172,18 @@
 	return s.take(p, from)
 }
 
+// heard returns when the platform said what a read brought that began at a time. A
+// read that brought nothing was answered when it had waited long enough; the
+// answer itself may have been held up since.
+func heard(began time.Time, wait time.Duration, l []watcher.Record) time.Time {
+	n := time.Now()
+	if w := began.Add(wait); len(l) == 0 && w.Before(n) {
+		return w
+	}
+
+	return n
+}
+
 // take turns what another instance said into records after an offset.
 func (s *Stream) take(p *wire.StreamReply, from int64) ([]watcher.Record, int64, error) {
 	if !p.Whole {
