internal/informer: instances tell each other where prompts are cached

Cause: an instance did not know what calls at other instances had left at an engine, and had it read again.

--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -22,6 +22,7 @@
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/informer"
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/repeater"
@@ -95,6 +96,7 @@
 	drainer   *drainer.Drainer
 	messenger *messenger.Messenger
 	joiner    *joiner.Joiner
+	informer  *informer.Informer
 	watchers  []*watcher.Watcher
 	callers   *http.Server
 	ready     *http.Server
@@ -145,8 +147,11 @@
 	m.Handle(wire.KindStream, r.Answer)
 	m.Handle(wire.KindGossip, j.Gossip)
 
+	i := informer.New(m, j, x)
+	m.Handle(wire.KindHolders, i.Told)
+
 	g := &Gatekeeper{
-		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, informer: i, drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, &configSink{facts: f, key: w.ConfigKey, decode: w.DecodeConfig}, configRest),
 			watcher.New(targets, t, &targetSink{facts: f, decode: w.DecodeTarget, offsets: make(map[string]int64)}, targetRest),
@@ -223,6 +228,7 @@
 	g.background(func() { every(x, settleEvery, g.facts.settle) })
 	g.messenger.Serve()
 	g.background(func() { g.joiner.Run(x) })
+	g.background(func() { g.informer.Run(x) })
 
 	for _, w := range g.watchers {
 		g.background(func() { w.Run(x) })
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord Holders Holder
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -33,6 +33,8 @@
 	KindError
 	// KindStream asks for the records of a stream.
 	KindStream
+	// KindHolders tells of targets that hold beginnings of prompts.
+	KindHolders
 )
 
 // Hello is the first message on a connection and says who sends on it, so that
@@ -249,3 +251,16 @@
 	Value  []byte
 	Offset int64
 }
+
+// Holders tells other instances which targets the sender has given beginnings of
+// prompts to lately.
+type Holders struct {
+	List []Holder
+}
+
+// Holder says that a target holds a beginning of prompts. Target is the hash of
+// its ID.
+type Holder struct {
+	Key    uint64
+	Target uint32
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -1713,6 +1713,243 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Holder) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Holder) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Holder) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendUint32(o, z.Target)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Holder) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Holder) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Holders) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]Holder, zb0002)
+	}
+	for za0001 := range z.List {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.List[za0001].Key, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Key")
+			return
+		}
+		z.List[za0001].Target, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Target")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Holders) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.List)))
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	for za0001 := range z.List {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.List[za0001].Key)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Key")
+			return
+		}
+		err = en.WriteUint32(z.List[za0001].Target)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Target")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Holders) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
+	for za0001 := range z.List {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint64(o, z.List[za0001].Key)
+		o = msgp.AppendUint32(o, z.List[za0001].Target)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Holders) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "List")
+		return
+	}
+	if cap(z.List) >= int(zb0002) {
+		z.List = (z.List)[:zb0002]
+	} else {
+		z.List = make([]Holder, zb0002)
+	}
+	for za0001 := range z.List {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.List[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Key")
+			return
+		}
+		z.List[za0001].Target, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "List", za0001, "Target")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Holders) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.List) * (12 + msgp.Uint64Size + msgp.Uint32Size))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
 	{
