internal: tests of the gateway's decisions and of what targets do to calls

Cause: the tests were missing. They found two faults: an event was held back while a part of the next one was there, and a stream that ended in the middle of an event counted as whole.

--- /dev/null
+++ b/internal/chooser/chooser_test.go
@@ -0,0 +1,342 @@
+package chooser_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+const group = "engines"
+
+// roster returns n targets spread over the data centres.
+func roster(n int, centres ...string) *enroller.Roster {
+	e := enroller.New(enroller.DefaultSettings())
+	for i := range n {
+		e.Set(enroller.Target{
+			ID: fmt.Sprintf("t%d", i), Group: group, DataCentre: centres[i%len(centres)], Slots: 64,
+		})
+	}
+
+	return e.Roster()
+}
+
+func query(key uint64) chooser.Query {
+	return chooser.Query{Prefixes: []chooser.Prefix{{Key: key, Tokens: 10000}}, Instances: 1, DataCentre: "a"}
+}
+
+// choose sends a call and counts it.
+func choose(c *chooser.Chooser, now time.Time, r *enroller.Roster, q chooser.Query) chooser.Choice {
+	x, ok := c.Choose(now, r, group, q)
+	if !ok {
+		panic("no target")
+	}
+
+	c.Start(now, x.Target)
+
+	return x
+}
+
+// A user would see every answer about one thing begin late: a quarter of the
+// calls share one prompt, and the one engine that has it takes them all. The
+// bound sends what is too much on to other engines, always the same ones.
+func TestHotPromptStaysWithinTheBound(t *testing.T) {
+	is := is.New(t)
+	r := roster(9, "a", "b", "c")
+	c := chooser.New(chooser.DefaultSettings())
+	x := rand.New(rand.NewPCG(1, 2))
+	now := time.Unix(0, 0)
+
+	type call struct {
+		target *enroller.Target
+		ends   time.Time
+	}
+
+	var calls []call
+
+	running := map[string]int{}
+	hot := map[string]bool{}
+
+	for range 6000 {
+		now = now.Add(10 * time.Millisecond)
+
+		for len(calls) > 0 && !calls[0].ends.After(now) {
+			c.Finish(now, calls[0].target, chooser.Good)
+			running[calls[0].target.ID]--
+			calls = calls[1:]
+		}
+
+		k := x.Uint64N(200)
+		if x.Float64() < 0.28 {
+			k = 0
+		}
+
+		o := choose(c, now, r, query(k+1))
+		calls = append(calls, call{o.Target, now.Add(2 * time.Second)})
+		running[o.Target.ID]++
+
+		if k == 0 {
+			hot[o.Target.ID] = true
+		}
+
+		mean := float64(len(calls)) / 9
+		is.True(float64(running[o.Target.ID]) <= 2*mean+3)
+	}
+
+	is.True(len(hot) <= 5) // Not all nine have read it.
+}
+
+// A user would see calls refused though most engines are well: a data centre is
+// cut off, each of its targets costs a call the time of a dial, and the calls
+// run out of tries.
+func TestCutDataCentreCostsTwoDials(t *testing.T) {
+	is := is.New(t)
+	r := roster(18, "a", "b", "c")
+	c := chooser.New(chooser.DefaultSettings())
+	now := time.Unix(0, 0)
+	dials := 0
+
+	for i := range 300 {
+		now = now.Add(time.Millisecond)
+		o := choose(c, now, r, query(uint64(i+1)))
+
+		if o.Target.DataCentre == "b" {
+			dials++
+
+			c.Finish(now, o.Target, chooser.Unreachable)
+		} else {
+			c.Finish(now, o.Target, chooser.Good)
+		}
+	}
+
+	is.Equal(dials, 2)
+
+	// Once the cut has healed, one call finds out and the others follow: those with
+	// new prompts, since the old ones are cached elsewhere by now.
+	back := 0
+
+	for i := range 300 {
+		now = now.Add(10 * time.Millisecond)
+		o := choose(c, now, r, query(uint64(i+1000)))
+		c.Finish(now, o.Target, chooser.Good)
+
+		if o.Target.DataCentre == "b" {
+			back++
+		}
+	}
+
+	is.True(back > 30)
+}
+
+// An instance whose data centre is cut off from all others reaches a fifth of the
+// targets. Most being out must not make it use those that it can't reach.
+func TestInstanceThatIsCutOffUsesItsOwn(t *testing.T) {
+	is := is.New(t)
+	r := roster(20, "a", "b", "c", "d", "e")
+	c := chooser.New(chooser.DefaultSettings())
+	now := time.Unix(0, 0)
+	lost := 0
+
+	for i := range 200 {
+		now = now.Add(time.Millisecond)
+		o := choose(c, now, r, query(uint64(i+1)))
+
+		if o.Target.DataCentre != "a" {
+			lost++
+
+			c.Finish(now, o.Target, chooser.Unreachable)
+		} else {
+			c.Finish(now, o.Target, chooser.Good)
+		}
+	}
+
+	is.True(lost <= 8)
+}
+
+// A user would see answers begin late for as long as one engine is slow: calls
+// that may run once only can't leave it again, and it never fails.
+func TestSlowTargetIsLeftAndTriedAgain(t *testing.T) {
+	is := is.New(t)
+	r := roster(6, "a")
+	c := chooser.New(chooser.DefaultSettings())
+	now := time.Unix(0, 0)
+
+	send := func(n int, slow bool) int {
+		k := 0
+
+		for range n {
+			now = now.Add(10 * time.Millisecond)
+			o := choose(c, now, r, query(uint64(now.UnixMilli())))
+			p := 0.15
+
+			if o.Target.ID == "t3" {
+				k++
+
+				if slow {
+					p = 1.2
+				}
+			}
+
+			c.Begun(now, o.Target, p)
+			c.Finish(now, o.Target, chooser.Good)
+		}
+
+		return k
+	}
+
+	is.True(send(300, false) > 20)
+	is.True(send(300, true) < 12)
+	send(600, false)
+	is.True(send(300, false) > 20)
+}
+
+// A release replaces engines one by one. The new one has to have the prompts of
+// the old one read again, unless it fetches them from it while it drains.
+func TestPromptIsFetchedFromWhereItWas(t *testing.T) {
+	is := is.New(t)
+	e := enroller.New(enroller.DefaultSettings())
+	now := time.Unix(0, 0)
+	e.Set(enroller.Target{ID: "old", Group: group})
+
+	c := chooser.New(chooser.DefaultSettings())
+	o := choose(c, now, e.Roster(), query(7))
+	is.Equal(o.Source, nil)
+
+	e.Set(enroller.Target{ID: "new", Group: group})
+	e.Set(enroller.Target{ID: "old", Group: group, Draining: true})
+
+	o = choose(c, now, e.Roster(), query(7))
+	is.Equal(o.Target.ID, "new")
+	is.Equal(o.Source.ID, "old")
+
+	o = choose(c, now, e.Roster(), query(7))
+	is.Equal(o.Source, nil) // It has it now.
+}
+
+func TestPlacesThatOthersTold(t *testing.T) {
+	for name, x := range map[string]struct {
+		holder string
+		told   time.Duration
+		fetch  bool
+	}{
+		"held elsewhere":    {"t0", 0, true},
+		"held long ago":     {"t0", -2 * time.Minute, false},
+		"held by one gone":  {"gone", 0, false},
+		"held by none else": {"", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			r := roster(2, "a")
+			c := chooser.New(chooser.DefaultSettings())
+			q := query(9)
+			q.Excluded = []string{"t0"} // Whatever holds it, the call goes to the other.
+
+			if x.holder != "" {
+				c.Learn(now.Add(x.told), []chooser.Place{{Key: 9, Target: hasher.Name(x.holder)}})
+			}
+
+			o, ok := c.Choose(now, r, group, q)
+			is.True(ok)
+			is.Equal(o.Target.ID, "t1")
+			is.Equal(o.Source != nil, x.fetch)
+		})
+	}
+}
+
+func TestNewsIsToldOnceInAWhile(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	r := roster(1, "a")
+	c := chooser.New(chooser.DefaultSettings())
+
+	choose(c, now, r, query(1))
+	is.Equal(len(c.News()), 1)
+	choose(c, now.Add(time.Second), r, query(1))
+	is.Equal(len(c.News()), 0)
+	choose(c, now.Add(30*time.Second), r, query(1))
+	is.Equal(len(c.News()), 1)
+}
+
+func TestTargetThatTurnsAwayIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	r := roster(2, "a")
+	c := chooser.New(chooser.DefaultSettings())
+
+	o := choose(c, now, r, query(1))
+	c.Finish(now, o.Target, chooser.Shed)
+
+	p := choose(c, now, r, query(1))
+	is.True(p.Target.ID != o.Target.ID)
+	c.Finish(now, p.Target, chooser.Good)
+
+	// With both full, a call is still sent: the target says best whether it has room.
+	c.Start(now, p.Target)
+	c.Finish(now, p.Target, chooser.Shed)
+	choose(c, now, r, query(1))
+}
+
+func TestReportsOfLoadCount(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	r := roster(3, "a")
+	c := chooser.New(chooser.DefaultSettings())
+
+	o := choose(c, now, r, query(5))
+	c.Report(now, o.Target.ID, chooser.Report{Running: 40, Slots: 64})
+
+	p := choose(c, now, r, query(5))
+	is.True(p.Target.ID != o.Target.ID)
+	is.Equal(p.Source.ID, o.Target.ID)
+
+	// What a target said long ago says nothing.
+	now = now.Add(time.Minute / 2)
+	c.Finish(now, p.Target, chooser.Good)
+	c.Finish(now, o.Target, chooser.Good)
+	is.Equal(choose(c, now, r, query(5)).Target.ID, o.Target.ID)
+}
+
+func TestCallsWithoutAPromptStayNear(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	r := roster(2, "a", "b")
+	c := chooser.New(chooser.DefaultSettings())
+	q := chooser.Query{Instances: 1, DataCentre: "b"}
+	far := 0
+
+	for range 50 {
+		if choose(c, now, r, q).Target.DataCentre != "b" {
+			far++
+		}
+	}
+
+	is.True(far > 0 && far < 20) // Near until it has half as much again per slot.
+}
+
+func TestNoTarget(t *testing.T) {
+	is := is.New(t)
+	c := chooser.New(chooser.DefaultSettings())
+	_, ok := c.Choose(time.Unix(0, 0), roster(1, "a"), "other", query(1))
+	is.True(!ok)
+}
+
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	r := roster(1, "a")
+	c := chooser.New(chooser.DefaultSettings())
+	o := choose(c, now, r, query(1))
+
+	c.Forget(nil) // A call still runs there.
+	c.Finish(now, o.Target, chooser.Good)
+	c.Forget(nil)
+	c.Finish(now, o.Target, chooser.Good) // Not counted below zero.
+	is.Equal(choose(c, now, r, query(1)).Target.ID, o.Target.ID)
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -63,7 +63,7 @@
 
 		x.lastEvent = id
 
-		if !s.Buffered() {
+		if !s.Ready() {
 			_ = http.NewResponseController(x.writer).Flush() // A caller that left shows at the next write.
 		}
 
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -42,7 +42,9 @@
 		}
 
 		if err != nil {
-			return nil, "", errors.Mark(err, ErrBroken)
+			// Not marked on the error itself: an end in the middle of an event must
+			// not look like one between two.
+			return nil, "", errors.Mark(errors.Newf("the stream ended in an event: %v", err), ErrBroken)
 		}
 
 		raw = append(raw, l...)
@@ -61,7 +63,9 @@
 	}
 }
 
-// Buffered says that more of the stream is here already.
-func (s *Splitter) Buffered() bool {
-	return s.reader.Buffered() > 0
+// Ready says that the next event is here already, whole.
+func (s *Splitter) Ready() bool {
+	b, err := s.reader.Peek(s.reader.Buffered())
+
+	return err == nil && (bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n")))
 }
