--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -40,7 +40,7 @@
 
 func (dialect) Write(h http.Header, o forwarder.Orders) {
 	h.Del("Key")
-	h.Set("Expect", o.Incarnation)
+	h.Set("Incarnation", o.Incarnation)
 	h.Set("Customer", o.Customer)
 	h.Set("Left-Ms", strconv.FormatInt(o.Left.Milliseconds(), 10))
 
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -19,7 +19,7 @@
 	g := front(t, x)
 
 	a := g.call(t, http.MethodPost, "/once/a%2Fb/?q=1&r=%20", "the body",
-		"Expect", "forged", "Customer", "forged", "Own", "kept", "Connection", "Gone", "Gone", "1")
+		"Incarnation", "forged", "Customer", "forged", "Own", "kept", "Connection", "Gone", "Gone", "1")
 	is.Equal(a.status, http.StatusOK)
 	is.Equal(a.body, "from t0")
 	is.Equal(a.header.Get("Seal"), "t0")
@@ -29,7 +29,7 @@
 	is.Equal(s.body, "the body")
 	is.Equal(s.header.Get("Key"), "")
 	is.Equal(s.header.Get("Customer"), "customer-1")
-	is.Equal(s.header.Get("Expect"), "t0")
+	is.Equal(s.header.Get("Incarnation"), "t0")
 	is.Equal(s.header.Get("Own"), "kept")
 	is.Equal(s.header.Get("Gone"), "")
 
