--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -18,7 +18,7 @@
 	catalog atomic.Pointer[cataloger.Catalog]
 	roster  atomic.Pointer[enroller.Roster]
 	// known is closed when there is a catalog.
-	known chan struct{}
+	known   chan struct{}
 	dropped func(known map[string]*enroller.Target)
 	// instances is how many share the retry budget.
 	instances func() int
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -23,9 +23,15 @@
 var ErrPeer = errors.New("no instance could tell")
 
 const (
-	// staleAfter is how old an instance's own knowledge may be for others to
-	// take it. It is a little more than a read that waits for changes takes.
-	staleAfter = 2500 * time.Millisecond
+	// readerStale is how old the knowledge of the instance that reads for a data
+	// centre may be. Its reads wait for 700 ms; when they bring nothing for longer
+	// it may be cut off without a sign of it, and the others read themselves.
+	readerStale = 1100 * time.Millisecond
+	// readerWait is how long that instance is asked to wait for a change.
+	readerWait = 400 * time.Millisecond
+	// otherStale is the same for an instance that is asked because the platform
+	// turns this one away; it may itself read through another.
+	otherStale = 2500 * time.Millisecond
 	// peerTimeout bounds a call that does not wait; instances are a millisecond
 	// apart.
 	peerTimeout = 250 * time.Millisecond
@@ -134,7 +140,7 @@
 // instance does not answer; and from any other when the platform does not.
 func (s *Stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
 	if h, ok := s.reader(); ok {
-		p, err := s.ask(c, h, from, wait)
+		p, err := s.ask(c, h, from, min(wait, readerWait), readerStale)
 		if err == nil {
 			return s.take(p, from)
 		}
@@ -238,7 +244,7 @@
 			continue
 		}
 
-		p, err := s.ask(c, x, from, wait)
+		p, err := s.ask(c, x, from, wait, otherStale)
 		if err == nil {
 			return p, nil
 		}
@@ -251,8 +257,8 @@
 	return nil, ErrPeer
 }
 
-// ask asks one instance.
-func (s *Stream) ask(c context.Context, m gossiper.Member, from int64, wait time.Duration) (*wire.StreamReply, error) {
+// ask asks one instance, whose own knowledge may be so old.
+func (s *Stream) ask(c context.Context, m gossiper.Member, from int64, wait, stale time.Duration) (*wire.StreamReply, error) {
 	d := peerTimeout
 	if wait > 0 {
 		d = wait + peerSlack
@@ -269,7 +275,7 @@
 		return nil, errors.Mark(err, ErrPeer)
 	}
 
-	if time.Duration(p.AgeMs)*time.Millisecond > staleAfter {
+	if time.Duration(p.AgeMs)*time.Millisecond > stale {
 		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), ErrPeer)
 	}
 
--- /dev/null
+++ b/internal/repeater/repeater_test.go
@@ -0,0 +1,390 @@
+package repeater_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/repeater"
+	"github.com/auburntray/auburntray/internal/watcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+var errAway = errors.New("away")
+
+// platform is a stream that can turn single instances away or fall silent to them.
+type platform struct {
+	mu      sync.Mutex
+	records []watcher.Record
+	refused map[int]bool
+	silent  map[int]bool
+	reads   map[int]int
+}
+
+// put adds a record.
+func (p *platform) put(key, value string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.records = append(p.records, watcher.Record{Key: key, Value: []byte(value), Offset: int64(len(p.records))})
+}
+
+// view is the platform as one instance sees it.
+type view struct {
+	*platform
+
+	instance int
+}
+
+func (v view) check(c context.Context) error {
+	v.mu.Lock()
+	v.reads[v.instance]++
+	r, s := v.refused[v.instance], v.silent[v.instance]
+	v.mu.Unlock()
+
+	if s {
+		<-c.Done()
+
+		return c.Err()
+	}
+
+	if r {
+		return errAway
+	}
+
+	return nil
+}
+
+func (v view) Newest(c context.Context) ([]watcher.Record, int64, error) {
+	if err := v.check(c); err != nil {
+		return nil, 0, err
+	}
+
+	l := v.since(0)
+
+	return l, int64(len(l)), nil
+}
+
+func (v view) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+	if err := v.check(c); err != nil {
+		return nil, 0, err
+	}
+
+	b := time.Now()
+
+	for {
+		if l := v.since(from); len(l) > 0 || time.Since(b) >= wait {
+			return l, from + int64(len(l)), nil
+		}
+
+		select {
+		case <-time.After(time.Millisecond):
+		case <-c.Done():
+			return nil, 0, c.Err()
+		}
+	}
+}
+
+func (p *platform) since(from int64) []watcher.Record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return append([]watcher.Record(nil), p.records[min(int(from), len(p.records)):]...)
+}
+
+// fleet is a few instances of one data centre, and what joins them.
+type fleet struct {
+	platform  *platform
+	instances []*instance
+	// cut are instances that others can't call.
+	cut map[int]bool
+	mu  sync.Mutex
+}
+
+type instance struct {
+	fleet     *fleet
+	number    int
+	centre    string
+	repeater  *repeater.Repeater
+	stream    *repeater.Stream
+	sink      *sink
+	suspected map[uint64]time.Time
+}
+
+func (i *instance) member() gossiper.Member {
+	return gossiper.Member{
+		ID: uint64(i.number + 1), DataCentre: i.centre,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i.number+1)),
+	}
+}
+
+func (i *instance) Self() gossiper.Member { return i.member() }
+
+func (i *instance) Live() []gossiper.Member {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+
+	var o []gossiper.Member
+
+	for _, x := range i.fleet.instances {
+		if time.Since(i.suspected[x.member().ID]) >= 3*time.Second {
+			o = append(o, x.member())
+		}
+	}
+
+	return o
+}
+
+// Home is the first live instance of the data centre.
+func (i *instance) Home(_ uint64, centres []string) (gossiper.Member, bool) {
+	for _, m := range i.Live() {
+		if m.DataCentre == centres[0] {
+			return m, true
+		}
+	}
+
+	return gossiper.Member{}, false
+}
+
+func (i *instance) Suspect(id uint64) {
+	i.fleet.mu.Lock()
+	defer i.fleet.mu.Unlock()
+
+	i.suspected[id] = time.Now()
+}
+
+func (i *instance) Call(c context.Context, a netip.AddrPort, _ wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error {
+	n := int(a.Port()) - 1
+
+	i.fleet.mu.Lock()
+	cut := i.fleet.cut[n] || i.fleet.cut[i.number]
+	i.fleet.mu.Unlock()
+
+	if cut {
+		<-c.Done()
+
+		return c.Err()
+	}
+
+	b, err := q.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+
+	m, err := i.fleet.instances[n].repeater.Answer(c, i.member().ID, b)
+	if err != nil {
+		return err
+	}
+
+	b, err = m.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+
+	_, err = r.UnmarshalMsg(b)
+
+	return err
+}
+
+// sink holds the values that an instance knows.
+type sink struct {
+	mu     sync.Mutex
+	values map[string]string
+}
+
+func (k *sink) Reset(l []watcher.Record) {
+	k.mu.Lock()
+	k.values = map[string]string{}
+	k.mu.Unlock()
+
+	for _, r := range l {
+		k.Change(r)
+	}
+}
+
+func (k *sink) Change(r watcher.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	if len(r.Value) == 0 {
+		delete(k.values, r.Key)
+	} else {
+		k.values[r.Key] = string(r.Value)
+	}
+}
+
+func (k *sink) Read(time.Duration) {}
+func (k *sink) Failed(error)       {}
+
+func (k *sink) get(key string) string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	return k.values[key]
+}
+
+// start runs instances in the given data centres.
+func start(t *testing.T, centres ...string) (*fleet, func()) {
+	t.Helper()
+	logrus.SetLevel(logrus.FatalLevel)
+
+	f := &fleet{
+		platform: &platform{refused: map[int]bool{}, silent: map[int]bool{}, reads: map[int]int{}},
+		cut:      map[int]bool{},
+	}
+	f.platform.put("k", "0")
+
+	for n, c := range centres {
+		i := &instance{fleet: f, number: n, centre: c, sink: &sink{}, suspected: map[uint64]time.Time{}}
+		i.repeater = repeater.New(i, i)
+		i.stream = i.repeater.Stream("s", view{f.platform, n})
+		f.instances = append(f.instances, i)
+	}
+
+	c, stop := context.WithCancel(t.Context())
+	for _, i := range f.instances {
+		go watcher.New("s", i.stream, i.sink, 100*time.Millisecond).Run(c)
+	}
+
+	time.Sleep(2 * time.Second)
+
+	return f, func() {
+		stop()
+		time.Sleep(3 * time.Second)
+	}
+}
+
+func (f *fleet) set(m map[int]bool, on bool, l ...int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.platform.mu.Lock()
+	defer f.platform.mu.Unlock()
+
+	for _, n := range l {
+		m[n] = on
+	}
+}
+
+// A user would be let in with a key that was taken away seconds ago, at one
+// instance only: the platform turns that instance away, or it reads through
+// another one that is cut off without a sign. Whatever happens to some instances,
+// those that someone can tell know a change two seconds after it was made.
+func TestChangesReachAllInstances(t *testing.T) {
+	for name, x := range map[string]struct {
+		spoil func(f *fleet)
+		know  []int
+	}{
+		"all well":                     {func(*fleet) {}, []int{0, 1, 2, 3}},
+		"platform refuses the reader":  {func(f *fleet) { f.set(f.platform.refused, true, 0) }, []int{0, 1, 2, 3}},
+		"platform is mute to it":       {func(f *fleet) { f.set(f.platform.silent, true, 0) }, []int{0, 1, 2, 3}},
+		"refuses a whole data centre":  {func(f *fleet) { f.set(f.platform.refused, true, 0, 1, 2) }, []int{0, 1, 2, 3}},
+		"refuses all but one reader":   {func(f *fleet) { f.set(f.platform.refused, true, 1, 2, 3) }, []int{0, 1, 2, 3}},
+		"reader can't be called":       {func(f *fleet) { f.set(f.cut, true, 0) }, []int{0, 1, 2, 3}},
+		"reader is cut off altogether": {func(f *fleet) { f.set(f.cut, true, 0); f.set(f.platform.silent, true, 0) }, []int{1, 2, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, stop := start(t, "a", "a", "a", "b")
+
+				x.spoil(f)
+
+				for _, v := range []string{"1", "2", "3"} {
+					f.platform.put("k", v)
+					time.Sleep(2 * time.Second)
+
+					for _, n := range x.know {
+						is.Equal(f.instances[n].sink.get("k"), v)
+					}
+				}
+
+				stop()
+			})
+		})
+	}
+}
+
+// The platform's price is by the call: in a data centre one instance reads.
+func TestOneInstanceReadsForItsDataCentre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := start(t, "a", "a", "a", "a", "b")
+
+		f.platform.mu.Lock()
+		clear(f.platform.reads)
+		f.platform.mu.Unlock()
+
+		time.Sleep(20 * time.Second)
+
+		f.platform.mu.Lock()
+		is.True(f.platform.reads[0] > 20 && f.platform.reads[0] < 40)
+		is.Equal(f.platform.reads[1]+f.platform.reads[2]+f.platform.reads[3], 0)
+		is.True(f.platform.reads[4] > 20)
+		f.platform.mu.Unlock()
+
+		stop()
+	})
+}
+
+// A target that left while an instance read through another is gone there too.
+func TestDroppedKeysAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := start(t, "a", "a")
+
+		f.platform.put("gone", "1")
+		time.Sleep(time.Second)
+		is.Equal(f.instances[1].sink.get("gone"), "1")
+
+		f.platform.put("gone", "")
+		time.Sleep(time.Second)
+		is.Equal(f.instances[1].sink.get("gone"), "")
+		is.Equal(f.instances[1].sink.get("k"), "0")
+
+		stop()
+	})
+}
+
+// While nobody hears from the platform nobody is taken for one who knows, and the
+// refused calls to it stay few.
+func TestNobodyKnowsDuringAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := start(t, "a", "a", "b")
+
+		f.set(f.platform.refused, true, 0, 1, 2)
+		time.Sleep(5 * time.Second)
+
+		for _, i := range f.instances {
+			is.True(time.Since(i.stream.Heard()) > 4*time.Second)
+		}
+
+		f.platform.mu.Lock()
+		n := f.platform.reads[0]
+		f.platform.mu.Unlock()
+
+		time.Sleep(10 * time.Second)
+		f.platform.mu.Lock()
+		is.True(f.platform.reads[0]-n < 70)
+		f.platform.mu.Unlock()
+
+		f.platform.put("k", "back")
+		f.set(f.platform.refused, false, 0, 1, 2)
+		time.Sleep(2 * time.Second)
+
+		for _, i := range f.instances {
+			is.Equal(i.sink.get("k"), "back")
+		}
+
+		stop()
+	})
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -18,10 +18,11 @@
 const (
 	// waitTime is how long a read waits for a change. Each read has a price, but
 	// one that was under way when the network was cut is never answered, and
-	// nothing is heard until it is given up: with silentAfter it stays below the
-	// two seconds in which a change must be in force.
-	waitTime    = 1500 * time.Millisecond
-	silentAfter = 400 * time.Millisecond
+	// nothing is heard until it is given up after silentAfter more. Others may read
+	// through this instance and are blind for as long; a change must be in force
+	// everywhere two seconds after it was made.
+	waitTime    = 700 * time.Millisecond
+	silentAfter = 300 * time.Millisecond
 	// newestTimeout bounds a read of all keys. The source answers within a few
 	// milliseconds, a quarter of a second when it is slow.
 	newestTimeout = 800 * time.Millisecond
