--- /dev/null
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -0,0 +1,387 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"github.com/auburntray/auburntray/internal/budgeter"
+	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/gatekeeper"
+	"github.com/auburntray/auburntray/internal/watcher"
+)
+
+// stream is a stream in memory.
+type stream struct {
+	mu      sync.Mutex
+	records []watcher.Record
+	away    bool
+}
+
+func (s *stream) put(t *testing.T, key string, v any) {
+	t.Helper()
+
+	var b []byte
+
+	if v != nil {
+		x, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		b = x
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.records = append(s.records, watcher.Record{Key: key, Value: b, Offset: int64(len(s.records))})
+}
+
+func (s *stream) read(from int64) ([]watcher.Record, int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.away {
+		return nil, 0, errors.New("away")
+	}
+
+	return append([]watcher.Record(nil), s.records[from:]...), int64(len(s.records)), nil
+}
+
+func (s *stream) Newest(context.Context) ([]watcher.Record, int64, error) { return s.read(0) }
+
+func (s *stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+	for b := time.Now(); ; time.Sleep(2 * time.Millisecond) {
+		l, n, err := s.read(from)
+		if err != nil || len(l) > 0 || time.Since(b) >= wait || c.Err() != nil {
+			return l, n, err
+		}
+	}
+}
+
+// dialect is a way of speaking for the tests.
+type dialect struct{}
+
+func (dialect) Read(h http.Header) (forwarder.Call, error) {
+	return forwarder.Call{ID: h.Get("Id"), Key: h.Get("Key")}, nil
+}
+
+func (dialect) Write(http.Header, forwarder.Orders) {}
+
+func (dialect) Answer(h http.Header, _ int) forwarder.Reply {
+	return forwarder.Reply{ID: h.Get("Id"), Sealed: true}
+}
+
+// site is one instance with its surroundings.
+type site struct {
+	config, targets *stream
+	callers, ready  string
+	app             *fx.App
+}
+
+func free(t *testing.T) netip.AddrPort {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	defer l.Close() //nolint:errcheck // The test's own.
+
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func open(t *testing.T) *site {
+	t.Helper()
+	logrus.SetLevel(logrus.PanicLevel)
+
+	s := &site{config: &stream{}, targets: &stream{}}
+	a, b := free(t), free(t)
+	s.callers, s.ready = "http://"+a.String(), "http://"+b.String()
+	s.app = fx.New(gatekeeper.Options(gatekeeper.Settings{
+		Name: "front-1", DataCentre: "dc", Callers: a, Ready: b, Peers: free(t), Stop: 8 * time.Second,
+		Retries: budgeter.Settings{Ratio: 0.2, Window: time.Second, Slack: 10},
+	}, gatekeeper.World{
+		Dialect: dialect{}, ReadyPath: "/ready", ConfigKey: "config", Config: s.config, Targets: s.targets,
+		DecodeConfig: func(b []byte) (cataloger.Document, error) {
+			var d cataloger.Document
+
+			return d, json.Unmarshal(b, &d)
+		},
+		DecodeTarget: func(key string, b []byte) (enroller.Target, error) {
+			t := enroller.Target{ID: key}
+
+			return t, json.Unmarshal(b, &t)
+		},
+	}))
+
+	if err := s.app.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _ = s.app.Stop(context.Background()) })
+
+	return s
+}
+
+// get calls a path with an ID and a key, and returns the status and the body.
+func get(t *testing.T, url string) (int, string, http.Header) {
+	t.Helper()
+
+	return getBy(t, &http.Transport{DisableKeepAlives: true}, url)
+}
+
+func getBy(t *testing.T, x *http.Transport, url string) (int, string, http.Header) {
+	t.Helper()
+
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	q.Host = "app.example"
+	q.Header.Set("Id", "1")
+	q.Header.Set("Key", "k")
+
+	r, err := x.RoundTrip(q)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+
+	defer r.Body.Close() //nolint:errcheck // Read below.
+
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+
+	// The library keeps the word that the connection ends to itself.
+	if r.Close {
+		r.Header.Set("Connection", "close")
+	}
+
+	return r.StatusCode, string(b), r.Header
+}
+
+// catalog has a rule for each prefix.
+func catalog(version uint64, keys []string, prefixes ...string) cataloger.Document {
+	d := cataloger.Document{
+		Version: version, Groups: []cataloger.Group{{Name: "g"}},
+		Customers: []cataloger.Customer{{Name: "c", Keys: keys}},
+	}
+	for _, p := range prefixes {
+		d.Rules = append(d.Rules, cataloger.Rule{
+			Name: p, Host: "app.example", Prefix: p, Longest: 3 * time.Second,
+			Shares: []cataloger.Share{{Group: "g", Weight: 1}},
+		})
+	}
+
+	return d
+}
+
+// target serves calls by a function, and says who it is by its echo of the ID.
+func target(t *testing.T, f func(w http.ResponseWriter)) enroller.Target {
+	t.Helper()
+
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		f(w)
+	}))
+	t.Cleanup(s.Close)
+
+	return enroller.Target{Group: "g", Address: netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), Slots: 4}
+}
+
+// eventually waits for a state for some seconds.
+func eventually(t *testing.T, f func() bool) {
+	t.Helper()
+
+	for range 400 {
+		if f() {
+			return
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	t.Fatal("it did not come")
+}
+
+func status(t *testing.T, url string, want int) func() bool {
+	t.Helper()
+
+	return func() bool {
+		n, _, _ := get(t, url)
+
+		return n == want
+	}
+}
+
+func TestReadyWhenItCanServe(t *testing.T) {
+	is := is.New(t)
+	s := open(t)
+
+	n, _, _ := get(t, s.ready+"/ready")
+	is.Equal(n, http.StatusServiceUnavailable)
+
+	n, _, h := get(t, s.callers+"/x/")
+	is.Equal(n, http.StatusServiceUnavailable)
+	is.True(h.Get("Retry-After") != "")
+
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	time.Sleep(100 * time.Millisecond)
+
+	n, _, _ = get(t, s.ready+"/ready")
+	is.Equal(n, http.StatusServiceUnavailable) // There is nobody to serve a call.
+
+	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") }))
+	eventually(t, status(t, s.ready+"/ready", http.StatusOK))
+
+	n, b, _ := get(t, s.callers+"/x/")
+	is.Equal(n, http.StatusOK)
+	is.Equal(b, "hello")
+}
+
+// A user would find a key that was taken away working again: the platform answers
+// from an older state, or a version that can't be used comes between.
+func TestConfigurationNeverReverts(t *testing.T) {
+	for name, old := range map[string]any{
+		"older version": catalog(3, []string{"k"}, "/x/", "/y/"),
+		"not usable":    cataloger.Document{Version: 9, Rules: []cataloger.Rule{{Name: "r", Host: "app.example", Prefix: "no slash"}}},
+		"not decodable": "text",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := open(t)
+			s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") }))
+			s.config.put(t, "config", catalog(2, []string{"k"}, "/x/"))
+			eventually(t, status(t, s.callers+"/x/", http.StatusOK))
+
+			s.config.put(t, "config", catalog(5, []string{"other"}, "/x/"))
+			eventually(t, status(t, s.callers+"/x/", http.StatusUnauthorized))
+
+			s.config.put(t, "config", old)
+			time.Sleep(300 * time.Millisecond)
+
+			n, _, _ := get(t, s.callers+"/x/")
+			is.Equal(n, http.StatusUnauthorized)
+		})
+	}
+}
+
+// A planned stop cuts nothing: the call in progress gets its whole answer, those
+// that the balancer still sends are served, and each answer ends its connection.
+func TestPlannedStopCutsNoCall(t *testing.T) {
+	is := is.New(t)
+	s := open(t)
+	slow := make(chan struct{})
+	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) {
+		<-slow
+		_, _ = fmt.Fprint(w, "whole")
+	}))
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	eventually(t, status(t, s.ready+"/ready", http.StatusOK))
+
+	type result struct {
+		status     int
+		body       string
+		connection string
+	}
+
+	first, late, stopped := make(chan result, 1), make(chan result, 1), make(chan error, 1)
+
+	go func() {
+		n, b, _ := get(t, s.callers+"/x/")
+		first <- result{n, b, ""}
+	}()
+
+	time.Sleep(100 * time.Millisecond)
+
+	go func() { stopped <- s.app.Stop(context.Background()) }()
+
+	eventually(t, status(t, s.ready+"/ready", http.StatusServiceUnavailable))
+
+	go func() {
+		n, b, h := getBy(t, &http.Transport{}, s.callers+"/x/")
+		late <- result{n, b, h.Get("Connection")}
+	}()
+
+	time.Sleep(100 * time.Millisecond)
+	close(slow)
+	is.Equal(<-first, result{http.StatusOK, "whole", ""})
+	is.Equal(<-late, result{http.StatusOK, "whole", "close"})
+	is.NoErr(<-stopped)
+}
+
+func TestLeavingTargetGetsNoNewCalls(t *testing.T) {
+	for name, leave := range map[string]func(t *testing.T, s *site, x enroller.Target){
+		"says that it drains": func(t *testing.T, s *site, x enroller.Target) {
+			t.Helper()
+
+			x.Draining = true
+			s.targets.put(t, "t1", x)
+		},
+		"is removed without a word": func(t *testing.T, s *site, _ enroller.Target) {
+			t.Helper()
+			s.targets.put(t, "t1", nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := open(t)
+			x := target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") })
+			s.targets.put(t, "t1", x)
+			s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+			eventually(t, status(t, s.callers+"/x/", http.StatusOK))
+
+			b := time.Now()
+
+			leave(t, s, x)
+			eventually(t, status(t, s.callers+"/x/", http.StatusServiceUnavailable))
+			is.True(time.Since(b) < 2*time.Second)
+		})
+	}
+}
+
+// The platform is away for longer than entries last: what was known stands.
+func TestOutageOfThePlatform(t *testing.T) {
+	is := is.New(t)
+	s := open(t)
+	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") }))
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	eventually(t, status(t, s.callers+"/x/", http.StatusOK))
+
+	for _, x := range []*stream{s.config, s.targets} {
+		x.mu.Lock()
+		x.away = true
+		x.mu.Unlock()
+	}
+
+	time.Sleep(3 * time.Second)
+
+	n, _, _ := get(t, s.callers+"/x/")
+	is.Equal(n, http.StatusOK)
+
+	// What it does not know may be new: callers are asked to come back.
+	n, _, h := get(t, s.callers+"/new/")
+	is.Equal(n, http.StatusServiceUnavailable)
+	is.True(h.Get("Retry-After") != "")
+}
