internal/gatekeeper: the test's targets carry the key of their record

The test decoded targets without an ID, so that their removal named nobody. Ruled out: a removal that is held (no outage was seen). Measured: the package's tests pass with the race detector.

--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -127,9 +127,12 @@
 			return d, json.Unmarshal(b, &d)
 		},
 		DecodeTarget: func(key string, b []byte) (enroller.Target, error) {
-			t := enroller.Target{ID: key}
+			var t enroller.Target
 
-			return t, json.Unmarshal(b, &t)
+			err := json.Unmarshal(b, &t)
+			t.ID = key
+
+			return t, err
 		},
 	}))
 
