--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -90,7 +90,7 @@
 		"noProof": func(n net.Conn, s seen) { reply(n, s, "200 OK", "forged") },
 		"reset":   func(n net.Conn, _ seen) { reset(n) },
 		"closed":  func(n net.Conn, _ seen) { _ = n.Close() },
-		"short": func(n net.Conn, s seen) {
+		"short": func(n net.Conn, _ seen) {
 			_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nId: call-1\r\nSeal: x\r\nContent-Length: 100\r\n\r\nshort")
 			reset(n)
 		},
@@ -102,7 +102,7 @@
 			_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nId: call-1\r\nSeal: "+s.target+"\r\n\r\nfrom "+s.target)
 			_ = n.Close()
 		},
-		"cutBare": func(n net.Conn, s seen) {
+		"cutBare": func(n net.Conn, _ seen) {
 			_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\nId: call-1\r\nSeal: x\r\n\r\nfro")
 			time.Sleep(20 * time.Millisecond)
 			reset(n)
@@ -204,11 +204,16 @@
 			g := front(t, a)
 			c, leave := context.WithCancel(t.Context())
 
-			go g.callWith(t, c, http.MethodPost, path, "x")
+			go func() {
+				s := <-came
+				came <- s
 
-			s := <-came
+				leave()
+			}()
 
-			leave()
+			g.callWith(t, c, http.MethodPost, path, "x")
+
+			s := <-came
 
 			select {
 			case <-s.gone:
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -27,7 +27,7 @@
 	reads  int
 }
 
-func (s *source) Newest(c context.Context) ([]watcher.Record, int64, error) {
+func (s *source) Newest(context.Context) ([]watcher.Record, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
