internal/meter, internal/forwarder: counts as text, and a line for each call

Cause: an engineer on call had no count and no line for a call that went well, and the log went to the standard error through the caller's own goroutine.

--- a/internal/cataloger/rule.go
+++ b/internal/cataloger/rule.go
@@ -15,6 +15,20 @@
 	Stream
 )
 
+// String returns the kind's name.
+func (k Kind) String() string {
+	switch k {
+	case Once:
+		return "once"
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	default:
+		return "unknown"
+	}
+}
+
 // Rule sends the calls of a host and a path prefix to groups of targets.
 type Rule struct {
 	Name string
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -26,6 +26,24 @@
 	Neither
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	switch o {
+	case Good:
+		return "good"
+	case Bad:
+		return "bad"
+	case Unreachable:
+		return "unreachable"
+	case Shed:
+		return "shed"
+	case Neither:
+		return "neither"
+	default:
+		return "unknown"
+	}
+}
+
 const (
 	// slowLeast is the part of the time of full use above which a target's answers
 	// are slow at all, and slowTimes how many times the usual of its group they
--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -2,19 +2,24 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/gatekeeper"
+	"github.com/auburntray/auburntray/internal/logger"
 	"github.com/auburntray/auburntray/platform"
 )
 
 func newPlatform() *cobra.Command {
-	return &cobra.Command{
+	var metricsPort uint16
+
+	c := &cobra.Command{
 		Use:   "platform",
 		Short: "Run a gateway with the settings file of the users' platform, until SIGTERM",
 		Args:  cobra.NoArgs,
@@ -24,9 +29,18 @@
 				return err
 			}
 
-			return runGateway(gatewaySettings(s), platform.World(s))
+			g := gatewaySettings(s)
+			if metricsPort > 0 {
+				g.Metrics = netip.AddrPortFrom(s.Callers.Addr(), metricsPort)
+			}
+
+			return runGateway(g, platform.World(s))
 		},
 	}
+
+	c.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "serve counts at /metrics on this port; 0 serves none")
+
+	return c
 }
 
 func gatewaySettings(s platform.Settings) gatekeeper.Settings {
@@ -42,6 +56,11 @@
 		return errors.Mark(err, ErrUsage)
 	}
 
+	l, flush := logger.New(os.Stdout)
+	defer flush()
+
+	logrus.SetOutput(l)
+
 	a := fx.New(gatekeeper.Options(s, w))
 	if err := a.Err(); err != nil {
 		return err
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -111,11 +111,11 @@
 
 		return nil
 	case !x.mayHaveRun:
-		return refuse(http.StatusServiceUnavailable, failWait, "no target took the call")
+		return refuse(http.StatusServiceUnavailable, NoTarget, failWait, "no target took the call")
 	case c.Err() != nil:
-		return refuse(http.StatusGatewayTimeout, 0, "the answer did not come in time")
+		return refuse(http.StatusGatewayTimeout, TooLate, 0, "the answer did not come in time")
 	default:
-		return refuse(http.StatusBadGateway, 0, "the target did not answer")
+		return refuse(http.StatusBadGateway, NoAnswer, 0, "the target did not answer")
 	}
 }
 
@@ -160,6 +160,8 @@
 		r.outcome = chooser.Neither
 	}
 
+	f.meter.Attempt(x.group, r.outcome.String())
+
 	f.mu.Lock()
 	f.chooser.Finish(time.Now(), t.Target, r.outcome)
 	f.mu.Unlock()
@@ -234,6 +236,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	f.meter.Began(x.kind(), n.Sub(x.start))
 	f.chooser.Begun(n, t.Target, float64(n.Sub(x.sentAt))/float64(x.rule.Latency))
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -78,6 +78,15 @@
 	return chooser.Query{Prefixes: x.shared, Instances: instances, DataCentre: centre, Excluded: x.tried}
 }
 
+// kind names the call's kind for counts.
+func (x *exchange) kind() string {
+	if x.rule == nil {
+		return "none"
+	}
+
+	return x.rule.Kind.String()
+}
+
 // fields are those that each line of log about the call has.
 func (x *exchange) fields() logrus.Fields {
 	l := logrus.Fields{"id": x.call.ID, "took": time.Since(x.start).Round(time.Microsecond)}
--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -24,6 +24,7 @@
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/meter"
 )
 
 // dialect is a way of speaking for the tests.
@@ -248,7 +249,7 @@
 
 	f := &facts{catalog: c, roster: e.Roster()}
 	x, stop := forwarder.New(forwarder.Settings{DataCentre: "dc0", Patience: time.Second, MaxBody: 1000}, dialect{}, f,
-		noop.NewTracerProvider().Tracer(""), &net.Dialer{}, chooser.New(chooser.DefaultSettings()),
+		noop.NewTracerProvider().Tracer(""), meter.New(), &net.Dialer{}, chooser.New(chooser.DefaultSettings()),
 		budgeter.New(budgeter.Settings{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}, time.Now()))
 	s := httptest.NewServer(x)
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -14,11 +14,13 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
 
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/meter"
 )
 
 // Facts is what is known of the world when a call comes.
@@ -57,6 +59,9 @@
 	facts    Facts
 	tracer   trace.Tracer
 	client   *client
+	meter    Meter
+	// ordinary bounds the lines about calls that went well.
+	ordinary *rate.Limiter
 
 	mu       sync.Mutex
 	chooser  *chooser.Chooser
@@ -66,6 +71,18 @@
 	stopOnce sync.Once
 }
 
+// Meter counts what happens; a meter.Meter does.
+type Meter interface {
+	Call(kind string, o meter.Outcome, took time.Duration)
+	Began(kind string, took time.Duration)
+	Attempt(group, outcome string)
+	Refusal(reason string)
+}
+
+// ordinaryLines is how many calls a second are logged that went well, four times
+// those of an instance at its usual load.
+const ordinaryLines = 150
+
 // Dialer makes connections; a net.Dialer does.
 type Dialer interface {
 	DialContext(c context.Context, network, address string) (net.Conn, error)
@@ -73,12 +90,12 @@
 
 // New returns a Forwarder and its clean-up function, which closes the kept
 // connections to targets.
-func New(s Settings, d Dialect, f Facts, t trace.Tracer, x Dialer, c *chooser.Chooser, b *budgeter.Budgeter) (*Forwarder, func()) {
+func New(s Settings, d Dialect, f Facts, t trace.Tracer, m Meter, x Dialer, c *chooser.Chooser, b *budgeter.Budgeter) (*Forwarder, func()) {
 	k := newClient(x)
 
 	return &Forwarder{
 		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b,
-		stopping: make(chan struct{}),
+		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines), stopping: make(chan struct{}),
 	}, k.close
 }
 
@@ -124,7 +141,7 @@
 func (f *Forwarder) identify(x *exchange) error {
 	c, err := f.dialect.Read(x.request.Header)
 	if err != nil {
-		return refuse(http.StatusBadRequest, 0, "%v", err)
+		return refuse(http.StatusBadRequest, BadRequest, 0, "%v", err)
 	}
 
 	x.call = c
@@ -149,12 +166,12 @@
 
 	x.catalog = f.facts.Catalog()
 	if x.catalog == nil {
-		return refuse(http.StatusServiceUnavailable, startWait, "no catalog is known yet")
+		return refuse(http.StatusServiceUnavailable, NoCatalog, startWait, "no catalog is known yet")
 	}
 
 	r, ok := x.catalog.Match(hostOf(x.request), x.request.URL.Path)
 	if !ok {
-		return f.deny(http.StatusNotFound, "no rule matches")
+		return f.deny(http.StatusNotFound, NoRule, "no rule matches")
 	}
 
 	x.rule = r
@@ -168,12 +185,12 @@
 // instance that is cut off from the platform may not know the newest rules and
 // keys: its callers are asked to come back, which brings them to another one,
 // where a final answer would send them away for good.
-func (f *Forwarder) deny(status int, m string) error {
+func (f *Forwarder) deny(status int, r Reason, m string) error {
 	if !f.facts.Fresh() {
-		return refuse(http.StatusServiceUnavailable, staleWait, "%s in a catalog that may be old", m)
+		return refuse(http.StatusServiceUnavailable, OldCatalog, staleWait, "%s in a catalog that may be old", m)
 	}
 
-	return refuse(status, 0, "%s", m)
+	return refuse(status, r, 0, "%s", m)
 }
 
 // patience returns how long a call may be kept.
@@ -198,7 +215,7 @@
 
 	u, ok := x.catalog.Customer(x.call.Key)
 	if !ok {
-		return f.deny(http.StatusUnauthorized, "the key is not known")
+		return f.deny(http.StatusUnauthorized, NoKey, "the key is not known")
 	}
 
 	x.customer = u.Name
@@ -223,7 +240,7 @@
 
 	switch {
 	case errors.As(err, &m):
-		return refuse(http.StatusRequestEntityTooLarge, 0, "the body is longer than %d bytes", n)
+		return refuse(http.StatusRequestEntityTooLarge, TooLarge, 0, "the body is longer than %d bytes", n)
 	case err != nil:
 		return errors.Mark(err, errCallerLeft)
 	}
@@ -237,18 +254,36 @@
 func (f *Forwarder) end(x *exchange, err error) {
 	var r *Refusal
 
+	o := meter.Served
 	l := logrus.WithFields(x.fields())
 
 	switch {
 	case err == nil:
-		l.WithField("event", "callServed").Debug()
+		// In a flood the lines of calls that went well go first.
+		if f.ordinary.Allow() {
+			l.WithField("event", "callServed").Info()
+		}
 	case errors.Is(err, errCallerLeft):
+		o = meter.Left
+
 		l.WithFields(logrus.Fields{"event": "callerLeft", "error": err}).Info()
 	case errors.As(err, &r) && !x.relayed:
-		l.WithFields(logrus.Fields{"event": "callRefused", "status": r.Status, "wait": r.Wait, "reason": r.Message}).Info()
+		o = meter.Refused
+
+		l.WithFields(logrus.Fields{
+			"event": "callRefused", "status": r.Status, "wait": r.Wait, "reason": r.Reason, "detail": r.Message,
+		}).Info()
+		f.meter.Refusal(string(r.Reason))
 		r.write(x.writer)
 	default:
+		o = meter.Broken
+
 		l.WithFields(logrus.Fields{"event": "callBroken", "error": err}).Warn()
+	}
+
+	f.meter.Call(x.kind(), o, time.Since(x.start))
+
+	if o == meter.Broken {
 		// The connection ends without the end of the answer: what the caller got
 		// so far must not look whole.
 		panic(http.ErrAbortHandler)
@@ -267,12 +302,13 @@
 // Turn answers a call that is not taken, since the instance is stopping or has
 // too many.
 func (f *Forwarder) Turn(w http.ResponseWriter, stopping bool) {
-	m := "this instance has too many calls"
+	r := refuse(http.StatusServiceUnavailable, Busy, turnWait, "this instance has too many calls")
 	if stopping {
-		m = "this instance is stopping"
+		r = refuse(http.StatusServiceUnavailable, Stopping, turnWait, "this instance is stopping")
 	}
 
-	refuse(http.StatusServiceUnavailable, turnWait, "%s", m).write(w)
+	f.meter.Refusal(string(r.Reason))
+	r.write(w)
 }
 
 // Forget drops what is known of targets that are no longer listed.
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -27,10 +27,29 @@
 	failWait = 250 * time.Millisecond
 )
 
+// Reason says in a word why a call was given up on, for logs and counts.
+type Reason string
+
+// The reasons.
+const (
+	BadRequest Reason = "badRequest"
+	TooLarge   Reason = "tooLarge"
+	NoCatalog  Reason = "noCatalog"
+	NoRule     Reason = "noRule"
+	NoKey      Reason = "unknownKey"
+	OldCatalog Reason = "oldCatalog"
+	NoTarget   Reason = "noTarget"
+	TooLate    Reason = "tooLate"
+	NoAnswer   Reason = "noAnswer"
+	Stopping   Reason = "stopping"
+	Busy       Reason = "busy"
+)
+
 // Refusal is the gateway's own answer to a call that it has given up on. With
 // the status 503 the call was not run and never will be.
 type Refusal struct {
 	Status int
+	Reason Reason
 	// Wait is when to come back; zero says that it would not help.
 	Wait    time.Duration
 	Message string
@@ -41,8 +60,8 @@
 	return fmt.Sprintf("%d: %s", r.Status, r.Message)
 }
 
-func refuse(status int, wait time.Duration, format string, a ...any) *Refusal {
-	return &Refusal{Status: status, Wait: wait, Message: fmt.Sprintf(format, a...)}
+func refuse(status int, r Reason, wait time.Duration, format string, a ...any) *Refusal {
+	return &Refusal{Status: status, Reason: r, Wait: wait, Message: fmt.Sprintf(format, a...)}
 }
 
 func (r *Refusal) write(w http.ResponseWriter) {
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -25,6 +25,7 @@
 	"github.com/auburntray/auburntray/internal/informer"
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/repeater"
 	"github.com/auburntray/auburntray/internal/tracer"
 	"github.com/auburntray/auburntray/internal/watcher"
@@ -46,6 +47,8 @@
 	Peers  netip.AddrPort
 	Seeds  []netip.AddrPort
 	Region string
+	// Metrics is where counts are served; zero serves them to nobody.
+	Metrics netip.AddrPort
 	// Stop is how long a planned stop may take.
 	Stop time.Duration
 	// Retries bounds the repeats of all instances together.
@@ -84,6 +87,8 @@
 	configRest = 100 * time.Millisecond
 	targetRest = 600 * time.Millisecond
 	maxCalls   = 4096
+	// metricsPath is where counts are served.
+	metricsPath = "/metrics"
 	// settleEvery is how late the end of a grace may be noticed.
 	settleEvery = 100 * time.Millisecond
 )
@@ -100,6 +105,7 @@
 	watchers  []*watcher.Watcher
 	callers   *http.Server
 	ready     *http.Server
+	metrics   *http.Server
 	group     sync.WaitGroup
 	end       context.CancelFunc
 }
@@ -109,7 +115,7 @@
 func Options(s Settings, w World) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(newFacts, newTracer, newMessenger, newMembers, newRepeater, newForwarder, newGatekeeper),
+		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(s.Stop),
 		fx.Invoke(func(l fx.Lifecycle, g *Gatekeeper) {
@@ -124,10 +130,10 @@
 	return t, err
 }
 
-func newForwarder(l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer) *forwarder.Forwarder {
+func newForwarder(l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer, m *meter.Meter) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, Patience: patience, MaxBody: maxBody},
-		w.Dialect, f, t, &net.Dialer{}, chooser.New(chooser.DefaultSettings()), budgeter.New(s.Retries, time.Now()))
+		w.Dialect, f, t, m, &net.Dialer{}, chooser.New(chooser.DefaultSettings()), budgeter.New(s.Retries, time.Now()))
 	f.dropped = x.Forget
 
 	l.Append(fx.Hook{OnStop: func(context.Context) error {
@@ -139,7 +145,23 @@
 	return x
 }
 
-func newGatekeeper(s Settings, w World, f *facts, x *forwarder.Forwarder, m *messenger.Messenger, j *joiner.Joiner, r *repeater.Repeater) *Gatekeeper {
+// parts are what a Gatekeeper runs.
+type parts struct {
+	fx.In
+
+	Settings  Settings
+	World     World
+	Facts     *facts
+	Forwarder *forwarder.Forwarder
+	Messenger *messenger.Messenger
+	Joiner    *joiner.Joiner
+	Repeater  *repeater.Repeater
+	Meter     *meter.Meter
+}
+
+func newGatekeeper(p parts) *Gatekeeper {
+	s, w, f, x, m, j, r := p.Settings, p.World, p.Facts, p.Forwarder, p.Messenger, p.Joiner, p.Repeater
+
 	const config, targets = "config", "targets"
 
 	c, t := r.Stream(config, w.Config), r.Stream(targets, w.Targets)
@@ -157,13 +179,14 @@
 			watcher.New(targets, t, &targetSink{facts: f, decode: w.DecodeTarget, offsets: make(map[string]int64)}, targetRest),
 		},
 	}
-	g.handle(w.ReadyPath)
+	g.handle(w.ReadyPath, p.Meter)
+	g.follow(p.Meter)
 
 	return g
 }
 
 // handle sets up the callers' and the balancer's side.
-func (g *Gatekeeper) handle(readyPath string) {
+func (g *Gatekeeper) handle(readyPath string, m *meter.Meter) {
 	gin.SetMode(gin.ReleaseMode)
 
 	c := gin.New()
@@ -176,6 +199,22 @@
 
 	g.callers = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 	g.ready = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+
+	x := gin.New()
+	x.GET(metricsPath, gin.WrapH(m.Handler()))
+
+	g.metrics = &http.Server{Handler: x, ReadHeaderTimeout: headerTimeout}
+}
+
+// follow connects the metrics that are read where they stand.
+func (g *Gatekeeper) follow(m *meter.Meter) {
+	m.Follow("catalog_version", func() float64 { return float64(g.facts.version()) })
+	m.Follow("catalog_age_seconds", func() float64 { return time.Since(g.facts.heard()).Seconds() })
+	m.Follow("targets", func() float64 { return float64(len(g.facts.Roster().Known)) })
+	m.Follow("instances", func() float64 { return float64(g.facts.Instances()) })
+	m.Follow("calls_running", func() float64 { return float64(g.drainer.Running()) })
+	m.Follow("control_bytes_sent", func() float64 { s, _ := g.messenger.Traffic().Bytes(); return float64(s) })
+	m.Follow("control_bytes_received", func() float64 { _, n := g.messenger.Traffic().Bytes(); return float64(n) })
 }
 
 // serve counts a call in and out, so that a stop waits for it.
@@ -209,7 +248,11 @@
 	for _, s := range []struct {
 		server  *http.Server
 		address netip.AddrPort
-	}{{g.callers, g.settings.Callers}, {g.ready, g.settings.Ready}} {
+	}{{g.callers, g.settings.Callers}, {g.ready, g.settings.Ready}, {g.metrics, g.settings.Metrics}} {
+		if !s.address.IsValid() {
+			continue
+		}
+
 		l, err := (&net.ListenConfig{}).Listen(c, "tcp", s.address.String())
 		if err != nil {
 			return errors.Mark(err, ErrStart)
@@ -265,6 +308,7 @@
 	g.end()
 	_ = g.callers.Close()
 	_ = g.ready.Close()
+	_ = g.metrics.Close()
 	g.group.Wait()
 	logrus.WithFields(logrus.Fields{"event": "stopped", "name": g.settings.Name, "cut": n}).Info()
 
--- a/internal/gatekeeper/members.go
+++ b/internal/gatekeeper/members.go
@@ -14,6 +14,7 @@
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/recorder"
 	"github.com/auburntray/auburntray/internal/repeater"
 )
@@ -60,8 +61,8 @@
 	return j
 }
 
-func newRepeater(m *messenger.Messenger, j *joiner.Joiner) *repeater.Repeater {
-	return repeater.New(m, j)
+func newRepeater(m *messenger.Messenger, j *joiner.Joiner, c *meter.Meter) *repeater.Repeater {
+	return repeater.New(m, j, c)
 }
 
 // peakFor is how long the largest number of instances seen stands. Instances that
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -57,17 +57,30 @@
 	Call(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error
 }
 
+// Meter counts reads; a meter.Meter does.
+type Meter interface {
+	Read(stream, source string, answered bool)
+}
+
+// Where reads go to, as they are counted.
+const (
+	sourceReader   = "reader"
+	sourcePlatform = "platform"
+	sourceOther    = "other"
+)
+
 // Repeater holds the streams of one instance. It is safe for concurrent use once
 // its streams are added.
 type Repeater struct {
 	messenger Messenger
 	members   Members
+	meter     Meter
 	streams   map[string]*Stream
 }
 
 // New returns a Repeater without streams.
-func New(m Messenger, x Members) *Repeater {
-	return &Repeater{messenger: m, members: x, streams: make(map[string]*Stream)}
+func New(m Messenger, x Members, c Meter) *Repeater {
+	return &Repeater{messenger: m, members: x, meter: c, streams: make(map[string]*Stream)}
 }
 
 // Stream adds a stream that is read from a source, or from other instances.
@@ -119,6 +132,8 @@
 // Newest is part of watcher.Source.
 func (s *Stream) Newest(c context.Context) ([]watcher.Record, int64, error) {
 	l, n, err := s.source.Newest(c)
+	s.count(sourcePlatform, err)
+
 	if err == nil {
 		s.reset(time.Now(), l, n)
 
@@ -141,6 +156,8 @@
 func (s *Stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
 	if h, ok := s.reader(); ok {
 		p, err := s.ask(c, h, from, min(wait, readerWait), readerStale)
+		s.count(sourceReader, err)
+
 		if err == nil {
 			return s.take(p, from)
 		}
@@ -155,6 +172,7 @@
 
 	b := time.Now()
 	l, n, err := s.source.Follow(c, from, wait)
+	s.count(sourcePlatform, err)
 
 	if err == nil {
 		s.add(heard(b, wait, l), l, n)
@@ -245,6 +263,8 @@
 		}
 
 		p, err := s.ask(c, x, from, wait, otherStale)
+		s.count(sourceOther, err)
+
 		if err == nil {
 			return p, nil
 		}
@@ -257,6 +277,10 @@
 	return nil, ErrPeer
 }
 
+func (s *Stream) count(source string, err error) {
+	s.repeater.meter.Read(s.name, source, err == nil)
+}
+
 // ask asks one instance, whose own knowledge may be so old.
 func (s *Stream) ask(c context.Context, m gossiper.Member, from int64, wait, stale time.Duration) (*wire.StreamReply, error) {
 	d := peerTimeout
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -14,6 +14,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/repeater"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -245,7 +246,7 @@
 
 	for n, c := range centres {
 		i := &instance{fleet: f, number: n, centre: c, sink: &sink{}, suspected: map[uint64]time.Time{}}
-		i.repeater = repeater.New(i, i)
+		i.repeater = repeater.New(i, i, meter.New())
 		i.stream = i.repeater.Stream("s", view{f.platform, n})
 		f.instances = append(f.instances, i)
 	}
