internal/chooser, internal/informer: instances tell each other the targets' loads

Cause: an instance that had sent a target little for two seconds guessed its load as its own calls times the number of instances; with seventy instances one call counted as seventy and sent chats away from their prompts.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -39,8 +39,6 @@
 	// Prefixes are the beginnings of the prompt that other calls share, the
 	// longest first. Calls without a prompt have none.
 	Prefixes []Prefix
-	// Instances is how many instances send calls.
-	Instances int
 	// DataCentre is where this instance is.
 	DataCentre string
 	// Excluded are the IDs of targets that the call was sent to before.
@@ -66,14 +64,15 @@
 // concurrent use.
 type Chooser struct {
 	settings Settings
-	states   map[string]*state
+	states   map[uint32]*state
+	loads    []Load
 	health   *health
 	places   *places
 }
 
 // New returns a Chooser that knows of no call.
 func New(s Settings) *Chooser {
-	return &Chooser{settings: s, states: make(map[string]*state), health: newHealth(), places: newPlaces()}
+	return &Chooser{settings: s, states: make(map[uint32]*state), health: newHealth(), places: newPlaces()}
 }
 
 // Choose returns where a call goes among the targets of its group, and false when
@@ -140,7 +139,7 @@
 	u := c.health.usable(now, all)
 
 	o := slices.DeleteFunc(slices.Clone(u), func(t *enroller.Target) bool {
-		s, ok := c.states[t.ID]
+		s, ok := c.states[hasher.Name(t.ID)]
 
 		return ok && now.Sub(s.shed) < shedFor
 	})
@@ -160,7 +159,7 @@
 	l := make([]float64, len(u))
 
 	for i, t := range u {
-		l[i] = c.load(now, t.ID, q.Instances)
+		l[i] = c.load(now, t.ID)
 		n += l[i]
 	}
 
@@ -190,7 +189,7 @@
 	b := 0.0
 
 	for _, t := range u {
-		w := c.load(now, t.ID, q.Instances) / float64(max(t.Slots, 1))
+		w := c.load(now, t.ID) / float64(max(t.Slots, 1))
 		if t.DataCentre != q.DataCentre {
 			w += c.settings.Near
 		}
@@ -205,24 +204,20 @@
 
 // Start counts a call at a target.
 func (c *Chooser) Start(now time.Time, t *enroller.Target) {
-	s, ok := c.states[t.ID]
-	if !ok {
-		s = &state{}
-		c.states[t.ID] = s
-	}
-
-	s.running++
+	c.state(hasher.Name(t.ID)).running++
 	c.health.start(now, t)
 }
 
 // Report takes what a target said of its load.
 func (c *Chooser) Report(now time.Time, id string, r Report) {
-	s, ok := c.states[id]
-	if !ok || r.Slots == 0 {
+	if r.Slots == 0 {
 		return
 	}
 
-	s.reported, s.base, s.at = r.Running+r.Waiting, s.running, now
+	l := Load{Target: hasher.Name(id), Calls: r.Running + r.Waiting, At: now}
+	if c.state(l.Target).report(now, l.Calls) {
+		c.loads = append(c.loads, l)
+	}
 }
 
 // Begun takes how long a target took until its answer began, as a part of the
@@ -233,12 +228,8 @@
 
 // Finish counts a call out again, with how it ended.
 func (c *Chooser) Finish(now time.Time, t *enroller.Target, o Outcome) {
-	s, ok := c.states[t.ID]
-	if !ok {
-		return
-	}
-
-	s.running--
+	s := c.state(hasher.Name(t.ID))
+	s.running = max(s.running-1, 0)
 
 	if o == Shed {
 		s.shed = now
@@ -247,33 +238,67 @@
 	c.health.finish(now, t, o)
 }
 
-// Learn takes what another instance told of the places of prompts.
-func (c *Chooser) Learn(now time.Time, l []Place) {
-	for _, p := range l {
+// News is what instances tell each other.
+type News struct {
+	Places []Place
+	Loads  []Load
+}
+
+// Learn takes what another instance told.
+func (c *Chooser) Learn(now time.Time, n News) {
+	for _, p := range n.Places {
 		c.places.learn(now, p)
 	}
+
+	for _, l := range n.Loads {
+		c.state(l.Target).report(l.At, l.Calls)
+	}
 }
 
-// News returns the places that other instances should be told of.
-func (c *Chooser) News() []Place {
-	return c.places.take()
+// News returns what other instances should be told: the places of prompts that they
+// may not know, and the last word of each target on its load.
+func (c *Chooser) News() News {
+	n := News{Places: c.places.take()}
+	k := make(map[uint32]bool, len(c.loads))
+
+	for _, l := range slices.Backward(c.loads) {
+		if !k[l.Target] {
+			k[l.Target] = true
+			n.Loads = append(n.Loads, l)
+		}
+	}
+
+	c.loads = nil
+
+	return n
 }
 
 // Forget drops what is known of the targets that are no longer listed and have
 // no call.
-func (c *Chooser) Forget(known map[string]*enroller.Target) {
-	for id, s := range c.states {
-		if _, ok := known[id]; !ok && s.running <= 0 {
-			delete(c.states, id)
-			c.health.forget(id)
+func (c *Chooser) Forget(known map[uint32]*enroller.Target) {
+	for n, s := range c.states {
+		if _, ok := known[n]; !ok && s.running <= 0 {
+			delete(c.states, n)
+			c.health.forget(n)
 		}
 	}
 }
 
-func (c *Chooser) load(now time.Time, id string, instances int) float64 {
-	if s, ok := c.states[id]; ok {
-		return s.load(now, instances)
+func (c *Chooser) load(now time.Time, id string) float64 {
+	if s, ok := c.states[hasher.Name(id)]; ok {
+		return s.load(now)
 	}
 
 	return 0
 }
+
+// state returns what is known of a target, by the hash of its ID.
+func (c *Chooser) state(target uint32) *state {
+	s, ok := c.states[target]
+	if !ok {
+		s = &state{}
+		c.states[target] = s
+	}
+
+	return s
+}
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -28,7 +28,7 @@
 }
 
 func query(key uint64) chooser.Query {
-	return chooser.Query{Prefixes: []chooser.Prefix{{Key: key, Tokens: 10000}}, Instances: 1, DataCentre: "a"}
+	return chooser.Query{Prefixes: []chooser.Prefix{{Key: key, Tokens: 10000}}, DataCentre: "a"}
 }
 
 // choose sends a call and counts it.
@@ -239,7 +239,7 @@
 			q.Excluded = []string{"t0"} // Whatever holds it, the call goes to the other.
 
 			if x.holder != "" {
-				c.Learn(now.Add(x.told), []chooser.Place{{Key: 9, Target: hasher.Name(x.holder)}})
+				c.Learn(now.Add(x.told), chooser.News{Places: []chooser.Place{{Key: 9, Target: hasher.Name(x.holder)}}})
 			}
 
 			o, ok := c.Choose(now, r, group, q)
@@ -257,11 +257,11 @@
 	c := chooser.New(chooser.DefaultSettings())
 
 	choose(c, now, r, query(1))
-	is.Equal(len(c.News()), 1)
+	is.Equal(len(c.News().Places), 1)
 	choose(c, now.Add(time.Second), r, query(1))
-	is.Equal(len(c.News()), 0)
+	is.Equal(len(c.News().Places), 0)
 	choose(c, now.Add(30*time.Second), r, query(1))
-	is.Equal(len(c.News()), 1)
+	is.Equal(len(c.News().Places), 1)
 }
 
 func TestTargetThatTurnsAwayIsPassedOver(t *testing.T) {
@@ -308,7 +308,7 @@
 	now := time.Unix(0, 0)
 	r := roster(2, "a", "b")
 	c := chooser.New(chooser.DefaultSettings())
-	q := chooser.Query{Instances: 1, DataCentre: "b"}
+	q := chooser.Query{DataCentre: "b"}
 	far := 0
 
 	for range 50 {
@@ -340,3 +340,28 @@
 	c.Finish(now, o.Target, chooser.Good) // Not counted below zero.
 	is.Equal(choose(c, now, r, query(1)).Target.ID, o.Target.ID)
 }
+
+// A user would see an engine with a long queue get more: each of seventy instances
+// has sent it little and knows nothing of what the others sent.
+func TestLoadThatOthersWereTold(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := roster(3, "a")
+	c := chooser.New(chooser.DefaultSettings())
+	o, ok := c.Choose(now, r, group, query(5))
+	is.True(ok)
+
+	c.Learn(now, chooser.News{Loads: []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 40, At: now.Add(-time.Second / 2)}}})
+	p, ok := c.Choose(now, r, group, query(5))
+	is.True(ok)
+	is.True(p.Target.ID != o.Target.ID)
+
+	// An older word does not go before a newer one.
+	c.Report(now, o.Target.ID, chooser.Report{Running: 1, Slots: 64})
+	c.Learn(now, chooser.News{Loads: []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 40, At: now.Add(-time.Second)}}})
+	is.Equal(c.News().Loads, []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 1, At: now}})
+
+	p, ok = c.Choose(now, r, group, query(5))
+	is.True(ok)
+	is.Equal(p.Target.ID, o.Target.ID)
+}
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -73,7 +73,7 @@
 	centres *ejector.Ejector
 	// failing are the targets that can be reached and fail.
 	failing *ejector.Ejector
-	paces   map[string]*pace
+	paces   map[uint32]*pace
 }
 
 func newHealth() *health {
@@ -85,7 +85,7 @@
 		// time of a dial. Two in a row are enough to leave them all alone.
 		centres: ejector.New(ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
 		failing: ejector.New(ejector.DefaultSettings()),
-		paces:   make(map[string]*pace),
+		paces:   make(map[uint32]*pace),
 	}
 }
 
@@ -138,7 +138,7 @@
 // slow says that a target's answers begin much later than usual. Calls that may
 // run once only can't leave it again, so it is found by the others' answers.
 func (h *health) slow(now time.Time, t *enroller.Target, most float64) bool {
-	p, ok := h.paces[t.ID]
+	p, ok := h.paces[hasher.Name(t.ID)]
 	if !ok || p.samples < slowSamples || p.part < max(slowLeast, most) {
 		return false
 	}
@@ -151,7 +151,7 @@
 	var o []float64
 
 	for _, t := range l {
-		if p, ok := h.paces[t.ID]; ok && p.samples >= slowSamples {
+		if p, ok := h.paces[hasher.Name(t.ID)]; ok && p.samples >= slowSamples {
 			o = append(o, p.part)
 		}
 	}
@@ -170,16 +170,16 @@
 	h.centres.Probe(now, hasher.Name(t.DataCentre))
 	h.failing.Probe(now, hasher.Name(t.ID))
 
-	if p, ok := h.paces[t.ID]; ok && now.Sub(p.trial) >= slowTrial {
+	if p, ok := h.paces[hasher.Name(t.ID)]; ok && now.Sub(p.trial) >= slowTrial {
 		p.trial = now
 	}
 }
 
 func (h *health) begun(_ time.Time, t *enroller.Target, part float64) {
-	p, ok := h.paces[t.ID]
+	p, ok := h.paces[hasher.Name(t.ID)]
 	if !ok {
 		p = &pace{part: part}
-		h.paces[t.ID] = p
+		h.paces[hasher.Name(t.ID)] = p
 	}
 
 	p.part += slowWeight * (part - p.part)
@@ -206,9 +206,8 @@
 	}
 }
 
-func (h *health) forget(id string) {
-	n := hasher.Name(id)
+func (h *health) forget(n uint32) {
 	h.targets.Forget(n)
 	h.failing.Forget(n)
-	delete(h.paces, id)
+	delete(h.paces, n)
 }
--- a/internal/chooser/state.go
+++ b/internal/chooser/state.go
@@ -22,12 +22,33 @@
 	at       time.Time
 }
 
-// load estimates the calls of all instances at a target: what it said last, and
-// what this instance has begun and ended since.
-func (s *state) load(now time.Time, instances int) float64 {
+// load estimates the calls of all instances at a target: what it said last, to any
+// of them, and what this instance has begun and ended since.
+func (s *state) load(now time.Time) float64 {
 	if now.Sub(s.at) < reportFor {
 		return float64(max(s.reported+s.running-s.base, s.running))
 	}
 
-	return float64(s.running * instances)
+	return float64(s.running)
+}
+
+// report takes a target's word on its load unless it is older than the last.
+func (s *state) report(at time.Time, load int) bool {
+	if !at.After(s.at) {
+		return false
+	}
+
+	s.reported, s.base, s.at = load, s.running, at
+
+	return true
+}
+
+// Load is what a target said of its load.
+type Load struct {
+	// Target is the hash of its ID.
+	Target uint32
+	// Calls are those of all instances, running and waiting.
+	Calls int
+	// At is when it said so.
+	At time.Time
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -69,7 +69,7 @@
 
 	n := time.Now()
 
-	t, ok := f.chooser.Choose(n, f.facts.Roster(), x.group, x.query(f.settings.DataCentre, f.facts.Instances()))
+	t, ok := f.chooser.Choose(n, f.facts.Roster(), x.group, x.query(f.settings.DataCentre))
 	if ok {
 		f.chooser.Start(n, t.Target)
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -74,8 +74,8 @@
 	return hasher.Key(x.call.ID)
 }
 
-func (x *exchange) query(centre string, instances int) chooser.Query {
-	return chooser.Query{Prefixes: x.shared, Instances: instances, DataCentre: centre, Excluded: x.tried}
+func (x *exchange) query(centre string) chooser.Query {
+	return chooser.Query{Prefixes: x.shared, DataCentre: centre, Excluded: x.tried}
 }
 
 // kind names the call's kind for counts.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -311,24 +311,25 @@
 	r.write(w)
 }
 
-// Forget drops what is known of targets that are no longer listed.
-func (f *Forwarder) Forget(known map[string]*enroller.Target) {
+// Forget drops what is known of targets that are no longer listed, by the hashes of
+// their IDs.
+func (f *Forwarder) Forget(known map[uint32]*enroller.Target) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	f.chooser.Forget(known)
 }
 
-// Learn takes what another instance told of the places of prompts.
-func (f *Forwarder) Learn(l []chooser.Place) {
+// Learn takes what another instance told.
+func (f *Forwarder) Learn(n chooser.News) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.chooser.Learn(time.Now(), l)
+	f.chooser.Learn(time.Now(), n)
 }
 
-// News returns the places of prompts that other instances should be told of.
-func (f *Forwarder) News() []chooser.Place {
+// News returns what other instances should be told.
+func (f *Forwarder) News() chooser.News {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -19,7 +19,7 @@
 	roster  atomic.Pointer[enroller.Roster]
 	// known is closed when there is a catalog.
 	known   chan struct{}
-	dropped func(known map[string]*enroller.Target)
+	dropped func(known map[uint32]*enroller.Target)
 	// instances is how many share the retry budget.
 	instances func() int
 	// heard is when the platform last confirmed the catalog.
@@ -102,7 +102,7 @@
 	}
 
 	f.roster.Store(r)
-	f.dropped(r.Known)
+	f.dropped(r.Names)
 }
 
 // settle drops the targets whose entries have not come back in time.
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -170,7 +170,7 @@
 	m.Handle(wire.KindGossip, j.Gossip)
 
 	i := informer.New(m, j, x)
-	m.Handle(wire.KindHolders, i.Told)
+	m.Handle(wire.KindNews, i.Told)
 
 	g := &Gatekeeper{
 		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, informer: i, drainer: drainer.New(drainNotice, maxCalls),
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -1,8 +1,10 @@
-// Package informer tells the other instances where prompts are cached.
+// Package informer tells the other instances where prompts are cached and how
+// loaded targets are.
 //
 // Each instance sees a sliver of the calls. Without the others' word it would
 // take a target to be without a prompt that another instance's call left there,
-// and have it read a second time elsewhere.
+// and have it read a second time elsewhere; and it would not know the load of a
+// target that it has sent nothing for a while.
 package informer
 
 import (
@@ -44,22 +46,22 @@
 	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
 }
 
-// Places is what this instance knows of where prompts are.
-type Places interface {
-	News() []chooser.Place
-	Learn(l []chooser.Place)
+// Knowledge is what this instance knows of targets.
+type Knowledge interface {
+	News() chooser.News
+	Learn(n chooser.News)
 }
 
 // Informer tells and is told. It is safe for concurrent use.
 type Informer struct {
 	messenger Messenger
 	members   Members
-	places    Places
+	knowledge Knowledge
 }
 
 // New returns an Informer.
-func New(m Messenger, x Members, p Places) *Informer {
-	return &Informer{messenger: m, members: x, places: p}
+func New(m Messenger, x Members, k Knowledge) *Informer {
+	return &Informer{messenger: m, members: x, knowledge: k}
 }
 
 // Run tells the others until the context ends.
@@ -80,17 +82,26 @@
 
 // Told takes what another instance tells.
 func (i *Informer) Told(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
-	var w wire.Holders
+	var w wire.News
 	if _, err := w.UnmarshalMsg(body); err != nil {
 		return nil, errors.Mark(err, ErrNews)
 	}
 
-	l := make([]chooser.Place, 0, len(w.List))
-	for _, h := range w.List {
-		l = append(l, chooser.Place{Key: h.Key, Target: h.Target})
+	b := time.Now()
+
+	var n chooser.News
+
+	for _, h := range w.Holders {
+		n.Places = append(n.Places, chooser.Place{Key: h.Key, Target: h.Target})
+	}
+
+	for _, l := range w.Loads {
+		n.Loads = append(n.Loads, chooser.Load{
+			Target: l.Target, Calls: int(l.Calls), At: b.Add(-time.Duration(l.AgeMs) * time.Millisecond),
+		})
 	}
 
-	i.places.Learn(l)
+	i.knowledge.Learn(n)
 
 	return nil, nil //nolint:nilnil // News has no reply.
 }
@@ -98,15 +109,23 @@
 // tell sends what is new to each of the others. What does not arrive is told again
 // when it is used later.
 func (i *Informer) tell(c context.Context, l []gossiper.Member) {
-	n := i.places.News()
-	if len(n) == 0 {
+	n := i.knowledge.News()
+	if len(n.Places) == 0 && len(n.Loads) == 0 {
 		return
 	}
 
-	var w wire.Holders
+	b := time.Now()
+
+	var w wire.News
+
+	for _, p := range n.Places[:min(len(n.Places), maxList)] {
+		w.Holders = append(w.Holders, wire.Holder{Key: p.Key, Target: p.Target})
+	}
 
-	for _, p := range n[:min(len(n), maxList)] {
-		w.List = append(w.List, wire.Holder{Key: p.Key, Target: p.Target})
+	for _, x := range n.Loads[:min(len(n.Loads), maxList)] {
+		w.Loads = append(w.Loads, wire.Load{
+			Target: x.Target, Calls: uint32(max(x.Calls, 0)), AgeMs: uint32(b.Sub(x.At).Milliseconds()), //nolint:gosec // Small.
+		})
 	}
 
 	for _, m := range l {
@@ -118,7 +137,7 @@
 			x, stop := context.WithTimeout(c, sendTimeout)
 			defer stop()
 
-			if err := i.messenger.Send(x, m.Address, wire.KindHolders, &w); err != nil {
+			if err := i.messenger.Send(x, m.Address, wire.KindNews, &w); err != nil {
 				logrus.WithFields(logrus.Fields{"event": "newsFailed", "peer": m.Address, "error": err}).Debug()
 			}
 		}()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord Holders Holder
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord News Holder Load
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -33,8 +33,8 @@
 	KindError
 	// KindStream asks for the records of a stream.
 	KindStream
-	// KindHolders tells of targets that hold beginnings of prompts.
-	KindHolders
+	// KindNews tells where prompts are and how loaded targets are.
+	KindNews
 )
 
 // Hello is the first message on a connection and says who sends on it, so that
@@ -252,10 +252,11 @@
 	Offset int64
 }
 
-// Holders tells other instances which targets the sender has given beginnings of
-// prompts to lately.
-type Holders struct {
-	List []Holder
+// News tells other instances which targets the sender has given beginnings of
+// prompts to lately, and what targets told it of their load.
+type News struct {
+	Holders []Holder
+	Loads   []Load
 }
 
 // Holder says that a target holds a beginning of prompts. Target is the hash of
@@ -264,3 +265,11 @@
 	Key    uint64
 	Target uint32
 }
+
+// Load says how many calls a target had, running and waiting, and how long ago it
+// said so.
+type Load struct {
+	Target uint32
+	Calls  uint32
+	AgeMs  uint32
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -1801,204 +1801,157 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Holders) DecodeMsg(dc *msgp.Reader) (err error) {
-	var zb0001 uint32
-	zb0001, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, err = dc.ReadArrayHeader()
-	if err != nil {
-		err = msgp.WrapError(err, "List")
-		return
-	}
-	if cap(z.List) >= int(zb0002) {
-		z.List = (z.List)[:zb0002]
-	} else {
-		z.List = make([]Holder, zb0002)
-	}
-	for za0001 := range z.List {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.List[za0001].Key, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Key")
-			return
-		}
-		z.List[za0001].Target, err = dc.ReadUint32()
+func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 uint8
+		zb0001, err = dc.ReadUint8()
 		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Target")
+			err = msgp.WrapError(err)
 			return
 		}
+		(*z) = Kind(zb0001)
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Holders) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
-	if err != nil {
-		return
-	}
-	err = en.WriteArrayHeader(uint32(len(z.List)))
+func (z Kind) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteUint8(uint8(z))
 	if err != nil {
-		err = msgp.WrapError(err, "List")
+		err = msgp.WrapError(err)
 		return
 	}
-	for za0001 := range z.List {
-		// array header, size 2
-		err = en.Append(0x92)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.List[za0001].Key)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Key")
-			return
-		}
-		err = en.WriteUint32(z.List[za0001].Target)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Target")
-			return
-		}
-	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Holders) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.List)))
-	for za0001 := range z.List {
-		// array header, size 2
-		o = append(o, 0x92)
-		o = msgp.AppendUint64(o, z.List[za0001].Key)
-		o = msgp.AppendUint32(o, z.List[za0001].Target)
-	}
+	o = msgp.AppendUint8(o, uint8(z))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Holders) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
-		return
-	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "List")
-		return
-	}
-	if cap(z.List) >= int(zb0002) {
-		z.List = (z.List)[:zb0002]
-	} else {
-		z.List = make([]Holder, zb0002)
-	}
-	for za0001 := range z.List {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001)
-			return
-		}
-		if zb0003 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
-			return
-		}
-		z.List[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Key")
-			return
-		}
-		z.List[za0001].Target, bts, err = msgp.ReadUint32Bytes(bts)
+func (z *Kind) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "List", za0001, "Target")
+			err = msgp.WrapError(err)
 			return
 		}
+		(*z) = Kind(zb0001)
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Holders) Msgsize() (s int) {
-	s = 1 + msgp.ArrayHeaderSize + (len(z.List) * (12 + msgp.Uint64Size + msgp.Uint32Size))
+func (z Kind) Msgsize() (s int) {
+	s = msgp.Uint8Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 uint8
-		zb0001, err = dc.ReadUint8()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = Kind(zb0001)
+func (z *Load) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Calls, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	z.AgeMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Kind) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteUint8(uint8(z))
+func (z Load) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
-		err = msgp.WrapError(err)
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint32(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	err = en.WriteUint32(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendUint8(o, uint8(z))
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint32(o, z.Calls)
+	o = msgp.AppendUint32(o, z.AgeMs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Kind) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 uint8
-		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		(*z) = Kind(zb0001)
+func (z *Load) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Calls, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Kind) Msgsize() (s int) {
-	s = msgp.Uint8Size
+func (z Load) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
@@ -2121,6 +2074,267 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *News) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Holders")
+		return
+	}
+	if cap(z.Holders) >= int(zb0002) {
+		z.Holders = (z.Holders)[:zb0002]
+	} else {
+		z.Holders = make([]Holder, zb0002)
+	}
+	for za0001 := range z.Holders {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Holders[za0001].Key, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001, "Key")
+			return
+		}
+		z.Holders[za0001].Target, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001, "Target")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	if cap(z.Loads) >= int(zb0004) {
+		z.Loads = (z.Loads)[:zb0004]
+	} else {
+		z.Loads = make([]Load, zb0004)
+	}
+	for za0002 := range z.Loads {
+		var zb0005 uint32
+		zb0005, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002)
+			return
+		}
+		if zb0005 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+			return
+		}
+		z.Loads[za0002].Target, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "Target")
+			return
+		}
+		z.Loads[za0002].Calls, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "Calls")
+			return
+		}
+		z.Loads[za0002].AgeMs, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "AgeMs")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *News) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Holders)))
+	if err != nil {
+		err = msgp.WrapError(err, "Holders")
+		return
+	}
+	for za0001 := range z.Holders {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Holders[za0001].Key)
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001, "Key")
+			return
+		}
+		err = en.WriteUint32(z.Holders[za0001].Target)
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001, "Target")
+			return
+		}
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Loads)))
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	for za0002 := range z.Loads {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Loads[za0002].Target)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "Target")
+			return
+		}
+		err = en.WriteUint32(z.Loads[za0002].Calls)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "Calls")
+			return
+		}
+		err = en.WriteUint32(z.Loads[za0002].AgeMs)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "AgeMs")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *News) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Holders)))
+	for za0001 := range z.Holders {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendUint64(o, z.Holders[za0001].Key)
+		o = msgp.AppendUint32(o, z.Holders[za0001].Target)
+	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0002 := range z.Loads {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint32(o, z.Loads[za0002].Target)
+		o = msgp.AppendUint32(o, z.Loads[za0002].Calls)
+		o = msgp.AppendUint32(o, z.Loads[za0002].AgeMs)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *News) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Holders")
+		return
+	}
+	if cap(z.Holders) >= int(zb0002) {
+		z.Holders = (z.Holders)[:zb0002]
+	} else {
+		z.Holders = make([]Holder, zb0002)
+	}
+	for za0001 := range z.Holders {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Holders[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001, "Key")
+			return
+		}
+		z.Holders[za0001].Target, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Holders", za0001, "Target")
+			return
+		}
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Loads")
+		return
+	}
+	if cap(z.Loads) >= int(zb0004) {
+		z.Loads = (z.Loads)[:zb0004]
+	} else {
+		z.Loads = make([]Load, zb0004)
+	}
+	for za0002 := range z.Loads {
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002)
+			return
+		}
+		if zb0005 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
+			return
+		}
+		z.Loads[za0002].Target, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "Target")
+			return
+		}
+		z.Loads[za0002].Calls, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "Calls")
+			return
+		}
+		z.Loads[za0002].AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002, "AgeMs")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *News) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Holders) * (12 + msgp.Uint64Size + msgp.Uint32Size)) + msgp.ArrayHeaderSize + (len(z.Loads) * (20 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Place) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
