internal/repeater: in an outage of the platform nobody is taken for dead

Cause: on a grown site all instances of a data centre passed each other over when the platform was down, since what the reader knew was old, and each asked the platform three times a second; asking another instance could hang on one that was cut off. Ruled out: reading an instance's age when it had waited already (the first try here did, which made old knowledge young: the test of an outage found it).

--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +21,12 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
-// ErrPeer marks failures to read from other instances.
-var ErrPeer = errors.New("no instance could tell")
+var (
+	// ErrPeer marks failures to read from other instances.
+	ErrPeer = errors.New("no instance could tell")
+	// errOld means that an instance answered with what is too old.
+	errOld = errors.New("what the instance knows is old")
+)
 
 const (
 	// readerStale is how old the knowledge of the instance that reads for a data
@@ -38,10 +44,16 @@
 	// peerSlack is how much later than it should an answer to one that waits is
 	// given up.
 	peerSlack = 250 * time.Millisecond
-	// othersWait is how long another instance is asked to wait for a change while
-	// the platform turns this one away. After it the platform is asked again; each
-	// refusal has a price too.
-	othersWait = 500 * time.Millisecond
+	// othersEvery is the pause between two rounds of asking others while the
+	// platform turns this instance away; the platform is asked again in each, and
+	// a refusal has a price too.
+	othersEvery = 500 * time.Millisecond
+	// othersAsked is how many others are asked at a time. Some may be cut off; of
+	// three, one that is not answers within milliseconds.
+	othersAsked = 3
+	// skipFor is how long an instance that reads for the data centre is passed over
+	// when what it knows is old. It is there, and may know better soon.
+	skipFor = time.Second
 )
 
 // Members knows the other instances.
@@ -117,6 +129,9 @@
 	mu      sync.Mutex
 	tape    *tape
 	changed chan struct{}
+	// skipped is passed over as reader for a while since skippedAt.
+	skipped   uint64
+	skippedAt time.Time
 }
 
 var _ watcher.Source = (*Stream)(nil)
@@ -140,7 +155,7 @@
 		return l, n, nil
 	}
 
-	p, x := s.others(c, -1, 0)
+	p, x := s.others(c, -1)
 	if x != nil {
 		return nil, 0, errors.CombineErrors(err, x)
 	}
@@ -162,8 +177,7 @@
 			return s.take(p, from)
 		}
 
-		s.repeater.members.Suspect(h.ID)
-		logrus.WithFields(logrus.Fields{"event": "readerLost", "stream": s.name, "peer": h.Address, "error": err}).Info()
+		s.leave(h, err)
 
 		// The time that was meant for waiting is gone; the platform still has to
 		// be asked before changes are late.
@@ -184,16 +198,45 @@
 		return nil, 0, err
 	}
 
-	// A context of its own: the one for the platform may have run out.
-	x, stop := context.WithTimeout(context.WithoutCancel(c), othersWait+2*peerSlack)
-	defer stop()
-
-	p, e := s.others(x, from, othersWait)
+	p, e := s.others(c, from)
 	if e != nil {
 		return nil, 0, errors.CombineErrors(err, e)
 	}
 
-	return s.take(p, from)
+	// Taken at once: its age counts from when it came.
+	l, n, err = s.take(p, from)
+	if n <= from {
+		pause(c, othersEvery)
+	}
+
+	return l, n, err
+}
+
+// leave passes an instance over that reads for the data centre. One that can't be
+// reached is nobody's; one that answers with old knowledge may only have been
+// turned away itself, and must not be taken for dead: in an outage of the platform
+// that would be every instance.
+func (s *Stream) leave(h gossiper.Member, err error) {
+	if errors.Is(err, errOld) {
+		s.mu.Lock()
+		s.skipped = h.ID
+		s.skippedAt = time.Now()
+		s.mu.Unlock()
+	} else {
+		s.repeater.members.Suspect(h.ID)
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "readerLost", "stream": s.name, "peer": h.Address, "error": err}).Info()
+}
+
+func pause(c context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-c.Done():
+	}
 }
 
 // heard returns when the platform said what a read brought that began at a time. A
@@ -244,37 +287,68 @@
 }
 
 // reader returns the instance that reads for this one's data centre, and false
-// when it is this one.
+// when this one reads itself.
 func (s *Stream) reader() (gossiper.Member, bool) {
 	m := s.repeater.members
 	h, ok := m.Home(hasher.Key("reader", s.name), []string{m.Self().DataCentre})
 
-	return h, ok && h.ID != m.Self().ID && h.DataCentre == m.Self().DataCentre
+	if !ok || h.ID == m.Self().ID || h.DataCentre != m.Self().DataCentre {
+		return h, false
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return h, h.ID != s.skipped || time.Since(s.skippedAt) >= skipFor
 }
 
-// others asks the other instances in turn, until one has heard of the platform
-// lately.
-func (s *Stream) others(c context.Context, from int64, wait time.Duration) (*wire.StreamReply, error) {
-	m := s.repeater.members
+// others asks a few other instances at once and returns the first answer with
+// something new, else that of the one that heard of the platform last.
+func (s *Stream) others(c context.Context, from int64) (*wire.StreamReply, error) {
+	// A time of its own: that for the platform may have run out.
+	x, stop := context.WithTimeout(context.WithoutCancel(c), peerTimeout)
+	defer stop()
 
-	for _, x := range m.Live() {
-		if x.ID == m.Self().ID {
-			continue
-		}
+	l := s.some()
+	o := make(chan *wire.StreamReply, len(l))
 
-		p, err := s.ask(c, x, from, wait, otherStale)
-		s.count(sourceOther, err)
+	for _, m := range l {
+		go func() {
+			p, err := s.ask(x, m, from, 0, otherStale)
+			s.count(sourceOther, err)
 
-		if err == nil {
+			o <- p
+		}()
+	}
+
+	var best *wire.StreamReply
+
+	for range l {
+		p := <-o
+		if p != nil && p.Next > from {
 			return p, nil
 		}
 
-		if c.Err() != nil {
-			break
+		if p != nil && (best == nil || p.AgeMs < best.AgeMs) {
+			best = p
 		}
 	}
 
-	return nil, ErrPeer
+	if best == nil {
+		return nil, ErrPeer
+	}
+
+	return best, nil
+}
+
+// some returns a few random other instances.
+func (s *Stream) some() []gossiper.Member {
+	m := s.repeater.members
+	l := slices.DeleteFunc(slices.Clone(m.Live()), func(x gossiper.Member) bool { return x.ID == m.Self().ID })
+
+	rand.Shuffle(len(l), func(a, b int) { l[a], l[b] = l[b], l[a] })
+
+	return l[:min(len(l), othersAsked)]
 }
 
 func (s *Stream) count(source string, err error) {
@@ -300,7 +374,7 @@
 	}
 
 	if time.Duration(p.AgeMs)*time.Millisecond > stale {
-		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), ErrPeer)
+		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), errOld)
 	}
 
 	return &p, nil
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -29,9 +29,13 @@
 	// While reads fail they do not wait for changes, and are given up after
 	// shortTimeout: a wait that began during an outage would hide its end.
 	shortTimeout = 600 * time.Millisecond
-	// The pause after a failed read; the source may be back any moment.
-	retryLeast = 150 * time.Millisecond
-	retryMost  = 350 * time.Millisecond
+	// The pause after a failed read is random up to a bound that doubles with each
+	// failure in a row. The source may be back any moment, but in a long outage
+	// every instance asks, and each refusal has a price.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// maxDoublings bounds the exponent; by then retryMost is reached.
+	maxDoublings = 4
 )
 
 // Record is the newest value of a key. No value means that the key was dropped.
@@ -75,6 +79,8 @@
 
 	next   int64
 	failed time.Time
+	// failures counts the failed reads in a row.
+	failures int
 }
 
 // New returns a Watcher with the stream's name in logs and the pause after a
@@ -92,7 +98,7 @@
 		case c.Err() != nil:
 		case err != nil:
 			w.fail(err)
-			sleep(c, retryLeast+rand.N(retryMost-retryLeast)) //nolint:gosec // Spreads reads.
+			sleep(c, w.backoff())
 		default:
 			w.succeed()
 
@@ -160,7 +166,16 @@
 	return len(l), nil
 }
 
+// backoff returns the pause after the failures so far.
+func (w *Watcher) backoff() time.Duration {
+	m := min(retryLeast<<min(w.failures, maxDoublings), retryMost)
+
+	return m/2 + rand.N(m/2) //nolint:gosec // Spreads reads.
+}
+
 func (w *Watcher) fail(err error) {
+	w.failures++
+
 	if w.failed.IsZero() {
 		w.failed = time.Now()
 		logrus.WithFields(logrus.Fields{"event": "streamLost", "stream": w.name, "offset": w.next, "error": err}).Warn()
@@ -172,6 +187,8 @@
 func (w *Watcher) succeed() {
 	var d time.Duration
 
+	w.failures = 0
+
 	if !w.failed.IsZero() {
 		d = time.Since(w.failed)
 		w.failed = time.Time{}
