internal/explainer, internal/idler: the history of a call, and idle connections

Cause: a call's lines stand in the logs of several instances; the configured idle time of callers' connections was not kept; the inputs of a choice were not logged.

--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -40,9 +40,8 @@
 
 // Limits bounds what callers may send. A zero field sets no bound.
 type Limits struct {
-	Header     int
-	Body       int64
-	HeaderTime time.Duration
+	// Body is the longest body in bytes.
+	Body int64
 	// Idle is how long a connection may be kept open between two calls.
 	Idle time.Duration
 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -51,6 +51,12 @@
 	// Source holds the call's prompt where Target does not; nil when it does, or
 	// none is known.
 	Source *enroller.Target
+	// Load is the estimate of the calls at Target, Bound what it may have, and
+	// Usable how many targets there were to choose from. Held says that Target was
+	// known to hold the prompt.
+	Load, Bound float64
+	Usable      int
+	Held        bool
 }
 
 // Report is what a target said of its load as it answered a call.
@@ -84,13 +90,18 @@
 	}
 
 	if len(q.Prefixes) == 0 {
-		return Choice{Target: c.least(now, u, q)}, true
+		t := c.least(now, u, q)
+
+		return Choice{Target: t, Load: c.load(now, t.ID), Bound: float64(t.Slots), Usable: len(u)}, true
 	}
 
 	h := c.places.holders(now, q.Prefixes[0].Key)
-	t := c.bounded(now, u, q, h)
+	t, most := c.bounded(now, u, q, h)
 	n := hasher.Name(t.ID)
-	o := Choice{Target: t, Source: c.source(now, r, n, q.Prefixes)}
+	o := Choice{
+		Target: t, Source: c.source(now, r, n, q.Prefixes),
+		Load: c.load(now, t.ID), Bound: most, Usable: len(u), Held: slices.Contains(h, n),
+	}
 
 	for _, p := range q.Prefixes {
 		c.places.use(now, p.Key, n)
@@ -150,11 +161,11 @@
 	return o
 }
 
-// bounded returns the first target in the key's own order whose load is within
-// the bound: first among those that hold the prompt, then among all. The order is
+// bounded returns the bound, and the first target in the key's own order whose load
+// is within it: first among those that hold the prompt, then among all. The order is
 // the same at every instance, so that the calls which one target can't take find
 // the next one warm.
-func (c *Chooser) bounded(now time.Time, u []*enroller.Target, q Query, holders []uint32) *enroller.Target {
+func (c *Chooser) bounded(now time.Time, u []*enroller.Target, q Query, holders []uint32) (t *enroller.Target, most float64) {
 	n := 0.0
 	l := make([]float64, len(u))
 
@@ -163,22 +174,22 @@
 		n += l[i]
 	}
 
-	most := c.settings.Factor*(n+1)/float64(len(u)) + c.settings.Slack
+	most = c.settings.Factor*(n+1)/float64(len(u)) + c.settings.Slack
 	r := hasher.Rank(q.Prefixes[0].Key, len(u), func(i int) uint64 { return uint64(hasher.Name(u[i].ID)) }, func(int) float64 { return 1 })
 
 	for _, i := range r {
 		if l[i]+1 <= most && slices.Contains(holders, hasher.Name(u[i].ID)) {
-			return u[i]
+			return u[i], most
 		}
 	}
 
 	for _, i := range r {
 		if l[i]+1 <= most {
-			return u[i]
+			return u[i], most
 		}
 	}
 
-	return u[r[0]]
+	return u[r[0]], most
 }
 
 // least returns the target with the least load for its size, one in the own data
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -17,7 +17,7 @@
 		SilenceErrors: true,
 	}
 
-	c.AddCommand(newRouter(), newPublish(), newShow(), newHistory(), newWatch(), newDrain(), newLoad(), newBench(), newSettings(), newPlatform())
+	c.AddCommand(newRouter(), newPublish(), newShow(), newHistory(), newWatch(), newDrain(), newLoad(), newBench(), newSettings(), newPlatform(), newExplain())
 
 	return c
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -142,6 +142,7 @@
 	var r result
 
 	x.tried = append(x.tried, t.Target.ID)
+	x.choice = t
 	x.sentAt = time.Now()
 
 	if x.rule.Kind == cataloger.Stream {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -33,6 +34,8 @@
 	// the call was sent to.
 	tried []string
 	sent  int
+	// choice is the last choice of a target.
+	choice chooser.Choice
 	// sentAt is when the present attempt began.
 	sentAt time.Time
 	// mayHaveRun says that one of them may have run it.
@@ -98,7 +101,18 @@
 	if x.rule != nil {
 		l["rule"] = x.rule.Name
 		l["group"] = x.group
-		l["tried"] = x.tried
+		l["tried"] = strings.Join(x.tried, ",")
+	}
+
+	if x.choice.Target != nil {
+		l["load"] = int(x.choice.Load)
+		l["bound"] = int(x.choice.Bound)
+		l["usable"] = x.choice.Usable
+		l["held"] = x.choice.Held
+	}
+
+	if x.choice.Source != nil {
+		l["fetchedFrom"] = x.choice.Source.ID
 	}
 
 	return l
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -22,6 +22,7 @@
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/idler"
 	"github.com/auburntray/auburntray/internal/informer"
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
@@ -91,6 +92,8 @@
 	metricsPath = "/metrics"
 	// settleEvery is how late the end of a grace may be noticed.
 	settleEvery = 100 * time.Millisecond
+	// sweepEvery is how late an idle connection may be closed.
+	sweepEvery = time.Second
 )
 
 // Gatekeeper is one instance of a gateway. It is safe for concurrent use.
@@ -103,6 +106,7 @@
 	joiner    *joiner.Joiner
 	informer  *informer.Informer
 	watchers  []*watcher.Watcher
+	idler     *idler.Idler
 	callers   *http.Server
 	ready     *http.Server
 	metrics   *http.Server
@@ -197,7 +201,10 @@
 	r := gin.New()
 	r.GET(readyPath, g.answerReady)
 
-	g.callers = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+	g.idler = idler.New(g.idleLimit)
+	g.callers = &http.Server{
+		Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: g.idler.Track,
+	}
 	g.ready = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
 
 	x := gin.New()
@@ -206,6 +213,16 @@
 	g.metrics = &http.Server{Handler: x, ReadHeaderTimeout: headerTimeout}
 }
 
+// idleLimit returns how long a caller's connection may be idle.
+func (g *Gatekeeper) idleLimit() time.Duration {
+	c := g.facts.Catalog()
+	if c == nil {
+		return 0
+	}
+
+	return c.Limits.Idle
+}
+
 // follow connects the metrics that are read where they stand.
 func (g *Gatekeeper) follow(m *meter.Meter) {
 	m.Follow("catalog_version", func() float64 { return float64(g.facts.version()) })
@@ -269,6 +286,7 @@
 	g.end = end
 
 	g.background(func() { every(x, settleEvery, g.facts.settle) })
+	g.background(func() { every(x, sweepEvery, func() { g.idler.Sweep() }) })
 	g.messenger.Serve()
 	g.background(func() { g.joiner.Run(x) })
 	g.background(func() { g.informer.Run(x) })
