--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -202,6 +202,11 @@
 	return j.self
 }
 
+// Seeds returns the addresses of the settings at which instances may be found.
+func (j *Joiner) Seeds() []netip.AddrPort {
+	return j.seeds
+}
+
 // Leave tells the others that this router is stopping.
 func (j *Joiner) Leave(c context.Context) {
 	j.mu.Lock()
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -54,6 +54,9 @@
 	// skipFor is how long an instance that reads for the data centre is passed over
 	// when what it knows is old. It is there, and may know better soon.
 	skipFor = time.Second
+	// settleIn is how long after its start an instance reads through a seed. By
+	// then gossip has told it of the others.
+	settleIn = 14 * time.Second
 )
 
 // Members knows the other instances.
@@ -62,6 +65,8 @@
 	Live() []gossiper.Member
 	Suspect(id uint64)
 	Self() gossiper.Member
+	// Seeds are addresses of a few instances, known from the start.
+	Seeds() []netip.AddrPort
 }
 
 // Messenger calls other instances.
@@ -87,12 +92,13 @@
 	messenger Messenger
 	members   Members
 	meter     Meter
+	started   time.Time
 	streams   map[string]*Stream
 }
 
 // New returns a Repeater without streams.
 func New(m Messenger, x Members, c Meter) *Repeater {
-	return &Repeater{messenger: m, members: x, meter: c, streams: make(map[string]*Stream)}
+	return &Repeater{messenger: m, members: x, meter: c, started: time.Now(), streams: make(map[string]*Stream)}
 }
 
 // Stream adds a stream that is read from a source, or from other instances.
@@ -132,6 +138,9 @@
 	// skipped is passed over as reader for a while since skippedAt.
 	skipped   uint64
 	skippedAt time.Time
+	// reads was the last reader in the log, zero for this instance.
+	reads netip.AddrPort
+	noted bool
 }
 
 var _ watcher.Source = (*Stream)(nil)
@@ -169,7 +178,10 @@
 // centre that reads for all, unless that is this one; from the platform when that
 // instance does not answer; and from any other when the platform does not.
 func (s *Stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
-	if h, ok := s.reader(); ok {
+	h, ok := s.reader()
+	s.note(h, ok)
+
+	if ok {
 		p, err := s.ask(c, h, from, min(wait, readerWait), readerStale)
 		s.count(sourceReader, err)
 
@@ -217,7 +229,7 @@
 // turned away itself, and must not be taken for dead: in an outage of the platform
 // that would be every instance.
 func (s *Stream) leave(h gossiper.Member, err error) {
-	if errors.Is(err, errOld) {
+	if errors.Is(err, errOld) || h.ID == 0 {
 		s.mu.Lock()
 		s.skipped = h.ID
 		s.skippedAt = time.Now()
@@ -290,6 +302,10 @@
 // when this one reads itself.
 func (s *Stream) reader() (gossiper.Member, bool) {
 	m := s.repeater.members
+	if time.Since(s.repeater.started) < settleIn {
+		return s.seed()
+	}
+
 	h, ok := m.Home(hasher.Key("reader", s.name), []string{m.Self().DataCentre})
 
 	if !ok || h.ID == m.Self().ID || h.DataCentre != m.Self().DataCentre {
@@ -302,6 +318,43 @@
 	return h, h.ID != s.skipped || time.Since(s.skippedAt) >= skipFor
 }
 
+// seed returns one of the seeds, and false when this instance is one or the last
+// could not tell.
+//
+// An instance that has just started does not know those of its data centre. When
+// many start at once each would read for itself until they know each other, at a
+// price that is most of a calm day's.
+func (s *Stream) seed() (gossiper.Member, bool) {
+	m := s.repeater.members
+	l := m.Seeds()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if len(l) == 0 || slices.Contains(l, m.Self().Address) || time.Since(s.skippedAt) < skipFor {
+		return gossiper.Member{}, false
+	}
+
+	return gossiper.Member{Address: l[m.Self().ID%uint64(len(l))]}, true
+}
+
+// note logs when another instance becomes the one that reads, or this one does.
+func (s *Stream) note(h gossiper.Member, other bool) {
+	var a netip.AddrPort
+	if other {
+		a = h.Address
+	}
+
+	s.mu.Lock()
+	same := s.noted && s.reads == a
+	s.noted, s.reads = true, a
+	s.mu.Unlock()
+
+	if !same {
+		logrus.WithFields(logrus.Fields{"event": "readerChosen", "stream": s.name, "self": !other, "peer": h.Address}).Info()
+	}
+}
+
 // others asks a few other instances at once and returns the first answer with
 // something new, else that of the one that heard of the platform last.
 func (s *Stream) others(c context.Context, from int64) (*wire.StreamReply, error) {
