internal/sleeper, internal/repeater: one pause, and a file for each job

Cause: a pause that a context ends stood in four packages, starting and stopping an application in two commands, and the repeater's file had grown four jobs.

--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"context"
 	"net/netip"
 	"os"
 
@@ -61,22 +60,5 @@
 
 	logrus.SetOutput(l)
 
-	a := fx.New(gatekeeper.Options(s, w))
-	if err := a.Err(); err != nil {
-		return err
-	}
-
-	x, stop := context.WithTimeout(context.Background(), a.StartTimeout())
-	defer stop()
-
-	if err := a.Start(x); err != nil {
-		return err
-	}
-
-	<-a.Done()
-
-	y, end := context.WithTimeout(context.Background(), a.StopTimeout())
-	defer end()
-
-	return a.Stop(y)
+	return run(fx.New(gatekeeper.Options(s, w)))
 }
--- a/internal/commander/router.go
+++ b/internal/commander/router.go
@@ -50,6 +50,11 @@
 	}
 
 	a := fx.New(router.Options(s), fx.Invoke(func(n *counter.Counter) { n.Publish() }))
+	return run(a)
+}
+
+// run starts an application, and stops it when it is told to.
+func run(a *fx.App) error {
 	if err := a.Err(); err != nil {
 		return err
 	}
--- a/internal/driver/call.go
+++ b/internal/driver/call.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburntray/auburntray/internal/exchanger"
+	"github.com/auburntray/auburntray/internal/sleeper"
 )
 
 // cutPause is how long a caller waits before it sends a keyed call again.
@@ -64,7 +65,7 @@
 		}
 
 		d.result.retried()
-		sleep(x, w)
+		sleeper.Sleep(x, w)
 	}
 }
 
@@ -143,13 +144,3 @@
 
 	return a, w, r
 }
-
-func sleep(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-	case <-c.Done():
-	}
-}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -19,6 +19,7 @@
 	"github.com/auburntray/auburntray/internal/folder"
 	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -104,7 +105,7 @@
 	for c.Err() == nil {
 		if err := f.poll(c); err != nil {
 			logrus.WithFields(logrus.Fields{"event": "configReadFailed", "error": err}).Debug()
-			sleep(c, retryBase+time.Duration(rand.Int64N(int64(4*retryBase)))) //nolint:gosec,mnd // Jitter.
+			sleeper.Sleep(c, retryBase+time.Duration(rand.Int64N(int64(4*retryBase)))) //nolint:gosec,mnd // Jitter.
 
 			continue
 		}
@@ -133,7 +134,7 @@
 
 	// A router without any configuration has nothing to lose by asking now.
 	if f.Revision() > 0 {
-		sleep(c, aheadAfter)
+		sleeper.Sleep(c, aheadAfter)
 	}
 
 	if f.Revision() >= revision {
@@ -285,7 +286,7 @@
 
 	if _, err := f.log.Append(x, Stream, [][]byte{b}); err != nil {
 		logrus.WithFields(logrus.Fields{"event": "checkpointFailed", "error": err}).Warn()
-		sleep(c, stateWait)
+		sleeper.Sleep(c, stateWait)
 
 		return
 	}
@@ -295,13 +296,3 @@
 	f.sinceRevision = 0
 	f.mu.Unlock()
 }
-
-func sleep(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-	case <-c.Done():
-	}
-}
--- /dev/null
+++ b/internal/repeater/answer.go
@@ -0,0 +1,53 @@
+package repeater
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// answer tells another instance what it asks for, as soon as there is something.
+func (s *Stream) answer(c context.Context, q wire.StreamRequest) (*wire.StreamReply, error) {
+	t := time.NewTimer(time.Duration(q.WaitMs) * time.Millisecond)
+	defer t.Stop()
+
+	for {
+		s.mu.Lock()
+		n, w := s.tape.next, s.changed
+		s.mu.Unlock()
+
+		if n < 0 {
+			return nil, ErrPeer
+		}
+
+		if n > q.From {
+			return s.reply(q.From), nil
+		}
+
+		select {
+		case <-w:
+		case <-t.C:
+			return s.reply(q.From), nil
+		case <-c.Done():
+			return nil, c.Err()
+		}
+	}
+}
+
+func (s *Stream) reply(from int64) *wire.StreamReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	l, w := s.tape.since(from)
+	p := &wire.StreamReply{
+		Next: s.tape.next, Whole: w,
+		AgeMs: uint32(min(time.Since(s.tape.heard), time.Hour).Milliseconds()), //nolint:gosec // An hour at most.
+	}
+
+	for _, r := range l {
+		p.Records = append(p.Records, wire.StreamRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+	}
+
+	return p
+}
--- /dev/null
+++ b/internal/repeater/reader.go
@@ -0,0 +1,87 @@
+package repeater
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+// leave passes an instance over that reads for the data centre. One that can't be
+// reached is nobody's; one that answers with old knowledge may only have been
+// turned away itself, and must not be taken for dead: in an outage of the platform
+// that would be every instance.
+func (s *Stream) leave(h gossiper.Member, err error) {
+	if errors.Is(err, errOld) || h.ID == 0 {
+		s.mu.Lock()
+		s.skipped = h.ID
+		s.skippedAt = time.Now()
+		s.mu.Unlock()
+	} else {
+		s.repeater.members.Suspect(h.ID)
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "readerLost", "stream": s.name, "peer": h.Address, "error": err}).Info()
+}
+
+// reader returns the instance that reads for this one's data centre, and false
+// when this one reads itself.
+func (s *Stream) reader() (gossiper.Member, bool) {
+	m := s.repeater.members
+	if time.Since(s.repeater.started) < settleIn {
+		return s.seed()
+	}
+
+	h, ok := m.Home(hasher.Key("reader", s.name), []string{m.Self().DataCentre})
+
+	if !ok || h.ID == m.Self().ID || h.DataCentre != m.Self().DataCentre {
+		return h, false
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return h, h.ID != s.skipped || time.Since(s.skippedAt) >= skipFor
+}
+
+// seed returns one of the seeds, and false when this instance is one or the last
+// could not tell.
+//
+// An instance that has just started does not know those of its data centre. When
+// many start at once each would read for itself until they know each other, at a
+// price that is most of a calm day's.
+func (s *Stream) seed() (gossiper.Member, bool) {
+	m := s.repeater.members
+	l := m.Seeds()
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if len(l) == 0 || slices.Contains(l, m.Self().Address) || time.Since(s.skippedAt) < skipFor {
+		return gossiper.Member{}, false
+	}
+
+	return gossiper.Member{Address: l[m.Self().ID%uint64(len(l))]}, true
+}
+
+// note logs when another instance becomes the one that reads, or this one does.
+func (s *Stream) note(h gossiper.Member, other bool) {
+	var a netip.AddrPort
+	if other {
+		a = h.Address
+	}
+
+	s.mu.Lock()
+	same := s.noted && s.reads == a
+	s.noted, s.reads = true, a
+	s.mu.Unlock()
+
+	if !same {
+		logrus.WithFields(logrus.Fields{"event": "readerChosen", "stream": s.name, "self": !other, "peer": h.Address}).Info()
+	}
+}
--- /dev/null
+++ b/internal/repeater/stream.go
@@ -0,0 +1,188 @@
+package repeater
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/sleeper"
+	"github.com/auburntray/auburntray/internal/watcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// Stream is one stream as this instance knows it. It is safe for concurrent use.
+type Stream struct {
+	name     string
+	repeater *Repeater
+	source   watcher.Source
+
+	mu      sync.Mutex
+	tape    *tape
+	changed chan struct{}
+	// skipped is passed over as reader for a while since skippedAt.
+	skipped   uint64
+	skippedAt time.Time
+	// reads was the last reader in the log, zero for this instance.
+	reads netip.AddrPort
+	noted bool
+}
+
+var _ watcher.Source = (*Stream)(nil)
+
+// Heard returns when the platform last confirmed what is known of the stream.
+func (s *Stream) Heard() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.tape.heard
+}
+
+// Newest is part of watcher.Source.
+func (s *Stream) Newest(c context.Context) ([]watcher.Record, int64, error) {
+	l, n, err := s.source.Newest(c)
+	s.count(sourcePlatform, err)
+
+	if err == nil {
+		s.reset(time.Now(), l, n)
+
+		return l, n, nil
+	}
+
+	p, x := s.others(c, -1)
+	if x != nil {
+		return nil, 0, errors.CombineErrors(err, x)
+	}
+
+	s.reset(s.age(p), records(p), p.Next)
+
+	return records(p), p.Next, nil
+}
+
+// Follow is part of watcher.Source. It reads from the one instance of the data
+// centre that reads for all, unless that is this one; from the platform when that
+// instance does not answer; and from any other when the platform does not.
+func (s *Stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+	h, ok := s.reader()
+	s.note(h, ok)
+
+	if ok {
+		p, err := s.ask(c, h, from, min(wait, readerWait), readerStale)
+		s.count(sourceReader, err)
+
+		if err == nil {
+			return s.take(p, from)
+		}
+
+		s.leave(h, err)
+
+		// The time that was meant for waiting is gone; the platform still has to
+		// be asked before changes are late.
+		wait = 0
+	}
+
+	b := time.Now()
+	l, n, err := s.source.Follow(c, from, wait)
+	s.count(sourcePlatform, err)
+
+	if err == nil {
+		s.add(heard(b, wait, l), l, n)
+
+		return l, n, nil
+	}
+
+	if errors.Is(err, watcher.ErrForgotten) {
+		return nil, 0, err
+	}
+
+	p, e := s.others(c, from)
+	if e != nil {
+		return nil, 0, errors.CombineErrors(err, e)
+	}
+
+	// Taken at once: its age counts from when it came.
+	l, n, err = s.take(p, from)
+	if n <= from {
+		sleeper.Sleep(c, othersEvery)
+	}
+
+	return l, n, err
+}
+
+// heard returns when the platform said what a read brought that began at a time. A
+// read that brought nothing was answered when it had waited long enough; the
+// answer itself may have been held up since.
+func heard(began time.Time, wait time.Duration, l []watcher.Record) time.Time {
+	n := time.Now()
+	if w := began.Add(wait); len(l) == 0 && w.Before(n) {
+		return w
+	}
+
+	return n
+}
+
+// take turns what another instance said into records after an offset.
+func (s *Stream) take(p *wire.StreamReply, from int64) ([]watcher.Record, int64, error) {
+	if !p.Whole {
+		s.add(s.age(p), records(p), max(p.Next, from))
+
+		return records(p), max(p.Next, from), nil
+	}
+
+	if p.Next < from {
+		return nil, from, nil
+	}
+
+	// Keys that are not among the records are gone: for the sink that is a
+	// record without a value.
+	l := records(p)
+
+	k := make(map[string]bool, len(l))
+	for _, r := range l {
+		k[r.Key] = true
+	}
+
+	s.mu.Lock()
+
+	for key, r := range s.tape.records {
+		if !k[key] && len(r.Value) > 0 {
+			l = append(l, watcher.Record{Key: key, Offset: p.Next - 1})
+		}
+	}
+
+	s.mu.Unlock()
+	s.add(s.age(p), l, p.Next)
+
+	return l, p.Next, nil
+}
+
+func (s *Stream) reset(heard time.Time, l []watcher.Record, next int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.tape.reset(heard, l, next)
+	s.wake()
+}
+
+func (s *Stream) add(heard time.Time, l []watcher.Record, next int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if heard.Before(s.tape.heard) {
+		heard = s.tape.heard
+	}
+
+	s.tape.add(heard, l, next)
+
+	if len(l) > 0 {
+		s.wake()
+	}
+}
+
+// wake answers the instances that wait.
+func (s *Stream) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/sleeper"
 )
 
 // ErrForgotten is what a Source returns when the records after an offset are no
@@ -98,12 +100,12 @@
 		case c.Err() != nil:
 		case err != nil:
 			w.fail(err)
-			sleep(c, w.backoff())
+			sleeper.Sleep(c, w.backoff())
 		default:
 			w.succeed()
 
 			if n > 0 {
-				sleep(c, w.rest)
+				sleeper.Sleep(c, w.rest)
 			}
 		}
 	}
@@ -197,13 +199,3 @@
 
 	w.sink.Read(d)
 }
-
-func sleep(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-	case <-c.Done():
-	}
-}
