--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,6 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./internal/parser
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime 20s ./internal/messenger
 	go test -run '^$$' -fuzz FuzzNext -fuzztime 20s ./internal/sender
+	go test -run '^$$' -fuzz FuzzNext -fuzztime 20s ./internal/splitter
+	go test -run '^$$' -fuzz FuzzFollow -fuzztime 20s ./platform
+	go test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime 20s ./platform
--- /dev/null
+++ b/internal/informer/informer_test.go
@@ -0,0 +1,224 @@
+package informer_test
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/informer"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+// knowledge is what an instance of the tests knows.
+type knowledge struct {
+	news, learnt chooser.News
+	// always makes the news come again and again.
+	always bool
+}
+
+func (k *knowledge) News() chooser.News {
+	n := k.news
+	if !k.always {
+		k.news = chooser.News{}
+	}
+
+	return n
+}
+
+func (k *knowledge) Learn(n chooser.News) {
+	k.learnt.Places = append(k.learnt.Places, n.Places...)
+	k.learnt.Loads = append(k.learnt.Loads, n.Loads...)
+}
+
+func (k *knowledge) Recall(most int) chooser.News {
+	return chooser.News{Places: k.learnt.Places[:min(most, len(k.learnt.Places))]}
+}
+
+// fleet joins instances without a network.
+type fleet struct {
+	members   []gossiper.Member
+	instances []*informer.Informer
+	known     []*knowledge
+	gone      map[int]bool
+	messages  atomic.Int64
+}
+
+// view is the fleet as one instance sees it.
+type view struct {
+	*fleet
+
+	number int
+}
+
+func (v view) Live() []gossiper.Member { return v.members }
+func (v view) Self() gossiper.Member   { return v.members[v.number] }
+func (v view) Seeds() []netip.AddrPort {
+	return []netip.AddrPort{v.members[0].Address, v.members[1].Address}
+}
+func (v view) at(a netip.AddrPort) int {
+	return slices.IndexFunc(v.members, func(m gossiper.Member) bool { return m.Address == a })
+}
+func (v view) reached(a netip.AddrPort) error {
+	v.messages.Add(1)
+
+	if v.gone[v.at(a)] {
+		return errors.New("gone")
+	}
+
+	return nil
+}
+
+func (v view) Send(c context.Context, a netip.AddrPort, _ wire.Kind, m msgp.Marshaler) error {
+	if err := v.reached(a); err != nil {
+		return err
+	}
+
+	b, err := m.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+
+	_, err = v.instances[v.at(a)].Told(c, v.Self().ID, b)
+
+	return err
+}
+
+func (v view) Call(c context.Context, a netip.AddrPort, _ wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error {
+	if err := v.reached(a); err != nil {
+		return err
+	}
+
+	b, err := q.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+
+	m, err := v.instances[v.at(a)].Recalled(c, v.Self().ID, b)
+	if err != nil {
+		return err
+	}
+
+	b, err = m.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+
+	_, err = r.UnmarshalMsg(b)
+
+	return err
+}
+
+func build(n int) *fleet {
+	logrus.SetLevel(logrus.FatalLevel)
+
+	f := &fleet{gone: map[int]bool{}}
+
+	for i := range n {
+		f.members = append(f.members, gossiper.Member{
+			ID: uint64(i + 1), Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)),
+		})
+		f.known = append(f.known, &knowledge{})
+		v := view{f, i}
+		f.instances = append(f.instances, informer.New(v, v, f.known[i]))
+	}
+
+	return f
+}
+
+func TestNewsReachesAllOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := build(3)
+		f.known[0].news = chooser.News{
+			Places: []chooser.Place{{Key: 7, Target: 9}},
+			Loads:  []chooser.Load{{Target: 9, Calls: 5, At: time.Now().Add(-time.Second)}},
+		}
+
+		c, stop := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer stop()
+
+		f.instances[0].Run(c)
+		synctest.Wait()
+
+		for _, k := range f.known[1:] {
+			is.Equal(k.learnt.Places, []chooser.Place{{Key: 7, Target: 9}})
+			is.Equal(k.learnt.Loads[0].Calls, 5)
+			is.True(time.Since(k.learnt.Loads[0].At) >= time.Second) // Told late is not heard late.
+		}
+
+		is.Equal(len(f.known[0].learnt.Places), 0)
+	})
+}
+
+// A user would wait for a long prompt to be read again after an instance was
+// replaced: the new one knows no place and sends the chat elsewhere.
+func TestInstanceThatStartsAsksASeed(t *testing.T) {
+	for name, x := range map[string]struct {
+		gone []int
+		want int
+	}{
+		"first seed":  {nil, 2},
+		"second seed": {[]int{0}, 1},
+		"none":        {[]int{0, 1}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := build(3)
+				f.known[0].learnt.Places = []chooser.Place{{Key: 1, Target: 1}, {Key: 2, Target: 1}}
+				f.known[1].learnt.Places = []chooser.Place{{Key: 3, Target: 1}}
+
+				for _, n := range x.gone {
+					f.gone[n] = true
+				}
+
+				c, stop := context.WithTimeout(t.Context(), 50*time.Millisecond)
+				defer stop()
+
+				f.instances[2].Run(c)
+				is.Equal(len(f.known[2].learnt.Places), x.want)
+			})
+		})
+	}
+}
+
+// With many instances each tells less often: what one takes stays about sixty
+// messages a second.
+func TestManyInstancesTellLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := build(100)
+
+		c, stop := context.WithTimeout(t.Context(), 10*time.Second)
+		defer stop()
+
+		f.known[0].always = true
+		f.known[0].news.Places = []chooser.Place{{Key: 1, Target: 1}}
+
+		f.instances[0].Run(c)
+		synctest.Wait()
+		is.True(f.messages.Load() <= 99*8)
+	})
+}
+
+func TestNewsThatCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	f := build(1)
+
+	_, err := f.instances[0].Told(t.Context(), 2, []byte{0xc1})
+	is.True(errors.Is(err, informer.ErrNews))
+
+	_, err = f.instances[0].Recalled(t.Context(), 2, []byte{0xc1})
+	is.True(errors.Is(err, informer.ErrNews))
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -2438,6 +2438,77 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Recall) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Most, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Recall) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Most)
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Recall) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint32(o, z.Most)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Recall) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.Most, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Recall) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Release) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
