--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -284,12 +284,6 @@
 	return n
 }
 
-// Recall returns the places of prompts that are known, up to a number, for an
-// instance that has just started.
-func (c *Chooser) Recall(now time.Time, most int) News {
-	return News{Places: c.places.all(now, most)}
-}
-
 // Forget drops what is known of the targets that are no longer listed and have
 // no call.
 func (c *Chooser) Forget(known map[uint32]*enroller.Target) {
--- a/internal/chooser/place.go
+++ b/internal/chooser/place.go
@@ -104,22 +104,3 @@
 
 	return o
 }
-
-// all returns the places that were used lately, up to a number, the last used first.
-func (p *places) all(now time.Time, most int) []Place {
-	var o []Place
-
-	k := p.keys.Keys() // The oldest first.
-
-	for i := len(k) - 1; i >= 0 && len(o) < most; i-- {
-		l, _ := p.keys.Peek(k[i])
-
-		for _, h := range l {
-			if now.Sub(h.used) < holdFor {
-				o = append(o, Place{Key: k[i], Target: h.target})
-			}
-		}
-	}
-
-	return o
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -335,11 +335,3 @@
 
 	return f.chooser.News()
 }
-
-// Recall returns the places of prompts that are known, up to a number.
-func (f *Forwarder) Recall(most int) chooser.News {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	return f.chooser.Recall(time.Now(), most)
-}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -175,7 +175,6 @@
 
 	i := informer.New(m, j, x)
 	m.Handle(wire.KindNews, i.Told)
-	m.Handle(wire.KindRecall, i.Recalled)
 
 	g := &Gatekeeper{
 		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, informer: i, drainer: drainer.New(drainNotice, maxCalls),
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -33,28 +33,23 @@
 	// maxList bounds one message; 12 bytes each.
 	maxList     = 1024
 	sendTimeout = 300 * time.Millisecond
-	// maxRecall bounds what an instance asks for at its start; 50 KB at most.
-	maxRecall = 4096
 )
 
 // Members knows the other instances.
 type Members interface {
 	Live() []gossiper.Member
 	Self() gossiper.Member
-	Seeds() []netip.AddrPort
 }
 
 // Messenger sends to other instances.
 type Messenger interface {
 	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
-	Call(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error
 }
 
 // Knowledge is what this instance knows of targets.
 type Knowledge interface {
 	News() chooser.News
 	Learn(n chooser.News)
-	Recall(most int) chooser.News
 }
 
 // Informer tells and is told. It is safe for concurrent use.
@@ -71,8 +66,6 @@
 
 // Run tells the others until the context ends.
 func (i *Informer) Run(c context.Context) {
-	i.ask(c)
-
 	for c.Err() == nil {
 		l := i.members.Live()
 		i.tell(c, l)
@@ -94,50 +87,6 @@
 		return nil, errors.Mark(err, ErrNews)
 	}
 
-	i.learn(w)
-
-	return nil, nil //nolint:nilnil // News has no reply.
-}
-
-// Recalled answers an instance that has just started with what this one knows.
-func (i *Informer) Recalled(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
-	var q wire.Recall
-	if _, err := q.UnmarshalMsg(body); err != nil {
-		return nil, errors.Mark(err, ErrNews)
-	}
-
-	w := encode(time.Now(), i.knowledge.Recall(min(int(q.Most), maxRecall)))
-
-	return &w, nil
-}
-
-// ask learns from the first seed that answers where prompts are. An instance that
-// starts while others run would send the chats that they know away from their
-// prompts.
-func (i *Informer) ask(c context.Context) {
-	for _, a := range i.members.Seeds() {
-		if a == i.members.Self().Address {
-			continue
-		}
-
-		x, stop := context.WithTimeout(c, sendTimeout)
-
-		var w wire.News
-
-		err := i.messenger.Call(x, a, wire.KindRecall, &wire.Recall{Most: maxRecall}, &w)
-
-		stop()
-
-		if err == nil {
-			i.learn(w)
-			logrus.WithFields(logrus.Fields{"event": "placesRecalled", "peer": a, "places": len(w.Holders)}).Info()
-
-			return
-		}
-	}
-}
-
-func (i *Informer) learn(w wire.News) {
 	b := time.Now()
 
 	var n chooser.News
@@ -153,23 +102,8 @@
 	}
 
 	i.knowledge.Learn(n)
-}
-
-// encode returns news as it is sent.
-func encode(now time.Time, n chooser.News) wire.News {
-	var w wire.News
-
-	for _, p := range n.Places {
-		w.Holders = append(w.Holders, wire.Holder{Key: p.Key, Target: p.Target})
-	}
-
-	for _, x := range n.Loads {
-		w.Loads = append(w.Loads, wire.Load{
-			Target: x.Target, Calls: uint32(max(x.Calls, 0)), AgeMs: uint32(now.Sub(x.At).Milliseconds()), //nolint:gosec // Small.
-		})
-	}
 
-	return w
+	return nil, nil //nolint:nilnil // News has no reply.
 }
 
 // tell sends what is new to each of the others. What does not arrive is told again
@@ -180,9 +114,19 @@
 		return
 	}
 
-	n.Places = n.Places[:min(len(n.Places), maxList)]
-	n.Loads = n.Loads[:min(len(n.Loads), maxList)]
-	w := encode(time.Now(), n)
+	b := time.Now()
+
+	var w wire.News
+
+	for _, p := range n.Places[:min(len(n.Places), maxList)] {
+		w.Holders = append(w.Holders, wire.Holder{Key: p.Key, Target: p.Target})
+	}
+
+	for _, x := range n.Loads[:min(len(n.Loads), maxList)] {
+		w.Loads = append(w.Loads, wire.Load{
+			Target: x.Target, Calls: uint32(max(x.Calls, 0)), AgeMs: uint32(b.Sub(x.At).Milliseconds()), //nolint:gosec // Small.
+		})
+	}
 
 	for _, m := range l {
 		if m.ID == i.members.Self().ID {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord News Holder Load Recall
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord News Holder Load
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -35,8 +35,6 @@
 	KindStream
 	// KindNews tells where prompts are and how loaded targets are.
 	KindNews
-	// KindRecall asks for all that an instance knows of where prompts are.
-	KindRecall
 )
 
 // Hello is the first message on a connection and says who sends on it, so that
@@ -261,12 +259,6 @@
 	Loads   []Load
 }
 
-// Recall asks an instance for all the places of prompts that it knows, up to a
-// number.
-type Recall struct {
-	Most uint32
-}
-
 // Holder says that a target holds a beginning of prompts. Target is the hash of
 // its ID.
 type Holder struct {
