--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -76,7 +76,7 @@
 }
 
 // serve takes connections until the test ends.
-func (x *target) serve(t *testing.T) netip.AddrPort {
+func (x *target) serve(t testing.TB) netip.AddrPort {
 	t.Helper()
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -226,7 +226,7 @@
 }
 
 // front starts a forwarder. Calls reach the first target first.
-func front(t *testing.T, l ...*target) *gateway {
+func front(t testing.TB, l ...*target) *gateway {
 	t.Helper()
 	logrus.SetLevel(logrus.FatalLevel)
 
@@ -271,13 +271,13 @@
 }
 
 // call sends a call with a key.
-func (g *gateway) call(t *testing.T, method, path, body string, headers ...string) answer {
+func (g *gateway) call(t testing.TB, method, path, body string, headers ...string) answer {
 	t.Helper()
 
 	return g.callWith(t, t.Context(), method, path, body, headers...)
 }
 
-func (g *gateway) callWith(t *testing.T, c context.Context, method, path, body string, headers ...string) answer {
+func (g *gateway) callWith(t testing.TB, c context.Context, method, path, body string, headers ...string) answer {
 	t.Helper()
 
 	q, err := http.NewRequestWithContext(c, method, g.URL+path, bytes.NewReader([]byte(body)))
@@ -306,7 +306,7 @@
 }
 
 // unused returns an address on which nobody listens.
-func unused(t *testing.T) netip.AddrPort {
+func unused(t testing.TB) netip.AddrPort {
 	t.Helper()
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
