--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -76,7 +76,7 @@
 }
 
 // serve takes connections until the test ends.
-func (x *target) serve(t testing.TB) netip.AddrPort {
+func (x *target) serve(t testing.TB) netip.AddrPort { //nolint:thelper // One letter, as in all code here.
 	t.Helper()
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -226,7 +226,7 @@
 }
 
 // front starts a forwarder. Calls reach the first target first.
-func front(t testing.TB, l ...*target) *gateway {
+func front(t testing.TB, l ...*target) *gateway { //nolint:thelper // As above.
 	t.Helper()
 	logrus.SetLevel(logrus.FatalLevel)
 
@@ -271,7 +271,7 @@
 }
 
 // call sends a call with a key.
-func (g *gateway) call(t testing.TB, method, path, body string, headers ...string) answer {
+func (g *gateway) call(t testing.TB, method, path, body string, headers ...string) answer { //nolint:thelper // As above.
 	t.Helper()
 
 	return g.callWith(t, t.Context(), method, path, body, headers...)
