--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -82,9 +82,9 @@
 }
 
 // Choose returns where a call goes among the targets of its group, and false when
-// there is none.
+// there is none, or none that can be reached.
 func (c *Chooser) Choose(now time.Time, r *enroller.Roster, group string, q Query) (Choice, bool) {
-	u := c.usable(now, r.Groups[group], q.Excluded)
+	u := c.usable(now, group, r.Groups[group], q.Excluded)
 	if len(u) == 0 {
 		return Choice{}, false
 	}
@@ -138,7 +138,7 @@
 }
 
 // usable returns the targets that may be chosen.
-func (c *Chooser) usable(now time.Time, l []*enroller.Target, excluded []string) []*enroller.Target {
+func (c *Chooser) usable(now time.Time, group string, l []*enroller.Target, excluded []string) []*enroller.Target {
 	var all []*enroller.Target
 
 	for _, t := range l {
@@ -147,7 +147,7 @@
 		}
 	}
 
-	u := c.health.usable(now, all)
+	u := c.health.usable(now, group, all)
 
 	o := slices.DeleteFunc(slices.Clone(u), func(t *enroller.Target) bool {
 		s, ok := c.states[hasher.Name(t.ID)]
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -159,6 +159,64 @@
 	is.True(lost <= 8)
 }
 
+// A user would wait a third of a second for each refusal: the data centre is cut off,
+// all targets of a group are in others, and every call dials each of them in turn.
+// One call in a while finds out whether it is still so; the others are told at once.
+func TestNoTargetReachedIsKnown(t *testing.T) {
+	is := is.New(t)
+	r := roster(3, "b", "c", "d")
+	c := chooser.New(chooser.DefaultSettings())
+	now := time.Unix(0, 0)
+	dials, refused := 0, 0
+
+	call := func(reached bool) bool {
+		q := chooser.Query{DataCentre: "a"}
+
+		for range 3 {
+			o, ok := c.Choose(now, r, group, q)
+			if !ok {
+				refused++
+
+				return false
+			}
+
+			dials++
+			q.Excluded = append(q.Excluded, o.Target.ID)
+			c.Start(now, o.Target)
+
+			if reached {
+				c.Finish(now, o.Target, chooser.Good)
+
+				return true
+			}
+
+			c.Finish(now, o.Target, chooser.Unreachable)
+		}
+
+		return false
+	}
+
+	for range 500 {
+		now = now.Add(10 * time.Millisecond)
+		call(false)
+	}
+
+	is.True(dials < 70)
+	is.True(refused > 400)
+
+	// The end of the cut is known a tenth of a second later.
+	served := 0
+
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if call(true) {
+			served++
+		}
+	}
+
+	is.True(served >= 90)
+}
+
 // A user would see answers begin late for as long as one engine is slow: calls
 // that may run once only can't leave it again, and it never fails.
 func TestSlowTargetIsLeftAndTriedAgain(t *testing.T) {
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -57,6 +57,9 @@
 	// slowTrial is how often a slow target is given a call, to see whether it
 	// still is.
 	slowTrial = time.Second
+	// resortEvery is how often a call is spent on targets of which none is reached.
+	// It is how much later than a cut itself its end may be noticed.
+	resortEvery = 100 * time.Millisecond
 )
 
 // pace is how fast a target's answers begin.
@@ -74,6 +77,8 @@
 	// failing are the targets that can be reached and fail.
 	failing *ejector.Ejector
 	paces   map[uint32]*pace
+	// resorts is when targets of a group were last tried though none is reached.
+	resorts map[string]time.Time
 }
 
 func newHealth() *health {
@@ -86,15 +91,19 @@
 		centres: ejector.New(ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
 		failing: ejector.New(ejector.DefaultSettings()),
 		paces:   make(map[uint32]*pace),
+		resorts: make(map[string]time.Time),
 	}
 }
 
-// usable returns those of the targets that may be given a call; all when there
-// would be none.
-func (h *health) usable(now time.Time, l []*enroller.Target) []*enroller.Target {
-	r := filter(l, func(t *enroller.Target) bool { return h.reached(now, t) })
-	n := make([]uint32, len(r))
+// usable returns those of the targets of a group that may be given a call, and none
+// when none can be reached.
+func (h *health) usable(now time.Time, group string, l []*enroller.Target) []*enroller.Target {
+	r := slices.DeleteFunc(slices.Clone(l), func(t *enroller.Target) bool { return !h.reached(now, t) })
+	if len(r) == 0 {
+		r = h.lastResort(now, group, l)
+	}
 
+	n := make([]uint32, len(r))
 	for i, t := range r {
 		n[i] = hasher.Name(t.ID)
 	}
@@ -109,6 +118,22 @@
 	return filter(r, func(t *enroller.Target) bool { return !h.slow(now, t, m) })
 }
 
+// lastResort returns the targets of a group when none can be reached: all of them for
+// one call in a while, to find out whether that is still so, and none for the others.
+//
+// In a data centre that is cut off every call would try each target in turn, a dial's
+// time each, to be refused in the end: a third of a second for nothing, when its
+// caller could long be somewhere else.
+func (h *health) lastResort(now time.Time, group string, l []*enroller.Target) []*enroller.Target {
+	if t, ok := h.resorts[group]; len(l) == 0 || ok && now.Sub(t) < resortEvery {
+		return nil
+	}
+
+	h.resorts[group] = now
+
+	return l
+}
+
 // filter returns those that a test lets through, and all when there are none.
 func filter(l []*enroller.Target, f func(*enroller.Target) bool) []*enroller.Target {
 	var o []*enroller.Target
