internal/forwarder, internal/gatekeeper: returns are spread, and a stop ends by itself

Cause: callers that were refused together were told to come back together; a stop that used all of its time was killed before it could log what it cut; constants without a reason (found when the diff was read).

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -79,6 +79,26 @@
 	}
 }
 
+// Callers that are refused at the same moment must not come back at the same moment.
+func TestReturnsAreSpread(t *testing.T) {
+	is := is.New(t)
+	g := front(t, &target{answer: ok})
+	g.facts.roster.Groups = nil
+
+	waits := map[string]bool{}
+
+	for range 20 {
+		w := g.call(t, http.MethodPost, "/once/", "x").header.Get("Retry-After")
+		waits[w] = true
+
+		f, err := strconv.ParseFloat(w, 64)
+		is.NoErr(err)
+		is.True(f >= 0.18 && f <= 0.32)
+	}
+
+	is.True(len(waits) > 5)
+}
+
 // faults are what a target may do to a call.
 func faults() map[string]func(n net.Conn, s seen) {
 	return map[string]func(n net.Conn, s seen){
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -60,7 +61,14 @@
 	return fmt.Sprintf("%d: %s", r.Status, r.Message)
 }
 
+// refuse returns a refusal. Callers that are refused together come back spread over
+// half the wait, a quarter before and after it: all at once they would be refused
+// together again.
 func refuse(status int, r Reason, wait time.Duration, format string, a ...any) *Refusal {
+	if wait > 0 {
+		wait = wait*3/4 + rand.N(wait/2) //nolint:gosec,mnd // Spreads callers.
+	}
+
 	return &Refusal{Status: status, Reason: r, Wait: wait, Message: fmt.Sprintf(format, a...)}
 }
 
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -72,22 +72,31 @@
 }
 
 const (
+	// headerTimeout is how long a caller may take for its headers. Callers that
+	// are well need a packet or two.
 	headerTimeout = 10 * time.Second
-	maxHeader     = 64 << 10
-	maxBody       = 16 << 20
+	// maxHeader and maxBody bound what a caller may send, in bytes; the catalog may
+	// set a lower bound for bodies.
+	maxHeader = 64 << 10
+	maxBody   = 16 << 20
+	// maxCalls is how many calls may be in progress; with some 50 KB each they fit
+	// the memory of the smallest instances.
+	maxCalls = 4096
 	// patience is how long callers wait that do not say.
 	patience = 30 * time.Second
 	// drainNotice is how long a balancer that asks once a second, and believes
 	// two answers, takes to send no more.
 	drainNotice = 2500 * time.Millisecond
-	// stopMargin is what a stop leaves of its time, so that it ends by itself.
-	stopMargin   = 300 * time.Millisecond
+	// stopMargin is what a stop leaves of its time, so that it ends by itself and
+	// logs what it cut.
+	stopMargin = 300 * time.Millisecond
+	// advanceEvery is how often it is looked whether a stop may go on.
 	advanceEvery = 50 * time.Millisecond
-	// changeRest is the pause between two reads of a stream that changes all the
-	// time. Each read has a price; a change must be known within two seconds.
+	// configRest and targetRest are the pauses between two reads of a stream that
+	// changes all the time. Each read has a price; a change must be known within
+	// two seconds.
 	configRest = 100 * time.Millisecond
 	targetRest = 600 * time.Millisecond
-	maxCalls   = 4096
 	// metricsPath is where counts are served.
 	metricsPath = "/metrics"
 	// settleEvery is how late the end of a grace may be noticed.
@@ -121,7 +130,7 @@
 		fx.Supply(s, w),
 		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(s.Stop),
+		fx.StopTimeout(max(s.Stop-stopMargin, stopMargin)),
 		fx.Invoke(func(l fx.Lifecycle, g *Gatekeeper) {
 			l.Append(fx.Hook{OnStart: g.Start, OnStop: g.Stop})
 		}),
