--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -255,6 +255,15 @@
 	Loads  []Load
 }
 
+// Beliefs returns what has changed about targets and data centres since it was last
+// asked.
+func (c *Chooser) Beliefs() []Belief {
+	o := c.health.beliefs
+	c.health.beliefs = nil
+
+	return o
+}
+
 // Learn takes what another instance told.
 func (c *Chooser) Learn(now time.Time, n News) {
 	for _, p := range n.Places {
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,6 +118,10 @@
 
 	is.Equal(dials, 2)
 
+	out := c.Beliefs()
+	is.Equal(out[len(out)-1], chooser.Belief{Cause: chooser.CentreUnreachable, Name: "b", Out: true})
+	is.Equal(len(c.Beliefs()), 0)
+
 	// Once the cut has healed, one call finds out and the others follow: those with
 	// new prompts, since the old ones are cached elsewhere by now.
 	back := 0
@@ -132,6 +137,9 @@
 	}
 
 	is.True(back > 30)
+
+	in := c.Beliefs()
+	is.True(slices.Contains(in, chooser.Belief{Cause: chooser.CentreUnreachable, Name: "b"}))
 }
 
 // An instance whose data centre is cut off from all others reaches a fifth of the
@@ -250,6 +258,7 @@
 
 	is.True(send(300, false) > 20)
 	is.True(send(300, true) < 12)
+	is.Equal(c.Beliefs(), []chooser.Belief{{Cause: chooser.TargetSlow, Name: "t3", Out: true}})
 	send(600, false)
 	is.True(send(300, false) > 20)
 }
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -69,6 +69,30 @@
 	trial   time.Time
 }
 
+// Cause is why a target or a data centre is left alone.
+type Cause string
+
+// The causes.
+const (
+	// TargetUnreachable means that no connection to a target was made.
+	TargetUnreachable Cause = "targetUnreachable"
+	// CentreUnreachable means the same of two targets of a data centre in a row.
+	CentreUnreachable Cause = "dataCentreUnreachable"
+	// TargetFailing means that a target fails again and again.
+	TargetFailing Cause = "targetFailing"
+	// TargetSlow means that a target's answers begin much later than those of others.
+	TargetSlow Cause = "targetSlow"
+)
+
+// Belief is a change of what is believed of a target or a data centre.
+type Belief struct {
+	Cause Cause
+	// Name is the target's ID, or that of the data centre.
+	Name string
+	// Out says that it is left alone from now on, otherwise that it is back.
+	Out bool
+}
+
 // health judges targets by their answers. It is not safe for concurrent use.
 type health struct {
 	// targets and centres are those that can't be reached.
@@ -79,6 +103,9 @@
 	paces   map[uint32]*pace
 	// resorts is when targets of a group were last tried though none is reached.
 	resorts map[string]time.Time
+	// out are those that are left alone, and beliefs what has changed about them.
+	out     map[Belief]bool
+	beliefs []Belief
 }
 
 func newHealth() *health {
@@ -92,6 +119,7 @@
 		failing: ejector.New(ejector.DefaultSettings()),
 		paces:   make(map[uint32]*pace),
 		resorts: make(map[string]time.Time),
+		out:     make(map[Belief]bool),
 	}
 }
 
@@ -164,7 +192,14 @@
 // run once only can't leave it again, so it is found by the others' answers.
 func (h *health) slow(now time.Time, t *enroller.Target, most float64) bool {
 	p, ok := h.paces[hasher.Name(t.ID)]
-	if !ok || p.samples < slowSamples || p.part < max(slowLeast, most) {
+	if !ok || p.samples < slowSamples {
+		return false
+	}
+
+	x := p.part >= max(slowLeast, most)
+	h.believe(TargetSlow, t.ID, x)
+
+	if !x {
 		return false
 	}
 
@@ -228,10 +263,38 @@
 		h.targets.Result(now, n, true)
 		h.centres.Result(now, c, true)
 	case Neither:
+		return
 	}
+
+	h.believe(TargetUnreachable, t.ID, h.targets.Out(now, n))
+	h.believe(CentreUnreachable, t.DataCentre, h.centres.Out(now, c))
+	h.believe(TargetFailing, t.ID, h.failing.Out(now, n))
+}
+
+// believe notes a change.
+func (h *health) believe(c Cause, name string, out bool) {
+	k := Belief{Cause: c, Name: name, Out: true}
+	if h.out[k] == out {
+		return
+	}
+
+	if out {
+		h.out[k] = true
+	} else {
+		delete(h.out, k)
+	}
+
+	h.beliefs = append(h.beliefs, Belief{Cause: c, Name: name, Out: out})
 }
 
+// forget drops what is known of a target, by the hash of its ID.
 func (h *health) forget(n uint32) {
+	for k := range h.out {
+		if k.Cause != CentreUnreachable && hasher.Name(k.Name) == n {
+			delete(h.out, k)
+		}
+	}
+
 	h.targets.Forget(n)
 	h.failing.Forget(n)
 	delete(h.paces, n)
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -165,11 +165,27 @@
 
 	f.mu.Lock()
 	f.chooser.Finish(time.Now(), t.Target, r.outcome)
+	l := f.chooser.Beliefs()
 	f.mu.Unlock()
 
+	f.tellBeliefs(x, l, r.err)
+
 	return r
 }
 
+// tellBeliefs logs what this instance now believes of targets, with the call that
+// showed it.
+func (f *Forwarder) tellBeliefs(x *exchange, l []chooser.Belief, err error) {
+	for _, b := range l {
+		e := "backInUse"
+		if b.Out {
+			e = "leftAlone"
+		}
+
+		logrus.WithFields(logrus.Fields{"event": e, "cause": b.Cause, "name": b.Name, "id": x.call.ID, "error": err}).Info()
+	}
+}
+
 // send sends a call and checks that the answer is one to it.
 func (f *Forwarder) send(c context.Context, x *exchange, t chooser.Choice) (*http.Response, Reply, result) {
 	h := forwarded(x.request.Header)
