internal/repeater: long records are told in a short form

Change: values of 4 KB and more go compressed, made once a version. The test fails before and passes after.

--- a/internal/repeater/answer.go
+++ b/internal/repeater/answer.go
@@ -46,7 +46,12 @@
 	}
 
 	for _, r := range l {
-		p.Records = append(p.Records, wire.StreamRecord{Key: r.Key, Value: r.Value, Offset: r.Offset})
+		x := wire.StreamRecord{Key: r.Key, Value: r.Value, Offset: r.Offset}
+		if v, ok := s.tape.short(r); ok {
+			x.Value, x.Packed = v, true
+		}
+
+		p.Records = append(p.Records, x)
 	}
 
 	return p
--- a/internal/repeater/others.go
+++ b/internal/repeater/others.go
@@ -88,6 +88,17 @@
 		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), errOld)
 	}
 
+	for i := range p.Records {
+		x := &p.Records[i]
+		if !x.Packed {
+			continue
+		}
+
+		if x.Value, err = unpack(x.Value); err != nil {
+			return nil, err
+		}
+	}
+
 	return &p, nil
 }
 
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -109,7 +112,12 @@
 	// cut are instances that others can't call.
 	cut   map[int]bool
 	seeds []netip.AddrPort
-	mu    sync.Mutex
+	// perByte is how long a byte takes from an instance to others, and free when
+	// each instance's link is free again.
+	perByte time.Duration
+	free    map[int]time.Time
+	sent    int
+	mu      sync.Mutex
 }
 
 type instance struct {
@@ -194,6 +202,23 @@
 		return err
 	}
 
+	i.fleet.mu.Lock()
+	at := time.Now()
+	if x := i.fleet.free[n]; x.After(at) {
+		at = x
+	}
+
+	at = at.Add(time.Duration(len(b)) * i.fleet.perByte)
+	i.fleet.free[n] = at
+	i.fleet.sent += len(b)
+	i.fleet.mu.Unlock()
+
+	select {
+	case <-time.After(time.Until(at)):
+	case <-c.Done():
+		return c.Err()
+	}
+
 	_, err = r.UnmarshalMsg(b)
 
 	return err
@@ -252,6 +277,7 @@
 		platform: &platform{refused: map[int]bool{}, silent: map[int]bool{}, reads: map[int]int{}},
 		cut:      map[int]bool{},
 		seeds:    seeds,
+		free:     map[int]time.Time{},
 	}
 	f.platform.put("k", "0")
 
@@ -438,3 +464,44 @@
 		})
 	}
 }
+
+// A user would be let in with a key that was taken away three seconds ago: the
+// configuration has grown to hundreds of rules, versions come one after the other, and
+// the instance that reads for a data centre sends each of them twenty times over a
+// slow link. Here a link that takes as long as the bytes say joins ten instances.
+func TestLongRecordsInQuickSuccession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f, stop := start(t, "a", "a", "a", "a", "a", "a", "a", "a", "a", "a")
+		f.mu.Lock()
+		f.perByte = 800 * time.Nanosecond // 10 Mbit/s.
+		f.mu.Unlock()
+
+		rule := `{"name":"rule-%d","host":"app.example","pathPrefix":"/p%d/","kind":"streaming","timeoutMs":12000,"service":"s"},`
+
+		var b strings.Builder
+		for n := range 1200 {
+			_, _ = fmt.Fprintf(&b, rule, n, n*7)
+		}
+
+		for n := range 8 {
+			f.platform.put("k", strconv.Itoa(n)+b.String())
+			time.Sleep(350 * time.Millisecond)
+		}
+
+		time.Sleep(1500 * time.Millisecond)
+
+		for _, i := range f.instances {
+			is.True(strings.HasPrefix(i.sink.get("k"), "7{"))
+		}
+
+		// What was given up on is sent all the same, and holds up what comes after:
+		// all of it must fit the link of one instance for half of the time.
+		f.mu.Lock()
+		d := time.Duration(f.sent) * f.perByte
+		f.mu.Unlock()
+
+		stop()
+		is.True(d < 8*350*time.Millisecond/2)
+	})
+}
--- a/internal/repeater/tape.go
+++ b/internal/repeater/tape.go
@@ -23,15 +23,24 @@
 	// heard is when the platform last said that this was all.
 	heard   time.Time
 	dropped int
+	// packed are the long values in their short form, made when first told.
+	packed map[string]packed
+}
+
+// packed is the short form of a record's value.
+type packed struct {
+	offset int64
+	value  []byte
 }
 
 func newTape() *tape {
-	return &tape{records: make(map[string]watcher.Record), next: -1}
+	return &tape{records: make(map[string]watcher.Record), packed: make(map[string]packed), next: -1}
 }
 
 // reset takes the newest record of each key.
 func (t *tape) reset(heard time.Time, l []watcher.Record, next int64) {
 	clear(t.records)
+	clear(t.packed)
 
 	for _, r := range l {
 		t.records[r.Key] = r
@@ -73,6 +82,21 @@
 	t.floor, t.dropped = t.next, 0
 }
 
+// short returns a record's value in its short form, and false when it has none.
+func (t *tape) short(r watcher.Record) ([]byte, bool) {
+	if len(r.Value) < packFrom {
+		return nil, false
+	}
+
+	p, ok := t.packed[r.Key]
+	if !ok || p.offset != r.Offset {
+		p = packed{offset: r.Offset, value: pack(r.Value)}
+		t.packed[r.Key] = p
+	}
+
+	return p.value, len(p.value) < len(r.Value)
+}
+
 // since returns the records from an offset on in their order, or, when some of
 // them are no longer known, the newest of each key.
 func (t *tape) since(from int64) (l []watcher.Record, whole bool) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -245,11 +245,13 @@
 	Records []StreamRecord
 }
 
-// StreamRecord is one record. Without a value its key was dropped.
+// StreamRecord is one record. Without a value its key was dropped. With Packed the
+// value is compressed by DEFLATE.
 type StreamRecord struct {
 	Key    string
 	Value  []byte
 	Offset int64
+	Packed bool
 }
 
 // News tells other instances which targets the sender has given beginnings of
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -3096,8 +3096,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Key, err = dc.ReadString()
@@ -3115,13 +3115,18 @@
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	z.Packed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamRecord) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -3140,17 +3145,23 @@
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	err = en.WriteBool(z.Packed)
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Key)
 	o = msgp.AppendBytes(o, z.Value)
 	o = msgp.AppendInt64(o, z.Offset)
+	o = msgp.AppendBool(o, z.Packed)
 	return
 }
 
@@ -3162,8 +3173,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Key, bts, err = msgp.ReadStringBytes(bts)
@@ -3181,13 +3192,18 @@
 		err = msgp.WrapError(err, "Offset")
 		return
 	}
+	z.Packed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *StreamRecord) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.BytesPrefixSize + len(z.Value) + msgp.Int64Size
+	s = 1 + msgp.StringPrefixSize + len(z.Key) + msgp.BytesPrefixSize + len(z.Value) + msgp.Int64Size + msgp.BoolSize
 	return
 }
 
@@ -3230,31 +3246,11 @@
 		z.Records = make([]StreamRecord, zb0002)
 	}
 	for za0001 := range z.Records {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		err = z.Records[za0001].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Records", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Records[za0001].Key, err = dc.ReadString()
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Key")
-			return
-		}
-		z.Records[za0001].Value, err = dc.ReadBytes(z.Records[za0001].Value)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Value")
-			return
-		}
-		z.Records[za0001].Offset, err = dc.ReadInt64()
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Offset")
-			return
-		}
 	}
 	return
 }
@@ -3287,24 +3283,9 @@
 		return
 	}
 	for za0001 := range z.Records {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteString(z.Records[za0001].Key)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Key")
-			return
-		}
-		err = en.WriteBytes(z.Records[za0001].Value)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Value")
-			return
-		}
-		err = en.WriteInt64(z.Records[za0001].Offset)
+		err = z.Records[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Offset")
+			err = msgp.WrapError(err, "Records", za0001)
 			return
 		}
 	}
@@ -3321,11 +3302,11 @@
 	o = msgp.AppendUint32(o, z.AgeMs)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
 	for za0001 := range z.Records {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendString(o, z.Records[za0001].Key)
-		o = msgp.AppendBytes(o, z.Records[za0001].Value)
-		o = msgp.AppendInt64(o, z.Records[za0001].Offset)
+		o, err = z.Records[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
 	}
 	return
 }
@@ -3369,31 +3350,11 @@
 		z.Records = make([]StreamRecord, zb0002)
 	}
 	for za0001 := range z.Records {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Records[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Records", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Records[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Key")
-			return
-		}
-		z.Records[za0001].Value, bts, err = msgp.ReadBytesBytes(bts, z.Records[za0001].Value)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Value")
-			return
-		}
-		z.Records[za0001].Offset, bts, err = msgp.ReadInt64Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Records", za0001, "Offset")
-			return
-		}
 	}
 	o = bts
 	return
@@ -3403,7 +3364,7 @@
 func (z *StreamReply) Msgsize() (s int) {
 	s = 1 + msgp.Int64Size + msgp.BoolSize + msgp.Uint32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Records {
-		s += 1 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + msgp.BytesPrefixSize + len(z.Records[za0001].Value) + msgp.Int64Size
+		s += z.Records[za0001].Msgsize()
 	}
 	return
 }
