--- /dev/null
+++ b/internal/commander/process_test.go
@@ -0,0 +1,347 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/standin/porter"
+	"github.com/auburntray/auburntray/platform"
+	"github.com/auburntray/auburntray/platform/standin"
+)
+
+var program = flag.String("commander.program", "", "the program to test; empty builds it")
+
+const (
+	host = "app.example"
+	key  = "key-1"
+	// events is how many a streamed answer has, and pause the time between two: long
+	// enough that a signal comes in the middle.
+	events = 40
+	pause  = 25 * time.Millisecond
+	// eventuallyMost is how long a state may take to come on a busy machine.
+	eventuallyMost = 30 * time.Second
+)
+
+// built returns the path of the program, which is built once.
+var built = sync.OnceValues(func() (string, error) {
+	if *program != "" {
+		return *program, nil
+	}
+
+	d, err := os.MkdirTemp("", "auburntray")
+	if err != nil {
+		return "", err
+	}
+
+	p := filepath.Join(d, "auburntray")
+	if b, err := exec.Command("go", "build", "-o", p, "../../cmd/auburntray").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("the program can't be built: %w\n%s", err, b)
+	}
+
+	return p, nil
+})
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+
+	n := m.Run()
+
+	if p, err := built(); err == nil && *program == "" {
+		_ = os.RemoveAll(filepath.Dir(p))
+	}
+
+	os.Exit(n)
+}
+
+// surroundings are a store with a configuration and a server of each kind of target.
+type surroundings struct {
+	door  *standin.Door
+	store string
+	runs  func() int
+}
+
+func surround(t *testing.T) *surroundings {
+	t.Helper()
+
+	s := standin.NewStore()
+	d := standin.NewDoor(s)
+	h := httptest.NewServer(d)
+	t.Cleanup(func() {
+		h.CloseClientConnections()
+		h.Close()
+	})
+
+	x := standin.NewServer(standin.ServerSettings{
+		ID: "i-1", Service: "g", DataCentre: "a", Slots: 64, Work: 500 * time.Millisecond, Pause: pause,
+	})
+	y := httptest.NewServer(x)
+	t.Cleanup(func() {
+		y.CloseClientConnections()
+		y.Close()
+	})
+
+	s.Put(platform.TargetsStream, "i-1", x.Entry(strings.TrimPrefix(y.URL, "http://"), false))
+	s.Put(platform.ConfigStream, platform.ConfigKey, configuration(t))
+
+	return &surroundings{door: d, store: strings.TrimPrefix(h.URL, "http://"), runs: func() int { return len(x.Runs()) }}
+}
+
+func configuration(t *testing.T) []byte {
+	t.Helper()
+
+	var l []any
+	for path, kind := range map[string]string{"/once/": "non_idempotent", "/stream/": "streaming"} {
+		l = append(l, map[string]any{
+			"name": path, "host": host, "pathPrefix": path, "kind": kind, "service": "g", "maxAttempts": 1, "timeoutMs": 20000,
+		})
+	}
+
+	b, err := json.Marshal(map[string]any{
+		"version": 1, "routes": l, "services": []any{map[string]any{"name": "g"}},
+		"tenants": []any{map[string]any{"name": "member-1", "apiKeys": []string{key}}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return b
+}
+
+// process is a gateway as a process of its own.
+type process struct {
+	test          *testing.T
+	callers       netip.AddrPort
+	ready         netip.AddrPort
+	settings      string
+	command       *exec.Cmd
+	ended         chan struct{}
+	err           error
+	output, error *os.File
+}
+
+// prepare writes the settings of a gateway that is not yet started.
+func prepare(t *testing.T, s *surroundings) *process {
+	t.Helper()
+
+	p := &process{test: t, callers: porter.Free(t), ready: porter.Free(t), ended: make(chan struct{})}
+	p.settings = filepath.Join(t.TempDir(), "settings.toml")
+	b := fmt.Appendf(nil, settingsFile, p.callers, p.ready, porter.Free(t), s.store)
+
+	if err := os.WriteFile(p.settings, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+
+	return p
+}
+
+// start starts the process; without an output its lines go nowhere.
+func (p *process) start() {
+	p.test.Helper()
+
+	x, err := built()
+	if err != nil {
+		p.test.Fatal(err)
+	}
+
+	p.command = exec.Command(x, "platform")
+	p.command.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
+
+	// A nil file in the interface would be no nil.
+	if p.output != nil {
+		p.command.Stdout = p.output
+	}
+
+	if p.error != nil {
+		p.command.Stderr = p.error
+	}
+
+	if err := p.command.Start(); err != nil {
+		p.test.Fatal(err)
+	}
+
+	go func() {
+		p.err = p.command.Wait()
+		close(p.ended)
+	}()
+
+	p.test.Cleanup(func() {
+		_ = p.command.Process.Kill() // It may have ended.
+		<-p.ended
+	})
+}
+
+func (p *process) signal(s syscall.Signal) {
+	_ = p.command.Process.Signal(s) // It may just have ended, which the test sees by its calls.
+}
+
+func (p *process) runs() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// listens says that somebody takes connections at the callers' address.
+func (p *process) listens() bool {
+	n, err := net.DialTimeout("tcp", p.callers.String(), time.Second)
+	if err == nil {
+		_ = n.Close()
+	}
+
+	return err == nil
+}
+
+func (p *process) isReady() bool {
+	r, err := http.Get("http://" + p.ready.String() + "/auburntray/ready") //nolint:noctx // A test's own process.
+	if err != nil {
+		return false
+	}
+
+	_ = r.Body.Close()
+
+	return r.StatusCode == http.StatusOK
+}
+
+// end waits until the process has ended and returns how.
+func (p *process) end() string {
+	p.test.Helper()
+
+	select {
+	case <-p.ended:
+	case <-time.After(eventuallyMost):
+		p.test.Fatal("the process did not end")
+	}
+
+	var e *exec.ExitError
+	if errors.As(p.err, &e) {
+		return e.Error()
+	}
+
+	return "exit status 0"
+}
+
+// result is what a caller got.
+type result struct {
+	status int
+	whole  bool
+	err    error
+}
+
+// call makes a call in the background.
+func (p *process) call(path, id string) <-chan result {
+	p.test.Helper()
+
+	o := make(chan result, 1)
+	x, stop := context.WithTimeout(context.Background(), eventuallyMost)
+
+	q, err := http.NewRequestWithContext(x, http.MethodPost, "http://"+p.callers.String()+path+id, strings.NewReader(id))
+	if err != nil {
+		p.test.Fatal(err)
+	}
+
+	q.Host = host
+	q.Header.Set("X-Attempt-Id", id)
+	q.Header.Set("X-Deadline-Ms", "15000")
+	q.Header.Set("Authorization", "Token "+key)
+
+	want := standin.Answer(id, path+id, id)
+
+	if path == "/stream/" {
+		q.Header.Set("X-Model", "m")
+		q.Header.Set("X-Token-Usage", fmt.Sprintf("100,%d", events))
+		q.Header.Set("X-Prompt-Prefix", "aa:60,bb:40")
+
+		want = ""
+		for n := range events {
+			want += standin.Event(id, n+1)
+		}
+	}
+
+	go func() {
+		defer stop()
+
+		r, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
+		if err != nil {
+			o <- result{err: err}
+
+			return
+		}
+
+		b, err := io.ReadAll(r.Body)
+		_ = r.Body.Close()
+		o <- result{status: r.StatusCode, whole: err == nil && string(b) == want, err: err}
+	}()
+
+	return o
+}
+
+// away makes the store answer nobody, or answer again.
+func (s *surroundings) away(is bool) {
+	s.door.Set(standin.DoorFaults{Silent: is})
+}
+
+// handles says that the process has handlers of signals, as the system sees it. They
+// come with the language's runtime, before any code of the program runs.
+func (p *process) handles() bool {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return false
+	}
+
+	for l := range strings.Lines(string(b)) {
+		x, ok := strings.CutPrefix(l, "SigCgt:")
+		if !ok {
+			continue
+		}
+
+		n, err := strconv.ParseUint(strings.TrimSpace(x), 16, 64)
+
+		return err == nil && n&(1<<(syscall.SIGTERM-1)) != 0
+	}
+
+	return false
+}
+
+// fill writes to a pipe until it takes no more.
+func fill(t *testing.T, w *os.File) {
+	t.Helper()
+
+	n := int(w.Fd()) // From here on writes wait.
+	if err := syscall.SetNonblock(n, true); err != nil {
+		t.Fatal(err)
+	}
+
+	for b := make([]byte, 1<<10); ; {
+		_, err := syscall.Write(n, b)
+		if errors.Is(err, syscall.EAGAIN) {
+			break
+		}
+
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	if err := syscall.SetNonblock(n, false); err != nil {
+		t.Fatal(err)
+	}
+}
