internal/commander: signals at each moment of a process's life, and a log reader that goes away

Handlers come only after settings and parts have been put together, and are given back before the last lines; a broken pipe at the log has no handler at all.

--- a/internal/commander/signals_test.go
+++ b/internal/commander/signals_test.go
@@ -1,8 +1,11 @@
 package commander
 
 import (
+	"os"
+	"slices"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -29,3 +32,178 @@
 	p.signal(syscall.SIGTERM)
 	i.Equal(p.end(), "exit status 0")
 }
+
+// harmless are the signals that a platform or an operator may send, or the system when
+// somebody who read from the process is gone, and that must not end it.
+var harmless = map[string]syscall.Signal{
+	"HUP": syscall.SIGHUP, "USR1": syscall.SIGUSR1, "USR2": syscall.SIGUSR2, "PIPE": syscall.SIGPIPE, "ALRM": syscall.SIGALRM,
+}
+
+// ending are those that ask for a planned stop.
+var ending = map[string]syscall.Signal{"TERM": syscall.SIGTERM, "INT": syscall.SIGINT}
+
+// moments bring a process to a moment of its life, with calls open where it has any, and
+// return the calls.
+var moments = map[string]func(t *testing.T, s *surroundings, p *process) []<-chan result{
+	"has just begun": func(t *testing.T, _ *surroundings, p *process) []<-chan result {
+		t.Helper()
+		p.start()
+		comes(t, "a handler of signals", p.handles)
+
+		return nil
+	},
+	"starting": func(t *testing.T, s *surroundings, p *process) []<-chan result {
+		t.Helper()
+		s.away(true)
+		p.start()
+		comes(t, "a listener", p.listens)
+		t.Cleanup(func() { s.away(false) })
+
+		return nil
+	},
+	"serving": serving,
+	"stopping": func(t *testing.T, s *surroundings, p *process) []<-chan result {
+		t.Helper()
+		o := serving(t, s, p)
+		p.signal(syscall.SIGTERM)
+		comes(t, "the stop", func() bool { return !p.isReady() })
+
+		return o
+	},
+	"in its last lines": func(t *testing.T, _ *surroundings, p *process) []<-chan result {
+		t.Helper()
+
+		// Nobody reads, and what a pipe holds is full: the last lines wait their time.
+		r, w, err := os.Pipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		t.Cleanup(func() { _ = r.Close() })
+		t.Cleanup(func() { _ = w.Close() })
+		fill(t, w)
+
+		p.output = w
+		p.start()
+		comes(t, "readiness", p.isReady)
+		p.signal(syscall.SIGTERM)
+		comes(t, "the end of the listener", func() bool { return !p.listens() })
+
+		return nil
+	},
+}
+
+func serving(t *testing.T, s *surroundings, p *process) []<-chan result {
+	t.Helper()
+	p.start()
+	comes(t, "readiness", p.isReady)
+
+	o := []<-chan result{p.call("/stream/", "c-1"), p.call("/once/", "c-2")}
+
+	comes(t, "the work on both", func() bool { return s.runs() == 2 })
+
+	return o
+}
+
+// An operator or the platform sends a signal that the program has no use for, or sends
+// it at an awkward moment: while the process has only just begun, while it stops, or
+// as it writes its last lines. Every open call broke, and the process ended with the
+// signal's code and not with 0. Only TERM and INT end a process, as planned, and a
+// second one changes nothing of that.
+func TestSignalsAtEachMoment(t *testing.T) {
+	all := make(map[string]syscall.Signal)
+
+	for _, m := range []map[string]syscall.Signal{harmless, ending} {
+		for name, x := range m {
+			all[name] = x
+		}
+	}
+
+	for moment, arrive := range moments {
+		for name, x := range all {
+			for times, n := range map[string]int{"once": 1, "twice": 2} {
+				t.Run(name+" "+times+" while it is "+moment, func(t *testing.T) {
+					t.Parallel()
+
+					i := is.New(t)
+					s := surround(t)
+					p := prepare(t, s)
+					l := arrive(t, s, p)
+
+					for range n {
+						p.signal(x)
+						time.Sleep(5 * time.Millisecond) // Two at once would be one.
+					}
+
+					for _, c := range l {
+						i.Equal(<-c, result{status: 200, whole: true})
+					}
+
+					if _, ends := ending[name]; !ends && !slices.Contains([]string{"stopping", "in its last lines"}, moment) {
+						s.away(false)
+						comes(t, "readiness", func() bool { return !p.runs() || p.isReady() })
+						i.True(p.runs())
+						p.signal(syscall.SIGTERM)
+					}
+
+					i.Equal(p.end(), "exit status 0")
+				})
+			}
+		}
+	}
+}
+
+// The program that reads an instance's log is restarted, and the pipe to it breaks. The
+// instance was ended by its next line: "exit 141", a broken pipe, with every open call.
+// A log that can't be written is the reader's loss, and no caller's.
+func TestLogReaderThatGoesAwayEndsNothing(t *testing.T) {
+	for name, x := range map[string]struct{ output, error bool }{
+		"standard output": {output: true},
+		"standard error":  {error: true},
+		"both":            {output: true, error: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			i := is.New(t)
+			s := surround(t)
+			p := prepare(t, s)
+
+			var readers []*os.File
+
+			for _, e := range []struct {
+				to   **os.File
+				goes bool
+			}{{&p.output, x.output}, {&p.error, x.error}} {
+				if !e.goes {
+					continue
+				}
+
+				r, w, err := os.Pipe()
+				i.NoErr(err)
+
+				*e.to = w
+
+				t.Cleanup(func() { _ = w.Close() })
+
+				readers = append(readers, r)
+			}
+
+			l := serving(t, s, p)
+
+			for _, r := range readers {
+				i.NoErr(r.Close())
+			}
+
+			for _, c := range l {
+				i.Equal(<-c, result{status: 200, whole: true})
+			}
+
+			// The line of this call is the first that can't be written for sure.
+			i.Equal(<-p.call("/once/", "c-3"), result{status: 200, whole: true})
+			i.True(p.runs())
+			p.signal(syscall.SIGTERM)
+			i.Equal(p.end(), "exit status 0")
+		})
+	}
+}
