internal/signaler, internal/commander, internal/logger: one owner of signals, from the first code that runs to the end

Cause: SIGHUP was taken by the reader of the settings file, after the file had been read and the parts put together, and given back before the last lines of log were written; TERM and INT were taken by the application's framework in between; nobody took a broken pipe at the log. Whatever came at another moment ended the process by itself. What changed: signaler takes TERM, INT, HUP, USR1, USR2 and ALRM as the package is set up, before any function runs, and never gives them back while a process serves; PIPE is ignored. Each signal is told and counted, lines that can't be written are counted. The stand-ins use the same owner; commands that run for a moment release the signals. A router's log no longer holds up who logs. What is left is the time before the language lets code run.

--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -6,15 +6,15 @@
 	"os"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/gatekeeper"
-	"github.com/auburntray/auburntray/internal/logger"
+	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/reloader"
+	"github.com/auburntray/auburntray/internal/signaler"
 	"github.com/auburntray/auburntray/platform"
 )
 
@@ -26,7 +26,8 @@
 		Short: "Run a gateway with the settings file of the users' platform, until SIGTERM",
 		Long: "Run a gateway with the settings file that the environment variable " + platform.SettingsVariable +
 			" names, until SIGTERM. The file is read again on SIGHUP and when it changes.",
-		Args: cobra.NoArgs,
+		Args:        cobra.NoArgs,
+		Annotations: longRunning(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			return runPlatform(c.Context(), os.Getenv(platform.SettingsVariable), metricsPort)
 		},
@@ -39,46 +40,52 @@
 
 // runPlatform runs a gateway with the settings file at a path.
 func runPlatform(c context.Context, path string, metricsPort uint16) error {
-	if err := SetUpLogs("info"); err != nil {
-		return errors.Mark(err, ErrUsage)
+	l, flush, err := setUpLogger("info", os.Stdout)
+	if err != nil {
+		return err
 	}
-
-	l, flush := logger.New(os.Stdout)
 	defer flush()
 
-	logrus.SetOutput(l)
+	x, end := signaler.New(tellSignal)
+	defer end()
 
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
 
-	x := gatewaySettings(s)
+	y := gatewaySettings(s)
 	if metricsPort > 0 {
-		x.Metrics = netip.AddrPortFrom(s.Callers.Addr(), metricsPort)
+		y.Metrics = netip.AddrPortFrom(s.Callers.Addr(), metricsPort)
 	}
 
-	var g *gatekeeper.Gatekeeper
+	var (
+		g *gatekeeper.Gatekeeper
+		m *meter.Meter
+	)
 
 	w, t := platform.World(s)
-	a := fx.New(gatekeeper.Options(x, w), fx.Populate(&g))
+	a := fx.New(gatekeeper.Options(y, w), fx.Populate(&g, &m))
 
 	if err := a.Err(); err != nil {
 		return err
 	}
 
-	r, stop, err := reloader.New(path, func(b []byte) error { return retune(b, x, g, t) })
+	m.Follow("signals_total", func() float64 { return float64(x.Total()) })
+	m.Follow("log_lines_dropped_total", func() float64 { return float64(l.Dropped()) })
+	m.Follow("log_lines_failed_total", func() float64 { return float64(l.Failed()) })
+
+	r, err := reloader.New(path, x.HangUps(), func(b []byte) error { return retune(b, y, g, t) })
 	if err != nil {
 		return err
 	}
-	defer stop()
 
-	c, end := context.WithCancel(c)
-	defer end()
+	c, stop := context.WithCancel(c)
+	defer stop()
 
 	go r.Run(c)
 
-	return run(a)
+	return run(a, x.Stopping())
 }
 
 // retune puts in force what may change in a settings file, and tells what may not.
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -2,10 +2,15 @@
 package commander
 
 import (
+	"io"
 	"os"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
+
+	"github.com/auburntray/auburntray/internal/logger"
+	"github.com/auburntray/auburntray/internal/signaler"
 )
 
 // New returns the command line of auburntray.
@@ -15,6 +20,11 @@
 		Short:         "A router fleet for very many returning chats",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		PersistentPreRun: func(c *cobra.Command, _ []string) {
+			if !isLongRunning(c) {
+				signaler.Release()
+			}
+		},
 	}
 
 	c.AddCommand(newRouter(), newPublish(), newShow(), newHistory(), newWatch(), newDrain(), newLoad(), newBench(), newSettings(), newPlatform(), newExplain())
@@ -22,17 +32,38 @@
 	return c
 }
 
-// SetUpLogs makes logs go to the standard error, one line of key=value pairs an
-// event, from a level on.
-func SetUpLogs(level string) error {
-	l, err := logrus.ParseLevel(level)
+// annotationLongRunning marks the commands that serve until they are told to stop.
+const annotationLongRunning = "longRunning"
+
+func longRunning() map[string]string {
+	return map[string]string{annotationLongRunning: ""}
+}
+
+func isLongRunning(c *cobra.Command) bool {
+	_, ok := c.Annotations[annotationLongRunning]
+
+	return ok
+}
+
+// setUpLogger makes logs go to a writer in the background, one line of key=value pairs
+// an event, from a level on. It returns the clean-up function of the Logger too, and
+// fails with ErrUsage.
+func setUpLogger(level string, w io.Writer) (*logger.Logger, func(), error) {
+	x, err := logrus.ParseLevel(level)
 	if err != nil {
-		return err
+		return nil, nil, errors.Mark(err, ErrUsage)
 	}
 
-	logrus.SetLevel(l)
-	logrus.SetOutput(os.Stderr)
+	l, flush := logger.New(w)
+
+	logrus.SetLevel(x)
+	logrus.SetOutput(l)
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 
-	return nil
+	return l, flush, nil
+}
+
+// tellSignal logs a signal that came.
+func tellSignal(s os.Signal, u signaler.Use) {
+	logrus.WithFields(logrus.Fields{"event": "signalTaken", "signal": s, "use": u}).Info()
 }
--- a/internal/commander/router.go
+++ b/internal/commander/router.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/resolver"
 	"github.com/auburntray/auburntray/internal/router"
+	"github.com/auburntray/auburntray/internal/signaler"
 )
 
 func newRouter() *cobra.Command {
@@ -23,6 +24,8 @@
 		Use:   "router",
 		Short: "Run an entry instance until SIGTERM, then stop as planned",
 		Args:  cobra.NoArgs,
+
+		Annotations: longRunning(),
 		RunE: func(c *cobra.Command, _ []string) error {
 			if err := s.Read(c.Flags()); err != nil {
 				return err
@@ -45,16 +48,22 @@
 }
 
 func runRouter(s resolver.Router) error {
-	if err := SetUpLogs(s.LogLevel); err != nil {
-		return errors.Mark(err, ErrUsage)
+	_, flush, err := setUpLogger(s.LogLevel, os.Stderr)
+	if err != nil {
+		return err
 	}
+	defer flush()
+
+	x, end := signaler.New(tellSignal)
+	defer end()
 
 	a := fx.New(router.Options(s), fx.Invoke(func(n *counter.Counter) { n.Publish() }))
-	return run(a)
+
+	return run(a, x.Stopping())
 }
 
 // run starts an application, and stops it when it is told to.
-func run(a *fx.App) error {
+func run(a *fx.App, stopping <-chan struct{}) error {
 	if err := a.Err(); err != nil {
 		return err
 	}
@@ -66,7 +75,7 @@
 		return err
 	}
 
-	<-a.Done()
+	<-stopping
 
 	y, end := context.WithTimeout(context.Background(), a.StopTimeout())
 	defer end()
--- a/internal/logger/logger.go
+++ b/internal/logger/logger.go
@@ -28,6 +28,7 @@
 	limit   *rate.Limiter
 	dropped atomic.Int64
 	total   atomic.Int64
+	failed  atomic.Int64
 	done    chan struct{}
 }
 
@@ -73,6 +74,12 @@
 	return l.total.Load()
 }
 
+// Failed returns how many lines could not be written since the start: nobody reads them
+// any more, say.
+func (l *Logger) Failed() int64 {
+	return l.failed.Load()
+}
+
 func (l *Logger) drop() {
 	l.dropped.Add(1)
 	l.total.Add(1)
@@ -87,7 +94,7 @@
 	for {
 		select {
 		case b := <-l.lines:
-			_, _ = w.Write(b) // There is nowhere to tell that the log can't be written.
+			l.pass(w, b)
 		case <-t.C:
 			l.tell(w)
 		case <-end:
@@ -98,10 +105,18 @@
 	}
 }
 
+// pass writes a line. One that can't be written is counted, and the next is tried all the
+// same: there is nowhere else to tell it, and a full disk may have room again.
+func (l *Logger) pass(w io.Writer, b []byte) {
+	if _, err := w.Write(b); err != nil {
+		l.failed.Add(1)
+	}
+}
+
 // tell writes how many lines were dropped since it last did.
 func (l *Logger) tell(w io.Writer) {
 	if n := l.dropped.Swap(0); n > 0 {
-		_, _ = fmt.Fprintf(w, "time=%q level=warning event=linesDropped lines=%d\n", time.Now().UTC().Format(time.RFC3339Nano), n)
+		l.pass(w, fmt.Appendf(nil, "time=%q level=warning event=linesDropped lines=%d\n", time.Now().UTC().Format(time.RFC3339Nano), n))
 	}
 }
 
@@ -109,7 +124,7 @@
 	for {
 		select {
 		case b := <-l.lines:
-			_, _ = w.Write(b) // As above.
+			l.pass(w, b)
 		default:
 			l.tell(w)
 
--- a/internal/reloader/reloader.go
+++ b/internal/reloader/reloader.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,29 +23,22 @@
 	path  string
 	apply func([]byte) error
 	last  []byte
-	hangs chan os.Signal
+	hangs <-chan struct{}
 }
 
-// New returns a Reloader of the file at a path, and its clean-up function. The
-// function is given the file's content after each change; its error refuses the
-// content, and what was in force stands.
-//
-// From here on SIGHUP asks for a look at the file. Without a handler it ends the
-// process: callers see every connection break at once, each time that settings are
-// changed. So the signal is taken before the process is told of to anybody.
-func New(path string, apply func([]byte) error) (*Reloader, func(), error) {
+// New returns a Reloader of the file at a path, which is also looked at whenever a
+// channel has an element. The function is given the file's content after each change;
+// its error refuses the content, and what was in force stands. New fails with ErrRead.
+func New(path string, hangs <-chan struct{}, apply func([]byte) error) (*Reloader, error) {
 	b, err := os.ReadFile(path) //nolint:gosec // Whoever starts the process names the file.
 	if err != nil {
-		return nil, nil, errors.Mark(err, ErrRead)
+		return nil, errors.Mark(err, ErrRead)
 	}
 
-	r := &Reloader{path: path, apply: apply, last: b, hangs: make(chan os.Signal, 1)}
-	signal.Notify(r.hangs, syscall.SIGHUP)
-
-	return r, func() { signal.Stop(r.hangs) }, nil
+	return &Reloader{path: path, apply: apply, last: b, hangs: hangs}, nil
 }
 
-// Run looks at the file after each SIGHUP and once in a while, until the context
+// Run looks at the file when it is told to and once in a while, until the context
 // ends.
 func (r *Reloader) Run(c context.Context) {
 	t := time.NewTicker(lookEvery)
--- a/internal/reloader/reloader_test.go
+++ b/internal/reloader/reloader_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/reloader"
+	"github.com/auburntray/auburntray/internal/signaler"
 )
 
 // applied notes what was applied.
@@ -49,7 +50,9 @@
 
 	a := &applied{}
 
-	r, stop, err := reloader.New(p, a.apply)
+	x, stop := signaler.New(func(os.Signal, signaler.Use) {})
+
+	r, err := reloader.New(p, x.HangUps(), a.apply)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,6 +124,6 @@
 }
 
 func TestFileThatIsNotThere(t *testing.T) {
-	_, _, err := reloader.New(filepath.Join(t.TempDir(), "none"), nil)
+	_, err := reloader.New(filepath.Join(t.TempDir(), "none"), nil, nil)
 	is.New(t).True(errors.Is(err, reloader.ErrRead))
 }
--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -6,8 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os/signal"
-	"syscall"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,6 +15,7 @@
 
 	"github.com/auburntray/auburntray/internal/recorder"
 	"github.com/auburntray/auburntray/internal/resolver"
+	"github.com/auburntray/auburntray/internal/signaler"
 	"github.com/auburntray/auburntray/internal/standin/engine"
 	"github.com/auburntray/auburntray/internal/standin/platform"
 	"github.com/auburntray/auburntray/internal/standin/service"
@@ -186,8 +186,10 @@
 // serve runs a handler until SIGTERM. Then it says that it leaves, if it can,
 // waits for the routers to notice, and ends when the last request has.
 func serve(c context.Context, a netip.AddrPort, h http.Handler, leave func()) error {
-	c, stop := signal.NotifyContext(c, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	y, end := signaler.New(func(s os.Signal, u signaler.Use) {
+		logrus.WithFields(logrus.Fields{"event": "signalTaken", "signal": s, "use": u}).Info()
+	})
+	defer end()
 
 	l, err := net.Listen("tcp", a.String()) //nolint:noctx // Closed by Shutdown.
 	if err != nil {
@@ -204,6 +206,7 @@
 	select {
 	case err := <-d:
 		return err
+	case <-y.Stopping():
 	case <-c.Done():
 	}
 
@@ -212,8 +215,8 @@
 		time.Sleep(leaveNotice)
 	}
 
-	x, end := context.WithTimeout(context.Background(), stopTimeout)
-	defer end()
+	x, stop := context.WithTimeout(context.Background(), stopTimeout)
+	defer stop()
 
 	return s.Shutdown(x)
 }
