internal/enroller, platform: a target's entry says when its process started

Cause: a server may start again under the ID that it had; nothing read the start. Measured: the tests of platform, enroller and gatekeeper pass.

--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -21,6 +21,10 @@
 	Slots int
 	// Draining says that it is about to leave and takes no new calls.
 	Draining bool
+	// Start is when its process started, by its own clock, which may step; zero when the
+	// list does not say. It tells two processes under one ID apart, and not which of them
+	// is the later.
+	Start time.Time
 }
 
 // Roster is the list at one moment. Nothing in it changes; it is safe for
