internal/ejector: an Ejector's keys have a type of the caller's

Cause: the gateway is about to keep its judgement of targets by 64-bit keys; a router's targets have 32-bit IDs, which its parser has shown to be distinct. What changed: Ejector takes the type of its keys; nothing else does. Measured: the tests of ejector, granter and chooser pass.

--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -109,12 +109,12 @@
 // health judges targets by their answers. It is not safe for concurrent use.
 type health struct {
 	// targets and centres are those that can't be reached.
-	targets *ejector.Ejector
-	centres *ejector.Ejector
+	targets *ejector.Ejector[uint32]
+	centres *ejector.Ejector[uint32]
 	// failing are the targets that can be reached and fail.
-	failing *ejector.Ejector
+	failing *ejector.Ejector[uint32]
 	// gone are those at whose address another process is.
-	gone  *ejector.Ejector
+	gone  *ejector.Ejector[uint32]
 	paces map[uint32]*pace
 	// resorts is when targets of a group were last tried though none is reached.
 	resorts map[string]time.Time
@@ -127,14 +127,14 @@
 	return &health{
 		// One connection that is not made says enough: others are a millisecond
 		// away. It costs a few milliseconds to try again, so the times are short.
-		targets: ejector.New(ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 4 * time.Second, PanicPart: 1}),
+		targets: ejector.New[uint32](ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 4 * time.Second, PanicPart: 1}),
 		// When a data centre is cut off, each of its targets would cost a call the
 		// time of a dial. Two in a row are enough to leave them all alone.
-		centres: ejector.New(ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
-		failing: ejector.New(ejector.Settings{Failures: 3, Base: time.Second, Max: failingMost, PanicPart: 0.5}),
+		centres: ejector.New[uint32](ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
+		failing: ejector.New[uint32](ejector.Settings{Failures: 3, Base: time.Second, Max: failingMost, PanicPart: 0.5}),
 		// An incarnation that is gone does not come back; the list drops it seconds
 		// later. It is tried again in case the answer was wrong.
-		gone:    ejector.New(ejector.Settings{Failures: 1, Base: goneFor, Max: goneFor, PanicPart: 1}),
+		gone:    ejector.New[uint32](ejector.Settings{Failures: 1, Base: goneFor, Max: goneFor, PanicPart: 1}),
 		paces:   make(map[uint32]*pace),
 		resorts: make(map[string]time.Time),
 		out:     make(map[Belief]bool),
--- a/internal/ejector/ejector.go
+++ b/internal/ejector/ejector.go
@@ -32,19 +32,20 @@
 // probeTimeout is how long a probe without a result keeps others away.
 const probeTimeout = 10 * time.Second
 
-// Ejector follows the outcomes of targets. It is not safe for concurrent use.
-type Ejector struct {
+// Ejector follows the outcomes of targets, which have keys of the type K. It is not safe
+// for concurrent use.
+type Ejector[K comparable] struct {
 	settings Settings
-	states   map[uint32]*state
+	states   map[K]*state
 }
 
 // New returns an Ejector in which every target is in service.
-func New(s Settings) *Ejector {
-	return &Ejector{settings: s, states: make(map[uint32]*state)}
+func New[K comparable](s Settings) *Ejector[K] {
+	return &Ejector[K]{settings: s, states: make(map[K]*state)}
 }
 
 // Result takes the outcome of a request to a target.
-func (e *Ejector) Result(now time.Time, target uint32, ok bool) {
+func (e *Ejector[K]) Result(now time.Time, target K, ok bool) {
 	s, found := e.states[target]
 	if ok {
 		// A target that flaps would be back at full length with every success;
@@ -75,7 +76,7 @@
 	s.failures = 0
 }
 
-func (e *Ejector) succeed(target uint32, s *state) {
+func (e *Ejector[K]) succeed(target K, s *state) {
 	s.failures = 0
 	s.probing = time.Time{}
 	s.until = time.Time{}
@@ -88,7 +89,7 @@
 
 // Out says that a target is ejected at a time. When its time is over it stays
 // out for all but one request, the probe.
-func (e *Ejector) Out(now time.Time, target uint32) bool {
+func (e *Ejector[K]) Out(now time.Time, target K) bool {
 	s, ok := e.states[target]
 	if !ok || s.until.IsZero() {
 		return false
@@ -99,7 +100,7 @@
 
 // Probe notes that a request was sent to a target. When the target is
 // half-open, it keeps others away until the result is in.
-func (e *Ejector) Probe(now time.Time, target uint32) {
+func (e *Ejector[K]) Probe(now time.Time, target K) {
 	s, ok := e.states[target]
 	if ok && !s.until.IsZero() {
 		s.probing = now.Add(probeTimeout)
@@ -107,7 +108,7 @@
 }
 
 // Abandon notes that the probe of a half-open target ended without a result.
-func (e *Ejector) Abandon(target uint32) {
+func (e *Ejector[K]) Abandon(target K) {
 	if s, ok := e.states[target]; ok {
 		s.probing = time.Time{}
 	}
@@ -116,7 +117,7 @@
 // Panic says that so many of the targets are out that ejection is to be
 // ignored. A router that is itself cut off sees every target fail; without
 // this it would refuse everything after the cut has healed.
-func (e *Ejector) Panic(now time.Time, targets []uint32) bool {
+func (e *Ejector[K]) Panic(now time.Time, targets []K) bool {
 	n := 0
 
 	for _, t := range targets {
@@ -129,6 +130,6 @@
 }
 
 // Forget drops what is known of a target.
-func (e *Ejector) Forget(target uint32) {
+func (e *Ejector[K]) Forget(target K) {
 	delete(e.states, target)
 }
--- a/internal/ejector/ejector_test.go
+++ b/internal/ejector/ejector_test.go
@@ -32,7 +32,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			e := ejector.New(ejector.DefaultSettings())
+			e := ejector.New[uint32](ejector.DefaultSettings())
 			now := time.Unix(0, 0)
 
 			for _, s := range tc.steps {
@@ -49,7 +49,7 @@
 // meet the failure again; one probe goes and the others stay away.
 func TestProbeKeepsOthersAway(t *testing.T) {
 	i := is.New(t)
-	e := ejector.New(ejector.DefaultSettings())
+	e := ejector.New[uint32](ejector.DefaultSettings())
 	now := time.Unix(0, 0)
 
 	for range 3 {
@@ -75,7 +75,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			e := ejector.New(ejector.DefaultSettings())
+			e := ejector.New[uint32](ejector.DefaultSettings())
 			now := time.Unix(0, 0)
 
 			for n := range tc.failing {
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -39,7 +39,7 @@
 	entries  map[uint64]time.Time
 	places   *placer.Placer
 	sharer   *sharer.Sharer
-	ejector  *ejector.Ejector
+	ejector  *ejector.Ejector[uint32]
 	tracker  *tracker.Tracker
 	window   time.Time
 	others   []other
@@ -61,7 +61,7 @@
 		entries:  make(map[uint64]time.Time),
 		places:   placer.New(s.PlaceBytes),
 		sharer:   sharer.New(),
-		ejector:  ejector.New(s.Ejector),
+		ejector:  ejector.New[uint32](s.Ejector),
 		tracker:  tracker.New(),
 	}
 }
