internal/chooser: health.go gets one job a file

Cause: the file had the judgement of targets, how fast their answers begin, what is told of changes, and how calls end, 395 lines. What changed: outcome.go, pace.go and belief.go; code moved, none changed.

--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -1,7 +1,6 @@
 package chooser
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -10,58 +9,7 @@
 	"github.com/auburntray/auburntray/internal/hasher"
 )
 
-// Outcome is how a call at a target ended.
-type Outcome int
-
-// The outcomes.
-const (
-	// Good is an answer.
-	Good Outcome = iota
-	// Bad is a failure of the target's.
-	Bad
-	// Unreachable means that no connection was made.
-	Unreachable
-	// Shed is the target's word that it took no more.
-	Shed
-	// Gone means that another process has the target's address.
-	Gone
-	// Neither says nothing about the target: the caller left, say.
-	Neither
-)
-
-// String returns the outcome's name.
-func (o Outcome) String() string {
-	switch o {
-	case Good:
-		return "good"
-	case Bad:
-		return "bad"
-	case Unreachable:
-		return "unreachable"
-	case Shed:
-		return "shed"
-	case Gone:
-		return "gone"
-	case Neither:
-		return "neither"
-	default:
-		return "unknown"
-	}
-}
-
 const (
-	// slowLeast is the part of the time of full use above which a target's answers
-	// are slow at all, and slowTimes how many times the usual of its group they
-	// must be besides. A target that is merely busy is below both.
-	slowLeast = 0.4
-	slowTimes = 3
-	// slowWeight is how much the last answer counts against those before it.
-	slowWeight = 0.3
-	// slowSamples is how many answers it takes to judge a target.
-	slowSamples = 3
-	// slowTrial is how often a slow target is given a call, to see whether it
-	// still is.
-	slowTrial = time.Second
 	// failingMost is how long a target that fails by turns is left alone at most. A
 	// sound one must be back within seconds; trying it costs a call a repeat.
 	failingMost = 5 * time.Second
@@ -73,39 +21,6 @@
 	resortEvery = 100 * time.Millisecond
 )
 
-// pace is how fast a target's answers begin.
-type pace struct {
-	part    float64
-	samples int
-	trial   time.Time
-}
-
-// Cause is why a target or a data centre is left alone.
-type Cause string
-
-// The causes.
-const (
-	// TargetUnreachable means that no connection to a target was made.
-	TargetUnreachable Cause = "targetUnreachable"
-	// CentreUnreachable means the same of two targets of a data centre in a row.
-	CentreUnreachable Cause = "dataCentreUnreachable"
-	// TargetFailing means that a target fails again and again.
-	TargetFailing Cause = "targetFailing"
-	// TargetGone means that another process has a target's address.
-	TargetGone Cause = "targetGone"
-	// TargetSlow means that a target's answers begin much later than those of others.
-	TargetSlow Cause = "targetSlow"
-)
-
-// Belief is a change of what is believed of a target or a data centre.
-type Belief struct {
-	Cause Cause
-	// Name is the target's ID, or that of the data centre.
-	Name string
-	// Out says that it is left alone from now on, otherwise that it is back.
-	Out bool
-}
-
 // health judges targets by their answers. It is not safe for concurrent use.
 type health struct {
 	// targets and centres are those that can't be reached.
@@ -212,43 +127,6 @@
 	return !h.targets.Out(now, hasher.Name(t.ID)) && !h.centres.Out(now, hasher.Name(t.DataCentre))
 }
 
-// slow says that a target's answers begin much later than usual. Calls that may
-// run once only can't leave it again, so it is found by the others' answers.
-func (h *health) slow(now time.Time, t *enroller.Target, most float64) bool {
-	p, ok := h.paces[hasher.Name(t.ID)]
-	if !ok || p.samples < slowSamples {
-		return false
-	}
-
-	x := p.part >= max(slowLeast, most)
-	h.believe(TargetSlow, t.ID, x)
-
-	if !x {
-		return false
-	}
-
-	return now.Sub(p.trial) < slowTrial
-}
-
-// median returns the usual pace of the targets.
-func (h *health) median(l []*enroller.Target) float64 {
-	var o []float64
-
-	for _, t := range l {
-		if p, ok := h.paces[hasher.Name(t.ID)]; ok && p.samples >= slowSamples {
-			o = append(o, p.part)
-		}
-	}
-
-	if len(o) == 0 {
-		return 0
-	}
-
-	slices.Sort(o)
-
-	return o[len(o)/2]
-}
-
 func (h *health) start(now time.Time, t *enroller.Target) {
 	h.targets.Probe(now, hasher.Name(t.ID))
 	h.centres.Probe(now, hasher.Name(t.DataCentre))
@@ -259,26 +137,6 @@
 	}
 }
 
-func (h *health) begun(now time.Time, t *enroller.Target, part float64) {
-	n := hasher.Name(t.ID)
-
-	p, ok := h.paces[n]
-	if !ok {
-		p = &pace{part: part}
-		h.paces[n] = p
-	}
-
-	p.part += slowWeight * (part - p.part)
-	p.samples++
-
-	// A trial has shown enough; its stream may take seconds to its end, and the
-	// target would be left alone for as long.
-	if h.failing.Out(now, n) {
-		h.failing.Result(now, n, true)
-		h.believe(TargetFailing, t.ID, false)
-	}
-}
-
 func (h *health) finish(now time.Time, t *enroller.Target, o Outcome) {
 	n, c := hasher.Name(t.ID), hasher.Name(t.DataCentre)
 
@@ -328,58 +186,6 @@
 	return true
 }
 
-// believe notes a change.
-func (h *health) believe(c Cause, name string, out bool) {
-	k := Belief{Cause: c, Name: name, Out: true}
-	if h.out[k] == out {
-		return
-	}
-
-	if out {
-		h.out[k] = true
-	} else {
-		delete(h.out, k)
-	}
-
-	h.beliefs = append(h.beliefs, Belief{Cause: c, Name: name, Out: out})
-}
-
-// left says that a target or its data centre is left alone.
-func (h *health) left(t *enroller.Target) bool {
-	for k := range h.out {
-		if k.Name == t.ID || k.Cause == CentreUnreachable && k.Name == t.DataCentre {
-			return true
-		}
-	}
-
-	return false
-}
-
-// cutOff returns a target in each data centre that can't be reached when fewer than half
-// of those with targets can, and none otherwise.
-func (h *health) cutOff(r *enroller.Roster) []*enroller.Target {
-	if len(h.out) == 0 {
-		return nil
-	}
-
-	all := make(map[string]bool)
-	out := make(map[string]*enroller.Target)
-
-	for _, t := range r.Known {
-		all[t.DataCentre] = true
-
-		if h.out[Belief{Cause: CentreUnreachable, Name: t.DataCentre, Out: true}] {
-			out[t.DataCentre] = t
-		}
-	}
-
-	if 2*(len(all)-len(out)) >= len(all) {
-		return nil
-	}
-
-	return slices.Collect(maps.Values(out))
-}
-
 // forget drops what is known of a target, by the hash of its ID.
 func (h *health) forget(n uint32) {
 	for k := range h.out {
