internal/enroller, internal/chooser: what is believed of a target is kept by its process

Cause: a target may start again under its ID. All beliefs were kept by a 32-bit hash of the ID: a new process inherited the load, prompts, failures, slowness and marks of the one before, and calls that ended late at the old one were counted at the new. Two of 3,000 targets that share a hash (odds 1 in 1,000 a fleet) had their beliefs mixed. What changed: a process is an ID and a start, with a 64-bit key that the enroller works out once. Beliefs are kept by it; Chooser.Forget is the one place where they end, and also what comes late from calls in progress finds their process unlisted. The order of processes rests on the list's records and never on the size of a start. On the wire a target stays 4 bytes, the low half of the key, which is the former hash where no start is said; word by a name that two listed processes share, or none has, is not taken. A process that moves to another address or group keeps load and prompts and is judged anew; its reach was the other address's. gatekeeper/facts.go: the type of one field and one argument. Word of a process that this instance's list does not show yet is now dropped; it was kept before. Tests of enroller, chooser, forwarder, informer, gatekeeper and platform pass.

--- a/internal/chooser/belief.go
+++ b/internal/chooser/belief.go
@@ -24,18 +24,39 @@
 	TargetSlow Cause = "targetSlow"
 )
 
+// targetCauses are those of single targets.
+var targetCauses = []Cause{TargetUnreachable, TargetFailing, TargetGone, TargetSlow} //nolint:gochecknoglobals // A constant table.
+
 // Belief is a change of what is believed of a target or a data centre.
 type Belief struct {
 	Cause Cause
 	// Name is the target's ID, or that of the data centre.
 	Name string
+	// Process is the target's process; zero for a data centre.
+	Process enroller.Process
 	// Out says that it is left alone from now on, otherwise that it is back.
 	Out bool
 }
 
-// believe notes a change.
-func (h *health) believe(c Cause, name string, out bool) {
-	k := Belief{Cause: c, Name: name, Out: true}
+// mark names a process or a data centre that is left alone for a cause.
+type mark struct {
+	cause   Cause
+	process enroller.Key
+	centre  string
+}
+
+// markOf returns the mark of a target, or of its data centre.
+func markOf(c Cause, t *enroller.Target) mark {
+	if c == CentreUnreachable {
+		return mark{cause: c, centre: t.DataCentre}
+	}
+
+	return mark{cause: c, process: t.Key()}
+}
+
+// believe notes a change of what is believed of a target, or of its data centre.
+func (h *health) believe(c Cause, t *enroller.Target, out bool) {
+	k := markOf(c, t)
 	if h.out[k] == out {
 		return
 	}
@@ -46,18 +67,21 @@
 		delete(h.out, k)
 	}
 
-	h.beliefs = append(h.beliefs, Belief{Cause: c, Name: name, Out: out})
+	b := Belief{Cause: c, Name: t.ID, Process: t.Process(), Out: out}
+	if c == CentreUnreachable {
+		b.Name, b.Process = t.DataCentre, enroller.Process{}
+	}
+
+	h.beliefs = append(h.beliefs, b)
 }
 
 // left says that a target or its data centre is left alone.
 func (h *health) left(t *enroller.Target) bool {
-	for k := range h.out {
-		if k.Name == t.ID || k.Cause == CentreUnreachable && k.Name == t.DataCentre {
-			return true
-		}
+	if h.out[markOf(CentreUnreachable, t)] {
+		return true
 	}
 
-	return false
+	return slices.ContainsFunc(targetCauses, func(c Cause) bool { return h.out[markOf(c, t)] })
 }
 
 // cutOff returns a target in each data centre that can't be reached when fewer than half
@@ -73,7 +97,7 @@
 	for _, t := range r.Known {
 		all[t.DataCentre] = true
 
-		if h.out[Belief{Cause: CentreUnreachable, Name: t.DataCentre, Out: true}] {
+		if h.out[markOf(CentreUnreachable, t)] {
 			out[t.DataCentre] = t
 		}
 	}
--- /dev/null
+++ b/internal/chooser/call.go
@@ -0,0 +1,97 @@
+package chooser
+
+import (
+	"time"
+
+	"github.com/auburntray/auburntray/internal/enroller"
+)
+
+// Start counts a call at a target.
+func (c *Chooser) Start(now time.Time, t *enroller.Target) {
+	s := c.state(t)
+	s.running++
+
+	if s.judged(t) {
+		c.health.start(now, t)
+	}
+}
+
+// Report takes what a target said of its load.
+func (c *Chooser) Report(now time.Time, t *enroller.Target, r Report) {
+	if r.Slots == 0 {
+		return
+	}
+
+	l := Load{Target: t.Key().Name(), Calls: r.Running + r.Waiting, At: now}
+	if c.state(t).report(now, l.Calls) {
+		c.loads = append(c.loads, l)
+	}
+}
+
+// Begun takes how long a target took until its answer began, as a part of the
+// time within which it is of full use.
+func (c *Chooser) Begun(now time.Time, t *enroller.Target, part float64) {
+	if c.state(t).judged(t) {
+		c.health.begun(now, t, part)
+	}
+}
+
+// Finish counts a call out again, with how it ended. It is counted at the process that it
+// was sent to; when that is no longer listed, or has moved since, how it ended says nothing.
+func (c *Chooser) Finish(now time.Time, t *enroller.Target, o Outcome) {
+	s, ok := c.states[t.Key()]
+	if !ok {
+		return
+	}
+
+	s.running = max(s.running-1, 0)
+
+	if !s.judged(t) {
+		c.clear(t.Key(), s)
+
+		return
+	}
+
+	if o == Shed {
+		s.shed = now
+	}
+
+	c.health.finish(now, t, o)
+}
+
+// Forget takes a list that has changed, and drops at once what is believed of processes that
+// are not on it. A target that started again under its ID is another process, of which nothing
+// is believed.
+//
+// It is the one place where beliefs end with their process. Were one left out, a target that
+// started again would be given calls for prompts that it lost, or be left alone for a failure
+// that was not its own. What comes later from calls that still run at the earlier process
+// finds that it is not listed.
+//
+// A process that has moved to another address or group keeps its load and its prompts, and
+// is judged anew: it failed, or was not reached, at the other address.
+func (c *Chooser) Forget(r *enroller.Roster) {
+	for k, s := range c.states {
+		t, ok := r.Processes[k]
+		if !ok {
+			c.health.forget(k)
+			s.unlist()
+			c.clear(k, s)
+
+			continue
+		}
+
+		if t.Moved(s.target) {
+			c.health.forget(k)
+		}
+
+		s.target, s.unlisted = t, false
+	}
+}
+
+// clear drops the state of a process that is not listed and has no call.
+func (c *Chooser) clear(k enroller.Key, s *state) {
+	if s.unlisted && s.running == 0 {
+		delete(c.states, k)
+	}
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -70,15 +70,16 @@
 // concurrent use.
 type Chooser struct {
 	settings Settings
-	states   map[uint32]*state
-	loads    []Load
-	health   *health
-	places   *places
+	// states has an entry for each process of which anything but a place is believed.
+	states map[enroller.Key]*state
+	loads  []Load
+	health *health
+	places *places
 }
 
 // New returns a Chooser that knows of no call.
 func New(s Settings) *Chooser {
-	return &Chooser{settings: s, states: make(map[uint32]*state), health: newHealth(), places: newPlaces()}
+	return &Chooser{settings: s, states: make(map[enroller.Key]*state), health: newHealth(), places: newPlaces()}
 }
 
 // Choose returns where a call goes among the targets of its group, and false when
@@ -92,16 +93,16 @@
 	if len(q.Prefixes) == 0 {
 		t := c.least(now, u, q)
 
-		return Choice{Target: t, Load: c.load(now, t.ID), Bound: float64(t.Slots), Usable: len(u)}, true
+		return Choice{Target: t, Load: c.load(now, t), Bound: float64(t.Slots), Usable: len(u)}, true
 	}
 
 	h := c.places.holders(now, q.Prefixes[0].Key)
 	most := c.bound(now, l)
 	t := c.bounded(now, u, most, q, h)
-	n := hasher.Name(t.ID)
+	n := t.Key()
 	o := Choice{
 		Target: t, Source: c.source(now, r, n, q.Prefixes),
-		Load: c.load(now, t.ID), Bound: most, Usable: len(u), Held: slices.Contains(h, n),
+		Load: c.load(now, t), Bound: most, Usable: len(u), Held: slices.Contains(h, n),
 	}
 
 	for _, p := range q.Prefixes {
@@ -117,7 +118,7 @@
 
 // source returns a target from which another may fetch the longest beginning of a
 // prompt that is held anywhere; nil when it holds as much itself.
-func (c *Chooser) source(now time.Time, r *enroller.Roster, target uint32, l []Prefix) *enroller.Target {
+func (c *Chooser) source(now time.Time, r *enroller.Roster, target enroller.Key, l []Prefix) *enroller.Target {
 	for _, p := range l {
 		if p.Tokens < minFetch {
 			return nil
@@ -129,7 +130,7 @@
 		}
 
 		for _, n := range h {
-			if t, ok := r.Names[n]; ok && c.health.well(now, t) {
+			if t, ok := r.Processes[n]; ok && c.health.well(now, t) {
 				return t
 			}
 		}
@@ -144,7 +145,7 @@
 	n, s := 0.0, 0
 
 	for _, t := range r.Groups[group] {
-		n += c.load(now, t.ID)
+		n += c.load(now, t)
 		s += t.Slots
 	}
 
@@ -169,7 +170,7 @@
 	reached, u := c.health.usable(now, group, all)
 
 	o := slices.DeleteFunc(slices.Clone(u), func(t *enroller.Target) bool {
-		s, ok := c.states[hasher.Name(t.ID)]
+		s, ok := c.states[t.Key()]
 
 		return ok && now.Sub(s.shed) < shedFor
 	})
@@ -187,7 +188,7 @@
 func (c *Chooser) bound(now time.Time, l []*enroller.Target) float64 {
 	n := 0.0
 	for _, t := range l {
-		n += c.load(now, t.ID)
+		n += c.load(now, t)
 	}
 
 	return c.settings.Factor*(n+1)/float64(len(l)) + c.settings.Slack
@@ -197,16 +198,16 @@
 // bound: first among those that hold the prompt, then among all. The order is the
 // same at every instance, so that the calls which one target can't take find the
 // next one warm. When none is, it returns the least loaded.
-func (c *Chooser) bounded(now time.Time, u []*enroller.Target, most float64, q Query, holders []uint32) *enroller.Target {
+func (c *Chooser) bounded(now time.Time, u []*enroller.Target, most float64, q Query, holders []enroller.Key) *enroller.Target {
 	l := make([]float64, len(u))
 	for i, t := range u {
-		l[i] = c.load(now, t.ID)
+		l[i] = c.load(now, t)
 	}
 
-	r := hasher.Rank(q.Prefixes[0].Key, len(u), func(i int) uint64 { return uint64(hasher.Name(u[i].ID)) }, func(int) float64 { return 1 })
+	r := hasher.Rank(q.Prefixes[0].Key, len(u), func(i int) uint64 { return u[i].Rank() }, func(int) float64 { return 1 })
 
 	for _, i := range r {
-		if l[i]+1 <= most && slices.Contains(holders, hasher.Name(u[i].ID)) {
+		if l[i]+1 <= most && slices.Contains(holders, u[i].Key()) {
 			return u[i]
 		}
 	}
@@ -234,7 +235,7 @@
 	b := 0.0
 
 	for _, t := range u {
-		w := c.load(now, t.ID) / float64(max(t.Slots, 1))
+		w := c.load(now, t) / float64(max(t.Slots, 1))
 		if t.DataCentre != q.DataCentre {
 			w += c.settings.Near
 		}
@@ -247,67 +248,20 @@
 	return o
 }
 
-// Start counts a call at a target.
-func (c *Chooser) Start(now time.Time, t *enroller.Target) {
-	c.state(hasher.Name(t.ID)).running++
-	c.health.start(now, t)
-}
-
-// Report takes what a target said of its load.
-func (c *Chooser) Report(now time.Time, id string, r Report) {
-	if r.Slots == 0 {
-		return
-	}
-
-	l := Load{Target: hasher.Name(id), Calls: r.Running + r.Waiting, At: now}
-	if c.state(l.Target).report(now, l.Calls) {
-		c.loads = append(c.loads, l)
-	}
-}
-
-// Begun takes how long a target took until its answer began, as a part of the
-// time within which it is of full use.
-func (c *Chooser) Begun(now time.Time, t *enroller.Target, part float64) {
-	c.health.begun(now, t, part)
-}
-
-// Finish counts a call out again, with how it ended.
-func (c *Chooser) Finish(now time.Time, t *enroller.Target, o Outcome) {
-	s := c.state(hasher.Name(t.ID))
-	s.running = max(s.running-1, 0)
-
-	if o == Shed {
-		s.shed = now
-	}
-
-	c.health.finish(now, t, o)
-}
-
-// Forget drops what is known of the targets that are no longer listed and have
-// no call.
-func (c *Chooser) Forget(known map[uint32]*enroller.Target) {
-	for n, s := range c.states {
-		if _, ok := known[n]; !ok && s.running <= 0 {
-			delete(c.states, n)
-			c.health.forget(n)
-		}
-	}
-}
-
-func (c *Chooser) load(now time.Time, id string) float64 {
-	if s, ok := c.states[hasher.Name(id)]; ok {
+func (c *Chooser) load(now time.Time, t *enroller.Target) float64 {
+	if s, ok := c.states[t.Key()]; ok {
 		return s.load(now)
 	}
 
 	return 0
 }
 
-// state returns what is known of a target, by the hash of its ID.
-func (c *Chooser) state(target uint32) *state {
-	s, ok := c.states[target]
+// state returns what is known of the load on a target's process.
+func (c *Chooser) state(t *enroller.Target) *state {
+	s, ok := c.states[t.Key()]
 	if !ok {
-		s = &state{}
-		c.states[target] = s
+		s = &state{target: t}
+		c.states[t.Key()] = s
 	}
 
 	return s
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/hasher"
 )
 
 const group = "engines"
@@ -258,7 +257,7 @@
 
 	is.True(send(300, false) > 20)
 	is.True(send(300, true) < 12)
-	is.Equal(c.Beliefs(), []chooser.Belief{{Cause: chooser.TargetSlow, Name: "t3", Out: true}})
+	is.Equal(c.Beliefs(), []chooser.Belief{{Cause: chooser.TargetSlow, Name: "t3", Process: enroller.Process{ID: "t3"}, Out: true}})
 	send(600, false)
 	is.True(send(300, false) > 20)
 }
@@ -306,7 +305,7 @@
 			q.Excluded = []string{"t0"} // Whatever holds it, the call goes to the other.
 
 			if x.holder != "" {
-				c.Learn(now.Add(x.told), chooser.News{Places: []chooser.Place{{Key: 9, Target: hasher.Name(x.holder)}}})
+				c.Learn(now.Add(x.told), r, chooser.News{Places: []chooser.Place{{Key: 9, Target: enroller.Process{ID: x.holder}.Key().Name()}}})
 			}
 
 			o, ok := c.Choose(now, r, group, q)
@@ -357,7 +356,7 @@
 	c := chooser.New(chooser.DefaultSettings())
 
 	o := choose(c, now, r, query(5))
-	c.Report(now, o.Target.ID, chooser.Report{Running: 40, Slots: 64})
+	c.Report(now, o.Target, chooser.Report{Running: 40, Slots: 64})
 
 	p := choose(c, now, r, query(5))
 	is.True(p.Target.ID != o.Target.ID)
@@ -401,9 +400,9 @@
 	c := chooser.New(chooser.DefaultSettings())
 	o := choose(c, now, r, query(1))
 
-	c.Forget(nil) // A call still runs there.
+	c.Forget(&enroller.Roster{}) // A call still runs there.
 	c.Finish(now, o.Target, chooser.Good)
-	c.Forget(nil)
+	c.Forget(&enroller.Roster{})
 	c.Finish(now, o.Target, chooser.Good) // Not counted below zero.
 	is.Equal(choose(c, now, r, query(1)).Target.ID, o.Target.ID)
 }
@@ -418,15 +417,15 @@
 	o, ok := c.Choose(now, r, group, query(5))
 	is.True(ok)
 
-	c.Learn(now, chooser.News{Loads: []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 40, At: now.Add(-time.Second / 2)}}})
+	c.Learn(now, r, chooser.News{Loads: []chooser.Load{{Target: o.Target.Key().Name(), Calls: 40, At: now.Add(-time.Second / 2)}}})
 	p, ok := c.Choose(now, r, group, query(5))
 	is.True(ok)
 	is.True(p.Target.ID != o.Target.ID)
 
 	// An older word does not go before a newer one.
-	c.Report(now, o.Target.ID, chooser.Report{Running: 1, Slots: 64})
-	c.Learn(now, chooser.News{Loads: []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 40, At: now.Add(-time.Second)}}})
-	is.Equal(c.News().Loads, []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 1, At: now}})
+	c.Report(now, o.Target, chooser.Report{Running: 1, Slots: 64})
+	c.Learn(now, r, chooser.News{Loads: []chooser.Load{{Target: o.Target.Key().Name(), Calls: 40, At: now.Add(-time.Second)}}})
+	is.Equal(c.News().Loads, []chooser.Load{{Target: o.Target.Key().Name(), Calls: 1, At: now}})
 
 	p, ok = c.Choose(now, r, group, query(5))
 	is.True(ok)
@@ -605,9 +604,9 @@
 	c := chooser.New(chooser.DefaultSettings())
 	now := time.Unix(0, 0)
 
-	i.True(!c.LearnGone(now, r, "unknown"))
-	i.True(c.LearnGone(now, r, "t0"))
-	i.True(!c.LearnGone(now, r, "t0")) // Known by now.
+	i.True(!c.LearnGone(now, r, enroller.Process{ID: "unknown"}))
+	i.True(c.LearnGone(now, r, enroller.Process{ID: "t0"}))
+	i.True(!c.LearnGone(now, r, enroller.Process{ID: "t0"})) // Known by now.
 
 	for n := range uint64(50) {
 		o, ok := c.Choose(now, r, group, query(n))
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -6,7 +6,6 @@
 
 	"github.com/auburntray/auburntray/internal/ejector"
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/hasher"
 )
 
 const (
@@ -24,17 +23,17 @@
 // health judges targets by their answers. It is not safe for concurrent use.
 type health struct {
 	// targets and centres are those that can't be reached.
-	targets *ejector.Ejector[uint32]
+	targets *ejector.Ejector[enroller.Key]
 	centres *ejector.Ejector[uint32]
 	// failing are the targets that can be reached and fail.
-	failing *ejector.Ejector[uint32]
+	failing *ejector.Ejector[enroller.Key]
 	// gone are those at whose address another process is.
-	gone  *ejector.Ejector[uint32]
-	paces map[uint32]*pace
+	gone  *ejector.Ejector[enroller.Key]
+	paces map[enroller.Key]*pace
 	// resorts is when targets of a group were last tried though none is reached.
 	resorts map[string]time.Time
 	// out are those that are left alone, and beliefs what has changed about them.
-	out     map[Belief]bool
+	out     map[mark]bool
 	beliefs []Belief
 }
 
@@ -42,17 +41,17 @@
 	return &health{
 		// One connection that is not made says enough: others are a millisecond
 		// away. It costs a few milliseconds to try again, so the times are short.
-		targets: ejector.New[uint32](ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 4 * time.Second, PanicPart: 1}),
+		targets: ejector.New[enroller.Key](ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 4 * time.Second, PanicPart: 1}),
 		// When a data centre is cut off, each of its targets would cost a call the
 		// time of a dial. Two in a row are enough to leave them all alone.
 		centres: ejector.New[uint32](ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
-		failing: ejector.New[uint32](ejector.Settings{Failures: 3, Base: time.Second, Max: failingMost, PanicPart: 0.5}),
-		// An incarnation that is gone does not come back; the list drops it seconds
+		failing: ejector.New[enroller.Key](ejector.Settings{Failures: 3, Base: time.Second, Max: failingMost, PanicPart: 0.5}),
+		// A process that is gone does not come back; the list drops it seconds
 		// later. It is tried again in case the answer was wrong.
-		gone:    ejector.New[uint32](ejector.Settings{Failures: 1, Base: goneFor, Max: goneFor, PanicPart: 1}),
-		paces:   make(map[uint32]*pace),
+		gone:    ejector.New[enroller.Key](ejector.Settings{Failures: 1, Base: goneFor, Max: goneFor, PanicPart: 1}),
+		paces:   make(map[enroller.Key]*pace),
 		resorts: make(map[string]time.Time),
-		out:     make(map[Belief]bool),
+		out:     make(map[mark]bool),
 	}
 }
 
@@ -60,7 +59,7 @@
 // may be given a call; none when none can be reached.
 func (h *health) usable(now time.Time, group string, l []*enroller.Target) (reached, usable []*enroller.Target) {
 	r := slices.DeleteFunc(slices.Clone(l), func(t *enroller.Target) bool {
-		return !h.reached(now, t) || h.gone.Out(now, hasher.Name(t.ID))
+		return !h.reached(now, t) || h.gone.Out(now, t.Key())
 	})
 	if len(r) == 0 {
 		r = h.lastResort(now, group, l)
@@ -68,14 +67,14 @@
 
 	reached = r
 
-	n := make([]uint32, len(r))
+	n := make([]enroller.Key, len(r))
 	for i, t := range r {
-		n[i] = hasher.Name(t.ID)
+		n[i] = t.Key()
 	}
 
 	// When most fail, the fault is more likely here than there.
 	if !h.failing.Panic(now, n) {
-		r = filter(r, func(t *enroller.Target) bool { return !h.failing.Out(now, hasher.Name(t.ID)) })
+		r = filter(r, func(t *enroller.Target) bool { return !h.failing.Out(now, t.Key()) })
 	}
 
 	m := slowTimes * h.median(r)
@@ -118,27 +117,27 @@
 
 // well says that a target can be reached and does not fail.
 func (h *health) well(now time.Time, t *enroller.Target) bool {
-	n := hasher.Name(t.ID)
+	n := t.Key()
 
 	return h.reached(now, t) && !h.failing.Out(now, n) && !h.gone.Out(now, n)
 }
 
 func (h *health) reached(now time.Time, t *enroller.Target) bool {
-	return !h.targets.Out(now, hasher.Name(t.ID)) && !h.centres.Out(now, hasher.Name(t.DataCentre))
+	return !h.targets.Out(now, t.Key()) && !h.centres.Out(now, t.Centre())
 }
 
 func (h *health) start(now time.Time, t *enroller.Target) {
-	h.targets.Probe(now, hasher.Name(t.ID))
-	h.centres.Probe(now, hasher.Name(t.DataCentre))
-	h.failing.Probe(now, hasher.Name(t.ID))
+	h.targets.Probe(now, t.Key())
+	h.centres.Probe(now, t.Centre())
+	h.failing.Probe(now, t.Key())
 
-	if p, ok := h.paces[hasher.Name(t.ID)]; ok && now.Sub(p.trial) >= slowTrial {
+	if p, ok := h.paces[t.Key()]; ok && now.Sub(p.trial) >= slowTrial {
 		p.trial = now
 	}
 }
 
 func (h *health) finish(now time.Time, t *enroller.Target, o Outcome) {
-	n, c := hasher.Name(t.ID), hasher.Name(t.DataCentre)
+	n, c := t.Key(), t.Centre()
 
 	switch o {
 	case Unreachable:
@@ -166,36 +165,33 @@
 		return
 	}
 
-	h.believe(TargetUnreachable, t.ID, h.targets.Out(now, n))
-	h.believe(CentreUnreachable, t.DataCentre, h.centres.Out(now, c))
-	h.believe(TargetFailing, t.ID, h.failing.Out(now, n))
-	h.believe(TargetGone, t.ID, h.gone.Out(now, n))
+	h.believe(TargetUnreachable, t, h.targets.Out(now, n))
+	h.believe(CentreUnreachable, t, h.centres.Out(now, c))
+	h.believe(TargetFailing, t, h.failing.Out(now, n))
+	h.believe(TargetGone, t, h.gone.Out(now, n))
 }
 
 // learnGone takes another instance's word that a target is gone, and says whether that
 // is new.
-func (h *health) learnGone(now time.Time, id string) bool {
-	n, k := hasher.Name(id), Belief{Cause: TargetGone, Name: id, Out: true}
-	if h.gone.Out(now, n) {
+func (h *health) learnGone(now time.Time, t *enroller.Target) bool {
+	if h.gone.Out(now, t.Key()) {
 		return false
 	}
 
-	h.gone.Result(now, n, false)
-	h.out[k] = true // Not among the beliefs that are told: whoever said so told all.
+	h.gone.Result(now, t.Key(), false)
+	h.out[markOf(TargetGone, t)] = true // Not among the beliefs that are told: whoever said so told all.
 
 	return true
 }
 
-// forget drops what is known of a target, by the hash of its ID.
-func (h *health) forget(n uint32) {
-	for k := range h.out {
-		if k.Cause != CentreUnreachable && hasher.Name(k.Name) == n {
-			delete(h.out, k)
-		}
+// forget drops what is known of a process.
+func (h *health) forget(k enroller.Key) {
+	for _, c := range targetCauses {
+		delete(h.out, mark{cause: c, process: k})
 	}
 
-	h.targets.Forget(n)
-	h.failing.Forget(n)
-	h.gone.Forget(n)
-	delete(h.paces, n)
+	h.targets.Forget(k)
+	h.failing.Forget(k)
+	h.gone.Forget(k)
+	delete(h.paces, k)
 }
--- a/internal/chooser/news.go
+++ b/internal/chooser/news.go
@@ -13,30 +13,39 @@
 	Loads  []Load
 }
 
-// Learn takes what another instance told.
-func (c *Chooser) Learn(now time.Time, n News) {
+// Learn takes what another instance told of the processes on a roster. Word of others, and of
+// names that two of them share, is not taken: it may be of the process before, which the
+// other instance does not know to be gone.
+func (c *Chooser) Learn(now time.Time, r *enroller.Roster, n News) {
 	for _, p := range n.Places {
-		c.places.learn(now, p)
+		if t, ok := r.Names[p.Target]; ok {
+			c.places.learn(now, p.Key, t.Key())
+		}
 	}
 
 	for _, l := range n.Loads {
-		c.state(l.Target).report(l.At, l.Calls)
+		if t, ok := r.Names[l.Target]; ok {
+			c.state(t).report(l.At, l.Calls)
+		}
 	}
 }
 
-// LearnGone takes another instance's word that a target is gone, and says whether that
-// is new.
-func (c *Chooser) LearnGone(now time.Time, r *enroller.Roster, id string) bool {
-	_, ok := r.Known[id]
+// LearnGone takes another instance's word that a process is gone, and says whether that
+// is new. It says nothing of another process under the same ID.
+func (c *Chooser) LearnGone(now time.Time, r *enroller.Roster, p enroller.Process) bool {
+	t, ok := r.Processes[p.Key()]
+	if !ok || c.state(t).unlisted {
+		return false
+	}
 
-	return ok && c.health.learnGone(now, id)
+	return c.health.learnGone(now, t)
 }
 
 // News returns what other instances should be told: the places of prompts that they
 // may not know, and the last word of each target on its load.
 func (c *Chooser) News() News {
 	n := News{Places: c.places.take()}
-	k := make(map[uint32]bool, len(c.loads))
+	k := make(map[enroller.Name]bool, len(c.loads))
 
 	for _, l := range slices.Backward(c.loads) {
 		if !k[l.Target] {
--- a/internal/chooser/pace.go
+++ b/internal/chooser/pace.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/hasher"
 )
 
 const (
@@ -33,13 +32,13 @@
 // slow says that a target's answers begin much later than usual. Calls that may
 // run once only can't leave it again, so it is found by the others' answers.
 func (h *health) slow(now time.Time, t *enroller.Target, most float64) bool {
-	p, ok := h.paces[hasher.Name(t.ID)]
+	p, ok := h.paces[t.Key()]
 	if !ok || p.samples < slowSamples {
 		return false
 	}
 
 	x := p.part >= max(slowLeast, most)
-	h.believe(TargetSlow, t.ID, x)
+	h.believe(TargetSlow, t, x)
 
 	if !x {
 		return false
@@ -53,7 +52,7 @@
 	var o []float64
 
 	for _, t := range l {
-		if p, ok := h.paces[hasher.Name(t.ID)]; ok && p.samples >= slowSamples {
+		if p, ok := h.paces[t.Key()]; ok && p.samples >= slowSamples {
 			o = append(o, p.part)
 		}
 	}
@@ -68,7 +67,7 @@
 }
 
 func (h *health) begun(now time.Time, t *enroller.Target, part float64) {
-	n := hasher.Name(t.ID)
+	n := t.Key()
 
 	p, ok := h.paces[n]
 	if !ok {
@@ -83,6 +82,6 @@
 	// target would be left alone for as long.
 	if h.failing.Out(now, n) {
 		h.failing.Result(now, n, true)
-		h.believe(TargetFailing, t.ID, false)
+		h.believe(TargetFailing, t, false)
 	}
 }
--- a/internal/chooser/place.go
+++ b/internal/chooser/place.go
@@ -5,6 +5,8 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/auburntray/auburntray/internal/enroller"
 )
 
 const (
@@ -24,18 +26,20 @@
 
 // Place says that a target holds a prompt's part.
 type Place struct {
-	Key    uint64
-	Target uint32
+	Key uint64
+	// Target is the short name of its process.
+	Target enroller.Name
 }
 
 type holder struct {
-	target uint32
+	target enroller.Key
 	used   time.Time
 	told   time.Time
 }
 
-// places remembers which targets hold which parts. It is not safe for concurrent
-// use.
+// places remembers which processes of targets hold which parts. Those that are gone from
+// the list are found by no choice, and are forgotten when their time is over. It is not safe
+// for concurrent use.
 type places struct {
 	keys *lru.Cache[uint64, []holder]
 	news []Place
@@ -51,10 +55,10 @@
 }
 
 // holders returns the targets that hold a part, the last used first.
-func (p *places) holders(now time.Time, key uint64) []uint32 {
+func (p *places) holders(now time.Time, key uint64) []enroller.Key {
 	l, _ := p.keys.Get(key)
 
-	o := make([]uint32, 0, len(l))
+	o := make([]enroller.Key, 0, len(l))
 	for _, h := range l {
 		if now.Sub(h.used) < holdFor {
 			o = append(o, h.target)
@@ -65,22 +69,22 @@
 }
 
 // use notes that a call with a part was sent to a target by this instance.
-func (p *places) use(now time.Time, key uint64, target uint32) {
+func (p *places) use(now time.Time, key uint64, target enroller.Key) {
 	h := p.put(now, key, target)
 
 	if now.Sub(h.told) >= tellAgain {
 		h.told = now
-		p.news = append(p.news, Place{Key: key, Target: target})
+		p.news = append(p.news, Place{Key: key, Target: target.Name()})
 	}
 }
 
 // learn notes what another instance told.
-func (p *places) learn(now time.Time, x Place) {
-	p.put(now, x.Key, x.Target).told = now
+func (p *places) learn(now time.Time, key uint64, target enroller.Key) {
+	p.put(now, key, target).told = now
 }
 
 // put moves a holder to the front and returns it.
-func (p *places) put(now time.Time, key uint64, target uint32) *holder {
+func (p *places) put(now time.Time, key uint64, target enroller.Key) *holder {
 	l, _ := p.keys.Get(key)
 	h := holder{target: target}
 
--- a/internal/chooser/state.go
+++ b/internal/chooser/state.go
@@ -1,6 +1,10 @@
 package chooser
 
-import "time"
+import (
+	"time"
+
+	"github.com/auburntray/auburntray/internal/enroller"
+)
 
 const (
 	// shedFor is how long a target that turned a call away is passed over. It is
@@ -11,8 +15,13 @@
 	reportFor = 2 * time.Second
 )
 
-// state is what this instance knows of the load on a target.
+// state is what this instance knows of the load on one process of a target.
 type state struct {
+	// target is the process's entry at the last change of the list.
+	target *enroller.Target
+	// unlisted says that the list has no such process any more. Only the calls that run
+	// there are still counted, in case the list shows it again.
+	unlisted bool
 	// running counts this instance's calls.
 	running int
 	shed    time.Time
@@ -32,9 +41,10 @@
 	return float64(s.running)
 }
 
-// report takes a target's word on its load unless it is older than the last.
+// report takes a target's word on its load unless it is older than the last, or of a process
+// that is not on the list.
 func (s *state) report(at time.Time, load int) bool {
-	if !at.After(s.at) {
+	if s.unlisted || !at.After(s.at) {
 		return false
 	}
 
@@ -43,10 +53,21 @@
 	return true
 }
 
+// judged says that a call which was sent by an entry still tells something of the process as
+// it is listed. One that was sent to its earlier address, or in its earlier group, does not.
+func (s *state) judged(t *enroller.Target) bool {
+	return !s.unlisted && !s.target.Moved(t)
+}
+
+// unlist drops all but the count of calls.
+func (s *state) unlist() {
+	*s = state{target: s.target, unlisted: true, running: s.running}
+}
+
 // Load is what a target said of its load.
 type Load struct {
-	// Target is the hash of its ID.
-	Target uint32
+	// Target is the short name of its process.
+	Target enroller.Name
 	// Calls are those of all instances, running and waiting.
 	Calls int
 	// At is when it said so.
--- a/internal/chooser/view.go
+++ b/internal/chooser/view.go
@@ -31,7 +31,7 @@
 	o := make([]View, 0, len(r.Known))
 
 	for _, t := range r.Known {
-		o = append(o, View{Target: t, Load: c.load(now, t.ID), Left: c.health.left(t)})
+		o = append(o, View{Target: t, Load: c.load(now, t), Left: c.health.left(t)})
 	}
 
 	slices.SortFunc(o, func(a, b View) int { return strings.Compare(a.Target.ID, b.Target.ID) })
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -3,42 +3,10 @@
 package enroller
 
 import (
-	"net/netip"
 	"sort"
 	"time"
-
-	"github.com/auburntray/auburntray/internal/hasher"
 )
 
-// Target is one incarnation of a target, as the list has it.
-type Target struct {
-	// ID names the incarnation: a target that starts again has another.
-	ID         string
-	Group      string
-	Address    netip.AddrPort
-	DataCentre string
-	// Slots is how many calls it runs at a time; zero when it does not say.
-	Slots int
-	// Draining says that it is about to leave and takes no new calls.
-	Draining bool
-	// Start is when its process started, by its own clock, which may step; zero when the
-	// list does not say. It tells two processes under one ID apart, and not which of them
-	// is the later.
-	Start time.Time
-}
-
-// Roster is the list at one moment. Nothing in it changes; it is safe for
-// concurrent use.
-type Roster struct {
-	// Groups holds the targets that take new calls, by group, in the order of
-	// their IDs.
-	Groups map[string][]*Target
-	// Known holds all targets on the list, those that are draining too.
-	Known map[string]*Target
-	// Names holds the same by the hashes of their IDs.
-	Names map[uint32]*Target
-}
-
 // Settings bounds how long entries are believed.
 type Settings struct {
 	// Grace is how long after the list's return an entry that vanished while it
@@ -85,7 +53,7 @@
 // thousands of targets.
 func (e *Enroller) Roster() *Roster {
 	if e.stale {
-		e.roll()
+		e.roster, e.stale = newRoster(e.entries), false
 	}
 
 	return e.roster
@@ -108,9 +76,11 @@
 	}
 }
 
-// Set enters a target or changes its entry.
+// Set enters a target or changes its entry. Calls come in the order of the list's records,
+// and the last one names the process that runs, also when its start is before that of the
+// one before: see Process.
 func (e *Enroller) Set(t Target) {
-	e.entries[t.ID] = &entry{target: &t}
+	e.entries[t.ID] = &entry{target: t.enter()}
 	e.stale = true
 }
 
@@ -144,7 +114,7 @@
 
 	for _, t := range l {
 		k[t.ID] = true
-		e.entries[t.ID] = &entry{target: &t}
+		e.entries[t.ID] = &entry{target: t.enter()}
 	}
 
 	for id := range e.entries {
@@ -179,23 +149,3 @@
 
 	return o
 }
-
-// roll makes the roster anew.
-func (e *Enroller) roll() {
-	r := &Roster{Groups: make(map[string][]*Target), Known: make(map[string]*Target, len(e.entries)), Names: make(map[uint32]*Target, len(e.entries))}
-
-	for id, x := range e.entries {
-		r.Known[id] = x.target
-		r.Names[hasher.Name(id)] = x.target
-
-		if !x.target.Draining {
-			r.Groups[x.target.Group] = append(r.Groups[x.target.Group], x.target)
-		}
-	}
-
-	for _, l := range r.Groups {
-		sort.Slice(l, func(a, b int) bool { return l[a].ID < l[b].ID })
-	}
-
-	e.roster, e.stale = r, false
-}
--- /dev/null
+++ b/internal/enroller/target.go
@@ -0,0 +1,63 @@
+package enroller
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+// Target is one process of a target, as the list has it.
+type Target struct {
+	// ID is the target's name. A target that starts again may have the same; see Process.
+	ID         string
+	Group      string
+	Address    netip.AddrPort
+	DataCentre string
+	// Slots is how many calls it runs at a time; zero when it does not say.
+	Slots int
+	// Draining says that it is about to leave and takes no new calls.
+	Draining bool
+	// Start is when its process started, by its own clock, which may step; zero when the
+	// list does not say. It tells two processes under one ID apart, and not which of them
+	// is the later.
+	Start time.Time
+
+	// key, rank and centre are hashes, worked out as the target is entered: each choice
+	// needs them of each target.
+	key    Key
+	rank   uint64
+	centre uint32
+}
+
+// Process names the target's process.
+func (t *Target) Process() Process {
+	return Process{ID: t.ID, Start: t.Start}
+}
+
+// Key returns the key of the target's process. It is zero for a target that is on no
+// roster.
+func (t *Target) Key() Key { return t.key }
+
+// Rank returns the hash of the target's ID, by which instances put targets in order. It
+// stays when the target starts again, so that prompts come back to it. It is zero for a
+// target that is on no roster.
+func (t *Target) Rank() uint64 { return t.rank }
+
+// Centre returns the hash of the target's data centre. It is zero for a target that is on
+// no roster.
+func (t *Target) Centre() uint32 { return t.centre }
+
+// Moved says that an entry of the same process has another address or group.
+func (t *Target) Moved(from *Target) bool {
+	return t.Address != from.Address || t.Group != from.Group
+}
+
+// enter returns the target with its hashes.
+func (t Target) enter() *Target {
+	t.key = t.Process().Key()
+	t.rank = uint64(hasher.Name(t.ID))
+	t.centre = hasher.Name(t.DataCentre)
+
+	return &t
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
 )
 
 // maxTried bounds the targets that a call is tried at when they can't be reached.
@@ -230,7 +231,7 @@
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
-	f.report(t.Target.ID, p)
+	f.report(t.Target, p)
 
 	// An answer to an earlier call may come late, where that to this one is due.
 	// Its ID shows it; passing it on would give the caller another's answer.
@@ -254,11 +255,11 @@
 	return a, p, result{}
 }
 
-func (f *Forwarder) report(id string, p Reply) {
+func (f *Forwarder) report(t *enroller.Target, p Reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.chooser.Report(time.Now(), id, chooser.Report{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
+	f.chooser.Report(time.Now(), t, chooser.Report{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
 }
 
 // begun notes how long a target took until its answer began.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -211,13 +211,13 @@
 	f.budgeter.Set(s)
 }
 
-// Forget drops what is known of targets that are no longer listed, by the hashes of
-// their IDs.
-func (f *Forwarder) Forget(known map[uint32]*enroller.Target) {
+// Forget takes a list of targets that has changed, and drops what is known of processes that
+// are not on it.
+func (f *Forwarder) Forget(r *enroller.Roster) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.chooser.Forget(known)
+	f.chooser.Forget(r)
 }
 
 // Learn takes what another instance told.
@@ -225,7 +225,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.chooser.Learn(time.Now(), n)
+	f.chooser.Learn(time.Now(), f.facts.Roster(), n)
 }
 
 // Views returns the targets as this instance sees them.
@@ -241,8 +241,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
+	r := f.facts.Roster()
+
 	for _, id := range ids {
-		if f.chooser.LearnGone(time.Now(), f.facts.Roster(), id) {
+		if t, ok := r.Known[id]; ok && f.chooser.LearnGone(time.Now(), r, t.Process()) {
 			f.meter.Left(string(chooser.TargetGone), true)
 			logrus.WithFields(logrus.Fields{"event": "leftAlone", "cause": chooser.TargetGone, "name": id, "source": "peer"}).Info()
 		}
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -20,7 +20,7 @@
 	roster  atomic.Pointer[enroller.Roster]
 	// known is closed when there is a catalog and the list of targets was read.
 	known   chan struct{}
-	dropped func(known map[uint32]*enroller.Target)
+	dropped func(r *enroller.Roster)
 	// instances is how many share the retry budget.
 	instances func() int
 	// detector notices when this process stands still.
@@ -141,7 +141,7 @@
 	}
 
 	f.roster.Store(r)
-	f.dropped(r.Names)
+	f.dropped(r)
 }
 
 // list takes the whole list of targets.
--- a/internal/gatekeeper/facts_test.go
+++ b/internal/gatekeeper/facts_test.go
@@ -32,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
 			f := newFacts()
-			f.dropped = func(map[uint32]*enroller.Target) {}
+			f.dropped = func(*enroller.Roster) {}
 
 			if x.catalog {
 				k, err := cataloger.New(c)
@@ -61,7 +61,7 @@
 func TestChangesOfAReadMakeOneRoster(t *testing.T) {
 	i := is.New(t)
 	f := newFacts()
-	f.dropped = func(map[uint32]*enroller.Target) {}
+	f.dropped = func(*enroller.Roster) {}
 	s := &targetSink{facts: f, offsets: make(map[string]int64), decode: func(key string, _ []byte) (enroller.Target, error) {
 		return enroller.Target{ID: key, Group: "g"}, nil
 	}}
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -17,6 +17,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -94,12 +95,12 @@
 	var n chooser.News
 
 	for _, h := range w.Holders {
-		n.Places = append(n.Places, chooser.Place{Key: h.Key, Target: h.Target})
+		n.Places = append(n.Places, chooser.Place{Key: h.Key, Target: enroller.Name(h.Target)})
 	}
 
 	for _, l := range w.Loads {
 		n.Loads = append(n.Loads, chooser.Load{
-			Target: l.Target, Calls: int(l.Calls), At: b.Add(-time.Duration(l.AgeMs) * time.Millisecond),
+			Target: enroller.Name(l.Target), Calls: int(l.Calls), At: b.Add(-time.Duration(l.AgeMs) * time.Millisecond),
 		})
 	}
 
@@ -140,12 +141,12 @@
 	var w wire.News
 
 	for _, p := range n.Places[:min(len(n.Places), maxList)] {
-		w.Holders = append(w.Holders, wire.Holder{Key: p.Key, Target: p.Target})
+		w.Holders = append(w.Holders, wire.Holder{Key: p.Key, Target: uint32(p.Target)})
 	}
 
 	for _, x := range n.Loads[:min(len(n.Loads), maxList)] {
 		w.Loads = append(w.Loads, wire.Load{
-			Target: x.Target, Calls: uint32(max(x.Calls, 0)), AgeMs: uint32(b.Sub(x.At).Milliseconds()), //nolint:gosec // Small.
+			Target: uint32(x.Target), Calls: uint32(max(x.Calls, 0)), AgeMs: uint32(b.Sub(x.At).Milliseconds()), //nolint:gosec // Small.
 		})
 	}
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -269,15 +269,15 @@
 	Targets []string
 }
 
-// Holder says that a target holds a beginning of prompts. Target is the hash of
-// its ID.
+// Holder says that a target holds a beginning of prompts. Target is the short name of
+// its process, the same at all instances.
 type Holder struct {
 	Key    uint64
 	Target uint32
 }
 
 // Load says how many calls a target had, running and waiting, and how long ago it
-// said so.
+// said so. Target is as in Holder.
 type Load struct {
 	Target uint32
 	Calls  uint32
