internal/wire, internal/informer, internal/forwarder: word that a target is gone names its process

Cause: an instance that met another target at an address told the others the ID alone. Word that came after the list had shown a new process under the ID had that one left alone for 10 s. And health.learnGone wrote its mark past believe, so that the two could differ. What changed: Gone carries the start beside the ID; word of a process that the list does not show changes nothing. learnGone goes through believe; a belief says whose word it rests on, and only an own one is told to others. A line of log about a belief says that too.

--- a/internal/chooser/belief.go
+++ b/internal/chooser/belief.go
@@ -27,9 +27,21 @@
 // targetCauses are those of single targets.
 var targetCauses = []Cause{TargetUnreachable, TargetFailing, TargetGone, TargetSlow} //nolint:gochecknoglobals // A constant table.
 
+// Source is whose word a belief rests on.
+type Source string
+
+// The sources.
+const (
+	// Own is what a call of this instance's showed.
+	Own Source = "own"
+	// Peer is another instance's word. Whoever gave it told all, and it is not told again.
+	Peer Source = "peer"
+)
+
 // Belief is a change of what is believed of a target or a data centre.
 type Belief struct {
-	Cause Cause
+	Cause  Cause
+	Source Source
 	// Name is the target's ID, or that of the data centre.
 	Name string
 	// Process is the target's process; zero for a data centre.
@@ -55,7 +67,7 @@
 }
 
 // believe notes a change of what is believed of a target, or of its data centre.
-func (h *health) believe(c Cause, t *enroller.Target, out bool) {
+func (h *health) believe(s Source, c Cause, t *enroller.Target, out bool) {
 	k := markOf(c, t)
 	if h.out[k] == out {
 		return
@@ -67,7 +79,7 @@
 		delete(h.out, k)
 	}
 
-	b := Belief{Cause: c, Name: t.ID, Process: t.Process(), Out: out}
+	b := Belief{Cause: c, Source: s, Name: t.ID, Process: t.Process(), Out: out}
 	if c == CentreUnreachable {
 		b.Name, b.Process = t.DataCentre, enroller.Process{}
 	}
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -165,23 +165,20 @@
 		return
 	}
 
-	h.believe(TargetUnreachable, t, h.targets.Out(now, n))
-	h.believe(CentreUnreachable, t, h.centres.Out(now, c))
-	h.believe(TargetFailing, t, h.failing.Out(now, n))
-	h.believe(TargetGone, t, h.gone.Out(now, n))
+	h.believe(Own, TargetUnreachable, t, h.targets.Out(now, n))
+	h.believe(Own, CentreUnreachable, t, h.centres.Out(now, c))
+	h.believe(Own, TargetFailing, t, h.failing.Out(now, n))
+	h.believe(Own, TargetGone, t, h.gone.Out(now, n))
 }
 
-// learnGone takes another instance's word that a target is gone, and says whether that
-// is new.
-func (h *health) learnGone(now time.Time, t *enroller.Target) bool {
+// learnGone takes another instance's word that a target is gone.
+func (h *health) learnGone(now time.Time, t *enroller.Target) {
 	if h.gone.Out(now, t.Key()) {
-		return false
+		return
 	}
 
 	h.gone.Result(now, t.Key(), false)
-	h.out[markOf(TargetGone, t)] = true // Not among the beliefs that are told: whoever said so told all.
-
-	return true
+	h.believe(Peer, TargetGone, t, true)
 }
 
 // forget drops what is known of a process.
--- a/internal/chooser/news.go
+++ b/internal/chooser/news.go
@@ -30,15 +30,12 @@
 	}
 }
 
-// LearnGone takes another instance's word that a process is gone, and says whether that
-// is new. It says nothing of another process under the same ID.
-func (c *Chooser) LearnGone(now time.Time, r *enroller.Roster, p enroller.Process) bool {
-	t, ok := r.Processes[p.Key()]
-	if !ok || c.state(t).unlisted {
-		return false
+// LearnGone takes another instance's word that a process is gone. It says nothing of another
+// process under the same ID.
+func (c *Chooser) LearnGone(now time.Time, r *enroller.Roster, p enroller.Process) {
+	if t, ok := r.Processes[p.Key()]; ok && !c.state(t).unlisted {
+		c.health.learnGone(now, t)
 	}
-
-	return c.health.learnGone(now, t)
 }
 
 // News returns what other instances should be told: the places of prompts that they
--- a/internal/chooser/pace.go
+++ b/internal/chooser/pace.go
@@ -38,7 +38,7 @@
 	}
 
 	x := p.part >= max(slowLeast, most)
-	h.believe(TargetSlow, t, x)
+	h.believe(Own, TargetSlow, t, x)
 
 	if !x {
 		return false
@@ -82,6 +82,6 @@
 	// target would be left alone for as long.
 	if h.failing.Out(now, n) {
 		h.failing.Result(now, n, true)
-		h.believe(TargetFailing, t, false)
+		h.believe(Own, TargetFailing, t, false)
 	}
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -175,7 +175,7 @@
 	l := f.chooser.Beliefs()
 	f.mu.Unlock()
 
-	f.tellBeliefs(x, l, r.err)
+	f.tellBeliefs(l, logrus.Fields{"id": x.call.ID, "error": r.err})
 
 	return r
 }
@@ -187,9 +187,9 @@
 	return errors.As(err, &n) && n.Timeout() || errors.Is(context.Cause(c), errSlow) || errors.Is(err, context.DeadlineExceeded)
 }
 
-// tellBeliefs logs what this instance now believes of targets, with the call that
-// showed it.
-func (f *Forwarder) tellBeliefs(x *exchange, l []chooser.Belief, err error) {
+// tellBeliefs logs what this instance now believes of targets, with the fields of the call
+// that showed it, and tells other instances of those that it found gone itself.
+func (f *Forwarder) tellBeliefs(l []chooser.Belief, shown logrus.Fields) {
 	for _, b := range l {
 		e := "backInUse"
 		if b.Out {
@@ -198,11 +198,11 @@
 
 		f.meter.Left(string(b.Cause), b.Out)
 
-		if b.Cause == chooser.TargetGone && b.Out {
-			f.gone(b.Name)
+		if b.Cause == chooser.TargetGone && b.Out && b.Source == chooser.Own {
+			f.gone(b.Process)
 		}
 
-		logrus.WithFields(logrus.Fields{"event": e, "cause": b.Cause, "name": b.Name, "id": x.call.ID, "error": err}).Info()
+		logrus.WithFields(shown).WithFields(logrus.Fields{"event": e, "cause": b.Cause, "name": b.Name, "source": b.Source}).Info()
 	}
 }
 
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -73,7 +73,7 @@
 	NotRun bool
 	// Sealed says that the answer carries the proof that a target made it.
 	Sealed bool
-	// Misdirected says that another incarnation has the address.
+	// Misdirected says that another target has the address.
 	Misdirected bool
 	// Load is how many calls the target runs and has waiting; Slots is how many
 	// it runs at most. All are zero when it does not say.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -70,8 +70,8 @@
 	// cutSince is when it was found that this instance is cut off; nil while it is not.
 	cutSince atomic.Pointer[time.Time]
 
-	// gone tells other instances of a target that is gone.
-	gone func(id string)
+	// gone tells other instances of a process that is gone.
+	gone func(p enroller.Process)
 
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -101,7 +101,7 @@
 	k := newClient(x)
 
 	return &Forwarder{
-		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(string) {},
+		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(enroller.Process) {},
 		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines), stopping: make(chan struct{}),
 	}, k.close
 }
@@ -236,24 +236,23 @@
 	return f.chooser.Views(time.Now(), f.facts.Roster())
 }
 
-// LearnGone takes another instance's word that targets are gone.
-func (f *Forwarder) LearnGone(ids []string) {
+// LearnGone takes another instance's word that processes of targets are gone.
+func (f *Forwarder) LearnGone(l []enroller.Process) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	r := f.facts.Roster()
 
-	for _, id := range ids {
-		if t, ok := r.Known[id]; ok && f.chooser.LearnGone(time.Now(), r, t.Process()) {
-			f.meter.Left(string(chooser.TargetGone), true)
-			logrus.WithFields(logrus.Fields{"event": "leftAlone", "cause": chooser.TargetGone, "name": id, "source": "peer"}).Info()
-		}
+	for _, p := range l {
+		f.chooser.LearnGone(time.Now(), f.facts.Roster(), p)
 	}
+
+	b := f.chooser.Beliefs()
+	f.mu.Unlock()
+
+	f.tellBeliefs(b, nil)
 }
 
-// OnGone sets what is called with the ID of a target that this instance finds gone. It
+// OnGone sets what is called with a process of a target that this instance finds gone. It
 // is set before the first call comes.
-func (f *Forwarder) OnGone(g func(id string)) {
+func (f *Forwarder) OnGone(g func(p enroller.Process)) {
 	f.gone = g
 }
 
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -51,8 +51,8 @@
 type Knowledge interface {
 	News() chooser.News
 	Learn(n chooser.News)
-	// LearnGone takes that targets are gone.
-	LearnGone(ids []string)
+	// LearnGone takes that processes are gone.
+	LearnGone(l []enroller.Process)
 }
 
 // Informer tells and is told. It is safe for concurrent use.
@@ -109,21 +109,35 @@
 	return nil, nil //nolint:nilnil // News has no reply.
 }
 
-// Gone tells the others at once that a target is gone. Each of them would otherwise find
+// Gone tells the others at once that a process is gone. Each of them would otherwise find
 // out with a call of its own: with seventy instances and fifteen targets that crashed and
 // started again, 346 calls were turned away within two seconds, a third of them for good.
-func (i *Informer) Gone(id string) {
-	i.send(context.Background(), i.members.Live(), wire.KindGone, &wire.Gone{Targets: []string{id}})
+//
+// It names the process and not just the target: the word may come after the list has shown
+// that the target started again, and would have the new process left alone for seconds.
+func (i *Informer) Gone(p enroller.Process) {
+	i.send(context.Background(), i.members.Live(), wire.KindGone, &wire.Gone{
+		Targets: []string{p.ID}, StartsMs: []int64{p.Start.UnixMilli()},
+	})
 }
 
-// ToldGone takes what another instance tells of targets that are gone.
+// ToldGone takes what another instance tells of processes that are gone.
 func (i *Informer) ToldGone(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
 	var w wire.Gone
 	if _, err := w.UnmarshalMsg(body); err != nil {
 		return nil, errors.Mark(err, ErrNews)
 	}
 
-	i.knowledge.LearnGone(w.Targets)
+	if len(w.Targets) != len(w.StartsMs) {
+		return nil, errors.Wrapf(ErrNews, "%d targets have %d starts", len(w.Targets), len(w.StartsMs))
+	}
+
+	l := make([]enroller.Process, len(w.Targets))
+	for k, id := range w.Targets {
+		l[k] = enroller.Process{ID: id, Start: time.UnixMilli(w.StartsMs[k])}
+	}
+
+	i.knowledge.LearnGone(l)
 
 	return nil, nil //nolint:nilnil // News has no reply.
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,7 +35,7 @@
 	KindStream
 	// KindNews tells where prompts are and how loaded targets are.
 	KindNews
-	// KindGone tells that incarnations of targets are gone.
+	// KindGone tells that processes of targets are gone.
 	KindGone
 )
 
@@ -263,10 +263,12 @@
 	Loads   []Load
 }
 
-// Gone tells the IDs of incarnations of targets at whose addresses the sender met other
-// processes.
+// Gone tells of processes at whose addresses the sender met other targets: the IDs of their
+// targets, and when they started in Unix milliseconds, the zero time's where that is not
+// known. Both lists are of one length.
 type Gone struct {
-	Targets []string
+	Targets  []string
+	StartsMs []int64
 }
 
 // Holder says that a target holds a beginning of prompts. Target is the short name of
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -1071,8 +1071,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1093,13 +1093,31 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "StartsMs")
+		return
+	}
+	if cap(z.StartsMs) >= int(zb0003) {
+		z.StartsMs = (z.StartsMs)[:zb0003]
+	} else {
+		z.StartsMs = make([]int64, zb0003)
+	}
+	for za0002 := range z.StartsMs {
+		z.StartsMs[za0002], err = dc.ReadInt64()
+		if err != nil {
+			err = msgp.WrapError(err, "StartsMs", za0002)
+			return
+		}
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Gone) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+	// array header, size 2
+	err = en.Append(0x92)
 	if err != nil {
 		return
 	}
@@ -1115,18 +1133,34 @@
 			return
 		}
 	}
+	err = en.WriteArrayHeader(uint32(len(z.StartsMs)))
+	if err != nil {
+		err = msgp.WrapError(err, "StartsMs")
+		return
+	}
+	for za0002 := range z.StartsMs {
+		err = en.WriteInt64(z.StartsMs[za0002])
+		if err != nil {
+			err = msgp.WrapError(err, "StartsMs", za0002)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Gone) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
+	// array header, size 2
+	o = append(o, 0x92)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
 	for za0001 := range z.Targets {
 		o = msgp.AppendString(o, z.Targets[za0001])
 	}
+	o = msgp.AppendArrayHeader(o, uint32(len(z.StartsMs)))
+	for za0002 := range z.StartsMs {
+		o = msgp.AppendInt64(o, z.StartsMs[za0002])
+	}
 	return
 }
 
@@ -1138,8 +1172,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -1160,6 +1194,24 @@
 			return
 		}
 	}
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartsMs")
+		return
+	}
+	if cap(z.StartsMs) >= int(zb0003) {
+		z.StartsMs = (z.StartsMs)[:zb0003]
+	} else {
+		z.StartsMs = make([]int64, zb0003)
+	}
+	for za0002 := range z.StartsMs {
+		z.StartsMs[za0002], bts, err = msgp.ReadInt64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "StartsMs", za0002)
+			return
+		}
+	}
 	o = bts
 	return
 }
@@ -1170,6 +1222,7 @@
 	for za0001 := range z.Targets {
 		s += msgp.StringPrefixSize + len(z.Targets[za0001])
 	}
+	s += msgp.ArrayHeaderSize + (len(z.StartsMs) * (msgp.Int64Size))
 	return
 }
 
