internal/forwarder: kept connections end with their process

Cause: connections were kept by address. A target that crashed with its machine and started again had its address again, and repeatable calls went over a connection of the process before, whose end had not come through, until their time was up. What changed: each process has a transport of its own. When the list drops the process, its idle connections are closed, and those in use when their calls are done.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -220,7 +220,7 @@
 
 	f.dialect.Write(h, o)
 
-	a, err := f.client.send(c, x, t.Target.Address.String(), h)
+	a, err := f.client.send(c, x, t.Target, h)
 	if err != nil {
 		o := chooser.Bad
 		if errors.Is(err, errNeverSent) {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/enroller"
 )
 
 var (
@@ -26,22 +28,21 @@
 	// millisecond from another; a target that takes this long is not there, and
 	// the call has time to go elsewhere.
 	dialTimeout = 120 * time.Millisecond
-	// idleTimeout is how long a connection is kept. Targets close theirs after
-	// some seconds, and a call that meets the close is lost.
-	idleTimeout   = 2 * time.Second
-	idlePerTarget = 32
-	readBuffer    = 4 << 10
-	writeBuffer   = 4 << 10
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
 )
 
 // client sends calls to targets. It is safe for concurrent use.
 type client struct {
-	dial func(c context.Context, network, address string) (net.Conn, error)
-	// reused keeps connections; fresh makes one for each call.
-	reused *http.Transport
-	fresh  *http.Transport
+	dial dial
+	// kept keeps connections; fresh makes one for each call.
+	kept  *kept
+	fresh *http.Transport
 }
 
+// dial makes a connection.
+type dial func(c context.Context, network, address string) (net.Conn, error)
+
 func newClient(d Dialer) *client {
 	f := func(c context.Context, network, address string) (net.Conn, error) {
 		x, stop := context.WithTimeout(c, dialTimeout)
@@ -57,10 +58,7 @@
 
 	return &client{
 		dial: f,
-		reused: &http.Transport{
-			DialContext: f, DisableCompression: true, IdleConnTimeout: idleTimeout,
-			MaxIdleConnsPerHost: idlePerTarget, ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
-		},
+		kept: newKept(f),
 		// A kept connection may be closed by the target just as a call is sent on
 		// it; whether it ran is then not known. A call that may run once only goes
 		// over a connection of its own.
@@ -71,20 +69,16 @@
 	}
 }
 
-func (k *client) close() {
-	k.reused.CloseIdleConnections()
-}
-
-// send sends a call to an address and returns the answer with its body unread.
+// send sends a call to a target and returns the answer with its body unread.
 // It fails with errNeverSent when provably nothing was sent, else with errBroken.
-func (k *client) send(c context.Context, x *exchange, address string, h http.Header) (*http.Response, error) {
+func (k *client) send(c context.Context, x *exchange, t *enroller.Target, h http.Header) (*http.Response, error) {
 	u, err := url.ParseRequestURI(x.request.RequestURI)
 	if err != nil {
 		return nil, errors.Mark(err, errNeverSent)
 	}
 
 	u.Scheme = "http"
-	u.Host = address
+	u.Host = t.Address.String()
 
 	var n *counted
 
@@ -106,12 +100,12 @@
 		},
 	}))
 
-	t := k.reused
-	if !x.rule.Repeatable() {
-		t = k.fresh
+	r := k.fresh
+	if x.rule.Repeatable() {
+		r = k.kept.to(t)
 	}
 
-	a, err := t.RoundTrip(q)
+	a, err := r.RoundTrip(q)
 	if err == nil {
 		return a, nil
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -103,7 +103,7 @@
 	return &Forwarder{
 		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(enroller.Process) {},
 		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines), stopping: make(chan struct{}),
-	}, k.close
+	}, func() { k.kept.forget(&enroller.Roster{}) }
 }
 
 // Stop makes each answer from now on end its connection, so that callers go on
@@ -212,12 +212,13 @@
 }
 
 // Forget takes a list of targets that has changed, and drops what is known of processes that
-// are not on it.
+// are not on it, and the connections that are kept to them.
 func (f *Forwarder) Forget(r *enroller.Roster) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-
 	f.chooser.Forget(r)
+	f.mu.Unlock()
+
+	f.client.kept.forget(r)
 }
 
 // Learn takes what another instance told.
--- a/internal/forwarder/process_test.go
+++ b/internal/forwarder/process_test.go
@@ -1,10 +1,13 @@
 package forwarder_test
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -115,3 +118,132 @@
 		})
 	}
 }
+
+// dialled remembers the connections that it made.
+type dialled struct {
+	net.Dialer
+
+	mu    sync.Mutex
+	conns []*watched
+}
+
+// watched tells when its connection is closed on this side.
+type watched struct {
+	net.Conn
+
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (n *watched) Close() error {
+	n.once.Do(func() { close(n.closed) })
+
+	return n.Conn.Close()
+}
+
+func (d *dialled) DialContext(c context.Context, network, address string) (net.Conn, error) {
+	n, err := d.Dialer.DialContext(c, network, address)
+	if err != nil {
+		return nil, err
+	}
+
+	x := &watched{Conn: n, closed: make(chan struct{})}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.conns = append(d.conns, x)
+
+	return x, nil
+}
+
+func (d *dialled) made() []*watched {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return slices.Clone(d.conns)
+}
+
+// kept says that a connection is still open.
+func kept(n *watched) bool {
+	select {
+	case <-n.closed:
+		return false
+	default:
+		return true
+	}
+}
+
+// A target crashed with its machine's network and started again under its ID at its address.
+// No end of the old connections came through: a call on one of those that were kept waits
+// for an answer until its time is up. They are closed when the list shows the new process,
+// also one that a call still uses, once it is done.
+func TestKeptConnectionsEndWithTheirProcess(t *testing.T) {
+	for name, x := range map[string]struct {
+		change func(g *gateway)
+		kept   bool
+	}{
+		"started again": {func(g *gateway) { g.list(g.restarted("t0")) }, false},
+		"left":          {func(g *gateway) { g.enroller.Remove(time.Unix(1000, 0), "t0"); g.list() }, false},
+		"a heartbeat":   {func(g *gateway) { g.list(*g.facts.Roster().Known["t0"]) }, true},
+		"drains": {func(g *gateway) {
+			y := *g.facts.Roster().Known["t0"]
+			y.Draining = true
+			g.list(y)
+		}, true},
+		"another started again": {func(g *gateway) { g.list(g.restarted("t1")) }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := &dialled{}
+			reached, changed := make(chan struct{}), make(chan struct{})
+			g := frontBy(t, d, &target{answer: func(n net.Conn, s seen) {
+				if s.path == "/again/held" {
+					close(reached)
+					<-changed
+				}
+
+				ok(n, s)
+			}}, &target{answer: ok})
+
+			is.Equal(g.call(t, http.MethodGet, "/again/", "").body, "from t0")
+
+			l := d.made()
+			is.Equal(len(l), 1)
+
+			var w sync.WaitGroup
+
+			w.Go(func() { is.Equal(g.call(t, http.MethodGet, "/again/held", "").body, "from t0") }) // On the kept one.
+			<-reached
+			is.Equal(len(d.made()), 1)
+			x.change(g)
+			is.True(kept(l[0])) // A call uses it.
+			close(changed)
+			w.Wait()
+
+			is.Equal(g.call(t, http.MethodGet, "/again/", "").status, http.StatusOK)
+
+			if !x.kept {
+				is.Equal(len(d.made()), 2)
+				<-l[0].closed
+
+				return
+			}
+
+			is.True(kept(l[0]))
+		})
+	}
+}
+
+// As above, for a connection that is idle when the list changes.
+func TestIdleConnectionsEndWithTheirProcess(t *testing.T) {
+	is := is.New(t)
+	d := &dialled{}
+	g := frontBy(t, d, &target{answer: ok}, &target{answer: ok})
+
+	is.Equal(g.call(t, http.MethodGet, "/again/", "").body, "from t0")
+	g.list(g.restarted("t0"))
+	is.Equal(g.call(t, http.MethodGet, "/again/", "").body, "from t0")
+	is.Equal(len(d.made()), 2) // A new one, to the new process.
+	<-d.made()[0].closed
+}
