internal/chooser: a load and a score of each target are worked out once a choice

Cause: a choice worked out the load of each target two or three times, copied the list of targets for each judgement also when that left none out, and sorted all of them by the key's order to take the first. What changed: a candidate carries its load; lists are copied only when something is left out; the first of the order is found in one pass.

--- /dev/null
+++ b/internal/chooser/candidate.go
@@ -0,0 +1,152 @@
+package chooser
+
+import (
+	"slices"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+// candidate is a target that a call may go to. What the choice asks of it several times is
+// worked out once.
+type candidate struct {
+	target *enroller.Target
+	load   float64
+	// shed says that it turned a call away just now.
+	shed bool
+}
+
+// candidates returns those of a list that are not excluded.
+func (c *Chooser) candidates(now time.Time, l []*enroller.Target, excluded []string) []candidate {
+	o := make([]candidate, 0, len(l))
+
+	for _, t := range l {
+		if slices.Contains(excluded, t.ID) {
+			continue
+		}
+
+		x := candidate{target: t}
+
+		if s, ok := c.states[t.Key()]; ok {
+			x.load = s.load(now)
+			x.shed = now.Sub(s.shed) < shedFor
+		}
+
+		o = append(o, x)
+	}
+
+	return o
+}
+
+// keep returns those that a test lets through. It copies the list only when there are others:
+// mostly there are none.
+func keep(l []candidate, f func(candidate) bool) []candidate {
+	i := slices.IndexFunc(l, func(x candidate) bool { return !f(x) })
+	if i < 0 {
+		return l
+	}
+
+	o := append(make([]candidate, 0, len(l)), l[:i]...)
+
+	for _, x := range l[i+1:] {
+		if f(x) {
+			o = append(o, x)
+		}
+	}
+
+	return o
+}
+
+// filter returns those that a test lets through, and all when there are none.
+func filter(l []candidate, f func(candidate) bool) []candidate {
+	if o := keep(l, f); len(o) > 0 {
+		return o
+	}
+
+	return l
+}
+
+// bound returns how many calls a target of a group may have, from the mean of those
+// that can be reached. Those that are left alone for another reason count: without
+// them the others would be filled to a multiple of what they have to carry, and not
+// of what the group has.
+func (s Settings) bound(reached []candidate) float64 {
+	n := 0.0
+	for _, x := range reached {
+		n += x.load
+	}
+
+	return s.Factor*(n+1)/float64(len(reached)) + s.Slack
+}
+
+// bounded returns the first candidate in the key's own order whose load is within the
+// bound: first among those that hold the prompt, then among all. The order is the
+// same at every instance, so that the calls which one target can't take find the
+// next one warm. When none is, it returns the least loaded, the first of them.
+func bounded(l []candidate, most float64, key uint64, holders []enroller.Key) candidate {
+	var o, h, b ranked
+
+	for _, x := range l {
+		r := ranked{candidate: x, score: hasher.Score(key, x.target.Rank(), 1)}
+
+		if x.load+1 <= most {
+			o = o.first(r)
+
+			if slices.Contains(holders, x.target.Key()) {
+				h = h.first(r)
+			}
+		}
+
+		if b.target == nil || x.load < b.load || x.load == b.load && r.score > b.score {
+			b = r
+		}
+	}
+
+	switch {
+	case h.target != nil:
+		return h.candidate
+	case o.target != nil:
+		return o.candidate
+	default:
+		return b.candidate
+	}
+}
+
+// ranked is a candidate with its place in a key's order; the highest score is first. The
+// zero value is none, and behind all.
+type ranked struct {
+	candidate
+
+	score float64
+}
+
+// first returns the one of two that comes first.
+func (r ranked) first(x ranked) ranked {
+	if r.target == nil || x.score > r.score {
+		return x
+	}
+
+	return r
+}
+
+// least returns the candidate with the least load for its size, one in the own data
+// centre while it has room: one elsewhere counts as having near calls more for each slot.
+func least(l []candidate, centre string, near float64) candidate {
+	var o candidate
+
+	b := 0.0
+
+	for _, x := range l {
+		w := x.load / float64(max(x.target.Slots, 1))
+		if x.target.DataCentre != centre {
+			w += near
+		}
+
+		if o.target == nil || w < b {
+			o, b = x, w
+		}
+	}
+
+	return o
+}
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/hasher"
 )
 
 // Settings bounds the load of a target.
@@ -85,24 +84,26 @@
 // Choose returns where a call goes among the targets of its group, and false when
 // there is none, or none that can be reached.
 func (c *Chooser) Choose(now time.Time, r *enroller.Roster, group string, q Query) (Choice, bool) {
-	l, u := c.usable(now, group, r.Groups[group], q.Excluded)
+	l, u := c.health.usable(now, group, c.candidates(now, r.Groups[group], q.Excluded))
+	u = filter(u, func(x candidate) bool { return !x.shed })
+
 	if len(u) == 0 {
 		return Choice{}, false
 	}
 
 	if len(q.Prefixes) == 0 {
-		t := c.least(now, u, q)
+		x := least(u, q.DataCentre, c.settings.Near)
 
-		return Choice{Target: t, Load: c.load(now, t), Bound: float64(t.Slots), Usable: len(u)}, true
+		return Choice{Target: x.target, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u)}, true
 	}
 
 	h := c.places.holders(now, q.Prefixes[0].Key)
-	most := c.bound(now, l)
-	t := c.bounded(now, u, most, q, h)
-	n := t.Key()
+	most := c.settings.bound(l)
+	x := bounded(u, most, q.Prefixes[0].Key, h)
+	n := x.target.Key()
 	o := Choice{
-		Target: t, Source: c.source(now, r, n, q.Prefixes),
-		Load: c.load(now, t), Bound: most, Usable: len(u), Held: slices.Contains(h, n),
+		Target: x.target, Source: c.source(now, r, n, q.Prefixes),
+		Load: x.load, Bound: most, Usable: len(u), Held: slices.Contains(h, n),
 	}
 
 	for _, p := range q.Prefixes {
@@ -156,98 +157,6 @@
 	return n / float64(s)
 }
 
-// usable returns the targets that can be reached, and those of them that may be
-// chosen.
-func (c *Chooser) usable(now time.Time, group string, l []*enroller.Target, excluded []string) (reached, usable []*enroller.Target) {
-	var all []*enroller.Target
-
-	for _, t := range l {
-		if !slices.Contains(excluded, t.ID) {
-			all = append(all, t)
-		}
-	}
-
-	reached, u := c.health.usable(now, group, all)
-
-	o := slices.DeleteFunc(slices.Clone(u), func(t *enroller.Target) bool {
-		s, ok := c.states[t.Key()]
-
-		return ok && now.Sub(s.shed) < shedFor
-	})
-	if len(o) == 0 {
-		return reached, u
-	}
-
-	return reached, o
-}
-
-// bound returns how many calls a target of a group may have, from the mean of those
-// that can be reached. Those that are left alone for another reason count: without
-// them the others would be filled to a multiple of what they have to carry, and not
-// of what the group has.
-func (c *Chooser) bound(now time.Time, l []*enroller.Target) float64 {
-	n := 0.0
-	for _, t := range l {
-		n += c.load(now, t)
-	}
-
-	return c.settings.Factor*(n+1)/float64(len(l)) + c.settings.Slack
-}
-
-// bounded returns the first target in the key's own order whose load is within the
-// bound: first among those that hold the prompt, then among all. The order is the
-// same at every instance, so that the calls which one target can't take find the
-// next one warm. When none is, it returns the least loaded.
-func (c *Chooser) bounded(now time.Time, u []*enroller.Target, most float64, q Query, holders []enroller.Key) *enroller.Target {
-	l := make([]float64, len(u))
-	for i, t := range u {
-		l[i] = c.load(now, t)
-	}
-
-	r := hasher.Rank(q.Prefixes[0].Key, len(u), func(i int) uint64 { return u[i].Rank() }, func(int) float64 { return 1 })
-
-	for _, i := range r {
-		if l[i]+1 <= most && slices.Contains(holders, u[i].Key()) {
-			return u[i]
-		}
-	}
-
-	b := r[0]
-
-	for _, i := range r {
-		if l[i]+1 <= most {
-			return u[i]
-		}
-
-		if l[i] < l[b] {
-			b = i
-		}
-	}
-
-	return u[b]
-}
-
-// least returns the target with the least load for its size, one in the own data
-// centre while it has room.
-func (c *Chooser) least(now time.Time, u []*enroller.Target, q Query) *enroller.Target {
-	var o *enroller.Target
-
-	b := 0.0
-
-	for _, t := range u {
-		w := c.load(now, t) / float64(max(t.Slots, 1))
-		if t.DataCentre != q.DataCentre {
-			w += c.settings.Near
-		}
-
-		if o == nil || w < b {
-			o, b = t, w
-		}
-	}
-
-	return o
-}
-
 func (c *Chooser) load(now time.Time, t *enroller.Target) float64 {
 	if s, ok := c.states[t.Key()]; ok {
 		return s.load(now)
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -1,7 +1,6 @@
 package chooser
 
 import (
-	"slices"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/ejector"
@@ -55,31 +54,34 @@
 	}
 }
 
-// usable returns the targets of a group that can be reached, and those of them that
+// usable returns the candidates of a group that can be reached, and those of them that
 // may be given a call; none when none can be reached.
-func (h *health) usable(now time.Time, group string, l []*enroller.Target) (reached, usable []*enroller.Target) {
-	r := slices.DeleteFunc(slices.Clone(l), func(t *enroller.Target) bool {
-		return !h.reached(now, t) || h.gone.Out(now, t.Key())
-	})
+func (h *health) usable(now time.Time, group string, l []candidate) (reached, usable []candidate) {
+	r := keep(l, func(x candidate) bool { return h.reached(now, x.target) && !h.gone.Out(now, x.target.Key()) })
 	if len(r) == 0 {
 		r = h.lastResort(now, group, l)
 	}
 
 	reached = r
 
-	n := make([]enroller.Key, len(r))
-	for i, t := range r {
-		n[i] = t.Key()
-	}
-
 	// When most fail, the fault is more likely here than there.
-	if !h.failing.Panic(now, n) {
-		r = filter(r, func(t *enroller.Target) bool { return !h.failing.Out(now, t.Key()) })
+	if !h.panic(now, r) {
+		r = filter(r, func(x candidate) bool { return !h.failing.Out(now, x.target.Key()) })
 	}
 
 	m := slowTimes * h.median(r)
 
-	return reached, filter(r, func(t *enroller.Target) bool { return !h.slow(now, t, m) })
+	return reached, filter(r, func(x candidate) bool { return !h.slow(now, x.target, m) })
+}
+
+// panic says that so many candidates fail that none is left alone for it.
+func (h *health) panic(now time.Time, l []candidate) bool {
+	k := make([]enroller.Key, len(l))
+	for i, x := range l {
+		k[i] = x.target.Key()
+	}
+
+	return h.failing.Panic(now, k)
 }
 
 // lastResort returns the targets of a group when none can be reached: all of them for
@@ -88,7 +90,7 @@
 // In a data centre that is cut off every call would try each target in turn, a dial's
 // time each, to be refused in the end: a third of a second for nothing, when its
 // caller could long be somewhere else.
-func (h *health) lastResort(now time.Time, group string, l []*enroller.Target) []*enroller.Target {
+func (h *health) lastResort(now time.Time, group string, l []candidate) []candidate {
 	if t, ok := h.resorts[group]; len(l) == 0 || ok && now.Sub(t) < resortEvery {
 		return nil
 	}
@@ -98,23 +100,6 @@
 	return l
 }
 
-// filter returns those that a test lets through, and all when there are none.
-func filter(l []*enroller.Target, f func(*enroller.Target) bool) []*enroller.Target {
-	var o []*enroller.Target
-
-	for _, t := range l {
-		if f(t) {
-			o = append(o, t)
-		}
-	}
-
-	if len(o) == 0 {
-		return l
-	}
-
-	return o
-}
-
 // well says that a target can be reached and does not fail.
 func (h *health) well(now time.Time, t *enroller.Target) bool {
 	n := t.Key()
--- a/internal/chooser/pace.go
+++ b/internal/chooser/pace.go
@@ -47,12 +47,12 @@
 	return now.Sub(p.trial) < slowTrial
 }
 
-// median returns the usual pace of the targets.
-func (h *health) median(l []*enroller.Target) float64 {
-	var o []float64
+// median returns the usual pace of the candidates.
+func (h *health) median(l []candidate) float64 {
+	o := make([]float64, 0, len(l))
 
-	for _, t := range l {
-		if p, ok := h.paces[t.Key()]; ok && p.samples >= slowSamples {
+	for _, x := range l {
+		if p, ok := h.paces[x.target.Key()]; ok && p.samples >= slowSamples {
 			o = append(o, p.part)
 		}
 	}
