internal/chooser: what begins late at a process that has left the list is not believed

Cause: a call or a dial whose target was taken from the list before it changed, and that began after Chooser.Forget, made a state for the process anew: its failure counted for the data centre, its beliefs were told, and it was remembered until the list changed again. What changed: the Chooser knows the processes of the list's last change; a state of another one is made as unlisted. Tests also for a process that moves to another group. Measured: 5 of 5 cases of TestWhatBeginsLateIsNotBelieved fail before, none now; chooser passes with the race detector, twice.

--- a/internal/chooser/call.go
+++ b/internal/chooser/call.go
@@ -65,12 +65,14 @@
 //
 // It is the one place where beliefs end with their process. Were one left out, a target that
 // started again would be given calls for prompts that it lost, or be left alone for a failure
-// that was not its own. What comes later from calls that still run at the earlier process
-// finds that it is not listed.
+// that was not its own. What comes later from calls that still run at the earlier process,
+// or begin there, finds that it is not listed.
 //
 // A process that has moved to another address or group keeps its load and its prompts, and
 // is judged anew: it failed, or was not reached, at the other address.
 func (c *Chooser) Forget(r *enroller.Roster) {
+	c.listed = r.Processes
+
 	for k, s := range c.states {
 		t, ok := r.Processes[k]
 		if !ok {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -71,6 +71,8 @@
 	settings Settings
 	// states has an entry for each process of which anything but a place is believed.
 	states map[enroller.Key]*state
+	// listed are the processes on the list at its last change; nil before the first.
+	listed map[enroller.Key]*enroller.Target
 	loads  []Load
 	health *health
 	places *places
@@ -169,7 +171,7 @@
 func (c *Chooser) state(t *enroller.Target) *state {
 	s, ok := c.states[t.Key()]
 	if !ok {
-		s = &state{target: t}
+		s = &state{target: t, unlisted: c.listed != nil && c.listed[t.Key()] == nil}
 		c.states[t.Key()] = s
 	}
 
--- a/internal/chooser/process_test.go
+++ b/internal/chooser/process_test.go
@@ -236,6 +236,46 @@
 	}
 }
 
+// The end of a cut is looked for by dials, which no call waits for. Two that begin and fail
+// after their targets have left the list, and are counted nowhere else, had the data centre
+// left alone, and the targets remembered until the list changed once more.
+func TestWhatBeginsLateIsNotBelieved(t *testing.T) {
+	for name, o := range map[string]chooser.Outcome{
+		"unreachable": chooser.Unreachable, "bad": chooser.Bad, "gone": chooser.Gone, "shed": chooser.Shed, "good": chooser.Good,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			e := listing()
+			c := fresh()
+			old := e.Roster().Known["t0"]
+
+			e.Set(entry("t0", time.Minute))
+			c.Forget(e.Roster())
+
+			for range 3 {
+				c.Start(now, old)
+				c.Begun(now, old, 3)
+				c.Report(now, old, chooser.Report{Running: 40, Slots: 64})
+				c.Finish(now, old, o)
+			}
+
+			is.Equal(len(c.Beliefs()), 0)
+			is.Equal(len(c.News().Loads), 0)
+			is.Equal(difference(now, c, e.Roster(), fresh(), e.Roster()), "")
+
+			// Nor is it kept for a process of that start that the list may show again.
+			e.Set(entry("t0", 0))
+			c.Forget(e.Roster())
+			is.Equal(c.Views(now, e.Roster()), fresh().Views(now, e.Roster()))
+
+			x, ok := c.Choose(now, e.Roster(), group, query(1000))
+			is.True(ok)
+			is.Equal(x.Usable, 4)
+		})
+	}
+}
+
 // The list shows the same process again: in a heartbeat, or back within the grace after an
 // outage. Were anything forgotten then, each outage would have all prompts read again.
 func TestTheSameProcessKeepsWhatIsBelieved(t *testing.T) {
@@ -304,6 +344,39 @@
 	}
 }
 
+// As above, to another group: its answers began late by that group's measure.
+func TestProcessThatMovesToAnotherGroup(t *testing.T) {
+	for name, learn := range beliefs() {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			e := listing()
+			c := fresh()
+			old := e.Roster().Known["t0"]
+
+			c.Start(now, old)
+			learn(c, now, e.Roster(), old)
+
+			b := c.Views(now, e.Roster())[0].Load
+			x := entry("t0", 0)
+			x.Group = "others"
+			e.Set(x)
+			c.Forget(e.Roster())
+
+			v := c.Views(now, e.Roster())[0]
+			is.Equal(v, chooser.View{Target: e.Roster().Known["t0"], Load: b})
+
+			c.Finish(now, old, chooser.Bad)
+			is.Equal(c.Views(now, e.Roster())[0].Load, b-1)
+
+			// A call without a prompt goes there like to one of which nothing is known.
+			y, ok := c.Choose(now.Add(time.Second), e.Roster(), "others", chooser.Query{})
+			is.True(ok)
+			is.Equal(y.Usable, 1)
+		})
+	}
+}
+
 // A process whose entry ran out is listed again a while later, as its heartbeats were late.
 // The calls that it runs still count, and their ends are not taken for those of others.
 func TestCallsAreCountedThroughAnAbsence(t *testing.T) {
