--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/hasher"
 )
 
 const group = "engines"
@@ -119,7 +118,7 @@
 	is.Equal(dials, 2)
 
 	out := c.Beliefs()
-	is.Equal(out[len(out)-1], chooser.Belief{Cause: chooser.CentreUnreachable, Name: "b", Out: true})
+	is.Equal(out[len(out)-1], chooser.Belief{Cause: chooser.CentreUnreachable, Source: chooser.Own, Name: "b", Out: true})
 	is.Equal(len(c.Beliefs()), 0)
 
 	// Once the cut has healed, one call finds out and the others follow: those with
@@ -139,7 +138,7 @@
 	is.True(back > 30)
 
 	in := c.Beliefs()
-	is.True(slices.Contains(in, chooser.Belief{Cause: chooser.CentreUnreachable, Name: "b"}))
+	is.True(slices.Contains(in, chooser.Belief{Cause: chooser.CentreUnreachable, Source: chooser.Own, Name: "b"}))
 }
 
 // An instance whose data centre is cut off from all others reaches a fifth of the
@@ -258,7 +257,7 @@
 
 	is.True(send(300, false) > 20)
 	is.True(send(300, true) < 12)
-	is.Equal(c.Beliefs(), []chooser.Belief{{Cause: chooser.TargetSlow, Name: "t3", Out: true}})
+	is.Equal(c.Beliefs(), []chooser.Belief{{Cause: chooser.TargetSlow, Source: chooser.Own, Name: "t3", Process: enroller.Process{ID: "t3"}, Out: true}})
 	send(600, false)
 	is.True(send(300, false) > 20)
 }
@@ -306,7 +305,7 @@
 			q.Excluded = []string{"t0"} // Whatever holds it, the call goes to the other.
 
 			if x.holder != "" {
-				c.Learn(now.Add(x.told), chooser.News{Places: []chooser.Place{{Key: 9, Target: hasher.Name(x.holder)}}})
+				c.Learn(now.Add(x.told), r, chooser.News{Places: []chooser.Place{{Key: 9, Target: enroller.Process{ID: x.holder}.Key().Name()}}})
 			}
 
 			o, ok := c.Choose(now, r, group, q)
@@ -357,7 +356,7 @@
 	c := chooser.New(chooser.DefaultSettings())
 
 	o := choose(c, now, r, query(5))
-	c.Report(now, o.Target.ID, chooser.Report{Running: 40, Slots: 64})
+	c.Report(now, o.Target, chooser.Report{Running: 40, Slots: 64})
 
 	p := choose(c, now, r, query(5))
 	is.True(p.Target.ID != o.Target.ID)
@@ -401,9 +400,9 @@
 	c := chooser.New(chooser.DefaultSettings())
 	o := choose(c, now, r, query(1))
 
-	c.Forget(nil) // A call still runs there.
+	c.Forget(&enroller.Roster{}) // A call still runs there.
 	c.Finish(now, o.Target, chooser.Good)
-	c.Forget(nil)
+	c.Forget(&enroller.Roster{})
 	c.Finish(now, o.Target, chooser.Good) // Not counted below zero.
 	is.Equal(choose(c, now, r, query(1)).Target.ID, o.Target.ID)
 }
@@ -418,15 +417,15 @@
 	o, ok := c.Choose(now, r, group, query(5))
 	is.True(ok)
 
-	c.Learn(now, chooser.News{Loads: []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 40, At: now.Add(-time.Second / 2)}}})
+	c.Learn(now, r, chooser.News{Loads: []chooser.Load{{Target: o.Target.Key().Name(), Calls: 40, At: now.Add(-time.Second / 2)}}})
 	p, ok := c.Choose(now, r, group, query(5))
 	is.True(ok)
 	is.True(p.Target.ID != o.Target.ID)
 
 	// An older word does not go before a newer one.
-	c.Report(now, o.Target.ID, chooser.Report{Running: 1, Slots: 64})
-	c.Learn(now, chooser.News{Loads: []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 40, At: now.Add(-time.Second)}}})
-	is.Equal(c.News().Loads, []chooser.Load{{Target: hasher.Name(o.Target.ID), Calls: 1, At: now}})
+	c.Report(now, o.Target, chooser.Report{Running: 1, Slots: 64})
+	c.Learn(now, r, chooser.News{Loads: []chooser.Load{{Target: o.Target.Key().Name(), Calls: 40, At: now.Add(-time.Second)}}})
+	is.Equal(c.News().Loads, []chooser.Load{{Target: o.Target.Key().Name(), Calls: 1, At: now}})
 
 	p, ok = c.Choose(now, r, group, query(5))
 	is.True(ok)
@@ -605,9 +604,20 @@
 	c := chooser.New(chooser.DefaultSettings())
 	now := time.Unix(0, 0)
 
-	i.True(!c.LearnGone(now, r, "unknown"))
-	i.True(c.LearnGone(now, r, "t0"))
-	i.True(!c.LearnGone(now, r, "t0")) // Known by now.
+	for _, p := range []enroller.Process{{ID: "unknown"}, {ID: "t0", Start: began}} {
+		c.LearnGone(now, r, p)
+		i.Equal(len(c.Beliefs()), 0) // Not on the list.
+	}
+
+	c.LearnGone(now, r, enroller.Process{ID: "t0"})
+	i.Equal(c.Beliefs(), []chooser.Belief{
+		{Cause: chooser.TargetGone, Source: chooser.Peer, Name: "t0", Process: enroller.Process{ID: "t0"}, Out: true},
+	})
+
+	c.LearnGone(now, r, enroller.Process{ID: "t0"})
+	c.Start(now, r.Known["t0"])
+	c.Finish(now, r.Known["t0"], chooser.Gone)
+	i.Equal(len(c.Beliefs()), 0) // Known by now, also when an own call finds it.
 
 	for n := range uint64(50) {
 		o, ok := c.Choose(now, r, group, query(n))
@@ -615,5 +625,13 @@
 		i.True(o.Target.ID != "t0")
 	}
 
-	i.Equal(len(c.Beliefs()), 0) // Not told again.
+	i.Equal(len(c.Beliefs()), 0)
+
+	// Back after its time, it is believed well again like one that was found gone here.
+	now = now.Add(time.Minute)
+	c.Start(now, r.Known["t0"])
+	c.Finish(now, r.Known["t0"], chooser.Good)
+	i.Equal(c.Beliefs(), []chooser.Belief{
+		{Cause: chooser.TargetGone, Source: chooser.Own, Name: "t0", Process: enroller.Process{ID: "t0"}},
+	})
 }
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -1,67 +1,13 @@
 package chooser
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/ejector"
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/hasher"
 )
 
-// Outcome is how a call at a target ended.
-type Outcome int
-
-// The outcomes.
 const (
-	// Good is an answer.
-	Good Outcome = iota
-	// Bad is a failure of the target's.
-	Bad
-	// Unreachable means that no connection was made.
-	Unreachable
-	// Shed is the target's word that it took no more.
-	Shed
-	// Gone means that another process has the target's address.
-	Gone
-	// Neither says nothing about the target: the caller left, say.
-	Neither
-)
-
-// String returns the outcome's name.
-func (o Outcome) String() string {
-	switch o {
-	case Good:
-		return "good"
-	case Bad:
-		return "bad"
-	case Unreachable:
-		return "unreachable"
-	case Shed:
-		return "shed"
-	case Gone:
-		return "gone"
-	case Neither:
-		return "neither"
-	default:
-		return "unknown"
-	}
-}
-
-const (
-	// slowLeast is the part of the time of full use above which a target's answers
-	// are slow at all, and slowTimes how many times the usual of its group they
-	// must be besides. A target that is merely busy is below both.
-	slowLeast = 0.4
-	slowTimes = 3
-	// slowWeight is how much the last answer counts against those before it.
-	slowWeight = 0.3
-	// slowSamples is how many answers it takes to judge a target.
-	slowSamples = 3
-	// slowTrial is how often a slow target is given a call, to see whether it
-	// still is.
-	slowTrial = time.Second
 	// failingMost is how long a target that fails by turns is left alone at most. A
 	// sound one must be back within seconds; trying it costs a call a repeat.
 	failingMost = 5 * time.Second
@@ -73,53 +19,20 @@
 	resortEvery = 100 * time.Millisecond
 )
 
-// pace is how fast a target's answers begin.
-type pace struct {
-	part    float64
-	samples int
-	trial   time.Time
-}
-
-// Cause is why a target or a data centre is left alone.
-type Cause string
-
-// The causes.
-const (
-	// TargetUnreachable means that no connection to a target was made.
-	TargetUnreachable Cause = "targetUnreachable"
-	// CentreUnreachable means the same of two targets of a data centre in a row.
-	CentreUnreachable Cause = "dataCentreUnreachable"
-	// TargetFailing means that a target fails again and again.
-	TargetFailing Cause = "targetFailing"
-	// TargetGone means that another process has a target's address.
-	TargetGone Cause = "targetGone"
-	// TargetSlow means that a target's answers begin much later than those of others.
-	TargetSlow Cause = "targetSlow"
-)
-
-// Belief is a change of what is believed of a target or a data centre.
-type Belief struct {
-	Cause Cause
-	// Name is the target's ID, or that of the data centre.
-	Name string
-	// Out says that it is left alone from now on, otherwise that it is back.
-	Out bool
-}
-
 // health judges targets by their answers. It is not safe for concurrent use.
 type health struct {
 	// targets and centres are those that can't be reached.
-	targets *ejector.Ejector
-	centres *ejector.Ejector
+	targets *ejector.Ejector[enroller.Key]
+	centres *ejector.Ejector[uint32]
 	// failing are the targets that can be reached and fail.
-	failing *ejector.Ejector
+	failing *ejector.Ejector[enroller.Key]
 	// gone are those at whose address another process is.
-	gone  *ejector.Ejector
-	paces map[uint32]*pace
+	gone  *ejector.Ejector[enroller.Key]
+	paces map[enroller.Key]*pace
 	// resorts is when targets of a group were last tried though none is reached.
 	resorts map[string]time.Time
 	// out are those that are left alone, and beliefs what has changed about them.
-	out     map[Belief]bool
+	out     map[mark]bool
 	beliefs []Belief
 }
 
@@ -127,45 +40,48 @@
 	return &health{
 		// One connection that is not made says enough: others are a millisecond
 		// away. It costs a few milliseconds to try again, so the times are short.
-		targets: ejector.New(ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 4 * time.Second, PanicPart: 1}),
+		targets: ejector.New[enroller.Key](ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 4 * time.Second, PanicPart: 1}),
 		// When a data centre is cut off, each of its targets would cost a call the
 		// time of a dial. Two in a row are enough to leave them all alone.
-		centres: ejector.New(ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
-		failing: ejector.New(ejector.Settings{Failures: 3, Base: time.Second, Max: failingMost, PanicPart: 0.5}),
-		// An incarnation that is gone does not come back; the list drops it seconds
+		centres: ejector.New[uint32](ejector.Settings{Failures: 2, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicPart: 1}),
+		failing: ejector.New[enroller.Key](ejector.Settings{Failures: 3, Base: time.Second, Max: failingMost, PanicPart: 0.5}),
+		// A process that is gone does not come back; the list drops it seconds
 		// later. It is tried again in case the answer was wrong.
-		gone:    ejector.New(ejector.Settings{Failures: 1, Base: goneFor, Max: goneFor, PanicPart: 1}),
-		paces:   make(map[uint32]*pace),
+		gone:    ejector.New[enroller.Key](ejector.Settings{Failures: 1, Base: goneFor, Max: goneFor, PanicPart: 1}),
+		paces:   make(map[enroller.Key]*pace),
 		resorts: make(map[string]time.Time),
-		out:     make(map[Belief]bool),
+		out:     make(map[mark]bool),
 	}
 }
 
-// usable returns the targets of a group that can be reached, and those of them that
+// usable returns the candidates of a group that can be reached, and those of them that
 // may be given a call; none when none can be reached.
-func (h *health) usable(now time.Time, group string, l []*enroller.Target) (reached, usable []*enroller.Target) {
-	r := slices.DeleteFunc(slices.Clone(l), func(t *enroller.Target) bool {
-		return !h.reached(now, t) || h.gone.Out(now, hasher.Name(t.ID))
-	})
+func (h *health) usable(now time.Time, group string, l []candidate) (reached, usable []candidate) {
+	r := keep(l, func(x candidate) bool { return h.reached(now, x.target) && !h.gone.Out(now, x.target.Key()) })
 	if len(r) == 0 {
 		r = h.lastResort(now, group, l)
 	}
 
 	reached = r
 
-	n := make([]uint32, len(r))
-	for i, t := range r {
-		n[i] = hasher.Name(t.ID)
-	}
-
 	// When most fail, the fault is more likely here than there.
-	if !h.failing.Panic(now, n) {
-		r = filter(r, func(t *enroller.Target) bool { return !h.failing.Out(now, hasher.Name(t.ID)) })
+	if !h.panic(now, r) {
+		r = filter(r, func(x candidate) bool { return !h.failing.Out(now, x.target.Key()) })
 	}
 
 	m := slowTimes * h.median(r)
 
-	return reached, filter(r, func(t *enroller.Target) bool { return !h.slow(now, t, m) })
+	return reached, filter(r, func(x candidate) bool { return !h.slow(now, x.target, m) })
+}
+
+// panic says that so many candidates fail that none is left alone for it.
+func (h *health) panic(now time.Time, l []candidate) bool {
+	k := make([]enroller.Key, len(l))
+	for i, x := range l {
+		k[i] = x.target.Key()
+	}
+
+	return h.failing.Panic(now, k)
 }
 
 // lastResort returns the targets of a group when none can be reached: all of them for
@@ -174,7 +90,7 @@
 // In a data centre that is cut off every call would try each target in turn, a dial's
 // time each, to be refused in the end: a third of a second for nothing, when its
 // caller could long be somewhere else.
-func (h *health) lastResort(now time.Time, group string, l []*enroller.Target) []*enroller.Target {
+func (h *health) lastResort(now time.Time, group string, l []candidate) []candidate {
 	if t, ok := h.resorts[group]; len(l) == 0 || ok && now.Sub(t) < resortEvery {
 		return nil
 	}
@@ -184,103 +100,29 @@
 	return l
 }
 
-// filter returns those that a test lets through, and all when there are none.
-func filter(l []*enroller.Target, f func(*enroller.Target) bool) []*enroller.Target {
-	var o []*enroller.Target
-
-	for _, t := range l {
-		if f(t) {
-			o = append(o, t)
-		}
-	}
-
-	if len(o) == 0 {
-		return l
-	}
-
-	return o
-}
-
 // well says that a target can be reached and does not fail.
 func (h *health) well(now time.Time, t *enroller.Target) bool {
-	n := hasher.Name(t.ID)
+	n := t.Key()
 
 	return h.reached(now, t) && !h.failing.Out(now, n) && !h.gone.Out(now, n)
 }
 
 func (h *health) reached(now time.Time, t *enroller.Target) bool {
-	return !h.targets.Out(now, hasher.Name(t.ID)) && !h.centres.Out(now, hasher.Name(t.DataCentre))
-}
-
-// slow says that a target's answers begin much later than usual. Calls that may
-// run once only can't leave it again, so it is found by the others' answers.
-func (h *health) slow(now time.Time, t *enroller.Target, most float64) bool {
-	p, ok := h.paces[hasher.Name(t.ID)]
-	if !ok || p.samples < slowSamples {
-		return false
-	}
-
-	x := p.part >= max(slowLeast, most)
-	h.believe(TargetSlow, t.ID, x)
-
-	if !x {
-		return false
-	}
-
-	return now.Sub(p.trial) < slowTrial
-}
-
-// median returns the usual pace of the targets.
-func (h *health) median(l []*enroller.Target) float64 {
-	var o []float64
-
-	for _, t := range l {
-		if p, ok := h.paces[hasher.Name(t.ID)]; ok && p.samples >= slowSamples {
-			o = append(o, p.part)
-		}
-	}
-
-	if len(o) == 0 {
-		return 0
-	}
-
-	slices.Sort(o)
-
-	return o[len(o)/2]
+	return !h.targets.Out(now, t.Key()) && !h.centres.Out(now, t.Centre())
 }
 
 func (h *health) start(now time.Time, t *enroller.Target) {
-	h.targets.Probe(now, hasher.Name(t.ID))
-	h.centres.Probe(now, hasher.Name(t.DataCentre))
-	h.failing.Probe(now, hasher.Name(t.ID))
+	h.targets.Probe(now, t.Key())
+	h.centres.Probe(now, t.Centre())
+	h.failing.Probe(now, t.Key())
 
-	if p, ok := h.paces[hasher.Name(t.ID)]; ok && now.Sub(p.trial) >= slowTrial {
+	if p, ok := h.paces[t.Key()]; ok && now.Sub(p.trial) >= slowTrial {
 		p.trial = now
 	}
 }
 
-func (h *health) begun(now time.Time, t *enroller.Target, part float64) {
-	n := hasher.Name(t.ID)
-
-	p, ok := h.paces[n]
-	if !ok {
-		p = &pace{part: part}
-		h.paces[n] = p
-	}
-
-	p.part += slowWeight * (part - p.part)
-	p.samples++
-
-	// A trial has shown enough; its stream may take seconds to its end, and the
-	// target would be left alone for as long.
-	if h.failing.Out(now, n) {
-		h.failing.Result(now, n, true)
-		h.believe(TargetFailing, t.ID, false)
-	}
-}
-
 func (h *health) finish(now time.Time, t *enroller.Target, o Outcome) {
-	n, c := hasher.Name(t.ID), hasher.Name(t.DataCentre)
+	n, c := t.Key(), t.Centre()
 
 	switch o {
 	case Unreachable:
@@ -308,88 +150,30 @@
 		return
 	}
 
-	h.believe(TargetUnreachable, t.ID, h.targets.Out(now, n))
-	h.believe(CentreUnreachable, t.DataCentre, h.centres.Out(now, c))
-	h.believe(TargetFailing, t.ID, h.failing.Out(now, n))
-	h.believe(TargetGone, t.ID, h.gone.Out(now, n))
-}
-
-// learnGone takes another instance's word that a target is gone, and says whether that
-// is new.
-func (h *health) learnGone(now time.Time, id string) bool {
-	n, k := hasher.Name(id), Belief{Cause: TargetGone, Name: id, Out: true}
-	if h.gone.Out(now, n) {
-		return false
-	}
-
-	h.gone.Result(now, n, false)
-	h.out[k] = true // Not among the beliefs that are told: whoever said so told all.
-
-	return true
+	h.believe(Own, TargetUnreachable, t, h.targets.Out(now, n))
+	h.believe(Own, CentreUnreachable, t, h.centres.Out(now, c))
+	h.believe(Own, TargetFailing, t, h.failing.Out(now, n))
+	h.believe(Own, TargetGone, t, h.gone.Out(now, n))
 }
 
-// believe notes a change.
-func (h *health) believe(c Cause, name string, out bool) {
-	k := Belief{Cause: c, Name: name, Out: true}
-	if h.out[k] == out {
+// learnGone takes another instance's word that a target is gone.
+func (h *health) learnGone(now time.Time, t *enroller.Target) {
+	if h.gone.Out(now, t.Key()) {
 		return
 	}
 
-	if out {
-		h.out[k] = true
-	} else {
-		delete(h.out, k)
-	}
-
-	h.beliefs = append(h.beliefs, Belief{Cause: c, Name: name, Out: out})
-}
-
-// left says that a target or its data centre is left alone.
-func (h *health) left(t *enroller.Target) bool {
-	for k := range h.out {
-		if k.Name == t.ID || k.Cause == CentreUnreachable && k.Name == t.DataCentre {
-			return true
-		}
-	}
-
-	return false
-}
-
-// cutOff returns a target in each data centre that can't be reached when fewer than half
-// of those with targets can, and none otherwise.
-func (h *health) cutOff(r *enroller.Roster) []*enroller.Target {
-	if len(h.out) == 0 {
-		return nil
-	}
-
-	all := make(map[string]bool)
-	out := make(map[string]*enroller.Target)
-
-	for _, t := range r.Known {
-		all[t.DataCentre] = true
-
-		if h.out[Belief{Cause: CentreUnreachable, Name: t.DataCentre, Out: true}] {
-			out[t.DataCentre] = t
-		}
-	}
-
-	if 2*(len(all)-len(out)) >= len(all) {
-		return nil
-	}
-
-	return slices.Collect(maps.Values(out))
+	h.gone.Result(now, t.Key(), false)
+	h.believe(Peer, TargetGone, t, true)
 }
 
-// forget drops what is known of a target, by the hash of its ID.
-func (h *health) forget(n uint32) {
-	for k := range h.out {
-		if k.Cause != CentreUnreachable && hasher.Name(k.Name) == n {
-			delete(h.out, k)
-		}
+// forget drops what is known of a process.
+func (h *health) forget(k enroller.Key) {
+	for _, c := range targetCauses {
+		delete(h.out, mark{cause: c, process: k})
 	}
 
-	h.targets.Forget(n)
-	h.failing.Forget(n)
-	h.gone.Forget(n)
-	delete(h.paces, n)
+	h.targets.Forget(k)
+	h.failing.Forget(k)
+	h.gone.Forget(k)
+	delete(h.paces, k)
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
 )
 
 // maxTried bounds the targets that a call is tried at when they can't be reached.
@@ -174,7 +175,7 @@
 	l := f.chooser.Beliefs()
 	f.mu.Unlock()
 
-	f.tellBeliefs(x, l, r.err)
+	f.tellBeliefs(l, logrus.Fields{"id": x.call.ID, "error": r.err})
 
 	return r
 }
@@ -186,9 +187,9 @@
 	return errors.As(err, &n) && n.Timeout() || errors.Is(context.Cause(c), errSlow) || errors.Is(err, context.DeadlineExceeded)
 }
 
-// tellBeliefs logs what this instance now believes of targets, with the call that
-// showed it.
-func (f *Forwarder) tellBeliefs(x *exchange, l []chooser.Belief, err error) {
+// tellBeliefs logs what this instance now believes of targets, with the fields of the call
+// that showed it, and tells other instances of those that it found gone itself.
+func (f *Forwarder) tellBeliefs(l []chooser.Belief, shown logrus.Fields) {
 	for _, b := range l {
 		e := "backInUse"
 		if b.Out {
@@ -197,11 +198,11 @@
 
 		f.meter.Left(string(b.Cause), b.Out)
 
-		if b.Cause == chooser.TargetGone && b.Out {
-			f.gone(b.Name)
+		if b.Cause == chooser.TargetGone && b.Out && b.Source == chooser.Own {
+			f.gone(b.Process)
 		}
 
-		logrus.WithFields(logrus.Fields{"event": e, "cause": b.Cause, "name": b.Name, "id": x.call.ID, "error": err}).Info()
+		logrus.WithFields(shown).WithFields(logrus.Fields{"event": e, "cause": b.Cause, "name": b.Name, "source": b.Source}).Info()
 	}
 }
 
@@ -219,7 +220,7 @@
 
 	f.dialect.Write(h, o)
 
-	a, err := f.client.send(c, x, t.Target.Address.String(), h)
+	a, err := f.client.send(c, x, t.Target, h)
 	if err != nil {
 		o := chooser.Bad
 		if errors.Is(err, errNeverSent) {
@@ -230,7 +231,7 @@
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
-	f.report(t.Target.ID, p)
+	f.report(t.Target, p)
 
 	// An answer to an earlier call may come late, where that to this one is due.
 	// Its ID shows it; passing it on would give the caller another's answer.
@@ -254,11 +255,11 @@
 	return a, p, result{}
 }
 
-func (f *Forwarder) report(id string, p Reply) {
+func (f *Forwarder) report(t *enroller.Target, p Reply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.chooser.Report(time.Now(), id, chooser.Report{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
+	f.chooser.Report(time.Now(), t, chooser.Report{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
 }
 
 // begun notes how long a target took until its answer began.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -70,8 +70,8 @@
 	// cutSince is when it was found that this instance is cut off; nil while it is not.
 	cutSince atomic.Pointer[time.Time]
 
-	// gone tells other instances of a target that is gone.
-	gone func(id string)
+	// gone tells other instances of a process that is gone.
+	gone func(p enroller.Process)
 
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -101,9 +101,9 @@
 	k := newClient(x)
 
 	return &Forwarder{
-		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(string) {},
+		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(enroller.Process) {},
 		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines), stopping: make(chan struct{}),
-	}, k.close
+	}, func() { k.kept.forget(&enroller.Roster{}) }
 }
 
 // Stop makes each answer from now on end its connection, so that callers go on
@@ -211,13 +211,14 @@
 	f.budgeter.Set(s)
 }
 
-// Forget drops what is known of targets that are no longer listed, by the hashes of
-// their IDs.
-func (f *Forwarder) Forget(known map[uint32]*enroller.Target) {
+// Forget takes a list of targets that has changed, and drops what is known of processes that
+// are not on it, and the connections that are kept to them.
+func (f *Forwarder) Forget(r *enroller.Roster) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	f.chooser.Forget(r)
+	f.mu.Unlock()
 
-	f.chooser.Forget(known)
+	f.client.kept.forget(r)
 }
 
 // Learn takes what another instance told.
@@ -225,7 +226,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.chooser.Learn(time.Now(), n)
+	f.chooser.Learn(time.Now(), f.facts.Roster(), n)
 }
 
 // Views returns the targets as this instance sees them.
@@ -236,22 +237,23 @@
 	return f.chooser.Views(time.Now(), f.facts.Roster())
 }
 
-// LearnGone takes another instance's word that targets are gone.
-func (f *Forwarder) LearnGone(ids []string) {
+// LearnGone takes another instance's word that processes of targets are gone.
+func (f *Forwarder) LearnGone(l []enroller.Process) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 
-	for _, id := range ids {
-		if f.chooser.LearnGone(time.Now(), f.facts.Roster(), id) {
-			f.meter.Left(string(chooser.TargetGone), true)
-			logrus.WithFields(logrus.Fields{"event": "leftAlone", "cause": chooser.TargetGone, "name": id, "source": "peer"}).Info()
-		}
+	for _, p := range l {
+		f.chooser.LearnGone(time.Now(), f.facts.Roster(), p)
 	}
+
+	b := f.chooser.Beliefs()
+	f.mu.Unlock()
+
+	f.tellBeliefs(b, nil)
 }
 
-// OnGone sets what is called with the ID of a target that this instance finds gone. It
+// OnGone sets what is called with a process of a target that this instance finds gone. It
 // is set before the first call comes.
-func (f *Forwarder) OnGone(g func(id string)) {
+func (f *Forwarder) OnGone(g func(p enroller.Process)) {
 	f.gone = g
 }
 
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -17,6 +17,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -50,8 +51,8 @@
 type Knowledge interface {
 	News() chooser.News
 	Learn(n chooser.News)
-	// LearnGone takes that targets are gone.
-	LearnGone(ids []string)
+	// LearnGone takes that processes are gone.
+	LearnGone(l []enroller.Process)
 }
 
 // Informer tells and is told. It is safe for concurrent use.
@@ -94,12 +95,12 @@
 	var n chooser.News
 
 	for _, h := range w.Holders {
-		n.Places = append(n.Places, chooser.Place{Key: h.Key, Target: h.Target})
+		n.Places = append(n.Places, chooser.Place{Key: h.Key, Target: enroller.Name(h.Target)})
 	}
 
 	for _, l := range w.Loads {
 		n.Loads = append(n.Loads, chooser.Load{
-			Target: l.Target, Calls: int(l.Calls), At: b.Add(-time.Duration(l.AgeMs) * time.Millisecond),
+			Target: enroller.Name(l.Target), Calls: int(l.Calls), At: b.Add(-time.Duration(l.AgeMs) * time.Millisecond),
 		})
 	}
 
@@ -108,21 +109,35 @@
 	return nil, nil //nolint:nilnil // News has no reply.
 }
 
-// Gone tells the others at once that a target is gone. Each of them would otherwise find
+// Gone tells the others at once that a process is gone. Each of them would otherwise find
 // out with a call of its own: with seventy instances and fifteen targets that crashed and
 // started again, 346 calls were turned away within two seconds, a third of them for good.
-func (i *Informer) Gone(id string) {
-	i.send(context.Background(), i.members.Live(), wire.KindGone, &wire.Gone{Targets: []string{id}})
+//
+// It names the process and not just the target: the word may come after the list has shown
+// that the target started again, and would have the new process left alone for seconds.
+func (i *Informer) Gone(p enroller.Process) {
+	i.send(context.Background(), i.members.Live(), wire.KindGone, &wire.Gone{
+		Targets: []string{p.ID}, StartsMs: []int64{p.Start.UnixMilli()},
+	})
 }
 
-// ToldGone takes what another instance tells of targets that are gone.
+// ToldGone takes what another instance tells of processes that are gone.
 func (i *Informer) ToldGone(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
 	var w wire.Gone
 	if _, err := w.UnmarshalMsg(body); err != nil {
 		return nil, errors.Mark(err, ErrNews)
 	}
 
-	i.knowledge.LearnGone(w.Targets)
+	if len(w.Targets) != len(w.StartsMs) {
+		return nil, errors.Wrapf(ErrNews, "%d targets have %d starts", len(w.Targets), len(w.StartsMs))
+	}
+
+	l := make([]enroller.Process, len(w.Targets))
+	for k, id := range w.Targets {
+		l[k] = enroller.Process{ID: id, Start: time.UnixMilli(w.StartsMs[k])}
+	}
+
+	i.knowledge.LearnGone(l)
 
 	return nil, nil //nolint:nilnil // News has no reply.
 }
@@ -140,12 +155,12 @@
 	var w wire.News
 
 	for _, p := range n.Places[:min(len(n.Places), maxList)] {
-		w.Holders = append(w.Holders, wire.Holder{Key: p.Key, Target: p.Target})
+		w.Holders = append(w.Holders, wire.Holder{Key: p.Key, Target: uint32(p.Target)})
 	}
 
 	for _, x := range n.Loads[:min(len(n.Loads), maxList)] {
 		w.Loads = append(w.Loads, wire.Load{
-			Target: x.Target, Calls: uint32(max(x.Calls, 0)), AgeMs: uint32(b.Sub(x.At).Milliseconds()), //nolint:gosec // Small.
+			Target: uint32(x.Target), Calls: uint32(max(x.Calls, 0)), AgeMs: uint32(b.Sub(x.At).Milliseconds()), //nolint:gosec // Small.
 		})
 	}
 
