--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -67,7 +67,7 @@
 	w, t := platform.World(s)
 	a := fx.New(gatekeeper.Options(y, w), fx.Populate(&g, &m))
 
-	if err := a.Err(); err != nil {
+	if err := buildError(a); err != nil {
 		return err
 	}
 
--- a/internal/commander/router.go
+++ b/internal/commander/router.go
@@ -6,6 +6,7 @@
 	"os"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"github.com/auburntray/auburntray/internal/counter"
@@ -62,9 +63,15 @@
 	return run(a, x.Stopping())
 }
 
+// buildError returns why an application can't be put together: what the operator can
+// mend, without the parts that needed it.
+func buildError(a *fx.App) error {
+	return dig.RootCause(a.Err())
+}
+
 // run starts an application, and stops it when it is told to.
 func run(a *fx.App, stopping <-chan struct{}) error {
-	if err := a.Err(); err != nil {
+	if err := buildError(a); err != nil {
 		return err
 	}
 
