--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -178,13 +178,19 @@
 	var m router.Peer
 
 	n.app = fx.New(router.Options(s), fx.Populate(&n.router, &m), fx.Decorate(func() router.Dialer { return f.network.from(centre) }))
-	if err := n.app.Start(f.t.Context()); err != nil {
+	if err := n.app.Err(); err != nil {
 		f.t.Fatal(err)
 	}
 
-	n.url = "http://" + n.router.Address().String()
+	// It is dialled as soon as it starts, so its place is noted before.
 	n.peer = netip.AddrPort(m)
 	f.network.place(n.peer, centre)
+
+	if err := n.app.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+
+	n.url = "http://" + n.router.Address().String()
 	f.nodes = append(f.nodes, n)
 	f.t.Cleanup(func() { f.stop(n) })
 
