internal/keeper, asker, registrar, filterer, router: a pause of the router is held against nobody

Cause: a router that stands still finds on waking that the times it had set ran out, and held that against those it waited for: after three pauses a target was left alone whose probes (500 ms) ran out, or one to which three calls were dialling (1 s); a home that was asked (or sent a release or report) was passed over for three seconds, so that this router decided beside it; the home of a claimed key likewise. Gateways have a guard for it (detector), routers had none.

Change: keeper, asker, registrar and filterer ask the router's detector before they hold a time that ran out against a target or a peer; refused and broken connections count as before. Whether an error is that of a time is detector.TimedOut. A call that fails because the dial before it did so less than 250 ms ago now tells that dial's cause, or it would be held against the peer in its place. Looked at and left: gossip's own timeouts (6 and 20 s; after a longer pause a router takes itself for alone until the first gossip, which waits in its connections), the list of grants (15 s, sent whole to a home that changes), orders and leases (nothing is concluded of a target; a late lease is not used), a write that is cut by a pause of two seconds (ends the connection, its other calls look broken off).

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -14,6 +14,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/matcher"
@@ -55,6 +56,11 @@
 	Sync(now time.Time, entry uint64, w wire.Sync)
 }
 
+// pauses knows when this process stood still.
+type pauses interface {
+	Stalled(since time.Time) bool
+}
+
 // Request is what a place is asked for.
 type Request struct {
 	Cell     *matcher.Cell
@@ -90,6 +96,7 @@
 	members members
 	keeper  keeper
 	counter *counter.Counter
+	pauses  pauses
 	timeout time.Duration
 
 	mu     sync.Mutex
@@ -113,9 +120,9 @@
 }
 
 // New returns an Asker without grants. The timeout bounds one ask.
-func New(m peers, l members, k keeper, n *counter.Counter, timeout time.Duration) *Asker {
+func New(m peers, l members, k keeper, n *counter.Counter, p pauses, timeout time.Duration) *Asker {
 	return &Asker{
-		peers: m, members: l, keeper: k, counter: n, timeout: timeout,
+		peers: m, members: l, keeper: k, counter: n, pauses: p, timeout: timeout,
 		asking: make(map[uint32]bool), cells: make(map[uint32]*cell), told: make(map[uint32]telling),
 	}
 }
@@ -151,6 +158,8 @@
 
 		a.moved(c, r.Cell, h)
 
+		b := time.Now()
+
 		v, err := a.call(c, h, w)
 		if err == nil {
 			return a.take(r, w, v), nil
@@ -168,7 +177,7 @@
 
 		a.counter.Add(counter.AsksFailed, 1)
 		logrus.WithFields(logrus.Fields{"event": "askFailed", "peer": h.Address, "error": err}).Warn()
-		a.members.Suspect(h.ID)
+		a.suspect(h, b, err)
 	}
 
 	a.counter.Add(counter.AskedHere, 1)
@@ -245,11 +254,26 @@
 	c, stop := context.WithTimeout(context.Background(), sendTimeout)
 	defer stop()
 
+	b := time.Now()
+
 	if err := a.peers.Send(c, h.Address, k, m); err != nil {
-		a.members.Suspect(h.ID)
+		a.suspect(h, b, err)
 	}
 }
 
+// suspect passes a home over to which a message failed that was begun at a time.
+//
+// A process that stands still finds on waking that its asks have run out of time. Each
+// of their homes would be passed over for seconds, and meanwhile this router would
+// decide in their place by what it knows itself, beside homes that are well.
+func (a *Asker) suspect(h gossiper.Member, begun time.Time, err error) {
+	if detector.TimedOut(err) && a.pauses.Stalled(begun) {
+		return
+	}
+
+	a.members.Suspect(h.ID)
+}
+
 // news says that a target's state is to be told to its home: when it changed,
 // and from time to time, for a home that is new.
 func (a *Asker) news(target uint32, s tracker.State) bool {
--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -32,6 +34,9 @@
 	// reports are what each home was told of targets, and tell makes homes ask.
 	reports map[uint64][]wire.Report
 	tell    bool
+	// err is how messages to others end, and still says that this process stood still.
+	err   error
+	still bool
 }
 
 func newNetwork() *network {
@@ -62,6 +67,10 @@
 func (n *network) Call(_ context.Context, a netip.AddrPort, _ wire.Kind, _ msgp.Marshaler, r msgp.Unmarshaler) error {
 	n.asks[id(a)]++
 
+	if n.err != nil {
+		return n.err
+	}
+
 	if n.fails(id(a)) {
 		return errors.New("gone")
 	}
@@ -76,7 +85,13 @@
 	return nil
 }
 
+func (n *network) Stalled(time.Time) bool { return n.still }
+
 func (n *network) Send(_ context.Context, a netip.AddrPort, _ wire.Kind, m msgp.Marshaler) error {
+	if n.err != nil {
+		return n.err
+	}
+
 	switch w := m.(type) {
 	case *wire.Sync:
 		n.syncs[id(a)] = append(n.syncs[id(a)], *w)
@@ -108,7 +123,7 @@
 }
 
 func newAsker(n *network) *asker.Asker {
-	return asker.New(n, n, n, counter.New(), time.Second)
+	return asker.New(n, n, n, counter.New(), n, time.Second)
 }
 
 func request() asker.Request {
@@ -179,6 +194,45 @@
 	}
 }
 
+// This router stands still while it asks a home, and on waking the ask has run out of
+// time; the home had answered. Passed over for it, the home would go on granting
+// places of which this router, deciding in its stead, knows nothing. A home that is
+// mute while this router runs, or that refuses the connection, is passed over.
+func TestAPauseIsNotHeldAgainstAHome(t *testing.T) {
+	late := errors.Mark(context.DeadlineExceeded, messenger.ErrTimeout)
+	refused := errors.Mark(syscall.ECONNREFUSED, messenger.ErrUnreachable)
+
+	for name, tc := range map[string]struct {
+		err       error
+		still     bool
+		suspected bool
+	}{
+		"stood still, out of time": {err: late, still: true},
+		"runs, out of time":        {err: late, suspected: true},
+		"stood still, refused":     {err: refused, still: true, suspected: true},
+		"runs, refused":            {err: refused, suspected: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			n := newNetwork()
+			a := newAsker(n)
+
+			p, err := a.Ask(t.Context(), request())
+			i.NoErr(err)
+
+			n.err, n.still = tc.err, tc.still
+			a.Release(p, granter.Outcome{OK: true})
+			i.Equal(n.down[2], tc.suspected)
+
+			n.down = make(map[uint64]bool)
+			p, err = a.Ask(t.Context(), request())
+			i.NoErr(err)
+			i.Equal(p.Target, uint32(7)) // decided here, so the call goes on
+			i.Equal(n.down[2], tc.suspected)
+		})
+	}
+}
+
 // What a target says of itself goes to the home only when it is news or the home
 // wants it, and then at once.
 func TestATargetsStateIsToldOnce(t *testing.T) {
--- a/internal/detector/detector.go
+++ b/internal/detector/detector.go
@@ -4,6 +4,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -65,3 +67,11 @@
 
 	return d.ended.Add(settle).After(since)
 }
+
+// TimedOut says that an error is that of a time which ran out, of which Stalled tells
+// whether it says anything.
+func TimedOut(err error) bool {
+	var t interface{ Timeout() bool }
+
+	return errors.As(err, &t) && t.Timeout()
+}
--- a/internal/detector/detector_test.go
+++ b/internal/detector/detector_test.go
@@ -1,9 +1,14 @@
 package detector_test
 
 import (
+	"context"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/detector"
@@ -50,3 +55,25 @@
 	i.Equal(d.Tick(b.Add(3200*time.Millisecond)), 3*time.Second)
 	i.Equal(d.Tick(b.Add(3300*time.Millisecond)), time.Duration(0))
 }
+
+// A connection that is refused says something of the other side also when it comes
+// just after a pause; a time that ran out does not.
+func TestTimedOut(t *testing.T) {
+	tests := map[string]struct {
+		err  error
+		want bool
+	}{
+		"nothing failed":    {},
+		"a deadline":        {err: context.DeadlineExceeded, want: true},
+		"a marked deadline": {err: errors.Mark(errors.Wrap(context.DeadlineExceeded, "asking"), errors.New("late")), want: true},
+		"a dial's time":     {err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, want: true},
+		"a refused dial":    {err: &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}},
+		"a caller's leave":  {err: context.Canceled},
+		"another error":     {err: errors.New("broken")},
+	}
+	for name, x := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(detector.TimedOut(x.err), x.want)
+		})
+	}
+}
--- a/internal/filterer/filterer_test.go
+++ b/internal/filterer/filterer_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,9 +48,13 @@
 	verdicts []asker.Place
 	granted  int
 	released int
+	// outcomes are those that the places were given back with.
+	outcomes []granter.Outcome
 	// answers are what targets answer, in turn; then they answer well.
 	answers []func() (*http.Response, error)
 	sent    int
+	// still says that this process just stood still.
+	still bool
 }
 
 func (w *world) Claim(context.Context, registrar.Claim) (registrar.Standing, error) {
@@ -84,7 +91,12 @@
 	return asker.Place{Target: hasher.Name(n)}, nil
 }
 
-func (w *world) Release(asker.Place, granter.Outcome)          { w.released++ }
+func (w *world) Release(_ asker.Place, o granter.Outcome) {
+	w.released++
+	w.outcomes = append(w.outcomes, o)
+}
+
+func (w *world) Stalled(time.Time) bool                        { return w.still }
 func (w *world) Report(asker.Place, int, tracker.State)        {}
 func (w *world) Cancel(*exchanger.Exchange)                    {}
 func (w *world) answer(b string, h http.Header) *http.Response { return response(200, b, h) }
@@ -138,7 +150,7 @@
 		filterer.Match{Force: func() *follower.Force { return f }},
 		filterer.Claim{Claims: w, Counter: n},
 		filterer.NewAttempt(w, n, filterer.Pick{Places: w, Region: "r", Counter: n},
-			filterer.Send{Targets: w, Places: w}, filterer.Relay{Targets: w, Counter: n}),
+			filterer.Send{Targets: w, Places: w, Pauses: w}, filterer.Relay{Targets: w, Counter: n}),
 	)
 	q := httptest.NewRequest(method, "/x", strings.NewReader("body"))
 	q.Header.Set(exchanger.HeaderCustomer, "c")
@@ -237,6 +249,41 @@
 	}
 }
 
+// This router stands still while it dials a target for a call, and on waking the dial
+// has run out of time. The call goes to another target, and nothing is held against the
+// first; a target that is mute while the router runs, that refuses the connection, or
+// that broke the call off, failed.
+func TestAPauseIsNotHeldAgainstATarget(t *testing.T) {
+	logrus.SetLevel(logrus.FatalLevel)
+
+	well := granter.Outcome{OK: true}
+	late := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	refused := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+
+	for name, tc := range map[string]struct {
+		err   error
+		still bool
+		want  granter.Outcome
+	}{
+		"stood still, the dial ran out": {errors.Mark(late, sender.ErrNeverSent), true, granter.Outcome{OK: true, NeverSent: true}},
+		"runs, the dial ran out":        {errors.Mark(late, sender.ErrNeverSent), false, granter.Outcome{}},
+		"stood still, refused":          {errors.Mark(refused, sender.ErrNeverSent), true, granter.Outcome{}},
+		"runs, refused":                 {errors.Mark(refused, sender.ErrNeverSent), false, granter.Outcome{}},
+		"stood still, broke off":        {errors.Mark(io.ErrUnexpectedEOF, sender.ErrBroken), true, granter.Outcome{}},
+		"stood still, sent, timed out":  {errors.Mark(late, sender.ErrBroken), true, granter.Outcome{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				w := &world{still: tc.still, answers: []func() (*http.Response, error){failing(tc.err)}}
+
+				i.Equal(w.call(http.MethodGet).Header().Get(exchanger.HeaderOutcome), string(exchanger.Ran))
+				i.Equal(w.outcomes, []granter.Outcome{tc.want, well})
+			})
+		})
+	}
+}
+
 // A body that can't be read is the caller's fault, and tells nobody anything.
 func TestABodyThatBreaksOff(t *testing.T) {
 	i := is.New(t)
--- a/internal/filterer/send.go
+++ b/internal/filterer/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/sender"
 )
@@ -21,10 +22,16 @@
 	Cancel(x *exchanger.Exchange)
 }
 
+// pauses knows when this process stood still.
+type pauses interface {
+	Stalled(since time.Time) bool
+}
+
 // Send sends the call to its target.
 type Send struct {
 	Targets targets
 	Places  places
+	Pauses  pauses
 }
 
 // Name returns the name of the step.
@@ -32,7 +39,8 @@
 
 // Apply sends the call and waits for the beginning of the answer.
 func (s Send) Apply(c context.Context, x *exchanger.Exchange) error {
-	if !sendable(x, time.Now()) {
+	b := time.Now()
+	if !sendable(x, b) {
 		return errPaused
 	}
 
@@ -40,8 +48,11 @@
 	x.Result.Sent = !errors.Is(err, sender.ErrNeverSent)
 
 	if err != nil {
-		// A deadline or a caller that hung up is not the target's fault.
-		x.Result.TargetFailed = c.Err() == nil
+		// A deadline or a caller that hung up is not the target's fault, and neither is
+		// a dial whose time ran out while this process stood still: three calls that
+		// met one pause would leave a target alone that is well.
+		p := !x.Result.Sent && detector.TimedOut(err) && s.Pauses.Stalled(b)
+		x.Result.TargetFailed = c.Err() == nil && !p
 
 		if c.Err() != nil && x.Assistant {
 			go s.Targets.Cancel(x)
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -57,6 +57,7 @@
 	force    func() *follower.Force
 	prober   prober
 	teller   teller
+	pauses   pauses
 
 	mu    sync.Mutex
 	homes map[uint32]*home
@@ -66,8 +67,10 @@
 }
 
 // New returns a Keeper without cells. Self names this router.
-func New(s granter.Settings, self uint64, force func() *follower.Force, p prober, t teller) *Keeper {
-	return &Keeper{settings: s, self: self, force: force, prober: p, teller: t, homes: make(map[uint32]*home), states: tracker.New()}
+func New(s granter.Settings, self uint64, force func() *follower.Force, p prober, t teller, x pauses) *Keeper {
+	return &Keeper{
+		settings: s, self: self, force: force, prober: p, teller: t, pauses: x, homes: make(map[uint32]*home), states: tracker.New(),
+	}
 }
 
 // Run sweeps the cells until the context ends. The function says which router is
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -116,7 +116,7 @@
 }
 
 func newKeeper(f *follower.Force, o *outside) *keeper.Keeper {
-	return keeper.New(granter.DefaultSettings(), self, func() *follower.Force { return f }, o, o)
+	return keeper.New(granter.DefaultSettings(), self, func() *follower.Force { return f }, o, o, running{})
 }
 
 // A router joins and becomes the home of a cell from one that lives on. The
--- a/internal/keeper/probe.go
+++ b/internal/keeper/probe.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/tracker"
 )
@@ -30,6 +31,11 @@
 	Probe(c context.Context, a netip.AddrPort) (Health, error)
 }
 
+// pauses knows when this process stood still.
+type pauses interface {
+	Stalled(since time.Time) bool
+}
+
 // probe asks the cell's quiet targets for their health, each in the background.
 func (k *Keeper) probe(c context.Context, now time.Time, m *matcher.Matcher, h *home) {
 	h.mu.Lock()
@@ -47,11 +53,20 @@
 	x, stop := context.WithTimeout(c, probeTimeout)
 	defer stop()
 
+	b := time.Now()
+
 	r, err := k.prober.Probe(x, t.Address)
 	if c.Err() != nil {
 		return
 	}
 
+	// A process that stands still finds on waking that the times of its probes have
+	// run out, though the targets answered, and after three such pauses it leaves
+	// targets alone that are well. That says nothing of them; the next probe does.
+	if detector.TimedOut(err) && k.pauses.Stalled(b) {
+		return
+	}
+
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -52,9 +52,11 @@
 }
 
 type peer struct {
-	mu     sync.Mutex
-	conn   *connection
+	mu   sync.Mutex
+	conn *connection
+	// failed is when the last dial failed, and cause how.
 	failed time.Time
+	cause  error
 }
 
 // New listens on an address and returns a Messenger with its clean-up
@@ -173,7 +175,7 @@
 	}
 
 	if time.Since(p.failed) < redialAfter {
-		return nil, ErrUnreachable
+		return nil, errors.Mark(p.cause, ErrUnreachable)
 	}
 
 	x, stop := context.WithTimeout(c, dialTimeout)
@@ -181,7 +183,7 @@
 
 	n, err := m.connect(x, a)
 	if err != nil {
-		p.failed = time.Now()
+		p.failed, p.cause = time.Now(), err
 
 		return nil, errors.Mark(err, ErrUnreachable)
 	}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -103,6 +104,44 @@
 	}
 }
 
+// A dial runs out of time, and the calls that come right after it fail at once. They
+// must say so as well: whoever knows that this process stood still during the dial
+// holds it against nobody, and would hold them against a peer that is well.
+func TestCallsAfterAFailedDialTellItsCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		m, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), 1, mute{}, nil)
+		i.NoErr(err)
+
+		defer stop()
+
+		b := time.Now()
+
+		var took time.Duration
+
+		for range 2 {
+			err = m.Call(t.Context(), netip.MustParseAddrPort("10.0.0.1:1"), wire.KindAsk, &wire.Ask{}, &wire.Verdict{})
+			i.True(errors.Is(err, messenger.ErrUnreachable))
+			i.True(errors.Is(err, context.DeadlineExceeded))
+
+			if took == 0 {
+				took = time.Since(b)
+			}
+		}
+
+		i.Equal(time.Since(b), took) // the second was not dialled
+	})
+}
+
+// mute is a network that drops what is sent.
+type mute struct{}
+
+func (mute) DialContext(c context.Context, _, _ string) (net.Conn, error) {
+	<-c.Done()
+
+	return nil, c.Err()
+}
+
 // Whoever reaches the port can send anything. A frame that claims gigabytes must
 // not take them, and one that is no frame ends only its own connection.
 func TestBadFramesEndTheirConnection(t *testing.T) {
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -13,6 +13,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/claimer"
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/recorder"
@@ -49,6 +50,11 @@
 	Self() gossiper.Member
 }
 
+// pauses knows when this process stood still.
+type pauses interface {
+	Stalled(since time.Time) bool
+}
+
 // Claim is one call's claim on its idempotency key.
 type Claim struct {
 	Key  uint64
@@ -69,13 +75,14 @@
 type Registrar struct {
 	peers      peers
 	members    members
+	pauses     pauses
 	partitions [partitions]*partition
 }
 
 // New returns a Registrar that has read nothing. A key is remembered for the
 // window after its claim.
-func New(l streamer.Log, p peers, m members, window time.Duration) *Registrar {
-	r := &Registrar{peers: p, members: m}
+func New(l streamer.Log, p peers, m members, x pauses, window time.Duration) *Registrar {
+	r := &Registrar{peers: p, members: m, pauses: x}
 
 	for i := range r.partitions {
 		r.partitions[i] = newPartition(l, fmt.Sprintf("claims-%02d", i), window)
@@ -123,9 +130,14 @@
 	x, stop := context.WithTimeout(c, callTimeout)
 	defer stop()
 
+	b := time.Now()
+
 	var a wire.ClaimReply
 	if err := r.peers.Call(x, h.Address, wire.KindClaim, &w, &a); err != nil {
-		if !errors.Is(err, messenger.ErrRefused) {
+		// A time that ran out while this process stood still says nothing of the
+		// home. Passed over for it, the home of all keys of its partitions moves for
+		// some seconds, and each claim meanwhile reads the partition again elsewhere.
+		if !errors.Is(err, messenger.ErrRefused) && (!detector.TimedOut(err) || !r.pauses.Stalled(b)) {
 			r.members.Suspect(h.ID)
 		}
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -32,6 +33,11 @@
 func (alone) Suspect(uint64)        {}
 func (alone) Self() gossiper.Member { return gossiper.Member{ID: 1} }
 
+// process is a fake of this process; true says that it just stood still.
+type process bool
+
+func (p process) Stalled(time.Time) bool { return bool(p) }
+
 // peers answers calls to the home; without a registrar it can't be reached.
 type peers struct {
 	home *registrar.Registrar
@@ -92,7 +98,7 @@
 	r, stop := recorder.New(a, "dc-1")
 	t.Cleanup(stop)
 
-	return registrar.New(r, p, alone{home}, time.Hour)
+	return registrar.New(r, p, alone{home}, process(false), time.Hour)
 }
 
 func claim(key, id uint64) registrar.Claim {
@@ -184,6 +190,55 @@
 	}
 }
 
+// watched notes that the home was passed over.
+type watched struct {
+	alone
+	suspected bool
+}
+
+func (w *watched) Suspect(uint64) { w.suspected = true }
+
+// failing fails each call.
+type failing struct{ err error }
+
+func (f failing) Call(context.Context, netip.AddrPort, wire.Kind, msgp.Marshaler, msgp.Unmarshaler) error {
+	return f.err
+}
+
+// This router stands still while it asks a key's home for a claim, and on waking the
+// time of the call has run out. The home is not passed over for it; one that is mute
+// while this router runs, or refuses the connection, is. The call goes on either way.
+func TestAPauseIsNotHeldAgainstAKeysHome(t *testing.T) {
+	late := errors.Mark(context.DeadlineExceeded, messenger.ErrTimeout)
+	refused := errors.Mark(syscall.ECONNREFUSED, messenger.ErrUnreachable)
+
+	for name, tc := range map[string]struct {
+		err       error
+		still     process
+		suspected bool
+	}{
+		"stood still, out of time": {err: late, still: true},
+		"runs, out of time":        {err: late, suspected: true},
+		"stood still, refused":     {err: refused, still: true, suspected: true},
+		"runs, refused":            {err: refused, suspected: true},
+		"the home could not":       {err: messenger.ErrRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			_, a := newLog(t)
+
+			l, stop := recorder.New(a, "dc-1")
+			defer stop()
+
+			m := &watched{alone: alone{home: 2}}
+			s, err := registrar.New(l, failing{err: tc.err}, m, tc.still, time.Hour).Claim(t.Context(), claim(1, 1))
+			i.NoErr(err)
+			i.Equal(s.Outcome, claimer.Won)
+			i.Equal(m.suspected, tc.suspected)
+		})
+	}
+}
+
 func healthy(t *testing.T, a netip.AddrPort) *peers {
 	t.Helper()
 
@@ -203,7 +258,7 @@
 func TestOnlyTheSenderReleases(t *testing.T) {
 	i := is.New(t)
 	_, a := newLog(t)
-	blind := &peers{home: registrar.New(&blindLog{t: t, address: a}, nil, alone{1}, time.Hour)}
+	blind := &peers{home: registrar.New(&blindLog{t: t, address: a}, nil, alone{1}, process(false), time.Hour)}
 	entry := newRegistrar(t, a, 2, blind)
 
 	s, err := entry.Claim(t.Context(), claim(1, 1))
@@ -307,7 +362,7 @@
 	x, stop := recorder.New(netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")), "dc-1")
 	defer stop()
 
-	r := registrar.New(x, nil, alone{1}, time.Hour)
+	r := registrar.New(x, nil, alone{1}, process(false), time.Hour)
 	n := uint64(0)
 
 	for b.Loop() {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,7 @@
 	pipeline  *filterer.Pipeline
 	drainer   *drainer.Drainer
 	counter   *counter.Counter
+	stalls    *stalls
 
 	server   *http.Server
 	listener net.Listener
@@ -67,6 +68,7 @@
 			newID,
 			newPeer,
 			newDialer,
+			newStalls,
 			newSelf,
 			newTracer,
 			newMessenger,
@@ -124,13 +126,13 @@
 }
 
 func newParts(s resolver.Router, self gossiper.Member, m *messenger.Messenger, r *recorder.Recorder,
-	t *sender.Sender, n *counter.Counter,
+	t *sender.Sender, n *counter.Counter, p *stalls,
 ) parts {
 	var o parts
 
 	b := time.Now()
 	o.Keeper = keeper.New(granterSettings(s), self.ID, func() *follower.Force { return o.Follower.Force() }, t,
-		teller{messenger: m, joiner: func() *joiner.Joiner { return o.Joiner }, keeper: func() *keeper.Keeper { return o.Keeper }})
+		teller{messenger: m, joiner: func() *joiner.Joiner { return o.Joiner }, keeper: func() *keeper.Keeper { return o.Keeper }}, p)
 	o.Follower = follower.New(r, m, func(f *follower.Force) { changed(&o, f) }, func() bool { return responsible(o.Joiner, checkpointKey, b) }, s.CheckpointEvery)
 
 	g := gossiper.New(gossiper.DefaultSettings(), mathrand.New(mathrand.NewPCG(self.ID, 0)), self) //nolint:gosec // Spreads messages.
@@ -139,8 +141,8 @@
 		Ahead:    aheadOf(o.Follower),
 		Seen:     o.Keeper.Seen,
 	})
-	o.Asker = asker.New(m, o.Joiner, o.Keeper, n, s.AskTimeout)
-	o.Registrar = registrar.New(r, m, o.Joiner, s.ClaimWindow)
+	o.Asker = asker.New(m, o.Joiner, o.Keeper, n, p, s.AskTimeout)
+	o.Registrar = registrar.New(r, m, o.Joiner, p, s.ClaimWindow)
 	o.Orderer = orderer.New(r, t, n, self.ID)
 	o.Drainer = drainer.New(s.DrainNotice, s.MaxInFlight)
 
@@ -160,7 +162,7 @@
 }
 
 func newPipeline(s resolver.Router, t trace.Tracer, d *drainer.Drainer, f *follower.Follower, a *asker.Asker,
-	g *registrar.Registrar, x *sender.Sender, n *counter.Counter,
+	g *registrar.Registrar, x *sender.Sender, n *counter.Counter, p *stalls,
 ) *filterer.Pipeline {
 	return filterer.New(d, g, n, t,
 		filterer.Accept{MaxBody: int64(s.MaxBody)},
@@ -169,7 +171,7 @@
 		filterer.Claim{Claims: g, Counter: n},
 		filterer.NewAttempt(a, n,
 			filterer.Pick{Places: a, Region: s.Region, Counter: n},
-			filterer.Send{Targets: x, Places: a},
+			filterer.Send{Targets: x, Places: a, Pauses: p},
 			filterer.Relay{Targets: x, Counter: n},
 		),
 	)
@@ -191,6 +193,7 @@
 	Pipeline  *filterer.Pipeline
 	Drainer   *drainer.Drainer
 	Counter   *counter.Counter
+	Stalls    *stalls
 }
 
 func newRouter(i routerIn) (*Router, error) {
@@ -202,7 +205,7 @@
 	r := &Router{
 		settings: i.Settings, follower: i.Follower, joiner: i.Joiner, keeper: i.Keeper, asker: i.Asker,
 		orderer: i.Orderer, messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, drainer: i.Drainer,
-		counter: i.Counter, listener: l,
+		counter: i.Counter, stalls: i.Stalls, listener: l,
 	}
 	r.register(i.Registrar)
 	r.follow()
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -52,6 +52,7 @@
 	r.stop = stop
 
 	r.messenger.Serve()
+	r.background(func() { r.stalls.run(c) })
 	r.background(func() { r.joiner.Run(c) })
 	r.background(func() { r.follower.Run(c) })
 	r.background(func() { r.asker.Run(c) })
