--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -19,6 +19,7 @@
 	"github.com/auburntray/auburntray/internal/parser"
 	"github.com/auburntray/auburntray/internal/recorder"
 	"github.com/auburntray/auburntray/internal/standin/platform"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 func newLog(t *testing.T, retention time.Duration) (*platform.Platform, *recorder.Recorder) {
@@ -79,20 +80,6 @@
 	return f, &back
 }
 
-func eventually(t *testing.T, f func() bool) {
-	t.Helper()
-
-	for range 400 {
-		if f() {
-			return
-		}
-
-		time.Sleep(25 * time.Millisecond)
-	}
-
-	t.Fatal("not in ten seconds")
-}
-
 // The log is down for a while and then back. What was in force stays in force,
 // and changes made since come in without a step back.
 func TestAnOutageKeepsWhatIsInForce(t *testing.T) {
@@ -101,7 +88,7 @@
 	publish(t, r, 0, 1)
 
 	f, back := start(t, r, false)
-	eventually(t, func() bool { return f.Revision() == 1 })
+	waiter.Until(t, "the revision", func() bool { return f.Revision() == 1 })
 
 	p.SetFaults(platform.Faults{Outage: true})
 	time.Sleep(100 * time.Millisecond)
@@ -109,7 +96,7 @@
 
 	p.SetFaults(platform.Faults{})
 	publish(t, r, 1, 2)
-	eventually(t, func() bool { return f.Revision() == 2 })
+	waiter.Until(t, "the revision", func() bool { return f.Revision() == 2 })
 	i.Equal(f.Force().State.Document.Customers["c"].Weight, 2.0)
 	i.Equal(back.Load(), int64(0))
 }
@@ -122,17 +109,17 @@
 	publish(t, r, 0, 1)
 
 	f, _ := start(t, r, true)
-	eventually(t, func() bool { return f.Revision() == 1 })
+	waiter.Until(t, "the revision", func() bool { return f.Revision() == 1 })
 
 	publish(t, r, 1, 3)
-	eventually(t, func() bool { return f.Revision() > 1 })
-	eventually(t, func() bool { // the changes are gone
+	waiter.Until(t, "the revision", func() bool { return f.Revision() > 1 })
+	waiter.Until(t, "the end of the older records", func() bool { // the changes are gone
 		b, err := r.Read(t.Context(), follower.Stream, 0, 0)
 
 		return err == nil && b.Oldest >= f.Revision()
 	})
 
 	g, _ := start(t, r, false)
-	eventually(t, func() bool { return g.Revision() == f.Revision() })
+	waiter.Until(t, "the revision", func() bool { return g.Revision() == f.Revision() })
 	i.Equal(g.Force().State.Document.Customers["c"].Weight, 3.0)
 }
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -24,6 +24,7 @@
 	"github.com/auburntray/auburntray/internal/forwarder"
 	"github.com/auburntray/auburntray/internal/gatekeeper"
 	"github.com/auburntray/auburntray/internal/standin/porter"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
@@ -203,20 +204,6 @@
 }
 
 // eventually waits for a state for some seconds.
-func eventually(t *testing.T, f func() bool) {
-	t.Helper()
-
-	for range 400 {
-		if f() {
-			return
-		}
-
-		time.Sleep(10 * time.Millisecond)
-	}
-
-	t.Fatal("it did not come")
-}
-
 func status(t *testing.T, url string, want int) func() bool {
 	t.Helper()
 
@@ -245,7 +232,7 @@
 	is.Equal(n, http.StatusServiceUnavailable) // There is nobody to serve a call.
 
 	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") }))
-	eventually(t, status(t, s.ready+"/ready", http.StatusOK))
+	waiter.Until(t, "the status 200", status(t, s.ready+"/ready", http.StatusOK))
 
 	n, b, _ := get(t, s.callers+"/x/")
 	is.Equal(n, http.StatusOK)
@@ -265,10 +252,10 @@
 			s := open(t)
 			s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") }))
 			s.config.put(t, "config", catalog(2, []string{"k"}, "/x/"))
-			eventually(t, status(t, s.callers+"/x/", http.StatusOK))
+			waiter.Until(t, "the status 200", status(t, s.callers+"/x/", http.StatusOK))
 
 			s.config.put(t, "config", catalog(5, []string{"other"}, "/x/"))
-			eventually(t, status(t, s.callers+"/x/", http.StatusUnauthorized))
+			waiter.Until(t, "the status 401", status(t, s.callers+"/x/", http.StatusUnauthorized))
 
 			s.config.put(t, "config", old)
 			time.Sleep(300 * time.Millisecond)
@@ -290,7 +277,7 @@
 		_, _ = fmt.Fprint(w, "whole")
 	}))
 	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
-	eventually(t, status(t, s.ready+"/ready", http.StatusOK))
+	waiter.Until(t, "the status 200", status(t, s.ready+"/ready", http.StatusOK))
 
 	type result struct {
 		status     int
@@ -309,7 +296,7 @@
 
 	go func() { stopped <- s.app.Stop(context.Background()) }()
 
-	eventually(t, status(t, s.ready+"/ready", http.StatusServiceUnavailable))
+	waiter.Until(t, "the status 503", status(t, s.ready+"/ready", http.StatusServiceUnavailable))
 
 	go func() {
 		n, b, h := getBy(t, &http.Transport{}, s.callers+"/x/")
@@ -342,12 +329,12 @@
 			x := target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") })
 			s.targets.put(t, "t1", x)
 			s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
-			eventually(t, status(t, s.callers+"/x/", http.StatusOK))
+			waiter.Until(t, "the status 200", status(t, s.callers+"/x/", http.StatusOK))
 
 			b := time.Now()
 
 			leave(t, s, x)
-			eventually(t, status(t, s.callers+"/x/", http.StatusServiceUnavailable))
+			waiter.Until(t, "the status 503", status(t, s.callers+"/x/", http.StatusServiceUnavailable))
 			is.True(time.Since(b) < 2*time.Second)
 		})
 	}
@@ -359,7 +346,7 @@
 	s := open(t)
 	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") }))
 	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
-	eventually(t, status(t, s.callers+"/x/", http.StatusOK))
+	waiter.Until(t, "the status 200", status(t, s.callers+"/x/", http.StatusOK))
 
 	for _, x := range []*stream{s.config, s.targets} {
 		x.mu.Lock()
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -21,6 +21,7 @@
 	"github.com/auburntray/auburntray/internal/recorder"
 	"github.com/auburntray/auburntray/internal/registrar"
 	"github.com/auburntray/auburntray/internal/standin/platform"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -181,7 +182,7 @@
 			p.SetFaults(platform.Faults{})
 
 			// The lost claim is released in the background; the next try wins.
-			eventually(t, func() bool {
+			waiter.Until(t, "the release of the lost claim", func() bool {
 				s, err := r.Claim(t.Context(), claim(1, 2))
 
 				return err == nil && s.Outcome == claimer.Won
@@ -340,20 +341,6 @@
 	i.True(p.Appends() < 50)
 }
 
-func eventually(t *testing.T, f func() bool) {
-	t.Helper()
-
-	for range 200 {
-		if f() {
-			return
-		}
-
-		time.Sleep(50 * time.Millisecond)
-	}
-
-	t.Fatal("not in ten seconds")
-}
-
 func BenchmarkClaim(b *testing.B) {
 	p := platform.New(platform.Settings{Retention: time.Hour, AppendsPerSecond: 1e6})
 	s := httptest.NewServer(p.Handler())
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -24,6 +24,7 @@
 	"github.com/auburntray/auburntray/internal/standin/engine"
 	"github.com/auburntray/auburntray/internal/standin/platform"
 	"github.com/auburntray/auburntray/internal/standin/service"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 	"github.com/auburntray/auburntray/pkg/publisher"
 )
 
@@ -141,7 +142,7 @@
 	f.t.Helper()
 
 	n := f.start(centre)
-	f.eventually(func() bool { return n.metric(counter.Revision) > 0 })
+	waiter.Until(f.t, "the revision", func() bool { return n.metric(counter.Revision) > 0 })
 
 	return n
 }
@@ -215,7 +216,7 @@
 // together waits until the routers know each other.
 func (f *fleet) together() {
 	f.t.Helper()
-	f.eventually(func() bool {
+	waiter.Until(f.t, "the acquaintance of all routers", func() bool {
 		for _, n := range f.nodes {
 			if n.metric(counter.Routers) != int64(len(f.nodes)) {
 				return false
@@ -226,20 +227,6 @@
 	})
 }
 
-func (f *fleet) eventually(g func() bool) {
-	f.t.Helper()
-
-	for range 600 {
-		if g() {
-			return
-		}
-
-		time.Sleep(25 * time.Millisecond)
-	}
-
-	f.t.Fatal("not in fifteen seconds")
-}
-
 // dead returns an address where nothing listens.
 func (f *fleet) dead() netip.AddrPort {
 	s := httptest.NewServer(nil)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -23,6 +23,7 @@
 	"github.com/auburntray/auburntray/internal/standin/engine"
 	"github.com/auburntray/auburntray/internal/standin/platform"
 	"github.com/auburntray/auburntray/internal/standin/service"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // Engines break connections in the middle of answers. Many callers stream at
@@ -97,9 +98,9 @@
 	)
 
 	g.Go(func() { r = a.chat(t.Context(), "review", 300, true) })
-	f.eventually(func() bool { return a.metric(counter.InFlight) == 1 })
+	waiter.Until(t, "the calls in progress", func() bool { return a.metric(counter.InFlight) == 1 })
 	g.Go(func() { f.stop(a) })
-	f.eventually(func() bool {
+	waiter.Until(t, "the refusal of new calls", func() bool {
 		x := a.chat(t.Context(), "late", 1, false)
 
 		return x.err == nil && x.outcome() == string(exchanger.NotRun) && x.header.Get("Retry-After") != ""
@@ -136,7 +137,7 @@
 		g.Go(func() { b.chat(c, "busy "+strconv.Itoa(k), 2000, true) })
 	}
 
-	f.eventually(func() bool { return b.metric(counter.InFlight) == 3 })
+	waiter.Until(t, "the calls in progress", func() bool { return b.metric(counter.InFlight) == 3 })
 
 	place := make(map[string]string)
 
@@ -147,7 +148,7 @@
 
 	end()
 	g.Wait()
-	f.eventually(func() bool { return b.metric(counter.InFlight) == 0 })
+	waiter.Until(t, "the calls' end", func() bool { return b.metric(counter.InFlight) == 0 })
 	f.stop(a)
 
 	for q, p := range place {
@@ -236,7 +237,7 @@
 			}
 
 			n := f.add("dc-1")
-			f.eventually(func() bool { return !tc.gone || n.metric(counter.Revision) == 2 })
+			waiter.Until(t, "the revision", func() bool { return !tc.gone || n.metric(counter.Revision) == 2 })
 			f.services[0].SetFaults(tc.service)
 			f.platform.SetFaults(tc.log)
 
@@ -295,18 +296,18 @@
 	f.target("late", "engine", f.dead())
 	r := int64(f.publish(1))
 
-	f.eventually(func() bool { return a.metric(counter.Revision) == r })
-	f.eventually(func() bool { return b.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return a.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return b.metric(counter.Revision) == r })
 
 	c := f.start("dc-2")
-	f.eventually(func() bool { return c.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return c.metric(counter.Revision) == r })
 
 	f.platform.SetFaults(platform.Faults{})
 	f.target("later", "engine", f.dead())
 
 	next := int64(f.publish(uint64(r)))
 	for _, n := range f.nodes {
-		f.eventually(func() bool {
+		waiter.Until(t, "the revision", func() bool {
 			v := n.metric(counter.Revision)
 			i.True(v >= r)
 
@@ -327,7 +328,7 @@
 	i.Equal(n.chat(t.Context(), "q", 1, false).outcome(), string(exchanger.NotRun))
 
 	f.platform.SetFaults(platform.Faults{})
-	f.eventually(func() bool { return n.do(t.Context(), http.MethodGet, "/readyz", "", "").status == http.StatusOK })
+	waiter.Until(t, "readiness", func() bool { return n.do(t.Context(), http.MethodGet, "/readyz", "", "").status == http.StatusOK })
 }
 
 // A target leaves: by the platform's list, by the operators, or by its own word.
@@ -355,7 +356,7 @@
 
 			k := 0
 
-			f.eventually(func() bool {
+			waiter.Until(t, "the last call to the target that left", func() bool {
 				for range 8 {
 					k++
 
@@ -384,11 +385,11 @@
 	var g sync.WaitGroup
 
 	g.Go(func() { n.chat(c, "q", 2000, true) })
-	f.eventually(func() bool { return f.engines[0].Running() == 1 })
+	waiter.Until(t, "the engine's call", func() bool { return f.engines[0].Running() == 1 })
 	hangUp()
-	f.eventually(func() bool { return f.engines[0].Running() == 0 && f.engines[0].Canceled() == 1 })
+	waiter.Until(t, "the cancellation", func() bool { return f.engines[0].Running() == 0 && f.engines[0].Canceled() == 1 })
 	g.Wait()
-	f.eventually(func() bool { return n.metric(counter.InFlight) == 0 })
+	waiter.Until(t, "the calls' end", func() bool { return n.metric(counter.InFlight) == 0 })
 }
 
 func TestBadInputIsRefused(t *testing.T) {
@@ -476,7 +477,7 @@
 	r := int64(f.publish(1))
 	a, b := f.add("dc-1"), f.add("dc-2")
 	f.together()
-	f.eventually(func() bool { return a.metric(counter.Revision) == r && b.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return a.metric(counter.Revision) == r && b.metric(counter.Revision) == r })
 
 	f.platform.SetFaults(platform.Faults{Cut: []string{"dc-2"}})
 	f.network.isolate("dc-2")
@@ -499,13 +500,13 @@
 
 	f.target("late", "engine", f.dead())
 	next := int64(f.publish(uint64(r)))
-	f.eventually(func() bool { return a.metric(counter.Revision) == next })
+	waiter.Until(t, "the revision", func() bool { return a.metric(counter.Revision) == next })
 	i.Equal(b.metric(counter.Revision), r)
 
 	f.platform.SetFaults(platform.Faults{})
 	f.network.isolate("")
 	f.together()
-	f.eventually(func() bool { return b.metric(counter.Revision) == next })
+	waiter.Until(t, "the revision", func() bool { return b.metric(counter.Revision) == next })
 	served(a, "c")
 	served(b, "d")
 }
@@ -534,7 +535,7 @@
 	n := f.startWith("dc-1", func(r *resolver.Router) {
 		r.TraceEndpoint, r.TraceSample = strings.TrimPrefix(collector.URL, "http://"), 1
 	})
-	f.eventually(func() bool { return n.metric(counter.Revision) > 0 })
+	waiter.Until(t, "the revision", func() bool { return n.metric(counter.Revision) > 0 })
 	i.Equal(n.chat(t.Context(), "q", 2, true).outcome(), string(exchanger.Ran))
 	i.Equal(n.do(t.Context(), http.MethodPost, "/book", "k", "").outcome(), string(exchanger.Ran))
 	f.stop(n)
--- a/internal/router/tls_test.go
+++ b/internal/router/tls_test.go
@@ -25,6 +25,7 @@
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/resolver"
 	"github.com/auburntray/auburntray/internal/standin/service"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // certificate writes a certificate for loopback and its key, and returns the
@@ -94,7 +95,7 @@
 	n := f.startWith("dc-1", func(r *resolver.Router) {
 		r.CallerCert, r.CallerKey, r.TargetTLS, r.TargetCA = cert, key, true, cert
 	})
-	f.eventually(func() bool { return n.metric(counter.Revision) == 2 })
+	waiter.Until(t, "the revision", func() bool { return n.metric(counter.Revision) == 2 })
 
 	roots := x509.NewCertPool()
 	b, err := os.ReadFile(cert)
@@ -124,7 +125,7 @@
 
 	f.target("s0", "service", netip.MustParseAddrPort(strings.TrimPrefix(stranger.URL, "https://")))
 	f.publish(2)
-	f.eventually(func() bool { return n.metric(counter.Revision) == 3 })
+	waiter.Until(t, "the revision", func() bool { return n.metric(counter.Revision) == 3 })
 	i.Equal(book("two"), "notRun") // and truly: no connection was made
 	i.Equal(s.Counts()["two"], 0)
 }
