--- /dev/null
+++ b/internal/gatekeeper/construct.go
@@ -0,0 +1,120 @@
+package gatekeeper
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.opentelemetry.io/otel/trace"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/auburntray/auburntray/internal/budgeter"
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/drainer"
+	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/informer"
+	"github.com/auburntray/auburntray/internal/joiner"
+	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/meter"
+	"github.com/auburntray/auburntray/internal/repeater"
+	"github.com/auburntray/auburntray/internal/tracer"
+	"github.com/auburntray/auburntray/internal/watcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const (
+	// maxCalls is how many calls may be in progress; with some 50 KB each they fit
+	// the memory of the smallest instances.
+	maxCalls = 4096
+	// patience is how long callers wait that do not say.
+	patience = 30 * time.Second
+	// drainNotice is how long a balancer that asks once a second, and believes
+	// two answers, takes to send no more.
+	drainNotice = 2500 * time.Millisecond
+	// stopMost bounds a stop when the settings change to a time without reason.
+	stopMost = time.Hour
+	// configRest and targetRest are the pauses between two reads of a stream that
+	// changes all the time. Each read has a price; a change must be known within
+	// two seconds.
+	configRest = 100 * time.Millisecond
+	targetRest = 600 * time.Millisecond
+)
+
+// Options returns the fx options of a gateway. The application serves when it
+// starts, and stops as planned when it stops.
+func Options(s Settings, w World) fx.Option {
+	return fx.Options(
+		fx.Supply(s, w),
+		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newForwarder, newGatekeeper),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(stopMost),
+		fx.Invoke(func(l fx.Lifecycle, g *Gatekeeper) {
+			l.Append(fx.Hook{OnStart: g.Start, OnStop: g.Stop})
+		}),
+	)
+}
+
+func newTracer(s Settings) (trace.Tracer, error) {
+	t, _, err := tracer.New(context.Background(), "", s.Name, 0)
+
+	return t, err
+}
+
+func newForwarder(l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer, m *meter.Meter) *forwarder.Forwarder {
+	x, stop := forwarder.New(
+		forwarder.Settings{DataCentre: s.DataCentre, Patience: patience, MaxBody: maxBody},
+		w.Dialect, f, t, m, &net.Dialer{}, chooser.New(chooser.DefaultSettings()), budgeter.New(s.Retries, time.Now()))
+	f.dropped = x.Forget
+
+	l.Append(fx.Hook{OnStop: func(context.Context) error {
+		stop()
+
+		return nil
+	}})
+
+	return x
+}
+
+// parts are what a Gatekeeper runs.
+type parts struct {
+	fx.In
+
+	Settings  Settings
+	World     World
+	Facts     *facts
+	Forwarder *forwarder.Forwarder
+	Messenger *messenger.Messenger
+	Joiner    *joiner.Joiner
+	Repeater  *repeater.Repeater
+	Meter     *meter.Meter
+}
+
+func newGatekeeper(p parts) *Gatekeeper {
+	s, w, f, x, m, j, r := p.Settings, p.World, p.Facts, p.Forwarder, p.Messenger, p.Joiner, p.Repeater
+
+	const config, targets = "config", "targets"
+
+	c, t := r.Stream(config, w.Config), r.Stream(targets, w.Targets)
+	f.heard = c.Heard
+	m.Handle(wire.KindStream, r.Answer)
+	m.Handle(wire.KindGossip, j.Gossip)
+
+	i := informer.New(m, j, x)
+	m.Handle(wire.KindNews, i.Told)
+	m.Handle(wire.KindGone, i.ToldGone)
+	x.OnGone(i.Gone)
+
+	g := &Gatekeeper{
+		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, informer: i, drainer: drainer.New(drainNotice, maxCalls),
+		watchers: []*watcher.Watcher{
+			watcher.New(config, c, &configSink{facts: f, key: w.ConfigKey, decode: w.DecodeConfig}, configRest),
+			watcher.New(targets, t, &targetSink{facts: f, decode: w.DecodeTarget, offsets: make(map[string]int64)}, targetRest),
+		},
+	}
+	g.stop.Store(int64(s.Stop))
+	g.handle(w.ReadyPath, p.Meter)
+	g.follow(p.Meter)
+
+	return g
+}
--- /dev/null
+++ b/internal/gatekeeper/metrics.go
@@ -0,0 +1,26 @@
+package gatekeeper
+
+import (
+	"time"
+
+	"github.com/auburntray/auburntray/internal/meter"
+)
+
+// follow connects the metrics that are read where they stand.
+func (g *Gatekeeper) follow(m *meter.Meter) {
+	m.Follow("catalog_version", func() float64 { return float64(g.facts.version()) })
+	m.Follow("catalog_age_seconds", func() float64 { return time.Since(g.facts.heard()).Seconds() })
+	m.Follow("targets", func() float64 { return float64(len(g.facts.Roster().Known)) })
+	m.Follow("instances", func() float64 { return float64(g.facts.Instances()) })
+	m.Follow("calls_running", func() float64 { return float64(g.drainer.Running()) })
+	m.Follow("control_bytes_sent", func() float64 { s, _ := g.messenger.Traffic().Bytes(); return float64(s) })
+	m.Loads(func() []meter.Load {
+		var o []meter.Load
+		for _, v := range g.forwarder.Views() {
+			o = append(o, meter.Load{Target: v.Target.ID, Group: v.Target.Group, Calls: v.Load, Left: v.Left})
+		}
+
+		return o
+	})
+	m.Follow("control_bytes_received", func() float64 { _, n := g.messenger.Traffic().Bytes(); return float64(n) })
+}
--- /dev/null
+++ b/internal/gatekeeper/run.go
@@ -0,0 +1,92 @@
+package gatekeeper
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/detector"
+)
+
+const (
+	// settleEvery is how late the end of a grace may be noticed.
+	settleEvery = 100 * time.Millisecond
+	// lookEvery is how late a cut, or its end, may be noticed. The balancer asks once a
+	// second and believes two answers.
+	lookEvery = 300 * time.Millisecond
+	// sweepEvery is how late an idle connection may be closed.
+	sweepEvery = time.Second
+)
+
+// Start serves callers and follows the streams in the background.
+func (g *Gatekeeper) Start(c context.Context) error {
+	for _, s := range []struct {
+		server  *http.Server
+		address netip.AddrPort
+	}{{g.callers, g.settings.Callers}, {g.ready, g.settings.Ready}, {g.metrics, g.settings.Metrics}} {
+		if !s.address.IsValid() {
+			continue
+		}
+
+		l, err := (&net.ListenConfig{}).Listen(c, "tcp", s.address.String())
+		if err != nil {
+			return errors.Mark(err, ErrStart)
+		}
+
+		g.background(func() {
+			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				logrus.WithFields(logrus.Fields{"event": "serveFailed", "error": err}).Error()
+			}
+		})
+	}
+
+	x, end := context.WithCancel(context.Background())
+	g.end = end
+
+	g.background(func() { every(x, settleEvery, g.facts.settle) })
+	g.background(func() { every(x, lookEvery, func() { g.forwarder.Look(x) }) })
+	g.background(func() { every(x, detector.TickEvery, g.facts.tick) })
+	g.background(func() { every(x, sweepEvery, func() { g.idler.Sweep() }) })
+	g.messenger.Serve()
+	g.background(func() { g.joiner.Run(x) })
+	g.background(func() { g.informer.Run(x) })
+
+	for _, w := range g.watchers {
+		g.background(func() { w.Run(x) })
+	}
+
+	logrus.WithFields(logrus.Fields{
+		"event": "started", "name": g.settings.Name, "dataCentre": g.settings.DataCentre, "callers": g.settings.Callers,
+	}).Info()
+
+	return nil
+}
+
+func (g *Gatekeeper) background(f func()) {
+	g.group.Add(1)
+
+	go func() {
+		defer g.group.Done()
+		f()
+	}()
+}
+
+// every calls a function again and again until the context ends.
+func every(c context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			f()
+		case <-c.Done():
+			return
+		}
+	}
+}
