internal/router: a test that the guard against pauses ticks

Cause: the guard rests on ticks of the router. Without them each time that ran out would pass for a pause, no test would fail, and a mute target would never be left alone.

Measured: fails (no tick in 30 s) with the ticks taken out of Start, passes with them.

--- a/internal/router/export_test.go
+++ b/internal/router/export_test.go
@@ -1,5 +1,7 @@
 package router
 
+import "time"
+
 // Home says whether this router is the home of a cell.
 func (r *Router) Home(cell uint32) bool {
 	x := r.follower.Force().Matcher.Cell(cell)
@@ -12,3 +14,6 @@
 	r.stop()
 	r.messenger.Close()
 }
+
+// Stalled says that the router believes that its process stood still since a time.
+func (r *Router) Stalled(since time.Time) bool { return r.stalls.Stalled(since) }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/recorder"
@@ -511,6 +512,19 @@
 	served(b, "d")
 }
 
+// The guard against pauses rests on ticks. Had they ended, or never begun, each time
+// that runs out would pass for a pause of the router's own, and a target or a home that
+// is mute would never be left alone.
+func TestARouterThatRunsDoesNotTakeItselfForPaused(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	n := f.add("dc-1")
+
+	for range 3 {
+		waiter.Until(t, "a tick", func() bool { return !n.router.Stalled(time.Now()) })
+		time.Sleep(5 * detector.TickEvery)
+	}
+}
+
 // An operator looks for the hop on which a slow call spent its time. Each step has
 // a span in the call's own trace, and targets are told of it.
 func TestTraces(t *testing.T) {
