--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -24,6 +24,7 @@
 	"github.com/auburntray/auburntray/internal/standin/engine"
 	"github.com/auburntray/auburntray/internal/standin/platform"
 	"github.com/auburntray/auburntray/internal/standin/service"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 	"github.com/auburntray/auburntray/pkg/publisher"
 )
 
@@ -141,7 +142,7 @@
 	f.t.Helper()
 
 	n := f.start(centre)
-	f.eventually(func() bool { return n.metric(counter.Revision) > 0 })
+	waiter.Until(f.t, "the revision", func() bool { return n.metric(counter.Revision) > 0 })
 
 	return n
 }
@@ -178,13 +179,19 @@
 	var m router.Peer
 
 	n.app = fx.New(router.Options(s), fx.Populate(&n.router, &m), fx.Decorate(func() router.Dialer { return f.network.from(centre) }))
-	if err := n.app.Start(f.t.Context()); err != nil {
+	if err := n.app.Err(); err != nil {
 		f.t.Fatal(err)
 	}
 
-	n.url = "http://" + n.router.Address().String()
+	// It is dialled as soon as it starts, so its place is noted before.
 	n.peer = netip.AddrPort(m)
 	f.network.place(n.peer, centre)
+
+	if err := n.app.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+
+	n.url = "http://" + n.router.Address().String()
 	f.nodes = append(f.nodes, n)
 	f.t.Cleanup(func() { f.stop(n) })
 
@@ -209,7 +216,7 @@
 // together waits until the routers know each other.
 func (f *fleet) together() {
 	f.t.Helper()
-	f.eventually(func() bool {
+	waiter.Until(f.t, "the acquaintance of all routers", func() bool {
 		for _, n := range f.nodes {
 			if n.metric(counter.Routers) != int64(len(f.nodes)) {
 				return false
@@ -220,20 +227,6 @@
 	})
 }
 
-func (f *fleet) eventually(g func() bool) {
-	f.t.Helper()
-
-	for range 600 {
-		if g() {
-			return
-		}
-
-		time.Sleep(25 * time.Millisecond)
-	}
-
-	f.t.Fatal("not in fifteen seconds")
-}
-
 // dead returns an address where nothing listens.
 func (f *fleet) dead() netip.AddrPort {
 	s := httptest.NewServer(nil)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/counter"
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/recorder"
@@ -23,6 +24,7 @@
 	"github.com/auburntray/auburntray/internal/standin/engine"
 	"github.com/auburntray/auburntray/internal/standin/platform"
 	"github.com/auburntray/auburntray/internal/standin/service"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // Engines break connections in the middle of answers. Many callers stream at
@@ -97,9 +99,9 @@
 	)
 
 	g.Go(func() { r = a.chat(t.Context(), "review", 300, true) })
-	f.eventually(func() bool { return a.metric(counter.InFlight) == 1 })
+	waiter.Until(t, "the calls in progress", func() bool { return a.metric(counter.InFlight) == 1 })
 	g.Go(func() { f.stop(a) })
-	f.eventually(func() bool {
+	waiter.Until(t, "the refusal of new calls", func() bool {
 		x := a.chat(t.Context(), "late", 1, false)
 
 		return x.err == nil && x.outcome() == string(exchanger.NotRun) && x.header.Get("Retry-After") != ""
@@ -136,7 +138,7 @@
 		g.Go(func() { b.chat(c, "busy "+strconv.Itoa(k), 2000, true) })
 	}
 
-	f.eventually(func() bool { return b.metric(counter.InFlight) == 3 })
+	waiter.Until(t, "the calls in progress", func() bool { return b.metric(counter.InFlight) == 3 })
 
 	place := make(map[string]string)
 
@@ -147,7 +149,7 @@
 
 	end()
 	g.Wait()
-	f.eventually(func() bool { return b.metric(counter.InFlight) == 0 })
+	waiter.Until(t, "the calls' end", func() bool { return b.metric(counter.InFlight) == 0 })
 	f.stop(a)
 
 	for q, p := range place {
@@ -236,7 +238,7 @@
 			}
 
 			n := f.add("dc-1")
-			f.eventually(func() bool { return !tc.gone || n.metric(counter.Revision) == 2 })
+			waiter.Until(t, "the revision", func() bool { return !tc.gone || n.metric(counter.Revision) == 2 })
 			f.services[0].SetFaults(tc.service)
 			f.platform.SetFaults(tc.log)
 
@@ -295,18 +297,18 @@
 	f.target("late", "engine", f.dead())
 	r := int64(f.publish(1))
 
-	f.eventually(func() bool { return a.metric(counter.Revision) == r })
-	f.eventually(func() bool { return b.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return a.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return b.metric(counter.Revision) == r })
 
 	c := f.start("dc-2")
-	f.eventually(func() bool { return c.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return c.metric(counter.Revision) == r })
 
 	f.platform.SetFaults(platform.Faults{})
 	f.target("later", "engine", f.dead())
 
 	next := int64(f.publish(uint64(r)))
 	for _, n := range f.nodes {
-		f.eventually(func() bool {
+		waiter.Until(t, "the revision", func() bool {
 			v := n.metric(counter.Revision)
 			i.True(v >= r)
 
@@ -327,7 +329,7 @@
 	i.Equal(n.chat(t.Context(), "q", 1, false).outcome(), string(exchanger.NotRun))
 
 	f.platform.SetFaults(platform.Faults{})
-	f.eventually(func() bool { return n.do(t.Context(), http.MethodGet, "/readyz", "", "").status == http.StatusOK })
+	waiter.Until(t, "readiness", func() bool { return n.do(t.Context(), http.MethodGet, "/readyz", "", "").status == http.StatusOK })
 }
 
 // A target leaves: by the platform's list, by the operators, or by its own word.
@@ -355,7 +357,7 @@
 
 			k := 0
 
-			f.eventually(func() bool {
+			waiter.Until(t, "the last call to the target that left", func() bool {
 				for range 8 {
 					k++
 
@@ -384,11 +386,11 @@
 	var g sync.WaitGroup
 
 	g.Go(func() { n.chat(c, "q", 2000, true) })
-	f.eventually(func() bool { return f.engines[0].Running() == 1 })
+	waiter.Until(t, "the engine's call", func() bool { return f.engines[0].Running() == 1 })
 	hangUp()
-	f.eventually(func() bool { return f.engines[0].Running() == 0 && f.engines[0].Canceled() == 1 })
+	waiter.Until(t, "the cancellation", func() bool { return f.engines[0].Running() == 0 && f.engines[0].Canceled() == 1 })
 	g.Wait()
-	f.eventually(func() bool { return n.metric(counter.InFlight) == 0 })
+	waiter.Until(t, "the calls' end", func() bool { return n.metric(counter.InFlight) == 0 })
 }
 
 func TestBadInputIsRefused(t *testing.T) {
@@ -476,7 +478,7 @@
 	r := int64(f.publish(1))
 	a, b := f.add("dc-1"), f.add("dc-2")
 	f.together()
-	f.eventually(func() bool { return a.metric(counter.Revision) == r && b.metric(counter.Revision) == r })
+	waiter.Until(t, "the revision", func() bool { return a.metric(counter.Revision) == r && b.metric(counter.Revision) == r })
 
 	f.platform.SetFaults(platform.Faults{Cut: []string{"dc-2"}})
 	f.network.isolate("dc-2")
@@ -499,17 +501,30 @@
 
 	f.target("late", "engine", f.dead())
 	next := int64(f.publish(uint64(r)))
-	f.eventually(func() bool { return a.metric(counter.Revision) == next })
+	waiter.Until(t, "the revision", func() bool { return a.metric(counter.Revision) == next })
 	i.Equal(b.metric(counter.Revision), r)
 
 	f.platform.SetFaults(platform.Faults{})
 	f.network.isolate("")
 	f.together()
-	f.eventually(func() bool { return b.metric(counter.Revision) == next })
+	waiter.Until(t, "the revision", func() bool { return b.metric(counter.Revision) == next })
 	served(a, "c")
 	served(b, "d")
 }
 
+// The guard against pauses rests on ticks. Had they ended, or never begun, each time
+// that runs out would pass for a pause of the router's own, and a target or a home that
+// is mute would never be left alone.
+func TestARouterThatRunsDoesNotTakeItselfForPaused(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	n := f.add("dc-1")
+
+	for range 3 {
+		waiter.Until(t, "a tick", func() bool { return !n.router.Stalled(time.Now()) })
+		time.Sleep(5 * detector.TickEvery)
+	}
+}
+
 // An operator looks for the hop on which a slow call spent its time. Each step has
 // a span in the call's own trace, and targets are told of it.
 func TestTraces(t *testing.T) {
@@ -534,7 +549,7 @@
 	n := f.startWith("dc-1", func(r *resolver.Router) {
 		r.TraceEndpoint, r.TraceSample = strings.TrimPrefix(collector.URL, "http://"), 1
 	})
-	f.eventually(func() bool { return n.metric(counter.Revision) > 0 })
+	waiter.Until(t, "the revision", func() bool { return n.metric(counter.Revision) > 0 })
 	i.Equal(n.chat(t.Context(), "q", 2, true).outcome(), string(exchanger.Ran))
 	i.Equal(n.do(t.Context(), http.MethodPost, "/book", "k", "").outcome(), string(exchanger.Ran))
 	f.stop(n)
