platform, internal/cataloger: a configuration that can't be used is refused whole

Cause: a field that was not there, or in another case, was taken for empty: a record with a version alone ended all rules and let callers in without keys. Times of 1e300 ms did not fit a time.Duration, an empty key was that of every caller who shows none, a key of two customers went to the last, and customers without keys left the door open.

--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -68,6 +68,69 @@
 	}
 }
 
+// A user would be let in under another's name, or without a key, or see calls end at once:
+// a document whose fields are all of their types has values that mean nothing. It is
+// refused whole.
+func TestDocumentsThatMeanNothing(t *testing.T) {
+	type document = cataloger.Document
+
+	first := func(f func(r *cataloger.Rule)) func(d *document) {
+		return func(d *document) { f(&d.Rules[0]) }
+	}
+
+	for name, x := range map[string]struct {
+		change func(d *document)
+		bad    bool
+	}{
+		"as it should be":       {func(*document) {}, false},
+		"zero attempts":         {first(func(r *cataloger.Rule) { r.Attempts = 0 }), false},
+		"rules without names":   {func(d *document) { d.Rules[0].Name, d.Rules[1].Name = "", "" }, false},
+		"a key twice of one":    {func(d *document) { d.Customers[0].Keys = []string{"k1", "k1"} }, false},
+		"group twice":           {func(d *document) { d.Groups = append(d.Groups, d.Groups[0]) }, true},
+		"group without a name":  {func(d *document) { d.Groups = append(d.Groups, cataloger.Group{}) }, true},
+		"rule twice":            {func(d *document) { d.Rules[1].Name = d.Rules[0].Name }, true},
+		"weight below zero":     {first(func(r *cataloger.Rule) { r.Shares[0].Weight = -1 }), true},
+		"attempts below zero":   {first(func(r *cataloger.Rule) { r.Attempts = -1 }), true},
+		"priority below zero":   {first(func(r *cataloger.Rule) { r.Priority = -1 }), true},
+		"longest below zero":    {first(func(r *cataloger.Rule) { r.Longest = -1 }), true},
+		"latency below zero":    {first(func(r *cataloger.Rule) { r.Latency = -1 }), true},
+		"pause below zero":      {first(func(r *cataloger.Rule) { r.Pause = -1 }), true},
+		"body below zero":       {func(d *document) { d.Limits.Body = -1 }, true},
+		"header below zero":     {func(d *document) { d.Limits.Header = -1 }, true},
+		"headers' time below":   {func(d *document) { d.Limits.HeaderTime = -1 }, true},
+		"idle below zero":       {func(d *document) { d.Limits.Idle = -1 }, true},
+		"customer twice":        {func(d *document) { d.Customers[1].Name = "a" }, true},
+		"customer without name": {func(d *document) { d.Customers[1].Name = "" }, true},
+		"a key of two":          {func(d *document) { d.Customers[1].Keys = []string{"k2", "k1"} }, true},
+		"an empty key":          {func(d *document) { d.Customers[1].Keys = []string{""} }, true},
+		"rank below zero":       {func(d *document) { d.Customers[1].Priority = -1 }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := document{
+				Groups:    []cataloger.Group{{Name: "g"}},
+				Rules:     []cataloger.Rule{rule("r1", "h", "/x/", "g"), rule("r2", "h", "/y/", "g")},
+				Customers: []cataloger.Customer{{Name: "a", Keys: []string{"k1"}}, {Name: "b", Keys: []string{"k2"}}},
+			}
+			x.change(&d)
+
+			c, err := cataloger.New(d)
+			is.Equal(errors.Is(err, cataloger.ErrCatalog), x.bad)
+			is.Equal(c == nil, x.bad)
+		})
+	}
+}
+
+// Anyone could call without a key: the last key of the last customer is taken away, and a
+// catalog without keys was taken for one without customers.
+func TestCustomersWithoutKeysLetNobodyIn(t *testing.T) {
+	is := is.New(t)
+
+	c, err := cataloger.New(cataloger.Document{Customers: []cataloger.Customer{{Name: "a"}}})
+	is.NoErr(err)
+	is.True(c.Keyed())
+}
+
 func TestCustomers(t *testing.T) {
 	is := is.New(t)
 
