internal/gatekeeper, internal/watcher, internal/meter: what becomes of entries that name no target

Cause: an entry that can't be used, written over a good one, left the older one in force; each such record had a line, and each key a place in memory for good; a whole list from an older state was taken if it named a newer end, and the stream went on after that end; targets of groups that no catalog names counted in the look for a cut and made an instance ready. Change: the target that the key named is dropped at once, also while vanished entries are held; refusals are counted by reason (auburntray_records_refused_total) and have a line each, 20 at once and one a second in the long run, then the number without one (refusalsUnsaid); at most 4,096 keys that name no target are remembered; a Sink may refuse a list, which is read again, and the targets' does when a key is at an older offset than it was seen at or is missing though seen at the end or later; the roster has only targets of groups that the catalog names. The sinks are files of their own. Ruled out: order by the targets' starts, whose clocks may step. Measured: TestTargetWhoseEntryIsWrittenOver fails on the code before and passes now.

--- /dev/null
+++ b/internal/gatekeeper/config_sink_test.go
@@ -0,0 +1,73 @@
+package gatekeeper
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/watcher"
+)
+
+// A user would be refused what was served a moment before: a record that can't be used is
+// written under the configuration's key. The version in force stands, and the record is told
+// once, though each whole list has it again.
+func TestConfigThatCannotBeUsed(t *testing.T) {
+	for name, x := range map[string]struct {
+		value  string
+		reason string
+	}{
+		"not to be read":  {`{`, "unreadable"},
+		"a typed reason":  {`"wrong"`, "wrongType"},
+		"contradiction":   {`{"Version":9,"Groups":[{"Name":"g"},{"Name":"g"}]}`, "contradiction"},
+		"of great length": {`{"Version":9,"Groups":[{"Name":"g"}],"Rules":[{"Name":"` + strings.Repeat("r", 10_000) + `"}]}`, "contradiction"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			h := heard(t)
+			f, c := newFacts(), counts{}
+			f.dropped = func(map[uint32]*enroller.Target) {}
+			s := &configSink{facts: f, key: "config", refusals: &refusals{stream: "config", counter: c}, decode: func(b []byte) (cataloger.Document, error) {
+				if string(b) == `"wrong"` {
+					return cataloger.Document{Version: 9}, &watcher.Unusable{Fault: watcher.WrongType, Field: "routes"}
+				}
+
+				var d cataloger.Document
+
+				return d, json.Unmarshal(b, &d)
+			}}
+
+			s.Change(watcher.Record{Key: "config", Value: []byte(`{"Version":7}`), Offset: 0})
+			s.Change(watcher.Record{Key: "other", Value: []byte(x.value), Offset: 1})
+			i.Equal(len(c), 0)
+			h.Reset()
+
+			for range 3 {
+				s.Change(watcher.Record{Key: "config", Value: []byte(x.value), Offset: 2})
+				i.NoErr(s.Reset([]watcher.Record{{Key: "config", Value: []byte(x.value), Offset: 2}}, 3))
+			}
+
+			i.Equal(f.version(), uint64(7))
+			i.Equal(c, counts{"config " + x.reason: 1})
+			i.Equal(len(h.AllEntries()), 1)
+
+			e := h.LastEntry().Data
+			i.Equal(e["event"], "catalogRefused")
+			i.Equal(e["reason"], x.reason)
+			i.Equal(e["offset"], int64(2))
+			i.True(len(e["error"].(string)) < 300)
+
+			if x.reason != "unreadable" {
+				i.Equal(e["version"], uint64(9))
+			}
+
+			s.Change(watcher.Record{Key: "config", Value: []byte(`{"Version":10}`), Offset: 3})
+			i.Equal(f.version(), uint64(10))
+			logrus.SetLevel(logrus.PanicLevel)
+		})
+	}
+}
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -11,7 +11,7 @@
 	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/forwarder"
-	"github.com/auburntray/auburntray/internal/watcher"
+	"github.com/auburntray/auburntray/internal/hasher"
 )
 
 // facts holds what is known of the world. It is safe for concurrent use.
@@ -32,6 +32,9 @@
 	enroller *enroller.Enroller
 	// listed says that the list of targets was read.
 	listed bool
+	// whole and named are the list and the catalog that the roster was made from.
+	whole *enroller.Roster
+	named *cataloger.Catalog
 	// learn closes known.
 	learn sync.Once
 }
@@ -100,6 +103,7 @@
 	}
 
 	f.catalog.Store(c)
+	f.publish()
 	f.learned()
 	logrus.WithFields(logrus.Fields{"event": "catalogInForce", "version": c.Version, "source": source}).Info()
 }
@@ -133,9 +137,17 @@
 	u(time.Now(), f.enroller)
 }
 
-// publish puts the list of targets in force if it has changed. The lock is held.
+// publish puts the list of targets in force if it, or what the catalog names of it, has
+// changed. The lock is held.
 func (f *facts) publish() {
-	r := f.enroller.Roster()
+	l, c := f.enroller.Roster(), f.catalog.Load()
+	if l == f.whole && c == f.named {
+		return
+	}
+
+	f.whole, f.named = l, c
+
+	r := named(l, c)
 	if r == f.roster.Load() {
 		return
 	}
@@ -144,144 +156,79 @@
 	f.dropped(r.Names)
 }
 
-// list takes the whole list of targets.
-func (f *facts) list(l []enroller.Target) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// named returns a list without the targets of groups that the catalog does not name; it is
+// the same list when there are none, or no catalog yet.
+//
+// Other programs may enter targets of groups that are no business of this fleet's. No call
+// goes to them, but their data centres would count when this instance finds out whether it
+// is cut off, and it would show ready with nothing but them on the list.
+func named(l *enroller.Roster, c *cataloger.Catalog) *enroller.Roster {
+	if c == nil {
+		return l
+	}
 
-	f.enroller.Reset(time.Now(), l)
-	f.publish()
-	f.listed = true
-	f.learned()
-}
+	r := &enroller.Roster{
+		Groups: make(map[string][]*enroller.Target), Known: make(map[string]*enroller.Target),
+		Names: make(map[uint32]*enroller.Target),
+	}
 
-// settle drops the targets whose entries have not come back in time.
-func (f *facts) settle() {
-	f.update(func(n time.Time, e *enroller.Enroller) {
-		for _, id := range e.Settle(n) {
-			logrus.WithFields(logrus.Fields{"event": "targetLapsed", "target": id}).Info()
+	for id, t := range l.Known {
+		if _, ok := c.Group(t.Group); ok {
+			r.Known[id], r.Names[hasher.Name(id)] = t, t
 		}
-	})
-}
-
-// configSink puts the configurations that are read in force.
-type configSink struct {
-	facts  *facts
-	key    string
-	decode func([]byte) (cataloger.Document, error)
-}
-
-var _ watcher.Sink = (*configSink)(nil)
-
-// Reset is part of watcher.Sink.
-func (s *configSink) Reset(l []watcher.Record) {
-	for _, r := range l {
-		s.Change(r)
 	}
-}
 
-// Change is part of watcher.Sink. A configuration that can't be used is passed
-// over; the one in force stands.
-func (s *configSink) Change(r watcher.Record) {
-	if r.Key != s.key || len(r.Value) == 0 {
-		return
+	if len(r.Known) == len(l.Known) {
+		return l
 	}
 
-	d, err := s.decode(r.Value)
-	if err == nil {
-		var c *cataloger.Catalog
-
-		if c, err = cataloger.New(d); err == nil {
-			s.facts.enforce(c, "stream")
-
-			return
+	for g, t := range l.Groups {
+		if _, ok := c.Group(g); ok {
+			r.Groups[g] = t
 		}
 	}
 
-	logrus.WithFields(logrus.Fields{"event": "catalogRefused", "version": d.Version, "offset": r.Offset, "error": err}).Error()
-}
-
-// Read is part of watcher.Sink.
-func (s *configSink) Read(time.Duration) {}
-
-// Failed is part of watcher.Sink.
-func (s *configSink) Failed(error) {}
-
-// targetSink puts the list of targets in force.
-type targetSink struct {
-	facts  *facts
-	decode func(key string, b []byte) (enroller.Target, error)
-	// offsets is the newest record seen of each key.
-	offsets map[string]int64
+	return r
 }
 
-var _ watcher.Sink = (*targetSink)(nil)
-
-// Reset is part of watcher.Sink.
-func (s *targetSink) Reset(l []watcher.Record) {
-	var t []enroller.Target
-
-	clear(s.offsets)
-
-	for _, r := range l {
-		s.offsets[r.Key] = r.Offset
+// list takes the whole list of targets, and drops at once those of the keys that name none
+// any more.
+func (f *facts) list(l []enroller.Target, none []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 
-		if x, err := s.decode(r.Key, r.Value); err == nil {
-			t = append(t, x)
-		} else {
-			refused(r, err)
-		}
+	n := time.Now()
+	for _, id := range none {
+		drop(n, f.enroller, id)
 	}
 
-	s.facts.list(t)
+	f.enroller.Reset(n, l)
+	f.publish()
+	f.listed = true
+	f.learned()
 }
 
-// Change is part of watcher.Sink. The changes of one read are put in force together.
-func (s *targetSink) Change(r watcher.Record) {
-	if o, ok := s.offsets[r.Key]; ok && r.Offset <= o {
+// drop takes a target off at once, also while entries that vanish are held: its entry did
+// not run out in an outage, but was written over.
+func drop(now time.Time, e *enroller.Enroller, id string) {
+	t, ok := e.Known(id)
+	if !ok {
 		return
 	}
 
-	s.offsets[r.Key] = r.Offset
-
-	if len(r.Value) == 0 {
-		s.facts.note(func(n time.Time, e *enroller.Enroller) {
-			d := e.Remove(n, r.Key)
-			logrus.WithFields(logrus.Fields{"event": "targetRemoved", "target": r.Key, "held": !d, "offset": r.Offset}).Info()
-		})
-
-		return
-	}
+	x := *t
+	x.Draining = true // Targets that are about to leave are not held.
 
-	t, err := s.decode(r.Key, r.Value)
-	if err != nil {
-		refused(r, err)
+	e.Set(x)
 
-		return
-	}
-
-	s.facts.note(func(_ time.Time, e *enroller.Enroller) {
-		if o, ok := e.Known(t.ID); !ok || o.Draining != t.Draining {
-			logrus.WithFields(logrus.Fields{
-				"event": "targetListed", "target": t.ID, "group": t.Group, "address": t.Address,
-				"draining": t.Draining, "offset": r.Offset,
-			}).Info()
-		}
-
-		e.Set(t)
-	})
+	e.Remove(now, id)
 }
 
-// Read is part of watcher.Sink.
-func (s *targetSink) Read(away time.Duration) {
-	s.facts.update(func(n time.Time, e *enroller.Enroller) {
-		e.Regained(n, away)
+// settle drops the targets whose entries have not come back in time.
+func (f *facts) settle() {
+	f.update(func(n time.Time, e *enroller.Enroller) {
+		for _, id := range e.Settle(n) {
+			logrus.WithFields(logrus.Fields{"event": "targetLapsed", "target": id}).Info()
+		}
 	})
 }
-
-// Failed is part of watcher.Sink.
-func (s *targetSink) Failed(error) {}
-
-func refused(r watcher.Record, err error) {
-	logrus.WithFields(logrus.Fields{"event": "targetRefused", "target": r.Key, "offset": r.Offset, "error": err}).Error()
-}
--- a/internal/gatekeeper/facts_test.go
+++ b/internal/gatekeeper/facts_test.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"encoding/json"
 	"strconv"
 	"testing"
 
@@ -41,12 +40,8 @@
 			}
 
 			if x.targets {
-				s := &targetSink{facts: f, offsets: make(map[string]int64), decode: func(key string, b []byte) (enroller.Target, error) {
-					r := enroller.Target{ID: key}
-
-					return r, json.Unmarshal(b, &r)
-				}}
-				s.Reset([]watcher.Record{{Key: "t", Value: []byte(`{"Group":"g"}`)}})
+				s, _ := sinkOf(f)
+				i.NoErr(s.Reset([]watcher.Record{{Key: "t", Value: []byte("g")}}, 1))
 			}
 
 			i.Equal(isClosed(f.Known()), x.want)
@@ -62,15 +57,13 @@
 	i := is.New(t)
 	f := newFacts()
 	f.dropped = func(map[uint32]*enroller.Target) {}
-	s := &targetSink{facts: f, offsets: make(map[string]int64), decode: func(key string, _ []byte) (enroller.Target, error) {
-		return enroller.Target{ID: key, Group: "g"}, nil
-	}}
-	s.Reset(nil)
+	s, _ := sinkOf(f)
+	i.NoErr(s.Reset(nil, 0))
 
 	b := f.Roster()
 
 	for n := range 100 {
-		s.Change(watcher.Record{Key: strconv.Itoa(n), Value: []byte("{}"), Offset: int64(n)})
+		s.Change(watcher.Record{Key: strconv.Itoa(n), Value: []byte("g"), Offset: int64(n)})
 	}
 
 	s.Change(watcher.Record{Key: "7", Offset: 100})
@@ -80,6 +73,50 @@
 	i.Equal(len(f.Roster().Known), 99)
 }
 
+// An instance shows ready and refuses each call, or does not notice that it is cut off:
+// another program enters targets of a group that no catalog names, in a data centre of its
+// own. They are used once a catalog names their group.
+func TestTargetsOfGroupsThatNoCatalogNames(t *testing.T) {
+	i := is.New(t)
+	f := newFacts()
+
+	var last map[uint32]*enroller.Target
+
+	f.dropped = func(k map[uint32]*enroller.Target) { last = k }
+	s, _ := sinkOf(f)
+	i.NoErr(s.Reset([]watcher.Record{{Key: "t", Value: []byte("g")}, {Key: "u", Value: []byte("other")}}, 2))
+
+	enforce := func(version uint64, groups ...string) {
+		d := cataloger.Document{Version: version}
+		for _, g := range groups {
+			d.Groups = append(d.Groups, cataloger.Group{Name: g})
+		}
+
+		c, err := cataloger.New(d)
+		i.NoErr(err)
+		f.enforce(c, "test")
+	}
+
+	enforce(1, "g")
+	i.Equal(len(f.Roster().Known), 1)
+	i.Equal(len(f.Roster().Groups), 1)
+	i.Equal(len(f.Roster().Groups["g"]), 1)
+	i.Equal(f.Roster().Names, last)
+	i.Equal(len(last), 1)
+
+	s.Change(watcher.Record{Key: "v", Value: []byte("other"), Offset: 2})
+	s.Read(0)
+	i.Equal(len(f.Roster().Known), 1)
+
+	enforce(2, "g", "other")
+	i.Equal(len(f.Roster().Known), 3)
+	i.Equal(len(f.Roster().Groups["other"]), 2)
+
+	enforce(3, "other")
+	i.Equal(len(f.Roster().Groups["g"]), 0)
+	i.Equal(len(f.Roster().Known), 2)
+}
+
 func isClosed(c <-chan struct{}) bool {
 	select {
 	case <-c:
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -162,8 +162,12 @@
 	g := &Gatekeeper{
 		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, informer: i, drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
-			watcher.New(config, c, &configSink{facts: f, key: w.ConfigKey, decode: w.DecodeConfig}, configRest),
-			watcher.New(targets, t, &targetSink{facts: f, decode: w.DecodeTarget, offsets: make(map[string]int64)}, targetRest),
+			watcher.New(config, c, &configSink{
+				facts: f, key: w.ConfigKey, decode: w.DecodeConfig, refusals: &refusals{stream: config, counter: p.Meter},
+			}, configRest),
+			watcher.New(targets, t, &targetSink{
+				facts: f, decode: w.DecodeTarget, marks: newMarks(), refusals: &refusals{stream: targets, counter: p.Meter},
+			}, targetRest),
 		},
 	}
 	g.stop.Store(int64(s.Stop))
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -279,6 +280,65 @@
 	}
 }
 
+// A user would see calls fail: another writer has written over a target's entry, the older
+// entry stayed in use, and the address is another's by now. New calls go elsewhere at once,
+// those in progress end as they would, and a good entry brings the target back.
+func TestTargetWhoseEntryIsWrittenOver(t *testing.T) {
+	is := is.New(t)
+	s := open(t)
+	slow := make(chan struct{})
+
+	var first atomic.Bool
+
+	a := target(t, func(w http.ResponseWriter) {
+		if first.CompareAndSwap(false, true) {
+			<-slow
+		}
+
+		_, _ = fmt.Fprint(w, "a")
+	})
+
+	s.targets.put(t, "a", a)
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	eventually(t, status(t, s.ready+"/ready", http.StatusOK))
+
+	done := make(chan string, 1)
+
+	go func() {
+		_, b, _ := get(t, s.callers+"/x/")
+		done <- b
+	}()
+
+	eventually(t, first.Load)
+
+	answered := func(want string) func() bool {
+		return func() bool {
+			_, b, _ := get(t, s.callers+"/x/")
+
+			return b == want
+		}
+	}
+
+	s.targets.put(t, "b", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "b") }))
+	eventually(t, answered("b"))
+	s.targets.put(t, "a", "not an entry")
+	s.targets.put(t, "c", "not an entry either")
+	time.Sleep(2 * time.Second) // Within which changes are in force.
+
+	for range 50 {
+		is.True(answered("b")())
+	}
+
+	close(slow)
+	is.Equal(<-done, "a")
+
+	s.targets.put(t, "b", nil)
+	eventually(t, status(t, s.callers+"/x/", http.StatusServiceUnavailable))
+
+	s.targets.put(t, "a", a)
+	eventually(t, answered("a"))
+}
+
 // A planned stop cuts nothing: the call in progress gets its whole answer, those
 // that the balancer still sends are served, and each answer ends its connection.
 func TestPlannedStopCutsNoCall(t *testing.T) {
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -76,6 +76,12 @@
 	m.set.GetOrCreateCounter(`auburntray_reads_total{stream="` + stream + `",source="` + source + `",result="` + r + `"}`).Inc()
 }
 
+// Unusable counts a record of a stream that can't be used, by its reason, of which there
+// must be few.
+func (m *Meter) Unusable(stream, reason string) {
+	m.set.GetOrCreateCounter(`auburntray_records_refused_total{stream="` + stream + `",reason="` + reason + `"}`).Inc()
+}
+
 // Left counts that a target or a data centre is left alone, for a cause, or back.
 func (m *Meter) Left(cause string, out bool) {
 	e := "back"
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -21,6 +21,7 @@
 	m.Attempt("g", "bad")
 	m.Refusal("noTarget")
 	m.Read("config", "platform", false)
+	m.Unusable("targets", "wrongType")
 	m.Left("targetFailing", true)
 	m.Left("targetFailing", false)
 	m.Follow("targets", func() float64 { return 2 })
@@ -37,6 +38,7 @@
 		`auburntray_attempts_total{group="g",outcome="bad"} 1`,
 		`auburntray_refusals_total{reason="noTarget"} 1`,
 		`auburntray_reads_total{stream="config",source="platform",result="failed"} 1`,
+		`auburntray_records_refused_total{stream="targets",reason="wrongType"} 1`,
 		`auburntray_beliefs_total{cause="targetFailing",change="leftAlone"} 1`,
 		`auburntray_beliefs_total{cause="targetFailing",change="back"} 1`,
 		`auburntray_targets 2`,
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -236,7 +236,7 @@
 	values map[string]string
 }
 
-func (k *sink) Reset(l []watcher.Record) {
+func (k *sink) Reset(l []watcher.Record, _ int64) error {
 	k.mu.Lock()
 	k.values = map[string]string{}
 	k.mu.Unlock()
@@ -244,6 +244,8 @@
 	for _, r := range l {
 		k.Change(r)
 	}
+
+	return nil
 }
 
 func (k *sink) Change(r watcher.Record) {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -59,8 +59,10 @@
 
 // Sink takes what a Watcher reads.
 type Sink interface {
-	// Reset takes the newest record of each key.
-	Reset(l []Record)
+	// Reset takes the newest record of each key, and the offset after the last record
+	// that is surely among them. It fails when they are from an older state than what the
+	// Sink was given before, and then nothing has changed; they are read again.
+	Reset(l []Record, end int64) error
 	// Change takes one record.
 	Change(r Record)
 	// Read is called after each read that succeeded, with how long the source
@@ -162,7 +164,10 @@
 		return 0, errors.Newf("the answer ends at %d, before %d that was read already", n, w.next)
 	}
 
-	w.sink.Reset(l)
+	if err := w.sink.Reset(l, n); err != nil {
+		return 0, err
+	}
+
 	w.next = n
 
 	return len(l), nil
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -92,17 +92,26 @@
 	resets int
 	away   time.Duration
 	failed int
+	// err is what Reset fails with.
+	err error
 }
 
-func (k *sink) Reset(l []watcher.Record) {
+func (k *sink) Reset(l []watcher.Record, _ int64) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+
+	if k.err != nil {
+		return k.err
+	}
+
 	k.resets++
 	k.values = map[string]string{}
 
 	for _, r := range l {
 		k.values[r.Key] = string(r.Value)
 	}
+
+	return nil
 }
 
 func (k *sink) Change(r watcher.Record) {
@@ -204,6 +213,34 @@
 	})
 }
 
+// A user would see a target that came a minute ago get no calls: a whole list from an older
+// state was passed over by the sink, the stream went on from the end that it named, and what
+// came in between was never read. It is read again until the sink takes it.
+func TestListThatTheSinkRefusesIsReadAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &source{newest: []watcher.Record{{Key: "k", Value: []byte("old"), Offset: 3}}, end: 8}
+		k := &sink{err: errAway}
+
+		c, stop := context.WithCancel(t.Context())
+		go watcher.New("s", s, k, 100*time.Millisecond).Run(c)
+
+		time.Sleep(2 * time.Second)
+		k.mu.Lock()
+		is.True(k.failed > 1)
+		is.Equal(k.resets, 0)
+		k.err = nil
+		k.mu.Unlock()
+		s.set(func() { s.newest = []watcher.Record{{Key: "k", Value: []byte("new"), Offset: 7}} })
+
+		time.Sleep(2 * time.Second)
+		is.Equal(k.get("k"), "new")
+
+		stop()
+		time.Sleep(time.Second)
+	})
+}
+
 // Each read has a price: a stream that changes all the time is read a few times
 // a second, one that does not change three times in two.
 func TestReadsAreFew(t *testing.T) {
