internal/repeater: a whole list from an older state is not told

Cause: the tape of an instance took each whole list, also one that its watcher refused because it ends before what was read. The stream went on from where the watcher was, so the tape had a gap: whoever asked from within it was told that nothing was there, and a target that came in it got no calls there until its entry changed. Change: Newest fails when the list ends before the tape does, or has a key at an older offset than the tape; the tape stands. Measured: before, an instance told [last] of four records; after, all four. With the end alone checked, the case in which the list names a newer end fails. go test -race of the package passed.

--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -32,6 +32,19 @@
 	refused map[int]bool
 	silent  map[int]bool
 	reads   map[int]int
+	// shown is how many records a whole list has; zero sets no bound.
+	shown int
+	// ahead is by how much the end that it names is too late.
+	ahead int64
+}
+
+// showOnly makes whole lists those of an older state, with the given number of records, and
+// sets by how much the end that they name is too late; zero ends it.
+func (p *platform) showOnly(n int, ahead int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.shown, p.ahead = n, ahead
 }
 
 // put adds a record.
@@ -75,7 +88,14 @@
 
 	l := v.since(0)
 
-	return l, int64(len(l)), nil
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	if v.shown > 0 {
+		l = l[:v.shown]
+	}
+
+	return l, int64(len(l)) + v.ahead, nil
 }
 
 func (v view) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
@@ -403,6 +423,69 @@
 	})
 }
 
+// A user would see a target that came get no calls at some instances for good: the platform
+// answers the one that reads with a whole list from an older state, whose watcher refuses it;
+// what was read was forgotten all the same, what came next was added behind the gap, and
+// those who asked from within it were told that nothing was there.
+func TestOlderListIsNotTold(t *testing.T) {
+	for name, x := range map[string]struct {
+		shown int
+		// ahead is by how much the end that the list names is too late.
+		ahead int64
+	}{
+		"older end": {shown: 2},
+		"newer end": {shown: 2, ahead: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f, stop := start(t, "a")
+				i := f.instances[0]
+
+				for _, k := range []string{"k", "a", "b", "a", "k"} { // Two are older ones of what is shown.
+					f.platform.put(k, "1")
+				}
+
+				time.Sleep(time.Second)
+				f.platform.showOnly(x.shown, x.ahead)
+
+				_, _, err := i.stream.Newest(t.Context())
+				is.True(err != nil)
+
+				f.platform.showOnly(0, 0)
+				f.platform.put("last", "1")
+				time.Sleep(time.Second)
+				is.Equal(i.sink.get("last"), "1")
+				is.Equal(told(t, i, 3), []string{"b", "a", "k", "last"})
+
+				stop()
+			})
+		})
+	}
+}
+
+// told returns the keys that an instance tells another of, from an offset on.
+func told(t *testing.T, i *instance, from int64) []string {
+	t.Helper()
+	is := is.New(t)
+
+	q, err := (&wire.StreamRequest{Stream: "s", From: from}).MarshalMsg(nil)
+	is.NoErr(err)
+
+	m, err := i.repeater.Answer(t.Context(), 0, q)
+	is.NoErr(err)
+
+	r, ok := m.(*wire.StreamReply)
+	is.True(ok)
+
+	var o []string
+	for _, y := range r.Records {
+		o = append(o, y.Key)
+	}
+
+	return o
+}
+
 // While nobody hears from the platform nobody is taken for one who knows, and the
 // refused calls to it stay few.
 func TestNobodyKnowsDuringAnOutage(t *testing.T) {
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -45,15 +45,16 @@
 	return s.tape.heard
 }
 
-// Newest is part of watcher.Source.
+// errOlderList means that a whole list is from an older state than one that was read.
+var errOlderList = errors.New("the list is from an older state")
+
+// Newest is part of watcher.Source. It fails with errOlderList.
 func (s *Stream) Newest(c context.Context) ([]watcher.Record, int64, error) {
 	l, n, err := s.source.Newest(c)
 	s.count(sourcePlatform, err)
 
 	if err == nil {
-		s.reset(time.Now(), l, n)
-
-		return l, n, nil
+		return l, n, s.reset(time.Now(), l, n)
 	}
 
 	p, x := s.others(c, -1)
@@ -62,9 +63,8 @@
 	}
 
 	l = records(p)
-	s.reset(s.age(p), l, p.Next)
 
-	return l, p.Next, nil
+	return l, p.Next, s.reset(s.age(p), l, p.Next)
 }
 
 // Follow is part of watcher.Source. It reads from the one instance of the data
@@ -176,12 +176,24 @@
 	return l, p.Next, nil
 }
 
-func (s *Stream) reset(heard time.Time, l []watcher.Record, next int64) {
+// reset takes the newest record of each key. It fails with errOlderList when they are from an
+// older state than what was read.
+//
+// Were they kept, what comes next would be added behind a gap. Instances that ask from within
+// the gap would be told that nothing was there, and those that ask from before it that the
+// targets which came in it are gone.
+func (s *Stream) reset(heard time.Time, l []watcher.Record, next int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	if next < s.tape.next || s.tape.newerThan(l) {
+		return errOlderList
+	}
+
 	s.tape.reset(heard, l, next)
 	s.wake()
+
+	return nil
 }
 
 func (s *Stream) add(heard time.Time, l []watcher.Record, next int64) {
--- a/internal/repeater/tape.go
+++ b/internal/repeater/tape.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// newerThan says that a key of a list was seen at a later offset. Offsets only rise, so the
+// list is from an older state then, whatever end it names.
+func (t *tape) newerThan(l []watcher.Record) bool {
+	n := make(map[string]int64, len(l))
+	for _, r := range l {
+		n[r.Key] = max(n[r.Key], r.Offset)
+	}
+
+	for k, o := range n {
+		if r, ok := t.records[k]; ok && r.Offset > o {
+			return true
+		}
+	}
+
+	return false
+}
+
 // prune forgets the dropped keys.
 func (t *tape) prune() {
 	for k, r := range t.records {
