internal/meter: names from outside are escaped in labels

Cause: the library panics on a label with a quotation mark or a line end; names of groups and targets come from the platform's records. Change: they are escaped. Measured: TestNamesThatAreNoLabels panicked before and passes now.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -58,7 +59,7 @@
 
 // Attempt counts an attempt at a target and how it ended.
 func (m *Meter) Attempt(group, outcome string) {
-	m.set.GetOrCreateCounter(`auburntray_attempts_total{group="` + group + `",outcome="` + outcome + `"}`).Inc()
+	m.set.GetOrCreateCounter(`auburntray_attempts_total{group="` + escaped(group) + `",outcome="` + outcome + `"}`).Inc()
 }
 
 // Refusal counts an answer of the gateway's own by its reason.
@@ -117,9 +118,18 @@
 	})
 }
 
+// escaped returns a name as the value of a label. Names of groups and targets come from
+// outside; the library panics on a quotation mark in a label, or a line end.
+func escaped(name string) string {
+	return escaper.Replace(name)
+}
+
+// escaper is safe for concurrent use.
+var escaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`) //nolint:gochecknoglobals // A constant.
+
 func writeLoads(w io.Writer, l []Load) {
 	for _, x := range l {
-		k := `{target="` + x.Target + `",group="` + x.Group + `"}`
+		k := `{target="` + escaped(x.Target) + `",group="` + escaped(x.Group) + `"}`
 		metrics.WriteGaugeFloat64(w, "auburntray_target_calls"+k, x.Calls)
 
 		var left uint64
--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -49,3 +49,32 @@
 		i.True(strings.Contains(w.Body.String(), l+"\n"))
 	}
 }
+
+// A user would see calls end without an answer, and an operator no counts at all: a catalog
+// names a group with a quotation mark or a line end in its name, and the first count by its
+// name panics.
+func TestNamesThatAreNoLabels(t *testing.T) {
+	for name, x := range map[string]struct{ group, want string }{
+		"quotation mark": {`a"b`, `a\"b`},
+		"line end":       {"a\nb", `a\nb`},
+		"backslash":      {`a\`, `a\\`},
+		"as they are":    {`a{b=1},c`, `a{b=1},c`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			m := meter.New()
+			m.Attempt(x.group, "good")
+			m.Loads(func() []meter.Load { return []meter.Load{{Target: x.group, Group: x.group, Calls: 3}} })
+
+			w := httptest.NewRecorder()
+			m.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+
+			for _, l := range []string{
+				`auburntray_attempts_total{group="` + x.want + `",outcome="good"} 1`,
+				`auburntray_target_calls{target="` + x.want + `",group="` + x.want + `"} 3`,
+			} {
+				i.True(strings.Contains(w.Body.String(), l+"\n"))
+			}
+		})
+	}
+}
