--- a/Makefile
+++ b/Makefile
@@ -46,3 +46,4 @@
 	go test -run '^$$' -fuzz FuzzFollow -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzParseSettings -fuzztime 20s ./platform
 	go test -run '^$$' -fuzz FuzzDecodeConfig -fuzztime 20s ./platform
+	go test -run '^$$' -fuzz FuzzDecodeTarget -fuzztime 20s ./platform
