--- a/internal/commander/gateway_test.go
+++ b/internal/commander/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/auburntray/auburntray/internal/gatekeeper"
 	"github.com/auburntray/auburntray/internal/standin/porter"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 const settingsFile = `
@@ -52,16 +53,6 @@
 	return strings.TrimPrefix(x.URL, "http://"), func() bool { return n.Load() > 0 }
 }
 
-func comes(t *testing.T, what string, f func() bool) {
-	t.Helper()
-
-	for b := time.Now(); !f(); time.Sleep(5 * time.Millisecond) {
-		if time.Since(b) > 30*time.Second {
-			t.Fatalf("%s did not come", what)
-		}
-	}
-}
-
 // The platform takes an instance away, tells the others their new seeds, and sends
 // each SIGHUP. The signal ended the processes: with one instance left, nobody served
 // until it had started again, and every stream was cut. The process goes on, with
@@ -82,13 +73,13 @@
 
 	go func() { done <- runPlatform(t.Context(), p, 0) }()
 
-	comes(t, "a read of the first store", askedFirst)
+	waiter.Until(t, "a read of the first store", askedFirst)
 
 	self, err := os.FindProcess(os.Getpid())
 	i.NoErr(err)
 	write(second)
 	i.NoErr(self.Signal(syscall.SIGHUP))
-	comes(t, "a read of the second store", askedSecond)
+	waiter.Until(t, "a read of the second store", askedSecond)
 
 	// The planned stop still works.
 	i.NoErr(self.Signal(syscall.SIGTERM))
--- a/internal/commander/signals_test.go
+++ b/internal/commander/signals_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // Callers of three instances lost their streams at one moment, in the middle of the
@@ -20,10 +22,10 @@
 	s := surround(t)
 	p := prepare(t, s)
 	p.start()
-	comes(t, "readiness", p.isReady)
+	waiter.Until(t, "readiness", p.isReady)
 
 	a, b := p.call("/stream/", "c-1"), p.call("/once/", "c-2")
-	comes(t, "the work on both", func() bool { return s.runs() == 2 })
+	waiter.Until(t, "the work on both", func() bool { return s.runs() == 2 })
 	p.signal(syscall.SIGHUP)
 
 	i.Equal(<-a, result{status: 200, whole: true})
@@ -49,7 +51,7 @@
 		t.Helper()
 		p.start()
 		// A broken pipe is what the program's own code sets last, as its first.
-		comes(t, "the program's own code", func() bool { return p.ignores(syscall.SIGPIPE) })
+		waiter.Until(t, "the program's own code", func() bool { return p.ignores(syscall.SIGPIPE) })
 
 		return nil
 	},
@@ -57,7 +59,7 @@
 		t.Helper()
 		s.away(true)
 		p.start()
-		comes(t, "a listener", p.listens)
+		waiter.Until(t, "a listener", p.listens)
 		t.Cleanup(func() { s.away(false) })
 
 		return nil
@@ -67,7 +69,7 @@
 		t.Helper()
 		o := serving(t, s, p)
 		p.signal(syscall.SIGTERM)
-		comes(t, "the stop", func() bool { return !p.isReady() })
+		waiter.Until(t, "the stop", func() bool { return !p.isReady() })
 
 		return o
 	},
@@ -86,9 +88,9 @@
 
 		p.output = w
 		p.start()
-		comes(t, "readiness", p.isReady)
+		waiter.Until(t, "readiness", p.isReady)
 		p.signal(syscall.SIGTERM)
-		comes(t, "the end of the listener", func() bool { return !p.listens() })
+		waiter.Until(t, "the end of the listener", func() bool { return !p.listens() })
 
 		return nil
 	},
@@ -97,11 +99,11 @@
 func serving(t *testing.T, s *surroundings, p *process) []<-chan result {
 	t.Helper()
 	p.start()
-	comes(t, "readiness", p.isReady)
+	waiter.Until(t, "readiness", p.isReady)
 
 	o := []<-chan result{p.call("/stream/", "c-1"), p.call("/once/", "c-2")}
 
-	comes(t, "the work on both", func() bool { return s.runs() == 2 })
+	waiter.Until(t, "the work on both", func() bool { return s.runs() == 2 })
 
 	return o
 }
@@ -142,7 +144,7 @@
 
 					if _, ends := ending[name]; !ends && !slices.Contains([]string{"stopping", "in its last lines"}, moment) {
 						s.away(false)
-						comes(t, "readiness", func() bool { return !p.runs() || p.isReady() })
+						waiter.Until(t, "readiness", func() bool { return !p.runs() || p.isReady() })
 						i.True(p.runs())
 						p.signal(syscall.SIGTERM)
 					}
@@ -161,9 +163,9 @@
 	i := is.New(t)
 	p := prepare(t, surround(t))
 	p.start()
-	comes(t, "the first moment", func() bool { return p.ignores(syscall.SIGHUP) || p.ignores(syscall.SIGPIPE) })
+	waiter.Until(t, "the first moment", func() bool { return p.ignores(syscall.SIGHUP) || p.ignores(syscall.SIGPIPE) })
 	p.signal(syscall.SIGHUP)
-	comes(t, "readiness", func() bool { return !p.runs() || p.isReady() })
+	waiter.Until(t, "readiness", func() bool { return !p.runs() || p.isReady() })
 	i.True(p.runs())
 	p.signal(syscall.SIGTERM)
 	i.Equal(p.end(), "exit status 0")
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -53,7 +53,7 @@
 // thousands of targets.
 func (e *Enroller) Roster() *Roster {
 	if e.stale {
-		e.roster, e.stale = newRoster(e.entries), false
+		e.roster, e.stale = e.roll(), false
 	}
 
 	return e.roster
@@ -149,3 +149,13 @@
 
 	return o
 }
+
+// roll returns the roster of the entries as they are.
+func (e *Enroller) roll() *Roster {
+	l := make([]*Target, 0, len(e.entries))
+	for _, x := range e.entries {
+		l = append(l, x.target)
+	}
+
+	return newRoster(l)
+}
--- a/internal/enroller/roster.go
+++ b/internal/enroller/roster.go
@@ -17,23 +17,40 @@
 	Names map[Name]*Target
 }
 
-// newRoster returns the roster of entries.
-func newRoster(l map[string]*entry) *Roster {
+// Of returns the roster without the targets of groups that a test does not let through, and
+// the same roster when there are none.
+func (r *Roster) Of(named func(group string) bool) *Roster {
+	l := make([]*Target, 0, len(r.Known))
+
+	for _, t := range r.Known {
+		if named(t.Group) {
+			l = append(l, t)
+		}
+	}
+
+	if len(l) == len(r.Known) {
+		return r
+	}
+
+	return newRoster(l)
+}
+
+// newRoster returns the roster of targets.
+func newRoster(l []*Target) *Roster {
 	r := &Roster{
 		Groups: make(map[string][]*Target), Known: make(map[string]*Target, len(l)),
 		Processes: make(map[Key]*Target, len(l)), Names: make(map[Name]*Target, len(l)),
 	}
 	shared := make(map[Name]bool)
 
-	for id, x := range l {
-		t := x.target
+	for _, t := range l {
 		n := t.key.Name()
 
 		if r.Names[n] != nil {
 			shared[n] = true
 		}
 
-		r.Known[id] = t
+		r.Known[t.ID] = t
 		r.Processes[t.key] = t
 		r.Names[n] = t
 
--- a/internal/reloader/reloader_test.go
+++ b/internal/reloader/reloader_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/auburntray/auburntray/internal/reloader"
 	"github.com/auburntray/auburntray/internal/signaler"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // applied notes what was applied.
@@ -79,16 +80,6 @@
 	}
 }
 
-func eventually(t *testing.T, f func() bool) {
-	t.Helper()
-
-	for b := time.Now(); !f(); time.Sleep(time.Millisecond) {
-		if time.Since(b) > 30*time.Second {
-			t.Fatal("it did not come")
-		}
-	}
-}
-
 // The platform changes the settings of all instances and sends each SIGHUP. Every
 // caller's connection broke: nobody had asked for the signal, and it ends a process
 // that has not. Settings that can't be used must not end it either.
@@ -100,7 +91,7 @@
 	for _, s := range []string{"two", "bad", "three"} {
 		write(t, p, s)
 		is.New(t).NoErr(self.Signal(syscall.SIGHUP))
-		eventually(t, func() bool { return a.has(s) })
+		waiter.Until(t, "the content", func() bool { return a.has(s) })
 	}
 }
 
@@ -109,7 +100,7 @@
 	p, a := start(t)
 
 	write(t, p, "two")
-	eventually(t, func() bool { return a.has("two") })
+	waiter.Until(t, "the content", func() bool { return a.has("two") })
 }
 
 // A signal without a change applies nothing.
--- a/internal/signaler/signaler_test.go
+++ b/internal/signaler/signaler_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/signaler"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // told notes what was told of signals.
@@ -42,11 +43,7 @@
 			t.Fatal(err)
 		}
 
-		for b := time.Now(); len(l.all()) == n; time.Sleep(time.Millisecond) {
-			if time.Since(b) > 30*time.Second {
-				t.Fatal("the signal did not come")
-			}
-		}
+		waiter.Until(t, "the signal", func() bool { return len(l.all()) > n })
 	}
 }
 
