--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -85,7 +85,7 @@
 }
 
 func (b *Budgeter) index(now time.Time) int64 {
-	return int64(now.Sub(b.start) / (b.settings.Window / buckets))
+	return int64(now.Sub(b.start) / max(b.settings.Window/buckets, 1))
 }
 
 // at returns the bucket of the present.
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -113,3 +113,12 @@
 	is.True(!b.Repeat(n.Add(9*time.Second), "a", 6))
 	is.True(b.Repeat(n.Add(11*time.Second), "a", 6))
 }
+
+// A window so short that a part of it is no time at all made the first call panic with a
+// division by zero, and every later one wait for the lock that it had held.
+func TestWindowOfNoTime(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := budgeter.New(budgeter.Settings{Ratio: 0.2, Window: time.Nanosecond, Slack: 100}, now)
+	b.Call(now.Add(time.Second), "g")
+	is.New(t).True(b.Repeat(now.Add(time.Second), "g", 1))
+}
--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/gatekeeper"
+	"github.com/auburntray/auburntray/internal/logger"
 	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/reloader"
 	"github.com/auburntray/auburntray/internal/signaler"
@@ -49,9 +50,17 @@
 	x, end := signaler.New(tellSignal)
 	defer end()
 
-	s, err := platform.ReadSettings(path)
+	c, stop := context.WithCancel(c)
+	defer stop()
+
+	return serve(x.Stopping(), func() (*fx.App, error) { return newGateway(c, path, metricsPort, l, x) })
+}
+
+// newGateway puts a gateway together. Its settings are read again until the context ends.
+func newGateway(c context.Context, path string, metricsPort uint16, l *logger.Logger, x *signaler.Signaler) (*fx.App, error) {
+	s, b, err := platform.ReadSettings(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
 
 	y := gatewaySettings(s)
@@ -68,24 +77,16 @@
 	a := fx.New(gatekeeper.Options(y, w), fx.Populate(&g, &m))
 
 	if err := buildError(a); err != nil {
-		return err
+		return nil, err
 	}
 
 	m.Follow("signals_total", func() float64 { return float64(x.Total()) })
 	m.Follow("log_lines_dropped_total", func() float64 { return float64(l.Dropped()) })
 	m.Follow("log_lines_failed_total", func() float64 { return float64(l.Failed()) })
 
-	r, err := reloader.New(path, x.HangUps(), func(b []byte) error { return retune(b, y, g, t) })
-	if err != nil {
-		return err
-	}
-
-	c, stop := context.WithCancel(c)
-	defer stop()
-
-	go r.Run(c)
+	go reloader.New(path, b, x.HangUps(), func(b []byte) error { return retune(b, y, g, t) }).Run(c)
 
-	return run(a, x.Stopping())
+	return a, nil
 }
 
 // retune puts in force what may change in a settings file, and tells what may not.
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -3,7 +3,9 @@
 
 import (
 	"io"
+	"log"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -56,6 +58,8 @@
 
 	l, flush := logger.New(w)
 
+	log.SetFlags(0)
+	log.SetOutput(libraries{})
 	logrus.SetLevel(x)
 	logrus.SetOutput(l)
 	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
@@ -63,6 +67,19 @@
 	return l, flush, nil
 }
 
+// libraries takes the lines that libraries write by themselves.
+//
+// An HTTP server writes them to the standard error, and waits for whoever reads it. With a
+// reader that stalls, the first connection that can't be taken stops the listener for good.
+type libraries struct{}
+
+// Write is part of io.Writer. It never fails.
+func (libraries) Write(b []byte) (int, error) {
+	logrus.WithFields(logrus.Fields{"event": "libraryLine", "text": strings.TrimSpace(string(b))}).Warn()
+
+	return len(b), nil
+}
+
 // tellSignal logs a signal that came.
 func tellSignal(s os.Signal, u signaler.Use) {
 	logrus.WithFields(logrus.Fields{"event": "signalTaken", "signal": s, "use": u}).Info()
--- a/internal/commander/router.go
+++ b/internal/commander/router.go
@@ -1,12 +1,10 @@
 package commander
 
 import (
-	"context"
 	"fmt"
 	"os"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/dig"
 	"go.uber.org/fx"
 
 	"github.com/auburntray/auburntray/internal/counter"
@@ -58,36 +56,11 @@
 	x, end := signaler.New(tellSignal)
 	defer end()
 
-	a := fx.New(router.Options(s), fx.Invoke(func(n *counter.Counter) { n.Publish() }))
+	return serve(x.Stopping(), func() (*fx.App, error) {
+		a := fx.New(router.Options(s), fx.Invoke(func(n *counter.Counter) { n.Publish() }))
 
-	return run(a, x.Stopping())
-}
-
-// buildError returns why an application can't be put together: what the operator can
-// mend, without the parts that needed it.
-func buildError(a *fx.App) error {
-	return dig.RootCause(a.Err())
-}
-
-// run starts an application, and stops it when it is told to.
-func run(a *fx.App, stopping <-chan struct{}) error {
-	if err := buildError(a); err != nil {
-		return err
-	}
-
-	x, stop := context.WithTimeout(context.Background(), a.StartTimeout())
-	defer stop()
-
-	if err := a.Start(x); err != nil {
-		return err
-	}
-
-	<-stopping
-
-	y, end := context.WithTimeout(context.Background(), a.StopTimeout())
-	defer end()
-
-	return a.Stop(y)
+		return a, buildError(a)
+	})
 }
 
 func newSettings() *cobra.Command {
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -37,9 +37,7 @@
 	x.shared = x.prefixes()
 	x.group = x.rule.Group(x.splitKey())
 
-	f.mu.Lock()
-	f.budgeter.Call(time.Now(), x.group)
-	f.mu.Unlock()
+	f.countCall(x.group)
 
 	if err := f.admit(x); err != nil {
 		return err
@@ -69,6 +67,24 @@
 	}
 }
 
+// countCall counts a call of a group for the retry budget.
+func (f *Forwarder) countCall(group string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.budgeter.Call(time.Now(), group)
+}
+
+// countOut counts a call out at a target and returns what is now believed.
+func (f *Forwarder) countOut(t *enroller.Target, o chooser.Outcome) []chooser.Belief {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.chooser.Finish(time.Now(), t, o)
+
+	return f.chooser.Beliefs()
+}
+
 // choose picks the next target and counts the call there.
 func (f *Forwarder) choose(x *exchange) (chooser.Choice, bool) {
 	f.mu.Lock()
@@ -170,12 +186,7 @@
 
 	f.meter.Attempt(x.group, r.outcome.String())
 
-	f.mu.Lock()
-	f.chooser.Finish(time.Now(), t.Target, r.outcome)
-	l := f.chooser.Beliefs()
-	f.mu.Unlock()
-
-	f.tellBeliefs(l, logrus.Fields{"id": x.call.ID, "error": r.err})
+	f.tellBeliefs(f.countOut(t.Target, r.outcome), logrus.Fields{"id": x.call.ID, "error": r.err})
 
 	return r
 }
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -109,10 +109,9 @@
 // Where it can't, an answer that is late is better than none. It is called by a timer.
 func (f *Forwarder) leaveSlow(t chooser.Choice, group string, stop context.CancelCauseFunc) {
 	f.mu.Lock()
-	ok := t.Usable > 1 && f.budgeter.Room(time.Now(), group, f.facts.Instances())
-	f.mu.Unlock()
+	defer f.mu.Unlock()
 
-	if ok {
+	if t.Usable > 1 && f.budgeter.Room(time.Now(), group, f.facts.Instances()) {
 		stop(errSlow)
 	}
 }
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -32,7 +32,8 @@
 	// drainNotice is how long a balancer that asks once a second, and believes
 	// two answers, takes to send no more.
 	drainNotice = 2500 * time.Millisecond
-	// stopMost bounds a stop when the settings change to a time without reason.
+	// stopMost bounds a start, and a stop when the settings change to a time without
+	// reason.
 	stopMost = time.Hour
 	// configRest and targetRest are the pauses between two reads of a stream that
 	// changes all the time. Each read has a price; a change must be known within
@@ -48,6 +49,8 @@
 		fx.Supply(s, w),
 		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		// A process that stands still as it starts must not end by itself for it.
+		fx.StartTimeout(stopMost),
 		fx.StopTimeout(stopMost),
 		fx.Invoke(func(l fx.Lifecycle, g *Gatekeeper) {
 			l.Append(fx.Hook{OnStart: g.Start, OnStop: g.Stop})
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -25,24 +25,8 @@
 
 // Start serves callers and follows the streams in the background.
 func (g *Gatekeeper) Start(c context.Context) error {
-	for _, s := range []struct {
-		server  *http.Server
-		address netip.AddrPort
-	}{{g.callers, g.settings.Callers}, {g.ready, g.settings.Ready}, {g.metrics, g.settings.Metrics}} {
-		if !s.address.IsValid() {
-			continue
-		}
-
-		l, err := (&net.ListenConfig{}).Listen(c, "tcp", s.address.String())
-		if err != nil {
-			return errors.Mark(err, ErrStart)
-		}
-
-		g.background(func() {
-			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				logrus.WithFields(logrus.Fields{"event": "serveFailed", "error": err}).Error()
-			}
-		})
+	if err := g.serveAll(c); err != nil {
+		return err
 	}
 
 	x, end := context.WithCancel(context.Background())
@@ -67,6 +51,42 @@
 	return nil
 }
 
+// serveAll serves callers, the balancer and readers of counts. It listens on all addresses
+// before it serves on any: one that is taken must not end a process that has calls.
+func (g *Gatekeeper) serveAll(c context.Context) error {
+	listeners := make(map[*http.Server]net.Listener)
+
+	for _, s := range []struct {
+		server  *http.Server
+		address netip.AddrPort
+	}{{g.callers, g.settings.Callers}, {g.ready, g.settings.Ready}, {g.metrics, g.settings.Metrics}} {
+		if !s.address.IsValid() {
+			continue
+		}
+
+		l, err := (&net.ListenConfig{}).Listen(c, "tcp", s.address.String())
+		if err != nil {
+			for _, x := range listeners {
+				_ = x.Close() // Nobody was served.
+			}
+
+			return errors.Mark(err, ErrStart)
+		}
+
+		listeners[s.server] = l
+	}
+
+	for s, l := range listeners {
+		g.background(func() {
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				logrus.WithFields(logrus.Fields{"event": "serveFailed", "error": err}).Error()
+			}
+		})
+	}
+
+	return nil
+}
+
 func (g *Gatekeeper) background(f func()) {
 	g.group.Add(1)
 
--- a/internal/gatekeeper/stop.go
+++ b/internal/gatekeeper/stop.go
@@ -15,6 +15,12 @@
 	stopMargin = 300 * time.Millisecond
 	// advanceEvery is how often it is looked whether a stop may go on.
 	advanceEvery = 50 * time.Millisecond
+	// flushMost is how long a stop waits for answers that are on their way to callers
+	// when the last call has ended.
+	flushMost = 200 * time.Millisecond
+	// endMost is how long a stop waits for what runs in the background, which has nothing
+	// to do any more.
+	endMost = stopMargin / 2
 )
 
 // Stop stops as planned: it shows not ready, serves what still comes until the
@@ -42,11 +48,46 @@
 	n := g.drainer.Running()
 
 	g.end()
+	g.closeServers(c)
+
+	if !g.ended(endMost) {
+		logrus.WithFields(logrus.Fields{"event": "stopIncomplete", "name": g.settings.Name}).Warn()
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "stopped", "name": g.settings.Name, "cut": n}).Info()
+
+	return nil
+}
+
+// closeServers closes the listeners and the connections.
+//
+// A call counts as ended before the library has written the last of its answer. Closing
+// its connection at once would break an answer off that its target had given; so the
+// connections that are in use are waited for.
+func (g *Gatekeeper) closeServers(c context.Context) {
+	c, stop := context.WithTimeout(c, flushMost)
+	defer stop()
+
+	_ = g.callers.Shutdown(c) // What is left is closed now.
 	_ = g.callers.Close()
 	_ = g.ready.Close()
 	_ = g.metrics.Close()
-	g.group.Wait()
-	logrus.WithFields(logrus.Fields{"event": "stopped", "name": g.settings.Name, "cut": n}).Info()
+}
 
-	return nil
+// ended waits for what runs in the background, at most for a time, and says whether it has
+// ended. Something that hangs there must not keep a stopped process until it is killed.
+func (g *Gatekeeper) ended(most time.Duration) bool {
+	d := make(chan struct{})
+
+	go func() {
+		g.group.Wait()
+		close(d)
+	}()
+
+	select {
+	case <-d:
+		return true
+	case <-time.After(most):
+		return false
+	}
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/wire"
@@ -21,6 +22,9 @@
 	// redialAfter is how long a peer that could not be dialled is left alone,
 	// so that calls to it fail at once and not after a dial each.
 	redialAfter = 250 * time.Millisecond
+	// acceptAfter is the pause after an accept that failed, in which descriptors may be
+	// given back; the queue of the listener holds peers meanwhile.
+	acceptAfter = 100 * time.Millisecond
 )
 
 // Handler answers a message from a peer. A nil reply without an error sends
@@ -110,18 +114,32 @@
 
 	go func() {
 		defer m.group.Done()
+		m.accept()
+	}()
+}
 
-		for {
-			c, err := m.listener.Accept()
-			if err != nil {
-				return
-			}
-
+// accept takes the connections of peers until clean-up.
+//
+// An accept fails also while descriptors run out. Peers went on connecting to an instance
+// that had left it at that, since the listener was still there, and were heard by nobody.
+func (m *Messenger) accept() {
+	for {
+		c, err := m.listener.Accept()
+		if err == nil {
 			m.group.Add(1)
 
 			go m.answer(c)
+
+			continue
 		}
-	}()
+
+		select {
+		case <-m.done:
+			return
+		case <-time.After(acceptAfter):
+			logrus.WithFields(logrus.Fields{"event": "acceptFailed", "address": m.address, "error": err}).Warn()
+		}
+	}
 }
 
 // Call sends a request and decodes the reply. It fails with ErrUnreachable,
--- a/internal/reloader/reloader.go
+++ b/internal/reloader/reloader.go
@@ -7,13 +7,9 @@
 	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 )
 
-// ErrRead means that the file can't be read.
-var ErrRead = errors.New("the settings file can't be read")
-
 // lookEvery is how late a change that comes without a signal may be noticed. A look
 // reads some kilobytes.
 const lookEvery = 2 * time.Second
@@ -27,15 +23,13 @@
 }
 
 // New returns a Reloader of the file at a path, which is also looked at whenever a
-// channel has an element. The function is given the file's content after each change;
-// its error refuses the content, and what was in force stands. New fails with ErrRead.
-func New(path string, hangs <-chan struct{}, apply func([]byte) error) (*Reloader, error) {
-	b, err := os.ReadFile(path) //nolint:gosec // Whoever starts the process names the file.
-	if err != nil {
-		return nil, errors.Mark(err, ErrRead)
-	}
-
-	return &Reloader{path: path, apply: apply, last: b, hangs: hangs}, nil
+// channel has an element. The function is given the file's content after each change from
+// the one in force; its error refuses the content, and what was in force stands.
+//
+// The content in force is the caller's to give. A file that was read once more here may
+// have changed since: the change would count as known and never come into force.
+func New(path string, inForce []byte, hangs <-chan struct{}, apply func([]byte) error) *Reloader {
+	return &Reloader{path: path, apply: apply, last: inForce, hangs: hangs}
 }
 
 // Run looks at the file when it is told to and once in a while, until the context
--- a/internal/signaler/signaler.go
+++ b/internal/signaler/signaler.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"os/signal"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -31,6 +32,16 @@
 // serves: it may also be told of a change while it writes its last lines.
 var process = take() //nolint:gochecknoglobals // Signals are the process's, and this runs before all functions.
 
+var (
+	// useless are the signals that a platform or an operator may send and that have no
+	// use here. SIGABRT is left for whoever wants a process's goroutines at its end.
+	useless = []os.Signal{syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGQUIT} //nolint:gochecknoglobals // A constant table.
+	// dropped are those that the system sends by itself: that a pipe has no reader, where
+	// the write fails and that is all, and that a terminal wants the process to stand
+	// still, with its callers waiting.
+	dropped = []os.Signal{syscall.SIGTSTP, syscall.SIGTTIN, syscall.SIGTTOU, syscall.SIGPIPE} //nolint:gochecknoglobals // A constant table.
+)
+
 func take() *inbox {
 	i := &inbox{
 		stops: make(chan os.Signal, 1), hangs: make(chan os.Signal, 1), others: make(chan os.Signal, pending),
@@ -38,9 +49,8 @@
 
 	signal.Notify(i.stops, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(i.hangs, syscall.SIGHUP)
-	signal.Notify(i.others, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM)
-	// A pipe whose reader is gone: the write fails, and that is all.
-	signal.Ignore(syscall.SIGPIPE)
+	signal.Notify(i.others, useless...)
+	signal.Ignore(dropped...)
 
 	return i
 }
@@ -53,8 +63,8 @@
 // before does now what it does by default.
 func Release() {
 	// A signal that is dropped goes back to its default only by way of being taken.
-	signal.Notify(make(chan os.Signal, 1), syscall.SIGPIPE)
-	signal.Reset(syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGUSR2, syscall.SIGALRM, syscall.SIGPIPE)
+	signal.Notify(make(chan os.Signal, 1), dropped...)
+	signal.Reset(slices.Concat([]os.Signal{syscall.SIGTERM, syscall.SIGINT}, useless, dropped)...)
 
 	select {
 	case s := <-process.stops:
