--- a/internal/standin/commander/gateway.go
+++ b/internal/standin/commander/gateway.go
@@ -35,7 +35,7 @@
 	t := resolver.Table{
 		{Name: "listen", Default: "127.0.0.1:8190", Allowed: "an IP number and a port", Help: "address of the server", Read: resolver.Address(&a, false)},
 		{Name: "store", Default: "127.0.0.1:8090", Allowed: "an IP number and a port", Help: "store on whose list the server is", Read: resolver.Address(&store, false)},
-		{Name: "id", Default: "i-1", Allowed: "1 to 63 bytes", Help: "ID of the incarnation", Read: resolver.Text(&s.ID)},
+		{Name: "id", Default: "i-1", Allowed: "1 to 63 bytes", Help: "ID of the server, the same after each start", Read: resolver.Text(&s.ID)},
 		{Name: "service", Default: "plain", Allowed: "1 to 63 bytes", Help: "service that it belongs to", Read: resolver.Text(&s.Service)},
 		{Name: "data-centre", Default: "dc-1", Allowed: "1 to 63 bytes", Help: "data centre of the server", Read: resolver.Text(&s.DataCentre)},
 		{Name: "slots", Default: "8", Allowed: "1 to 10000", Help: "calls run at once", Read: resolver.Int(&s.Slots, 1, 10000)},
