informer: news goes once to a data centre that has four live instances or more

Cause: each instance told every other directly, so that with 302 instances in four data centres the same bytes crossed to a data centre 75 times.

Change: one instance of each other data centre, drawn anew for each telling, is told by the new kind KindRelay and passes the body on in its own data centre as KindNews, which nobody passes on. The next of three is tried at once when a connection fails; one that is cut off with its connections open loses the one telling that it got. Data centres with fewer than four live instances are told as before. Word that a process is gone goes to each as before.

--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -102,6 +102,7 @@
 
 	i := informer.New(m, j, x)
 	m.Handle(wire.KindNews, i.Told)
+	m.Handle(wire.KindRelay, i.Relayed)
 	m.Handle(wire.KindGone, i.ToldGone)
 	x.OnGone(i.Gone)
 
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -116,7 +116,7 @@
 // It names the process and not just the target: the word may come after the list has shown
 // that the target started again, and would have the new process left alone for seconds.
 func (i *Informer) Gone(p enroller.Process) {
-	i.send(context.Background(), i.members.Live(), wire.KindGone, &wire.Gone{
+	i.send(context.Background(), direct(i.members.Live(), i.members.Self()), &wire.Gone{
 		Targets: []string{p.ID}, StartsMs: []int64{p.Start.UnixMilli()},
 	})
 }
@@ -142,7 +142,20 @@
 	return nil, nil //nolint:nilnil // News has no reply.
 }
 
-// tell sends what is new to each of the others. What does not arrive is told again
+// Relayed takes what an instance of another data centre tells, and passes it on in the own
+// one. What can't be read goes no further.
+func (i *Informer) Relayed(c context.Context, from uint64, body []byte) (msgp.Marshaler, error) {
+	if _, err := i.Told(c, from, body); err != nil {
+		return nil, err
+	}
+
+	// The connection over which it came may end before all are told.
+	i.send(context.WithoutCancel(c), near(i.members.Live(), i.members.Self()), msgp.Raw(body))
+
+	return nil, nil //nolint:nilnil // News has no reply.
+}
+
+// tell sends what is new to all others. What does not arrive is told again
 // when it is used later.
 func (i *Informer) tell(c context.Context, l []gossiper.Member) {
 	n := i.knowledge.News()
@@ -164,23 +177,31 @@
 		})
 	}
 
-	i.send(c, l, wire.KindNews, &w)
+	i.send(c, route(l, i.members.Self()), &w)
 }
 
-// send sends a message to each of the others in the background.
-func (i *Informer) send(c context.Context, l []gossiper.Member, k wire.Kind, w msgp.Marshaler) {
-	for _, m := range l {
-		if m.ID == i.members.Self().ID {
-			continue
-		}
-
+// send sends a message by each of the ways in the background.
+func (i *Informer) send(c context.Context, l []leg, w msgp.Marshaler) {
+	for _, x := range l {
 		go func() {
-			x, stop := context.WithTimeout(c, sendTimeout)
-			defer stop()
-
-			if err := i.messenger.Send(x, m.Address, k, w); err != nil {
-				logrus.WithFields(logrus.Fields{"event": "newsFailed", "peer": m.Address, "error": err}).Debug()
+			for _, m := range x.to {
+				if i.sendTo(c, m, x.kind, w) {
+					return
+				}
 			}
 		}()
 	}
 }
+
+// sendTo sends a message to one instance and says whether it took it.
+func (i *Informer) sendTo(c context.Context, m gossiper.Member, k wire.Kind, w msgp.Marshaler) bool {
+	x, stop := context.WithTimeout(c, sendTimeout)
+	defer stop()
+
+	err := i.messenger.Send(x, m.Address, k, w)
+	if err != nil {
+		logrus.WithFields(logrus.Fields{"event": "newsFailed", "peer": m.Address, "error": err}).Debug()
+	}
+
+	return err == nil
+}
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -21,8 +22,12 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
+// leastTelling is the time between two tellings of twenty instances.
+const leastTelling = 320 * time.Millisecond
+
 // knowledge is what an instance of the tests knows.
 type knowledge struct {
+	mu           sync.Mutex
 	news, learnt chooser.News
 	// always makes the news come again and again.
 	always bool
@@ -39,6 +44,9 @@
 }
 
 func (k *knowledge) Learn(n chooser.News) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
 	k.learnt.Places = append(k.learnt.Places, n.Places...)
 	k.learnt.Loads = append(k.learnt.Loads, n.Loads...)
 }
@@ -52,6 +60,10 @@
 	known     []*knowledge
 	gone      map[int]bool
 	messages  atomic.Int64
+	// crossed counts the messages that went to another data centre.
+	crossed atomic.Int64
+	// silent are instances whose connections are open and which do nothing.
+	silent map[int]bool
 }
 
 // view is the fleet as one instance sees it.
@@ -86,24 +98,39 @@
 		return err
 	}
 
-	x := v.instances[v.at(a)]
-	if kind == wire.KindGone {
+	n := v.at(a)
+	if v.members[n].DataCentre != v.Self().DataCentre {
+		v.crossed.Add(1)
+	}
+
+	if v.silent[n] {
+		return nil
+	}
+
+	switch x := v.instances[n]; kind {
+	case wire.KindGone:
 		_, err = x.ToldGone(c, v.Self().ID, b)
-	} else {
+	case wire.KindRelay:
+		_, err = x.Relayed(c, v.Self().ID, b)
+	default:
 		_, err = x.Told(c, v.Self().ID, b)
 	}
 
 	return err
 }
 
-func build(n int) *fleet {
+func build(n int) *fleet { return buildIn(n, "dc") }
+
+// buildIn spreads the instances over data centres in turn.
+func buildIn(n int, centres ...string) *fleet {
 	logrus.SetLevel(logrus.FatalLevel)
 
-	f := &fleet{gone: map[int]bool{}}
+	f := &fleet{gone: map[int]bool{}, silent: map[int]bool{}}
 
 	for i := range n {
 		f.members = append(f.members, gossiper.Member{
 			ID: uint64(i + 1), Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1)),
+			DataCentre: centres[i%len(centres)],
 		})
 		f.known = append(f.known, &knowledge{})
 		v := view{f, i}
@@ -183,6 +210,98 @@
 	}
 }
 
+// Three hundred instances in four data centres tell each other where prompts are. Told
+// to each, the same bytes cross to a data centre seventy-five times, which is most of the
+// price of a day. Few instances tell each other directly.
+func TestNewsGoesOnceToALargeDataCentre(t *testing.T) {
+	four := []string{"a", "b", "c", "d"}
+
+	for name, x := range map[string]struct {
+		instances int
+		centres   []string
+		crossed   int64
+	}{
+		"many":               {instances: 300, centres: four, crossed: 3},
+		"few":                {instances: 6, centres: four, crossed: 4},
+		"three of each":      {instances: 12, centres: four, crossed: 9},
+		"four of each":       {instances: 16, centres: four, crossed: 3},
+		"one data centre":    {instances: 40, centres: []string{"a"}, crossed: 0},
+		"two of unlike size": {instances: 12, centres: []string{"a", "a", "a", "a", "a", "b"}, crossed: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := buildIn(x.instances, x.centres...)
+				f.known[0].news = chooser.News{Places: []chooser.Place{{Key: 7, Target: 9}}}
+
+				c, stop := context.WithTimeout(t.Context(), 10*time.Second)
+				defer stop()
+
+				f.instances[0].Run(c)
+				synctest.Wait()
+
+				for n, k := range f.known {
+					is.Equal(len(k.learnt.Places) == 1, n != 0) // Once each, and none goes round.
+				}
+
+				is.Equal(f.crossed.Load(), x.crossed)
+				is.Equal(f.messages.Load(), int64(x.instances-1))
+			})
+		})
+	}
+}
+
+// Instances of the other data centre die, or are cut off with their connections open,
+// while they still count as live. News goes another way: at once when the connection
+// fails, with one of the next tellings when it does not.
+func TestNewsGoesAnotherWayWhenTheRelayIsAway(t *testing.T) {
+	for name, x := range map[string]struct {
+		dead, silent []int
+		within       time.Duration
+	}{
+		"dead":    {dead: []int{1, 3}, within: leastTelling},
+		"cut off": {silent: []int{1, 3, 5, 7}, within: 10 * leastTelling},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := buildIn(20, "a", "b")
+				f.known[0].always = true
+				f.known[0].news.Places = []chooser.Place{{Key: 7, Target: 9}}
+
+				away := map[int]bool{}
+				for _, n := range x.dead {
+					f.gone[n], away[n] = true, true
+				}
+
+				for _, n := range x.silent {
+					f.silent[n], away[n] = true, true
+				}
+
+				c, stop := context.WithTimeout(t.Context(), x.within)
+				defer stop()
+
+				f.instances[0].Run(c)
+				synctest.Wait()
+
+				for n, k := range f.known {
+					is.Equal(len(k.learnt.Places) > 0, n != 0 && !away[n])
+				}
+			})
+		})
+	}
+}
+
+// News that can't be read goes no further.
+func TestRelayedNewsThatCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	f := buildIn(8, "a", "b")
+
+	_, err := f.instances[0].Relayed(t.Context(), 2, []byte{0xc1})
+	is.True(errors.Is(err, informer.ErrNews))
+	is.Equal(f.messages.Load(), int64(0))
+}
+
 // With many instances each tells less often: what one takes stays about sixty
 // messages a second.
 func TestManyInstancesTellLessOften(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -37,6 +37,9 @@
 	KindNews
 	// KindGone tells that processes of targets are gone.
 	KindGone
+	// KindRelay is KindNews for all instances of the receiver's data centre, which it
+	// passes it on to as KindNews.
+	KindRelay
 )
 
 // Hello is the first message on a connection and says who sends on it, so that
