messenger: bytes sent are counted by kind of message

The sum did not say what takes the control budget. At /metrics: auburntray_control_bytes_sent_news, _relay, _gone, _gossip and _reply (streams).

--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -121,5 +121,11 @@
 	g.handle(w.ReadyPath, p.Meter)
 	g.follow(p.Meter)
 
+	for name, k := range map[string]wire.Kind{
+		"news": wire.KindNews, "relay": wire.KindRelay, "gone": wire.KindGone, "gossip": wire.KindGossip, "reply": wire.KindReply,
+	} {
+		p.Meter.Follow("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
+	}
+
 	return g
 }
--- a/internal/messenger/answer.go
+++ b/internal/messenger/answer.go
@@ -100,7 +100,7 @@
 	w.Lock()
 	defer w.Unlock()
 
-	_ = writeAll(c, b, &m.traffic)
+	_ = writeAll(c, k, b, &m.traffic)
 }
 
 func (m *Messenger) track(c net.Conn) bool {
--- a/internal/messenger/connection.go
+++ b/internal/messenger/connection.go
@@ -97,7 +97,7 @@
 	x.writing.Lock()
 	defer x.writing.Unlock()
 
-	if err := writeAll(x.conn, b, x.traffic); err != nil {
+	if err := writeAll(x.conn, k, b, x.traffic); err != nil {
 		x.close()
 
 		return err
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -243,7 +243,7 @@
 	m.group.Wait()
 }
 
-func writeAll(c net.Conn, b []byte, t *Traffic) error {
+func writeAll(c net.Conn, k wire.Kind, b []byte, t *Traffic) error {
 	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return errors.Mark(err, ErrUnreachable)
 	}
@@ -252,7 +252,7 @@
 		return errors.Mark(err, ErrUnreachable)
 	}
 
-	t.out(len(b))
+	t.out(k, len(b))
 
 	return nil
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -210,6 +211,36 @@
 	})
 }
 
+// What is sent is counted by kind, requests and replies apart.
+func TestBytesAreCountedByKind(t *testing.T) {
+	is := is.New(t)
+
+	x, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), 1, &net.Dialer{}, nil)
+	is.NoErr(err)
+
+	defer stop()
+
+	q, r := &wire.Ask{Prompt: 2000}, &wire.Verdict{Target: 7}
+
+	x.Handle(wire.KindAsk, func(context.Context, uint64, []byte) (msgp.Marshaler, error) { return r, nil })
+	x.Serve()
+
+	var v wire.Verdict
+
+	is.NoErr(x.Call(t.Context(), x.Address(), wire.KindAsk, q, &v))
+
+	f := x.Traffic()
+	is.Equal(f.SentOf(wire.KindAsk), int64(messenger.Size(wire.KindAsk, 1, q)))
+	// The reply is there before it is counted.
+	waiter.Until(t, "the reply's bytes", func() bool {
+		return f.SentOf(wire.KindReply) == int64(messenger.Size(wire.KindReply, 1, r))
+	})
+	is.Equal(f.SentOf(wire.KindNews), int64(0))
+
+	n, _ := f.Bytes()
+	is.Equal(n, f.SentOf(wire.KindAsk)+f.SentOf(wire.KindReply)+f.SentOf(wire.KindHello))
+}
+
 func BenchmarkCall(b *testing.B) {
 	x, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), 1, &net.Dialer{}, nil)
 	if err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,6 +40,8 @@
 	// KindRelay is KindNews for all instances of the receiver's data centre, which it
 	// passes it on to as KindNews.
 	KindRelay
+	// Kinds is how many kinds there are.
+	Kinds
 )
 
 // Hello is the first message on a connection and says who sends on it, so that
