repeater: records that are long together are told in a short form

Cause: only single records of 4 KB and more were compressed. The list of 3,000 targets is records of some 250 bytes, told one by one: by a seed to each of a hundred instances that have just started, and as a whole list of 750 KB to each that asks for it, which does not fit the 250 ms of a question over a link of 10 Mbit/s.

Change: an answer's records of 1 KB and more together go as one DEFLATE bundle, kept for the others who ask from the same offset. StreamReply has a field more; an instance of another version fails to read it and reads from the platform itself.

--- a/internal/repeater/answer.go
+++ b/internal/repeater/answer.go
@@ -22,7 +22,7 @@
 			return nil, ErrPeer
 		}
 
-		if n > q.From {
+		if n > q.From || q.WaitMs == 0 {
 			return s.reply(q.From), nil
 		}
 
@@ -55,6 +55,8 @@
 		p.Records = append(p.Records, x)
 	}
 
+	s.bundle(p, from)
+
 	return p
 }
 
--- a/internal/repeater/others.go
+++ b/internal/repeater/others.go
@@ -88,6 +88,10 @@
 		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), errOld)
 	}
 
+	if err := unbundle(&p); err != nil {
+		return nil, err
+	}
+
 	for i := range p.Records {
 		x := &p.Records[i]
 		if !x.Packed {
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	reads   map[int]int
 	// shown is how many records a whole list has; zero sets no bound.
 	shown int
+	// takes is how long a whole list takes to come over an instance's link.
+	takes map[int]time.Duration
 	// ahead is by how much the end that it names is too late.
 	ahead int64
 }
@@ -86,8 +89,16 @@
 		return nil, 0, err
 	}
 
+	v.mu.Lock()
+	d := v.takes[v.instance]
+	v.mu.Unlock()
+
 	l := v.since(0)
 
+	if err := pass(c, d); err != nil {
+		return nil, 0, err
+	}
+
 	v.mu.Lock()
 	defer v.mu.Unlock()
 
@@ -239,10 +250,8 @@
 	i.fleet.sent += len(b)
 	i.fleet.mu.Unlock()
 
-	select {
-	case <-time.After(time.Until(at)):
-	case <-c.Done():
-		return c.Err()
+	if err := pass(c, time.Until(at)); err != nil {
+		return err
 	}
 
 	_, err = r.UnmarshalMsg(b)
@@ -250,6 +259,21 @@
 	return err
 }
 
+// pass waits for a time. None needs no timer: one that is due as it is made, with a
+// context that may end, takes the runtime down with the race detector and fake time.
+func pass(c context.Context, d time.Duration) error {
+	if d <= 0 {
+		return c.Err()
+	}
+
+	select {
+	case <-time.After(d):
+		return nil
+	case <-c.Done():
+		return c.Err()
+	}
+}
+
 // sink holds the values that an instance knows.
 type sink struct {
 	mu     sync.Mutex
@@ -299,10 +323,21 @@
 // startWith runs them with seeds, and returns while they are new to each other.
 func startWith(t *testing.T, seeds []netip.AddrPort, centres ...string) (*fleet, func()) {
 	t.Helper()
+
+	return startOn(t, newPlatform(), seeds, centres...)
+}
+
+func newPlatform() *platform {
+	return &platform{refused: map[int]bool{}, silent: map[int]bool{}, reads: map[int]int{}, takes: map[int]time.Duration{}}
+}
+
+// startOn runs them on a platform.
+func startOn(t *testing.T, p *platform, seeds []netip.AddrPort, centres ...string) (*fleet, func()) {
+	t.Helper()
 	logrus.SetLevel(logrus.FatalLevel)
 
 	f := &fleet{
-		platform: &platform{refused: map[int]bool{}, silent: map[int]bool{}, reads: map[int]int{}},
+		platform: p,
 		cut:      map[int]bool{},
 		down:     map[int]bool{},
 		seeds:    seeds,
@@ -648,3 +683,48 @@
 		is.True(d < 8*350*time.Millisecond/2)
 	})
 }
+
+// Callers of one instance would wait: sixty instances have just started and read through
+// it, while two hundred targets a second enter the list. Told record by record they take
+// all of its link of 10 Mbit/s, and nothing is left for calls.
+func TestManyTargetsEnterWhileAllHaveJustStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+
+		f, stop := startWith(t, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}, slices.Repeat([]string{"a"}, 60)...)
+		f.mu.Lock()
+		f.perByte = 800 * time.Nanosecond // 10 Mbit/s.
+		f.mu.Unlock()
+
+		const (
+			most  = 1000
+			every = 5 * time.Millisecond
+		)
+
+		for n := range most {
+			f.platform.put("t"+strconv.Itoa(n), entry(n))
+			time.Sleep(every)
+		}
+
+		f.platform.put("t0", "")
+		time.Sleep(2 * time.Second)
+
+		for _, i := range f.instances {
+			is.Equal(i.sink.get("t0"), "")
+			is.Equal(i.sink.get("t"+strconv.Itoa(most-1)), entry(most-1))
+		}
+
+		f.mu.Lock()
+		d := time.Duration(f.sent) * f.perByte
+		f.mu.Unlock()
+
+		stop()
+		is.True(d < most*every/2) // Half of the seed's link is for calls.
+	})
+}
+
+// entry is what the list says of a target, in size and likeness as targets write it.
+func entry(n int) string {
+	return fmt.Sprintf(`{"id":"tray-llm-%d","service":"tray-llm","address":"10.%d.%d.%d:8000","zone":"lekki","state":"up",`+
+		`"slots":32,"model":"llm","startedMs":%d,"boot":"%x"}`, n, n%7, n%251, n*31%253, 1_700_000_000_000+n*7919, n*2654435761)
+}
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -21,6 +21,8 @@
 
 	// packing is held while a short form is made, and taken before mu.
 	packing sync.Mutex
+	// bundles are guarded by packing.
+	bundles bundles
 
 	mu      sync.Mutex
 	tape    *tape
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord News Holder Load Gone
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -244,12 +244,19 @@
 
 // StreamReply carries records in their order, and the offset after the last. With
 // Whole they are the newest of each key, and keys that are not among them are
-// gone. AgeMs is how long ago the sender last heard from the platform.
+// gone. AgeMs is how long ago the sender last heard from the platform. Packed holds, when
+// it is not empty, the records in place of Records: a StreamRecords, compressed by DEFLATE.
 type StreamReply struct {
 	Next    int64
 	Whole   bool
 	AgeMs   uint32
 	Records []StreamRecord
+	Packed  []byte
+}
+
+// StreamRecords are records in their order.
+type StreamRecords struct {
+	Records []StreamRecord
 }
 
 // StreamRecord is one record. Without a value its key was dropped. With Packed the
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -3370,6 +3370,120 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StreamRecords) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	if cap(z.Records) >= int(zb0002) {
+		z.Records = (z.Records)[:zb0002]
+	} else {
+		z.Records = make([]StreamRecord, zb0002)
+	}
+	for za0001 := range z.Records {
+		err = z.Records[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamRecords) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Records)))
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	for za0001 := range z.Records {
+		err = z.Records[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamRecords) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+	for za0001 := range z.Records {
+		o, err = z.Records[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamRecords) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Records")
+		return
+	}
+	if cap(z.Records) >= int(zb0002) {
+		z.Records = (z.Records)[:zb0002]
+	} else {
+		z.Records = make([]StreamRecord, zb0002)
+	}
+	for za0001 := range z.Records {
+		bts, err = z.Records[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamRecords) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Records {
+		s += z.Records[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *StreamReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -3378,8 +3492,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Next, err = dc.ReadInt64()
@@ -3415,13 +3529,18 @@
 			return
 		}
 	}
+	z.Packed, err = dc.ReadBytes(z.Packed)
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
@@ -3452,14 +3571,19 @@
 			return
 		}
 	}
+	err = en.WriteBytes(z.Packed)
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 5
+	o = append(o, 0x95)
 	o = msgp.AppendInt64(o, z.Next)
 	o = msgp.AppendBool(o, z.Whole)
 	o = msgp.AppendUint32(o, z.AgeMs)
@@ -3471,6 +3595,7 @@
 			return
 		}
 	}
+	o = msgp.AppendBytes(o, z.Packed)
 	return
 }
 
@@ -3482,8 +3607,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
 	z.Next, bts, err = msgp.ReadInt64Bytes(bts)
@@ -3519,6 +3644,11 @@
 			return
 		}
 	}
+	z.Packed, bts, err = msgp.ReadBytesBytes(bts, z.Packed)
+	if err != nil {
+		err = msgp.WrapError(err, "Packed")
+		return
+	}
 	o = bts
 	return
 }
@@ -3529,6 +3659,7 @@
 	for za0001 := range z.Records {
 		s += z.Records[za0001].Msgsize()
 	}
+	s += msgp.BytesPrefixSize + len(z.Packed)
 	return
 }
 
