--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -728,3 +728,42 @@
 	return fmt.Sprintf(`{"id":"tray-llm-%d","service":"tray-llm","address":"10.%d.%d.%d:8000","zone":"lekki","state":"up",`+
 		`"slots":32,"model":"llm","startedMs":%d,"boot":"%x"}`, n, n%7, n%251, n*31%253, 1_700_000_000_000+n*7919, n*2654435761)
 }
+
+// All instances were killed together and start again, and the list holds three thousand
+// targets: it takes a link of 10 Mbit/s longer than a read of a few targets may last. Given
+// up each time and begun anew, it never comes, and the instances serve nobody. Those with
+// slow links have it once it is there, and sooner from one whose link is faster.
+func TestLongListOverSlowLinks(t *testing.T) {
+	const slow = 1500 * time.Millisecond
+
+	for name, x := range map[string]struct {
+		takes []time.Duration
+		// within is when all know the list.
+		within time.Duration
+	}{
+		"all links are slow":  {takes: []time.Duration{slow, slow, slow, slow}, within: 1600 * time.Millisecond},
+		"one is fast":         {takes: []time.Duration{300 * time.Millisecond, slow, slow, slow}, within: 800 * time.Millisecond},
+		"one is never served": {takes: []time.Duration{slow, time.Hour, slow, slow}, within: 2200 * time.Millisecond},
+		"none is slow":        {takes: []time.Duration{0, 0, 0, 0}, within: 10 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPlatform()
+
+				for n, d := range x.takes {
+					p.takes[n] = d
+				}
+
+				f, stop := startOn(t, p, []netip.AddrPort{}, slices.Repeat([]string{"a"}, len(x.takes))...)
+				defer stop()
+
+				time.Sleep(x.within)
+
+				for _, i := range f.instances {
+					is.Equal(i.sink.get("k"), "0")
+				}
+			})
+		})
+	}
+}
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -47,28 +47,6 @@
 	return s.tape.heard
 }
 
-// errOlderList means that a whole list is from an older state than one that was read.
-var errOlderList = errors.New("the list is from an older state")
-
-// Newest is part of watcher.Source. It fails with errOlderList.
-func (s *Stream) Newest(c context.Context) ([]watcher.Record, int64, error) {
-	l, n, err := s.source.Newest(c)
-	s.count(sourcePlatform, err)
-
-	if err == nil {
-		return l, n, s.reset(time.Now(), l, n)
-	}
-
-	p, x := s.others(c, -1)
-	if x != nil {
-		return nil, 0, errors.CombineErrors(err, x)
-	}
-
-	l = records(p)
-
-	return l, p.Next, s.reset(s.age(p), l, p.Next)
-}
-
 // Follow is part of watcher.Source. It reads from the one instance of the data
 // centre that reads for all, unless that is this one; from the platform when that
 // instance does not answer; and from any other when the platform does not.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -26,8 +26,10 @@
 	waitTime    = 700 * time.Millisecond
 	silentAfter = 300 * time.Millisecond
 	// newestTimeout bounds a read of all keys. The source answers within a few
-	// milliseconds, a quarter of a second when it is slow.
-	newestTimeout = 800 * time.Millisecond
+	// milliseconds, a quarter of a second when it is slow; but three thousand targets are
+	// 1.2 MB, which takes a link of 10 Mbit/s a second when it carries nothing else. Given
+	// up sooner, the list would be begun anew each time and never come.
+	newestTimeout = 2500 * time.Millisecond
 	// While reads fail they do not wait for changes, and are given up after
 	// shortTimeout: a wait that began during an outage would hide its end.
 	shortTimeout = 600 * time.Millisecond
