--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -105,6 +105,7 @@
 
 	i := informer.New(m, j, x)
 	m.Handle(wire.KindNews, i.Told)
+	m.Handle(wire.KindRelay, i.Relayed)
 	m.Handle(wire.KindGone, i.ToldGone)
 	x.OnGone(i.Gone)
 
@@ -123,5 +124,11 @@
 	g.handle(w.ReadyPath, p.Meter)
 	g.follow(p.Meter)
 
+	for name, k := range map[string]wire.Kind{
+		"news": wire.KindNews, "relay": wire.KindRelay, "gone": wire.KindGone, "gossip": wire.KindGossip, "reply": wire.KindReply,
+	} {
+		p.Meter.Follow("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
+	}
+
 	return g
 }
