--- a/internal/enroller/target.go
+++ b/internal/enroller/target.go
@@ -14,7 +14,7 @@
 	Group      string
 	Address    netip.AddrPort
 	DataCentre string
-	// Slots is how many calls it runs at a time; zero when it does not say.
+	// Slots is how many calls it runs at a time; may be zero.
 	Slots int
 	// Draining says that it is about to leave and takes no new calls.
 	Draining bool
