internal/gatekeeper: a test that the panic of one call breaks that call only

Cause: the guard came without a test of its own. What changed: the test. Measured: fails with the guard taken out (no answer), passes with it.

--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -82,6 +82,10 @@
 type dialect struct{}
 
 func (dialect) Read(h http.Header) (forwarder.Call, error) {
+	if h.Get("Panic") != "" {
+		panic("a fault of the program")
+	}
+
 	return forwarder.Call{ID: h.Get("Id"), Key: h.Get("Key")}, nil
 }
 
@@ -424,3 +428,29 @@
 	is.Equal(n, http.StatusServiceUnavailable)
 	is.True(h.Get("Retry-After") != "")
 }
+
+// A fault of the program shows in the handling of one call. Its caller's connection was
+// closed without an answer, and the caller could only guess; the call gets an answer that
+// promises nothing, and the instance serves on.
+func TestPanicOfOneCall(t *testing.T) {
+	i := is.New(t)
+	s := open(t)
+	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "hello") }))
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	waiter.Until(t, "the status 200", status(t, s.callers+"/x/", http.StatusOK))
+
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.callers+"/x/", nil)
+	i.NoErr(err)
+
+	q.Host = "app.example"
+	q.Header.Set("Panic", "yes")
+
+	r, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
+	i.NoErr(err)
+	i.NoErr(r.Body.Close())
+	i.Equal(r.StatusCode, http.StatusInternalServerError)
+
+	n, b, _ := get(t, s.callers+"/x/")
+	i.Equal(n, http.StatusOK)
+	i.Equal(b, "hello")
+}
