--- a/internal/commander/gateway_test.go
+++ b/internal/commander/gateway_test.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -18,26 +17,9 @@
 	"github.com/auburntray/auburntray/internal/gatekeeper"
 	"github.com/auburntray/auburntray/internal/standin/porter"
 	"github.com/auburntray/auburntray/internal/standin/waiter"
+	"github.com/auburntray/auburntray/platform/standin"
 )
 
-const settingsFile = `
-nodeName = "front-1"
-zone = "a"
-region = "r"
-seeds = []
-[listen]
-front = "%s"
-ready = "%s"
-control = "%s"
-[bounds]
-graceS = 8
-retryBudgetRatio = 0.2
-budgetWindowS = 10
-budgetSlack = 52
-[platform]
-address = "%s"
-`
-
 // asked is a store that turns everybody away and says whether it was asked.
 func asked(t *testing.T) (address string, was func() bool) {
 	t.Helper()
@@ -65,7 +47,7 @@
 	second, askedSecond := asked(t)
 
 	write := func(store string) {
-		i.NoErr(os.WriteFile(p, fmt.Appendf(nil, settingsFile, front, ready, control, store), 0o600))
+		i.NoErr(os.WriteFile(p, standin.Settings(front, ready, control, store), 0o600))
 	}
 	write(first)
 
