--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -108,6 +108,18 @@
 	return true
 }
 
+// Drop takes a target off at once, also while entries that vanish are held: its entry did
+// not run out in an outage, but was written over.
+func (e *Enroller) Drop(id string) {
+	if _, ok := e.entries[id]; !ok {
+		return
+	}
+
+	delete(e.entries, id)
+
+	e.stale = true
+}
+
 // Reset takes the whole list. Entries that are not on it are removed.
 func (e *Enroller) Reset(now time.Time, l []Target) {
 	k := make(map[string]bool, len(l))
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/enroller"
 )
 
@@ -193,9 +193,7 @@
 
 // timedOut says that an attempt ended because a time of this instance's own ran out.
 func timedOut(c context.Context, err error) bool {
-	var n net.Error
-
-	return errors.As(err, &n) && n.Timeout() || errors.Is(context.Cause(c), errSlow) || errors.Is(err, context.DeadlineExceeded)
+	return detector.TimedOut(err) || errors.Is(context.Cause(c), errSlow)
 }
 
 // tellBeliefs logs what this instance now believes of targets, with the fields of the call
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -181,7 +181,7 @@
 
 	n := time.Now()
 	for _, id := range none {
-		drop(n, f.enroller, id)
+		f.enroller.Drop(id)
 	}
 
 	f.enroller.Reset(n, l)
@@ -190,22 +190,6 @@
 	f.learned()
 }
 
-// drop takes a target off at once, also while entries that vanish are held: its entry did
-// not run out in an outage, but was written over.
-func drop(now time.Time, e *enroller.Enroller, id string) {
-	t, ok := e.Known(id)
-	if !ok {
-		return
-	}
-
-	x := *t
-	x.Draining = true // Targets that are about to leave are not held.
-
-	e.Set(x)
-
-	e.Remove(now, id)
-}
-
 // settle drops the targets whose entries have not come back in time.
 func (f *facts) settle() {
 	f.update(func(n time.Time, e *enroller.Enroller) {
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -2,15 +2,14 @@
 
 import (
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/gin-gonic/gin"
-	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/idler"
 	"github.com/auburntray/auburntray/internal/meter"
+	"github.com/auburntray/auburntray/internal/recoverer"
 )
 
 const (
@@ -30,7 +29,7 @@
 	gin.SetMode(gin.ReleaseMode)
 
 	c := gin.New()
-	c.Use(recoverCall)
+	c.Use(recoverer.New(func(c *gin.Context) { c.AbortWithStatus(http.StatusInternalServerError) }))
 	c.NoRoute(gin.WrapF(g.serve))
 	c.RemoveExtraSlash = false
 	c.RedirectTrailingSlash = false
@@ -51,31 +50,6 @@
 	g.metrics = &http.Server{Handler: x, ReadHeaderTimeout: headerTimeout}
 }
 
-// recoverCall answers a call whose handling panicked; one whose answer had begun is broken
-// off. An abort on purpose goes on to the server, which closes the connection.
-func recoverCall(c *gin.Context) {
-	defer func() {
-		e := recover()
-		if e == nil {
-			return
-		}
-
-		if e == http.ErrAbortHandler { //nolint:errorlint,err113 // The server compares it so.
-			panic(e)
-		}
-
-		logrus.WithFields(logrus.Fields{"event": "callPanicked", "error": e, "stack": string(debug.Stack())}).Error()
-
-		if c.Writer.Written() {
-			panic(http.ErrAbortHandler)
-		}
-
-		c.AbortWithStatus(http.StatusInternalServerError)
-	}()
-
-	c.Next()
-}
-
 // limits returns how long a caller's connection may be without a call.
 func (g *Gatekeeper) limits() idler.Limits {
 	c := g.facts.Catalog()
--- a/internal/gatekeeper/target_sink.go
+++ b/internal/gatekeeper/target_sink.go
@@ -71,7 +71,7 @@
 
 	t, err := s.decode(r.Key, r.Value)
 	if err != nil {
-		s.facts.note(func(n time.Time, e *enroller.Enroller) { drop(n, e, r.Key) })
+		s.facts.note(func(_ time.Time, e *enroller.Enroller) { e.Drop(r.Key) })
 		s.refuse(r, err)
 
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -12,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/gin-gonic/gin"
-	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -28,6 +27,7 @@
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/orderer"
 	"github.com/auburntray/auburntray/internal/recorder"
+	"github.com/auburntray/auburntray/internal/recoverer"
 	"github.com/auburntray/auburntray/internal/registrar"
 	"github.com/auburntray/auburntray/internal/resolver"
 	"github.com/auburntray/auburntray/internal/sender"
@@ -227,7 +227,7 @@
 	gin.SetMode(gin.ReleaseMode)
 
 	g := gin.New()
-	g.Use(recoverCall)
+	g.Use(recoverer.New(answerPanic))
 	g.GET("/healthz", func(c *gin.Context) { c.Status(http.StatusOK) })
 	g.GET("/readyz", r.ready)
 	g.NoRoute(gin.WrapH(r.pipeline))
@@ -235,25 +235,10 @@
 	return g
 }
 
-// recoverCall answers a call whose handling panicked. An abort on purpose goes
-// on to the server, which closes the connection.
-func recoverCall(c *gin.Context) {
-	defer func() {
-		e := recover()
-		if e == nil {
-			return
-		}
-
-		if e == http.ErrAbortHandler { //nolint:errorlint,err113 // The server compares it so.
-			panic(e)
-		}
-
-		logrus.WithFields(logrus.Fields{"event": "callPanicked", "error": e}).Error()
-		c.AbortWithStatusJSON(http.StatusInternalServerError,
-			gin.H{"error": gin.H{"code": "internal", "outcome": "unknown"}})
-	}()
-
-	c.Next()
+// answerPanic answers a call whose handling panicked: whether it ran is not known.
+func answerPanic(c *gin.Context) {
+	c.AbortWithStatusJSON(http.StatusInternalServerError,
+		gin.H{"error": gin.H{"code": "internal", "outcome": "unknown"}})
 }
 
 // ready says whether the balancer should send calls: a configuration is in
