internal/filterer: a stream is resumed after a dial that failed; the red test has room for its calls

(1) All 45 calls are one customer's; 48 places give it 40 (0.85 of them). When calls end slowly the 41st and later are refused, truly and with Retry-After, as the shares are meant to: a fault of the test, which never meant to test shares. (2) A stream broke, and the one dial for its rest ran out of time: the answer ended for good. Ruled out: counts that are lost, calls that are sent again, answers without a break. Change: a resume whose connection is not made is tried again, within the resumes that a stream has; the test has four engines, so that 45 calls fit the share. Its checks are the same. Of 2,133 streams before, 3 met the failed dial.

--- a/internal/filterer/relay.go
+++ b/internal/filterer/relay.go
@@ -19,7 +19,7 @@
 const (
 	// maxAnswer bounds an answer that is held whole, in bytes.
 	maxAnswer = 32 << 20
-	// resumes is how often one streamed answer is resumed.
+	// resumes is how often the rest of one streamed answer is asked for.
 	resumes     = 3
 	resumePause = 50 * time.Millisecond
 )
@@ -105,13 +105,13 @@
 func (r Relay) stream(c context.Context, x *exchanger.Exchange) error {
 	s := &stream{relay: r, exchange: x, events: sender.NewEventReader(x.Response.Body)}
 
-	for n := 0; ; n++ {
+	for {
 		err := s.copy()
 		if err == nil {
 			return nil
 		}
 
-		if c.Err() != nil || n >= resumes || errors.Is(err, errCaller) {
+		if c.Err() != nil || s.resumes >= resumes || errors.Is(err, errCaller) {
 			return err
 		}
 
@@ -119,7 +119,7 @@
 			"event": "streamBroke", "request": x.ID, "attempt": x.Attempt, "target": x.Target.Name, "offset": s.offset, "error": err,
 		}).Warn()
 
-		if err := s.resume(c); err != nil {
+		if err := s.reconnect(c); err != nil {
 			return err
 		}
 
--- a/internal/filterer/stream.go
+++ b/internal/filterer/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/sender"
@@ -21,6 +22,8 @@
 	events   *sender.EventReader
 	// offset is how many tokens the caller has.
 	offset int
+	// resumes is how often the rest was asked for.
+	resumes int
 	// tail holds the events after the last token. They go out only once the
 	// stream is whole: a resumed stream sends them again.
 	tail []byte
@@ -88,6 +91,26 @@
 	return nil
 }
 
+// reconnect resumes the stream, also when the first connection for it is not made.
+//
+// An engine that breaks streams off is often too busy to take a connection. The caller
+// would see its answer end for good at one dial that failed, though the engine has the
+// rest and takes the next: beside busy processes that was so for 3 of 2,133 streams.
+func (s *stream) reconnect(c context.Context) error {
+	for {
+		s.resumes++
+
+		err := s.resume(c)
+		if !errors.Is(err, sender.ErrNeverSent) || s.resumes >= resumes {
+			return err
+		}
+
+		logrus.WithFields(logrus.Fields{
+			"event": "resumeFailed", "request": s.exchange.ID, "attempt": s.exchange.Attempt, "target": s.exchange.Target.Name, "error": err,
+		}).Warn()
+	}
+}
+
 // resume gets the rest of the stream from where the caller is.
 func (s *stream) resume(c context.Context) error {
 	t := time.NewTimer(resumePause)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -30,9 +30,12 @@
 // Engines break connections in the middle of answers. Many callers stream at
 // once through all routers; each must get its own answer, whole, with no word
 // of another's and none twice where the stream was resumed.
+//
+// All calls are one customer's, who has 0.85 of the places. Four engines have 54 for it,
+// so that none of the 45 is held back however slowly the others end.
 func TestEveryCallerGetsItsOwnWholeAnswer(t *testing.T) {
 	i := is.New(t)
-	f := newFleet(t, 3, 0)
+	f := newFleet(t, 4, 0)
 
 	for range 3 {
 		f.add("dc-1")
