--- a/internal/filterer/relay_test.go
+++ b/internal/filterer/relay_test.go
@@ -100,4 +100,3 @@
 		})
 	}
 }
-
