internal/tallier, reserver, forwarder: the calls at a target are counted at its home

Cause: at 295 instances what they tell each other of loads is about a second old at the reader (each tells each 4.7 s). Weighed: fresher tellings by an aggregator or a tree (some 0.3 to 0.5 s old at the reader, no use for calls of 30 ms, 12 KB/s and more at the carriers); epidemic (about 1.4 s); a count at one place, asked before a call is sent (no age; a message of some 20 bytes each way a call, and one at its end). Change: from 16 live instances on, the home of a target, an instance of its data centre by rendezvous, grants room for each call up to the bound that the asker knows; a full one is noted and the next asked. A silent home holds up one call for 30 ms and is left out for a second. What the home does not know, the target's own word makes good. Calls that met several full targets spread over the next ones.

--- a/internal/chooser/call.go
+++ b/internal/chooser/call.go
@@ -16,6 +16,17 @@
 	}
 }
 
+// Decline takes back that a call goes to a target, where it was not sent since the target has
+// as many calls as it may have. What the choice noted of prompts there is not so.
+func (c *Chooser) Decline(now time.Time, x Choice, calls int) {
+	c.Finish(now, x.Target, Neither)
+	c.Report(now, x.Target, Report{Running: calls, Slots: x.Target.Slots})
+
+	for _, k := range x.fresh {
+		c.places.withdraw(k, x.Target.Key())
+	}
+}
+
 // Report takes what a target said of its load.
 func (c *Chooser) Report(now time.Time, t *enroller.Target, r Report) {
 	if r.Slots == 0 {
--- a/internal/chooser/candidate.go
+++ b/internal/chooser/candidate.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -113,6 +114,40 @@
 	}
 }
 
+// spreadBy is how many times more targets a call may go to with each one that turned out to
+// be full. Replayed on 295 instances with a hot prompt, 0.6 in 100 calls came to a target
+// above its limit; 0.9 with 2, and 0.5 with 4, where prompts are read at more targets.
+const spreadBy = 3
+
+// spread returns a candidate within the bound for a call that found several targets full: one
+// of the first in the key's own order, of several times more with each target that was full.
+//
+// A prompt that a tenth of all calls share fills ten targets and more. Taken one by one in the
+// same order, each call would ask all of those before it finds room, or be sent to one without.
+func spread(l []candidate, most float64, holders []enroller.Key, q Query) candidate {
+	k := q.Prefixes[0].Key
+	r := make([]ranked, 0, len(l))
+
+	for _, x := range l {
+		if x.load+1 <= most {
+			r = append(r, ranked{candidate: x, score: hasher.Score(k, x.target.Rank(), 1)})
+		}
+	}
+
+	if len(r) == 0 {
+		return bounded(l, most, k, holders)
+	}
+
+	slices.SortFunc(r, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+
+	n := 1
+	for range q.Declined - 1 {
+		n *= spreadBy
+	}
+
+	return r[hasher.Mix(q.Draw, uint64(q.Declined))%uint64(min(n, len(r)))].candidate //nolint:gosec // Both are above zero.
+}
+
 // ranked is a candidate with its place in a key's order; the highest score is first. The
 // zero value is none, and behind all.
 type ranked struct {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -42,6 +42,10 @@
 	DataCentre string
 	// Excluded are the IDs of targets that the call was sent to before.
 	Excluded []string
+	// Declined is how many targets turned out to be full since the last one that the call
+	// was sent to, and Draw a number of the call's own, by which calls spread from there.
+	Declined int
+	Draw     uint64
 }
 
 // Choice is where a call goes.
@@ -56,6 +60,9 @@
 	Load, Bound float64
 	Usable      int
 	Held        bool
+
+	// fresh are the beginnings of the prompt that Target was not known to hold.
+	fresh []uint64
 }
 
 // Report is what a target said of its load as it answered a call.
@@ -102,6 +109,11 @@
 	h := c.places.holders(now, q.Prefixes[0].Key)
 	most := c.settings.bound(l)
 	x := bounded(u, most, q.Prefixes[0].Key, h)
+
+	if q.Declined > 1 {
+		x = spread(u, most, h, q)
+	}
+
 	n := x.target.Key()
 	o := Choice{
 		Target: x.target, Source: c.source(now, r, n, q.Prefixes),
@@ -109,7 +121,9 @@
 	}
 
 	for _, p := range q.Prefixes {
-		c.places.use(now, p.Key, n)
+		if c.places.use(now, p.Key, n) {
+			o.fresh = append(o.fresh, p.Key)
+		}
 	}
 
 	return o, true
--- /dev/null
+++ b/internal/chooser/decline_test.go
@@ -0,0 +1,70 @@
+package chooser_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/chooser"
+)
+
+// A call is not sent where it was to go, since the target is full. Nothing of it may stay: the
+// target does not hold the prompt, nobody is told that it does, and no call runs there. That
+// it is full is known, and the next call goes elsewhere.
+func TestDeclinedChoiceLeavesNothing(t *testing.T) {
+	i := is.New(t)
+	r := roster(9, "a")
+	c := chooser.New(chooser.DefaultSettings())
+	now := time.Unix(0, 0)
+
+	x := choose(c, now, r, query(1))
+	c.Decline(now, x, 12)
+
+	n := c.News()
+	i.Equal(len(n.Places), 0)
+	i.Equal(len(n.Loads), 1)
+	i.Equal(n.Loads[0].Calls, 12)
+
+	y := choose(c, now, r, query(1))
+	i.True(y.Target != x.Target)
+	i.Equal(y.Source, nil)
+
+	// It held the prompt before, and still does.
+	c.Finish(now, y.Target, chooser.Good)
+	z := choose(c, now.Add(time.Second), r, query(1))
+	i.Equal(z.Target, y.Target)
+	i.True(z.Held)
+	c.Decline(now.Add(time.Second), z, 12)
+
+	z = choose(c, now.Add(4*time.Second), r, query(1))
+	i.Equal(z.Target, y.Target)
+	i.True(z.Held)
+}
+
+// A prompt that a tenth of all calls share fills one target after the other. Calls that found
+// two full must not all try the third: they spread over those that come next in the prompt's
+// order, further with each one that was full.
+func TestCallsThatFoundFullTargetsSpread(t *testing.T) {
+	for name, tc := range map[string]struct {
+		declined int
+		targets  int
+	}{
+		"none was full": {0, 1}, "one was full": {1, 1}, "two were full": {2, 3}, "three were full": {3, 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			r := roster(40, "a", "b")
+			seen := make(map[string]bool)
+
+			for n := range uint64(400) {
+				c := chooser.New(chooser.DefaultSettings())
+				q := query(1)
+				q.Declined, q.Draw = tc.declined, n
+				seen[choose(c, time.Unix(0, 0), r, q).Target.ID] = true
+			}
+
+			i.Equal(len(seen), tc.targets)
+		})
+	}
+}
--- a/internal/chooser/news.go
+++ b/internal/chooser/news.go
@@ -7,6 +7,10 @@
 	"github.com/auburntray/auburntray/internal/enroller"
 )
 
+// oldWord is the age from which the call that brought a target's word is taken to be over. A
+// call lasts some hundred milliseconds.
+const oldWord = 500 * time.Millisecond
+
 // News is what instances tell each other.
 type News struct {
 	Places []Place
@@ -25,7 +29,7 @@
 
 	for _, l := range n.Loads {
 		if t, ok := r.Names[l.Target]; ok {
-			c.state(t).report(l.At, l.Calls)
+			c.state(t).report(l.At, l.since(now))
 		}
 	}
 }
@@ -55,3 +59,18 @@
 
 	return n
 }
+
+// since returns how many calls a target has by its word on its load, seen some time later.
+//
+// The word comes with the answer to a call and counts that too. Among hundreds of instances it
+// is a second old when it arrives, and the call is over: taken as it is, the mean would seem one
+// too high, and all targets might have two more than they may. Replayed on 295 instances with
+// a hot prompt, 2.7 in 100 calls came to a target above twice the mean and three, and 0.6 when
+// that call is left out.
+func (l Load) since(now time.Time) int {
+	if now.Sub(l.At) < oldWord {
+		return l.Calls
+	}
+
+	return max(l.Calls-1, 0)
+}
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -47,7 +47,7 @@
 	var last result
 
 	for {
-		t, ok := f.choose(x)
+		t, ok := f.choose(c, x)
 		if !ok {
 			return f.giveUp(c, x, last)
 		}
@@ -85,21 +85,6 @@
 	return f.chooser.Beliefs()
 }
 
-// choose picks the next target and counts the call there.
-func (f *Forwarder) choose(x *exchange) (chooser.Choice, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	n := time.Now()
-
-	t, ok := f.chooser.Choose(n, f.facts.Roster(), x.group, x.query(f.settings.DataCentre))
-	if ok {
-		f.chooser.Start(n, t.Target)
-	}
-
-	return t, ok
-}
-
 // again says whether a call is sent to one more target.
 func (f *Forwarder) again(x *exchange, r result) bool {
 	// A call that never left this instance costs no target anything.
@@ -187,6 +172,7 @@
 	f.meter.Attempt(x.group, r.outcome.String())
 
 	f.tellBeliefs(f.countOut(t.Target, r.outcome), logrus.Fields{"id": x.call.ID, "error": r.err})
+	x.room.end()
 
 	return r
 }
@@ -240,7 +226,7 @@
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
-	f.report(t.Target, p)
+	f.report(x, t.Target, p)
 
 	// An answer to an earlier call may come late, where that to this one is due.
 	// Its ID shows it; passing it on would give the caller another's answer.
@@ -264,13 +250,6 @@
 	return a, p, result{}
 }
 
-func (f *Forwarder) report(t *enroller.Target, p Reply) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-
-	f.chooser.Report(time.Now(), t, chooser.Report{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
-}
-
 // begun notes how long a target took until its answer began.
 func (f *Forwarder) begun(x *exchange, t chooser.Choice) {
 	if x.rule.Latency <= 0 {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -37,6 +37,8 @@
 	sent  int
 	// choice is the last choice of a target.
 	choice chooser.Choice
+	// room is what the home of its target said to the last choice.
+	room room
 	// sentAt is when the present attempt began.
 	sentAt time.Time
 	// ticket is the call's place among those that should begin in time, or, when late
@@ -98,7 +100,7 @@
 }
 
 func (x *exchange) query(centre string) chooser.Query {
-	return chooser.Query{Prefixes: x.shared, DataCentre: centre, Excluded: x.tried}
+	return chooser.Query{Prefixes: x.shared, DataCentre: centre, Excluded: x.tried, Draw: hasher.Key(x.call.ID)}
 }
 
 // kind names the call's kind for counts.
@@ -132,6 +134,8 @@
 		l["bound"] = int(x.choice.Bound)
 		l["usable"] = x.choice.Usable
 		l["held"] = x.choice.Held
+		l["room"] = x.room.verdict.Outcome
+		l["counted"] = x.room.verdict.Calls
 	}
 
 	if !x.passed.IsZero() {
--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -53,10 +53,16 @@
 }
 
 func (dialect) Answer(h http.Header, status int) forwarder.Reply {
-	return forwarder.Reply{
+	o := forwarder.Reply{
 		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Sealed: h.Get("Seal") != "",
 		Misdirected: status == http.StatusMisdirectedRequest,
 	}
+
+	if n, err := strconv.Atoi(h.Get("Running")); err == nil {
+		o.Running, o.Slots = n, 8
+	}
+
+	return o
 }
 
 // seen is a call as it reached a target.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,6 +72,8 @@
 
 	// gone tells other instances of a process that is gone.
 	gone func(p enroller.Process)
+	// homes count the calls of all instances; nil where there are none.
+	homes Homes
 
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -84,6 +86,7 @@
 	Attempt(group, outcome string)
 	Refusal(reason string)
 	Left(cause string, out bool)
+	Reserved(group, outcome string)
 }
 
 // ordinaryLines is how many calls a second are logged that went well, four times
--- /dev/null
+++ b/internal/forwarder/room.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/tallier"
+)
+
+const (
+	// maxAsked is how many homes are asked for one choice, a millisecond or two each. Replayed
+	// on 295 instances with a hot prompt, 0.7 in 100 calls came to a target above its limit
+	// with four, and 0.6 with five.
+	maxAsked = 5
+	// driftMost is by how many calls a target's own word may exceed its home's count
+	// before the home is told: as many as come and go while a call begins.
+	driftMost = 2
+)
+
+// Homes count the calls of all instances at targets; a reserver.Reserver asks them.
+type Homes interface {
+	// Reserve asks for room for one call, and returns what ends the reservation.
+	Reserve(c context.Context, t *enroller.Target, most int, within time.Duration) (tallier.Verdict, func())
+	// Report tells a target's own word on its load to its home.
+	Report(t *enroller.Target, calls int)
+}
+
+// UseHomes sets who counts the calls of all instances. It is called before the first call
+// comes.
+func (f *Forwarder) UseHomes(h Homes) {
+	f.homes = h
+}
+
+// room is a call's reservation. The zero value is none.
+type room struct {
+	verdict tallier.Verdict
+	release func()
+}
+
+// end ends the reservation. Ending it again does nothing.
+func (r *room) end() {
+	if r.release != nil {
+		r.release()
+		r.release = nil
+	}
+}
+
+// choose picks the next target and counts the call there, here and at the target's home.
+//
+// What is known here of a load may be a second old. When the home says that the target is
+// full, that is noted and another one is chosen, until one has room; the last that is asked
+// is taken with or without, since the call has to go somewhere.
+func (f *Forwarder) choose(c context.Context, x *exchange) (chooser.Choice, bool) {
+	for n := range maxAsked {
+		t, ok := f.pick(x, n)
+		if !ok {
+			return t, false
+		}
+
+		f.reserve(c, x, t)
+
+		if x.room.verdict.Outcome != tallier.Full || n+1 == maxAsked {
+			return t, true
+		}
+
+		f.decline(t, x.room.verdict.Calls)
+	}
+
+	return chooser.Choice{}, false // Not reached: the last one is taken.
+}
+
+// pick chooses by what is known here, after so many targets were full, and counts the call here.
+func (f *Forwarder) pick(x *exchange, declined int) (chooser.Choice, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	n := time.Now()
+
+	q := x.query(f.settings.DataCentre)
+	q.Declined = declined
+
+	t, ok := f.chooser.Choose(n, f.facts.Roster(), x.group, q)
+	if ok {
+		f.chooser.Start(n, t.Target)
+	}
+
+	return t, ok
+}
+
+// reserve asks the home of a target for room. A target that does not say how many calls it
+// runs has no bound that a home could keep.
+func (f *Forwarder) reserve(c context.Context, x *exchange, t chooser.Choice) {
+	x.room = room{}
+
+	if f.homes == nil || t.Target.Slots == 0 {
+		return
+	}
+
+	x.room.verdict, x.room.release = f.homes.Reserve(c, t.Target, int(t.Bound), time.Until(x.deadline))
+	f.meter.Reserved(x.group, x.room.verdict.Outcome.String())
+}
+
+func (f *Forwarder) decline(t chooser.Choice, calls int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.chooser.Decline(time.Now(), t, calls)
+}
+
+// report takes what a target said of its load, and tells its home when that counts too few.
+func (f *Forwarder) report(x *exchange, t *enroller.Target, p Reply) {
+	f.mu.Lock()
+	f.chooser.Report(time.Now(), t, chooser.Report{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
+	f.mu.Unlock()
+
+	if n := p.Running + p.Waiting; x.room.verdict.Outcome == tallier.Granted && n > x.room.verdict.Calls+driftMost {
+		f.homes.Report(t, n)
+	}
+}
--- /dev/null
+++ b/internal/forwarder/room_test.go
@@ -0,0 +1,138 @@
+package forwarder_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/tallier"
+)
+
+// homes are the homes of all targets.
+type homes struct {
+	mu sync.Mutex
+	// verdicts are what the homes of targets say, by ID.
+	verdicts map[string]tallier.Verdict
+	asked    []string
+	// open counts the reservations that are not over, and twice those that were ended again.
+	open, twice int
+	reports     map[string]int
+}
+
+func (h *homes) Reserve(_ context.Context, t *enroller.Target, _ int, _ time.Duration) (tallier.Verdict, func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.asked = append(h.asked, t.ID)
+
+	v := h.verdicts[t.ID]
+	if v.Outcome == tallier.Full {
+		return v, func() {}
+	}
+
+	h.open++
+
+	over := false
+
+	return v, func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+
+		if over {
+			h.twice++
+		}
+
+		over = true
+		h.open--
+	}
+}
+
+func (h *homes) Report(t *enroller.Target, calls int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.reports[t.ID] = calls
+}
+
+// A target that this instance takes for idle is full of others' calls, as its home knows: the
+// call goes to the next one with room, and the full one never sees it. When none has room, or
+// no home answers, the call goes where it would have gone. Each reservation ends once, however
+// the call does.
+func TestCallsGoWhereTheyHaveRoom(t *testing.T) {
+	granted := tallier.Verdict{Outcome: tallier.Granted, Calls: 1}
+	full := tallier.Verdict{Outcome: tallier.Full, Calls: 8}
+
+	for name, tc := range map[string]struct {
+		verdicts map[string]tallier.Verdict
+		answer   func(n net.Conn, s seen)
+		asked    []string
+		// calls are those that reached the targets.
+		calls  []int
+		status int
+	}{
+		"room":             {map[string]tallier.Verdict{"t0": granted}, ok, []string{"t0"}, []int{1, 0}, http.StatusOK},
+		"full":             {map[string]tallier.Verdict{"t0": full, "t1": granted}, ok, []string{"t0", "t1"}, []int{0, 1}, http.StatusOK},
+		"no home answers":  {nil, ok, []string{"t0"}, []int{1, 0}, http.StatusOK},
+		"the target fails": {map[string]tallier.Verdict{"t0": granted, "t1": granted}, func(n net.Conn, _ seen) { reset(n) }, []string{"t0", "t1"}, []int{1, 1}, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			a, b := &target{answer: tc.answer}, &target{answer: tc.answer}
+			g := front(t, a, b)
+			h := &homes{verdicts: tc.verdicts, reports: make(map[string]int)}
+			g.forwarder.UseHomes(h)
+
+			i.Equal(g.call(t, http.MethodGet, "/again/", "").status, tc.status)
+			i.Equal(h.asked, tc.asked)
+			i.Equal([]int{a.count(), b.count()}, tc.calls)
+			i.Equal(h.open, 0)
+			i.Equal(h.twice, 0)
+		})
+	}
+}
+
+// All targets are full, and the call has to go somewhere: after a few questions it is sent,
+// and the target may still turn it away.
+func TestFullEverywhere(t *testing.T) {
+	i := is.New(t)
+	a, b := &target{answer: ok}, &target{answer: ok}
+	g := front(t, a, b)
+
+	full := tallier.Verdict{Outcome: tallier.Full, Calls: 8}
+	h := &homes{verdicts: map[string]tallier.Verdict{"t0": full, "t1": full}}
+	g.forwarder.UseHomes(h)
+
+	i.Equal(g.call(t, http.MethodGet, "/again/", "").status, http.StatusOK)
+	i.Equal(len(h.asked), 5)
+	i.Equal(a.count()+b.count(), 1)
+}
+
+// A home that has just become one counts one call where the target runs eight, and would grant
+// room without end. The target's own word is told to it; one that says about the same is not.
+func TestHomeIsToldOfWhatItDoesNotKnow(t *testing.T) {
+	for name, tc := range map[string]struct {
+		running string
+		want    map[string]int
+	}{
+		"it counts too few": {"8", map[string]int{"t0": 8}},
+		"about the same":    {"3", map[string]int{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			g := front(t, &target{answer: func(n net.Conn, s seen) {
+				reply(n, s, "200 OK", "answer", "Seal: "+s.target, "Running: "+tc.running)
+			}})
+			h := &homes{verdicts: map[string]tallier.Verdict{"t0": {Outcome: tallier.Granted, Calls: 1}}, reports: make(map[string]int)}
+			g.forwarder.UseHomes(h)
+
+			i.Equal(g.call(t, http.MethodGet, "/again/", "").status, http.StatusOK)
+			i.Equal(h.reports, tc.want)
+		})
+	}
+}
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -12,12 +12,14 @@
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/drainer"
+	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/forwarder"
 	"github.com/auburntray/auburntray/internal/informer"
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/repeater"
+	"github.com/auburntray/auburntray/internal/reserver"
 	"github.com/auburntray/auburntray/internal/tracer"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -47,7 +49,7 @@
 func Options(s Settings, w World) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newForwarder, newGatekeeper),
+		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newReserver, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		// A process that stands still as it starts must not end by itself for it.
 		fx.StartTimeout(stopMost),
@@ -64,11 +66,26 @@
 	return t, err
 }
 
-func newForwarder(l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer, m *meter.Meter) *forwarder.Forwarder {
+func newReserver(m *messenger.Messenger, j *joiner.Joiner) *reserver.Reserver {
+	r := reserver.New(m, j)
+	m.Handle(wire.KindReserve, r.Reserved)
+	m.Handle(wire.KindVacate, r.Vacated)
+	m.Handle(wire.KindOccupancy, r.Occupied)
+
+	return r
+}
+
+func newForwarder(
+	l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer, m *meter.Meter, h *reserver.Reserver,
+) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, Patience: patience, MaxBody: maxBody},
 		w.Dialect, f, t, m, &net.Dialer{}, chooser.New(chooser.DefaultSettings()), budgeter.New(s.Retries, time.Now()))
-	f.dropped = x.Forget
+	x.UseHomes(h)
+	f.dropped = func(r *enroller.Roster) {
+		x.Forget(r)
+		h.Forget(r)
+	}
 
 	l.Append(fx.Hook{OnStop: func(context.Context) error {
 		stop()
@@ -126,6 +143,7 @@
 
 	for name, k := range map[string]wire.Kind{
 		"news": wire.KindNews, "relay": wire.KindRelay, "gone": wire.KindGone, "gossip": wire.KindGossip, "reply": wire.KindReply,
+		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 	} {
 		p.Meter.Follow("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -62,6 +62,11 @@
 	m.set.GetOrCreateCounter(`auburntray_attempts_total{group="` + escaped(group) + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// Reserved counts a question to the home of a target and what it said.
+func (m *Meter) Reserved(group, outcome string) {
+	m.set.GetOrCreateCounter(`auburntray_reservations_total{group="` + escaped(group) + `",outcome="` + outcome + `"}`).Inc()
+}
+
 // Refusal counts an answer of the gateway's own by its reason.
 func (m *Meter) Refusal(reason string) {
 	m.set.GetOrCreateCounter(`auburntray_refusals_total{reason="` + reason + `"}`).Inc()
--- /dev/null
+++ b/internal/tallier/tallier.go
@@ -0,0 +1,178 @@
+// Package tallier counts the calls at the targets whose home this instance is, so that all
+// instances go by one count.
+//
+// Load pattern: hundreds of instances, each with a few calls a second, and one prompt that
+// a tenth of them share. What they tell each other of loads is about a second old at that
+// size. In that second all of them see the same target below its bound and send it what
+// they have: it is buried, then all leave it at once for the next. Plain services run a
+// call for some ten milliseconds; of their loads a second-old word says nothing.
+package tallier
+
+import (
+	"time"
+
+	"github.com/auburntray/auburntray/internal/enroller"
+)
+
+const (
+	// reportFor is how long a target's own word on its load is used. Calls run for a
+	// second or two; after that it says little.
+	reportFor = 2 * time.Second
+	// travel is how long a call takes to its target at most, in a region without trouble.
+	// One that was granted room so shortly before the target's word is not in that word.
+	travel = 5 * time.Millisecond
+)
+
+// ID names a reservation: the instance that asked, and its own number for it.
+type ID struct {
+	Instance, Number uint64
+}
+
+// Request asks for room for one call.
+type Request struct {
+	ID     ID
+	Target enroller.Name
+	// Most is how many calls the target may have, this one included.
+	Most int
+	// Until is when the call is over at the latest.
+	Until time.Time
+}
+
+// Outcome is what became of a request.
+type Outcome int
+
+// The outcomes.
+const (
+	// Unanswered means that no home told: there is none, or it is silent. It is the
+	// zero value.
+	Unanswered Outcome = iota
+	// Granted means that the call is counted.
+	Granted
+	// Full means that the target has as many calls as it may have.
+	Full
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	switch o {
+	case Granted:
+		return "granted"
+	case Full:
+		return "full"
+	case Unanswered:
+		return "unanswered"
+	default:
+		return "unknown"
+	}
+}
+
+// Verdict answers a request.
+type Verdict struct {
+	Outcome Outcome
+	// Calls are those at the target, the granted one included.
+	Calls int
+}
+
+// hold is a call that was granted room.
+type hold struct {
+	granted, until time.Time
+}
+
+// tally is the count of one target.
+type tally struct {
+	holds map[ID]hold
+	// reported is what the target said of its load at the time at, when base of the holds
+	// were in it.
+	reported, base int
+	at             time.Time
+}
+
+// Tallier holds the counts. It is not safe for concurrent use.
+type Tallier struct {
+	targets map[enroller.Name]*tally
+}
+
+// New returns a Tallier that knows of no call.
+func New() *Tallier {
+	return &Tallier{targets: make(map[enroller.Name]*tally)}
+}
+
+// Reserve grants a call room at a target, unless it has as many as it may have. Asking
+// again under one ID counts once.
+func (t *Tallier) Reserve(now time.Time, r Request) Verdict {
+	x := t.tally(r.Target)
+	x.expire(now)
+
+	n := x.calls(now)
+
+	if _, ok := x.holds[r.ID]; ok {
+		return Verdict{Outcome: Granted, Calls: n}
+	}
+
+	if n+1 > r.Most {
+		return Verdict{Outcome: Full, Calls: n}
+	}
+
+	x.holds[r.ID] = hold{granted: now, until: r.Until}
+
+	return Verdict{Outcome: Granted, Calls: n + 1}
+}
+
+// Release ends a reservation. One that is not known is over already.
+func (t *Tallier) Release(target enroller.Name, id ID) {
+	if x, ok := t.targets[target]; ok {
+		delete(x.holds, id)
+	}
+}
+
+// Report takes a target's word on its load. It makes good what this home does not know: the
+// calls that another was asked for before, or that nobody asked for while this one was silent.
+func (t *Tallier) Report(now time.Time, target enroller.Name, calls int) {
+	x := t.tally(target)
+	x.reported, x.base, x.at = calls, 0, now
+
+	for _, h := range x.holds {
+		if now.Sub(h.granted) >= travel {
+			x.base++
+		}
+	}
+}
+
+// Keep drops the counts of targets that a test does not let through.
+func (t *Tallier) Keep(f func(enroller.Name) bool) {
+	for n := range t.targets {
+		if !f(n) {
+			delete(t.targets, n)
+		}
+	}
+}
+
+func (t *Tallier) tally(n enroller.Name) *tally {
+	x, ok := t.targets[n]
+	if !ok {
+		x = &tally{holds: make(map[ID]hold)}
+		t.targets[n] = x
+	}
+
+	return x
+}
+
+// calls estimates the calls of all instances at a target.
+func (x *tally) calls(now time.Time) int {
+	if now.Sub(x.at) < reportFor {
+		return max(x.reported+len(x.holds)-x.base, len(x.holds))
+	}
+
+	return len(x.holds)
+}
+
+// expire ends the reservations of calls that must be over. The release of an instance that
+// was killed or cut off never comes; without this its calls would count for ever, and in
+// the end nobody would be granted room at a target that idles.
+func (x *tally) expire(now time.Time) {
+	for id, h := range x.holds {
+		if now.After(h.until) {
+			delete(x.holds, id)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -40,6 +40,12 @@
 	// KindRelay is KindNews for all instances of the receiver's data centre, which it
 	// passes it on to as KindNews.
 	KindRelay
+	// KindReserve asks the home of a target for room for a call.
+	KindReserve
+	// KindVacate ends such a reservation.
+	KindVacate
+	// KindOccupancy tells the home of a target how loaded that is.
+	KindOccupancy
 	// Kinds is how many kinds there are.
 	Kinds
 )
@@ -297,3 +303,31 @@
 	Calls  uint32
 	AgeMs  uint32
 }
+
+// Reserve asks the home of a target for room for one call. Target is as in Holder, Number
+// the sender's own for the reservation. Most is how many calls the target may have with
+// this one, and WithinMs when it is over at the latest.
+type Reserve struct {
+	Target   uint32
+	Number   uint64
+	Most     uint32
+	WithinMs uint32
+}
+
+// Room answers a Reserve: whether the call is counted, and how many the target has.
+type Room struct {
+	Granted bool
+	Calls   uint32
+}
+
+// Vacate ends the reservation of that number.
+type Vacate struct {
+	Target uint32
+	Number uint64
+}
+
+// Occupancy is how many calls a target said just now that it has, running and waiting.
+type Occupancy struct {
+	Target uint32
+	Calls  uint32
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -2498,6 +2498,93 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Occupancy) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Calls, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Occupancy) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint32(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Occupancy) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint32(o, z.Calls)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Occupancy) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Calls, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Occupancy) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Place) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -2855,6 +2942,212 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Reserve) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Number, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.Most, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
+	z.WithinMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "WithinMs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Reserve) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint64(z.Number)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	err = en.WriteUint32(z.Most)
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
+	err = en.WriteUint32(z.WithinMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WithinMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Reserve) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint64(o, z.Number)
+	o = msgp.AppendUint32(o, z.Most)
+	o = msgp.AppendUint32(o, z.WithinMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Reserve) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	z.Most, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Most")
+		return
+	}
+	z.WithinMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WithinMs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Reserve) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Granted, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	z.Calls, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Granted)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	err = en.WriteUint32(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Room) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBool(o, z.Granted)
+	o = msgp.AppendUint32(o, z.Calls)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Room) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	z.Calls, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Room) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Settle) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -3964,6 +4257,93 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Vacate) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Number, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Vacate) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint64(z.Number)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Vacate) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint64(o, z.Number)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Vacate) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Number, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Number")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Vacate) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Verdict) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
