internal/logger, explainer: lines have a second time that does not step; histories go by it

Cause: explain sorted by the clock's time. Looked through besides: deadlines, budgets, ages of loads and places, gossip and idle times go by time.Now and Sub, whose steady reading does not step; messages carry ages, not times. Not so: the ID of a process, from the clock, which only tells processes apart. Measured: the new tests fail without it (explainer), and pass.

--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -6,6 +6,7 @@
 	"log"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -62,7 +63,12 @@
 	log.SetOutput(libraries{})
 	logrus.SetLevel(x)
 	logrus.SetOutput(l)
-	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	logrus.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: logger.TimeFormat})
+
+	b := time.Now()
+	h := make(logrus.LevelHooks)
+	h.Add(logger.NewSteady(b, func() time.Duration { return time.Since(b) }))
+	logrus.StandardLogger().ReplaceHooks(h)
 
 	return l, flush, nil
 }
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -18,10 +18,12 @@
 
 // The fields that every line has.
 const (
-	fieldTime  = "time"
-	fieldEvent = "event"
-	fieldID    = "id"
-	fieldLevel = "level"
+	fieldTime = "time"
+	// fieldSteady is the time by a clock that does not step; older lines have none.
+	fieldSteady = "steady"
+	fieldEvent  = "event"
+	fieldID     = "id"
+	fieldLevel  = "level"
 	// maxLine bounds a line.
 	maxLine = 1 << 20
 )
@@ -30,8 +32,9 @@
 type Line struct {
 	// Source is the file that it came from.
 	Source string
-	Time   time.Time
-	Event  string
+	// Time is by a clock that does not step within a process, where the line has it.
+	Time  time.Time
+	Event string
 	// Fields are the others, in their order, as name=value.
 	Fields []string
 }
@@ -90,13 +93,15 @@
 		k, v := string(d.Key()), string(d.Value())
 
 		switch k {
-		case fieldTime:
+		case fieldTime, fieldSteady:
 			x, err := time.Parse(time.RFC3339Nano, v)
 			if err != nil {
 				return l, false
 			}
 
-			l.Time = x
+			if l.Time.IsZero() || k == fieldSteady {
+				l.Time = x
+			}
 		case fieldEvent:
 			l.Event = v
 		case fieldLevel:
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -46,3 +46,26 @@
 	is.NoErr(err)
 	is.Equal(n, 0)
 }
+
+// A call is sent, fails and is answered at one instance whose clock steps back by two seconds
+// on the way. Told by the clock's time, the answer would come before the attempt that failed,
+// and an engineer would look for its cause at the wrong end.
+func TestHistoryOverAClockThatSteps(t *testing.T) {
+	const stepped = `time="2026-05-01T10:00:01.500Z" level=info event=attemptFailed id=c1 steady="2026-05-01T10:00:01.500Z" target=t1
+time="2026-05-01T09:59:59.600Z" level=info event=callServed id=c1 steady="2026-05-01T10:00:01.600Z" target=t2
+`
+
+	is := is.New(t)
+	e := explainer.New("c1")
+	is.NoErr(e.Read("two.log", strings.NewReader(two)))
+	is.NoErr(e.Read("stepped.log", strings.NewReader(stepped)))
+
+	var b strings.Builder
+
+	_, err := e.Write(&b)
+	is.NoErr(err)
+	is.Equal(b.String(), `10:00:00.900  callRefused    status=503  [two.log]
+10:00:01.500  attemptFailed  target=t1  [stepped.log]
+10:00:01.600  callServed     target=t2  [stepped.log]
+`)
+}
