internal/tallier, pacer: what all calls showed of a target is known at its home

Cause: at 295 instances each sends one engine a call in half a minute. That it fails, can't be reached or has become slow each would find out with calls of its own: by pace never, since it takes three answers. Change: the end of a reservation tells the home what the call showed and how long its answer took to begin; the home leaves such a target alone for all who ask, but for one trial in a while, and tells its pace. Who has nowhere else to go asks for room anyway.

--- a/internal/chooser/call.go
+++ b/internal/chooser/call.go
@@ -19,8 +19,19 @@
 // Decline takes back that a call goes to a target, where it was not sent since the target has
 // as many calls as it may have. What the choice noted of prompts there is not so.
 func (c *Chooser) Decline(now time.Time, x Choice, calls int) {
-	c.Finish(now, x.Target, Neither)
+	c.takeBack(now, x)
 	c.Report(now, x.Target, Report{Running: calls, Slots: x.Target.Slots})
+}
+
+// Leave is Decline where the target is to be left alone, by the word of those who have seen
+// more of it.
+func (c *Chooser) Leave(now time.Time, x Choice) {
+	c.takeBack(now, x)
+	c.health.learnLeft(now, x.Target)
+}
+
+func (c *Chooser) takeBack(now time.Time, x Choice) {
+	c.Finish(now, x.Target, Neither)
 
 	for _, k := range x.fresh {
 		c.places.withdraw(k, x.Target.Key())
@@ -47,6 +58,14 @@
 	}
 }
 
+// LearnPace takes how long a target takes until its answers begin, by the word of those who
+// have seen more of it.
+func (c *Chooser) LearnPace(t *enroller.Target, part float64) {
+	if c.state(t).judged(t) {
+		c.health.paces.Learn(t.Key(), part)
+	}
+}
+
 // Finish counts a call out again, with how it ended. It is counted at the process that it
 // was sent to; when that is no longer listed, or has moved since, how it ended says nothing.
 func (c *Chooser) Finish(now time.Time, t *enroller.Target, o Outcome) {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -60,6 +60,9 @@
 	Load, Bound float64
 	Usable      int
 	Held        bool
+	// Usual is how long targets of the group take to begin an answer, as a part of the time
+	// within which it is of full use; zero when that is not known.
+	Usual float64
 
 	// fresh are the beginnings of the prompt that Target was not known to hold.
 	fresh []uint64
@@ -93,7 +96,7 @@
 // Choose returns where a call goes among the targets of its group, and false when
 // there is none, or none that can be reached.
 func (c *Chooser) Choose(now time.Time, r *enroller.Roster, group string, q Query) (Choice, bool) {
-	l, u := c.health.usable(now, group, c.candidates(now, r.Groups[group], q.Excluded))
+	l, u, usual := c.health.usable(now, group, c.candidates(now, r.Groups[group], q.Excluded))
 	u = filter(u, func(x candidate) bool { return !x.shed })
 
 	if len(u) == 0 {
@@ -103,7 +106,9 @@
 	if len(q.Prefixes) == 0 {
 		x := least(u, q.DataCentre, c.settings.Near)
 
-		return Choice{Target: x.target, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u)}, true
+		return Choice{
+			Target: x.target, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), Usual: usual,
+		}, true
 	}
 
 	h := c.places.holders(now, q.Prefixes[0].Key)
@@ -117,7 +122,7 @@
 	n := x.target.Key()
 	o := Choice{
 		Target: x.target, Source: c.source(now, r, n, q.Prefixes),
-		Load: x.load, Bound: most, Usable: len(u), Held: slices.Contains(h, n),
+		Load: x.load, Bound: most, Usable: len(u), Held: slices.Contains(h, n), Usual: usual,
 	}
 
 	for _, p := range q.Prefixes {
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -5,6 +5,7 @@
 
 	"github.com/auburntray/auburntray/internal/ejector"
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/pacer"
 )
 
 const (
@@ -14,6 +15,9 @@
 	// goneFor is how long a target that is gone is left alone, longer than it stays on
 	// the list: three heartbeats of a second or so.
 	goneFor = 10 * time.Second
+	// leftFor is how long the word of others that a target is to be left alone is used before
+	// they are asked again.
+	leftFor = 300 * time.Millisecond
 	// resortEvery is how often a call is spent on targets of which none is reached.
 	// It is how much later than a cut itself its end may be noticed.
 	resortEvery = 100 * time.Millisecond
@@ -28,7 +32,9 @@
 	failing *ejector.Ejector[enroller.Key]
 	// gone are those at whose address another process is.
 	gone  *ejector.Ejector[enroller.Key]
-	paces map[enroller.Key]*pace
+	paces *pacer.Pacer[enroller.Key]
+	// told is when others said that a target is to be left alone.
+	told map[enroller.Key]time.Time
 	// resorts is when targets of a group were last tried though none is reached.
 	resorts map[string]time.Time
 	// out are those that are left alone, and beliefs what has changed about them.
@@ -48,15 +54,17 @@
 		// A process that is gone does not come back; the list drops it seconds
 		// later. It is tried again in case the answer was wrong.
 		gone:    ejector.New[enroller.Key](ejector.Settings{Failures: 1, Base: goneFor, Max: goneFor, PanicPart: 1}),
-		paces:   make(map[enroller.Key]*pace),
+		paces:   pacer.New[enroller.Key](),
+		told:    make(map[enroller.Key]time.Time),
 		resorts: make(map[string]time.Time),
 		out:     make(map[mark]bool),
 	}
 }
 
 // usable returns the candidates of a group that can be reached, and those of them that
-// may be given a call; none when none can be reached.
-func (h *health) usable(now time.Time, group string, l []candidate) (reached, usable []candidate) {
+// may be given a call; none when none can be reached. Usual is how long those that do not
+// fail take to begin an answer.
+func (h *health) usable(now time.Time, group string, l []candidate) (reached, usable []candidate, usual float64) {
 	r := keep(l, func(x candidate) bool { return h.reached(now, x.target) && !h.gone.Out(now, x.target.Key()) })
 	if len(r) == 0 {
 		r = h.lastResort(now, group, l)
@@ -69,19 +77,63 @@
 		r = filter(r, func(x candidate) bool { return !h.failing.Out(now, x.target.Key()) })
 	}
 
-	m := slowTimes * h.median(r)
+	r = filter(r, func(x candidate) bool { return !h.leftByOthers(now, x.target) })
 
-	return reached, filter(r, func(x candidate) bool { return !h.slow(now, x.target, m) })
+	usual = h.paces.Usual(keys(r))
+
+	return reached, filter(r, func(x candidate) bool { return !h.slow(now, x.target, usual) }), usual
+}
+
+// leftByOthers says that others said lately that a target is to be left alone.
+func (h *health) leftByOthers(now time.Time, t *enroller.Target) bool {
+	s, ok := h.told[t.Key()]
+
+	return ok && now.Sub(s) < leftFor
+}
+
+// learnLeft takes others' word that a target is to be left alone.
+func (h *health) learnLeft(now time.Time, t *enroller.Target) {
+	h.told[t.Key()] = now
 }
 
 // panic says that so many candidates fail that none is left alone for it.
 func (h *health) panic(now time.Time, l []candidate) bool {
-	k := make([]enroller.Key, len(l))
+	return h.failing.Panic(now, keys(l))
+}
+
+func keys(l []candidate) []enroller.Key {
+	o := make([]enroller.Key, len(l))
 	for i, x := range l {
-		k[i] = x.target.Key()
+		o[i] = x.target.Key()
+	}
+
+	return o
+}
+
+// slow says that a target's answers begin much later than usual, and that it had its trial.
+func (h *health) slow(now time.Time, t *enroller.Target, usual float64) bool {
+	n := t.Key()
+	if h.paces.Pace(n) == 0 {
+		return false
 	}
 
-	return h.failing.Panic(now, k)
+	x := h.paces.Slow(n, usual)
+	h.believe(Own, TargetSlow, t, x)
+
+	return x && h.paces.Tried(now, n)
+}
+
+// begun takes how long an answer took to begin.
+func (h *health) begun(now time.Time, t *enroller.Target, part float64) {
+	n := t.Key()
+	h.paces.Begun(n, part)
+
+	// A trial has shown enough; its stream may take seconds to its end, and the
+	// target would be left alone for as long.
+	if h.failing.Out(now, n) {
+		h.failing.Result(now, n, true)
+		h.believe(Own, TargetFailing, t, false)
+	}
 }
 
 // lastResort returns the targets of a group when none can be reached: all of them for
@@ -115,10 +167,7 @@
 	h.targets.Probe(now, t.Key())
 	h.centres.Probe(now, t.Centre())
 	h.failing.Probe(now, t.Key())
-
-	if p, ok := h.paces[t.Key()]; ok && now.Sub(p.trial) >= slowTrial {
-		p.trial = now
-	}
+	h.paces.Started(now, t.Key())
 }
 
 func (h *health) finish(now time.Time, t *enroller.Target, o Outcome) {
@@ -175,5 +224,6 @@
 	h.targets.Forget(k)
 	h.failing.Forget(k)
 	h.gone.Forget(k)
-	delete(h.paces, k)
+	h.paces.Forget(k)
+	delete(h.told, k)
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -172,7 +172,7 @@
 	f.meter.Attempt(x.group, r.outcome.String())
 
 	f.tellBeliefs(f.countOut(t.Target, r.outcome), logrus.Fields{"id": x.call.ID, "error": r.err})
-	x.room.end()
+	x.room.end(r.outcome)
 
 	return r
 }
@@ -269,7 +269,8 @@
 
 	f.admitter.Began(n, x.ticket)
 
-	f.chooser.Begun(n, t.Target, float64(n.Sub(x.sentAt))/float64(x.rule.Latency))
+	x.room.pace = float64(n.Sub(x.sentAt)) / float64(x.rule.Latency)
+	f.chooser.Begun(n, t.Target, x.room.pace)
 }
 
 // hopHeaders concern one connection only.
--- a/internal/forwarder/room_test.go
+++ b/internal/forwarder/room_test.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/reserver"
 	"github.com/auburntray/auburntray/internal/tallier"
 )
 
@@ -22,28 +22,36 @@
 	asked    []string
 	// open counts the reservations that are not over, and twice those that were ended again.
 	open, twice int
-	reports     map[string]int
+	// signs are what the calls showed.
+	signs   []tallier.Sign
+	reports map[string]int
 }
 
-func (h *homes) Reserve(_ context.Context, t *enroller.Target, _ int, _ time.Duration) (tallier.Verdict, func()) {
+func (h *homes) Reserve(_ context.Context, t *enroller.Target, q tallier.Request) (tallier.Verdict, reserver.Release) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
 	h.asked = append(h.asked, t.ID)
 
 	v := h.verdicts[t.ID]
-	if v.Outcome == tallier.Full {
-		return v, func() {}
+	if v.Outcome == tallier.Left && q.Anyway {
+		v.Outcome = tallier.Granted
+	}
+
+	if v.Outcome == tallier.Full || v.Outcome == tallier.Left {
+		return v, func(tallier.Sign, float64) {}
 	}
 
 	h.open++
 
 	over := false
 
-	return v, func() {
+	return v, func(s tallier.Sign, _ float64) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 
+		h.signs = append(h.signs, s)
+
 		if over {
 			h.twice++
 		}
@@ -60,26 +68,32 @@
 	h.reports[t.ID] = calls
 }
 
-// A target that this instance takes for idle is full of others' calls, as its home knows: the
-// call goes to the next one with room, and the full one never sees it. When none has room, or
+// A target that this instance takes for idle and well is full of others' calls, or fails them, as
+// its home knows: the call goes to the next one with room, and the first never sees it. When none has room, or
 // no home answers, the call goes where it would have gone. Each reservation ends once, however
 // the call does.
 func TestCallsGoWhereTheyHaveRoom(t *testing.T) {
 	granted := tallier.Verdict{Outcome: tallier.Granted, Calls: 1}
 	full := tallier.Verdict{Outcome: tallier.Full, Calls: 8}
+	left := tallier.Verdict{Outcome: tallier.Left}
 
 	for name, tc := range map[string]struct {
 		verdicts map[string]tallier.Verdict
 		answer   func(n net.Conn, s seen)
 		asked    []string
+		signs    []tallier.Sign
 		// calls are those that reached the targets.
 		calls  []int
 		status int
 	}{
-		"room":             {map[string]tallier.Verdict{"t0": granted}, ok, []string{"t0"}, []int{1, 0}, http.StatusOK},
-		"full":             {map[string]tallier.Verdict{"t0": full, "t1": granted}, ok, []string{"t0", "t1"}, []int{0, 1}, http.StatusOK},
-		"no home answers":  {nil, ok, []string{"t0"}, []int{1, 0}, http.StatusOK},
-		"the target fails": {map[string]tallier.Verdict{"t0": granted, "t1": granted}, func(n net.Conn, _ seen) { reset(n) }, []string{"t0", "t1"}, []int{1, 1}, http.StatusBadGateway},
+		"room":             {map[string]tallier.Verdict{"t0": granted}, ok, []string{"t0"}, []tallier.Sign{tallier.Well}, []int{1, 0}, http.StatusOK},
+		"full":             {map[string]tallier.Verdict{"t0": full, "t1": granted}, ok, []string{"t0", "t1"}, []tallier.Sign{tallier.Well}, []int{0, 1}, http.StatusOK},
+		"to be left alone": {map[string]tallier.Verdict{"t0": left, "t1": granted}, ok, []string{"t0", "t1"}, []tallier.Sign{tallier.Well}, []int{0, 1}, http.StatusOK},
+		"all are to be left alone": {
+			map[string]tallier.Verdict{"t0": left, "t1": left}, ok, []string{"t0", "t1", "t0"}, []tallier.Sign{tallier.Well}, []int{1, 0}, http.StatusOK,
+		},
+		"no home answers":  {nil, ok, []string{"t0"}, []tallier.Sign{tallier.Well}, []int{1, 0}, http.StatusOK},
+		"the target fails": {map[string]tallier.Verdict{"t0": granted, "t1": granted}, func(n net.Conn, _ seen) { reset(n) }, []string{"t0", "t1"}, []tallier.Sign{tallier.Failed, tallier.Failed}, []int{1, 1}, http.StatusBadGateway},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
@@ -90,6 +104,7 @@
 
 			i.Equal(g.call(t, http.MethodGet, "/again/", "").status, tc.status)
 			i.Equal(h.asked, tc.asked)
+			i.Equal(h.signs, tc.signs)
 			i.Equal([]int{a.count(), b.count()}, tc.calls)
 			i.Equal(h.open, 0)
 			i.Equal(h.twice, 0)
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"sync"
 	"time"
@@ -71,30 +72,34 @@
 	return &Reserver{messenger: m, members: x, tallier: tallier.New(), silent: make(map[uint64]time.Time)}
 }
 
-// Reserve asks for room for a call that is over within a time, at a target that may have so
-// many calls with it. The function that it returns ends the reservation; it does not wait,
-// and may be called whatever the outcome was.
-func (r *Reserver) Reserve(c context.Context, t *enroller.Target, most int, within time.Duration) (tallier.Verdict, func()) {
+// Release ends a reservation, with what the call showed of its target and how long the answer
+// took to begin, as a part of the time within which it is of full use; zero when it did not. It
+// does not wait, and may be called whatever the outcome was.
+type Release func(s tallier.Sign, pace float64)
+
+// Reserve asks for room for a call at a target. Of the request it sets the ID and the Target.
+func (r *Reserver) Reserve(c context.Context, t *enroller.Target, q tallier.Request) (tallier.Verdict, Release) {
 	h, ok := r.home(t)
 	if !ok {
-		return tallier.Verdict{}, func() {}
+		return tallier.Verdict{}, func(tallier.Sign, float64) {}
 	}
 
-	q := wire.Reserve{
-		Target: uint32(t.Key().Name()), Number: r.next(), Most: uint32(max(most, 0)), WithinMs: uint32(max(within, 0).Milliseconds()), //nolint:gosec // Small.
-	}
+	q.ID = tallier.ID{Instance: r.members.Self().ID, Number: r.next()}
+	q.Target = t.Key().Name()
 
-	if s := r.members.Self(); h.ID == s.ID {
-		return r.count(s.ID, q), func() { r.vacate(s.ID, wire.Vacate{Target: q.Target, Number: q.Number}) }
+	if h.ID == q.ID.Instance {
+		return r.count(q), func(s tallier.Sign, pace float64) { r.release(q.Target, q.ID, s, pace) }
 	}
 
 	v := r.ask(c, h, q)
-	if v.Outcome == tallier.Full {
-		return v, func() {}
+	if v.Outcome == tallier.Full || v.Outcome == tallier.Left {
+		return v, func(tallier.Sign, float64) {}
 	}
 
 	// Without an answer it may be counted all the same.
-	return v, func() { r.send(h, wire.KindVacate, &wire.Vacate{Target: q.Target, Number: q.Number}) }
+	return v, func(s tallier.Sign, pace float64) {
+		r.send(h, wire.KindVacate, &wire.Vacate{Target: uint32(q.Target), Number: q.ID.Number, Sign: uint8(s), Pace: hundredths(pace)})
+	}
 }
 
 // Report tells the home of a target how many calls that said it has.
@@ -131,9 +136,12 @@
 		return nil, errors.Mark(err, ErrReservation)
 	}
 
-	v := r.count(from, q)
+	v := r.count(tallier.Request{
+		ID: tallier.ID{Instance: from, Number: q.Number}, Target: enroller.Name(q.Target), Most: int(q.Most),
+		Until: time.Now().Add(time.Duration(q.WithinMs) * time.Millisecond), Usual: part(q.Usual), Anyway: q.Anyway,
+	})
 
-	return &wire.Room{Granted: v.Outcome == tallier.Granted, Calls: uint32(v.Calls)}, nil //nolint:gosec // Small.
+	return &wire.Room{Outcome: uint8(v.Outcome), Calls: uint32(v.Calls), Pace: hundredths(v.Pace)}, nil //nolint:gosec // Small.
 }
 
 // Vacated takes the end of another instance's reservation.
@@ -143,7 +151,7 @@
 		return nil, errors.Mark(err, ErrReservation)
 	}
 
-	r.vacate(from, w)
+	r.release(enroller.Name(w.Target), tallier.ID{Instance: from, Number: w.Number}, tallier.Sign(w.Sign), part(w.Pace))
 
 	return nil, nil //nolint:nilnil // It has no reply.
 }
@@ -192,7 +200,7 @@
 // ask asks a home. One that gives no answer in time is not asked again for a while: an
 // instance that stands still takes connections, and each call for one of its targets would
 // wait for it.
-func (r *Reserver) ask(c context.Context, h gossiper.Member, q wire.Reserve) tallier.Verdict {
+func (r *Reserver) ask(c context.Context, h gossiper.Member, q tallier.Request) tallier.Verdict {
 	type reply struct {
 		room wire.Room
 		err  error
@@ -201,6 +209,11 @@
 	x, stop := context.WithTimeout(c, askTimeout)
 	defer stop()
 
+	w := wire.Reserve{
+		Target: uint32(q.Target), Number: q.ID.Number, Most: uint32(max(q.Most, 0)), //nolint:gosec // Small.
+		WithinMs: uint32(max(time.Until(q.Until), 0).Milliseconds()), Usual: hundredths(q.Usual), Anyway: q.Anyway, //nolint:gosec // Small.
+	}
+
 	// Another message that waits for a connection to the same instance would hold this
 	// one up for longer than its own time.
 	l := make(chan reply, 1)
@@ -208,7 +221,7 @@
 	go func() {
 		var o reply
 
-		o.err = r.messenger.Call(x, h.Address, wire.KindReserve, &q, &o.room)
+		o.err = r.messenger.Call(x, h.Address, wire.KindReserve, &w, &o.room)
 		l <- o
 	}()
 
@@ -226,10 +239,8 @@
 		r.noteSilent(h, o.err)
 
 		return tallier.Verdict{}
-	case o.room.Granted:
-		return tallier.Verdict{Outcome: tallier.Granted, Calls: int(o.room.Calls)}
 	default:
-		return tallier.Verdict{Outcome: tallier.Full, Calls: int(o.room.Calls)}
+		return tallier.Verdict{Outcome: tallier.Outcome(o.room.Outcome), Calls: int(o.room.Calls), Pace: part(o.room.Pace)}
 	}
 }
 
@@ -252,23 +263,18 @@
 }
 
 // count counts a call at a target whose home this instance is.
-func (r *Reserver) count(from uint64, q wire.Reserve) tallier.Verdict {
-	n := time.Now()
-
+func (r *Reserver) count(q tallier.Request) tallier.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return r.tallier.Reserve(n, tallier.Request{
-		ID: tallier.ID{Instance: from, Number: q.Number}, Target: enroller.Name(q.Target), Most: int(q.Most),
-		Until: n.Add(time.Duration(q.WithinMs) * time.Millisecond),
-	})
+	return r.tallier.Reserve(time.Now(), q)
 }
 
-func (r *Reserver) vacate(from uint64, w wire.Vacate) {
+func (r *Reserver) release(n enroller.Name, id tallier.ID, s tallier.Sign, pace float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.tallier.Release(enroller.Name(w.Target), tallier.ID{Instance: from, Number: w.Number})
+	r.tallier.Release(time.Now(), n, id, s, pace)
 }
 
 func (r *Reserver) occupy(w wire.Occupancy) {
@@ -290,3 +296,16 @@
 		}
 	}()
 }
+
+// hundredths returns a part as it is sent.
+func hundredths(part float64) uint32 {
+	return uint32(min(max(part, 0)*whole, math.MaxUint32))
+}
+
+// part returns what was sent as hundredths.
+func part(hundredths uint32) float64 {
+	return float64(hundredths) / whole
+}
+
+// whole is a part of one in hundredths.
+const whole = 100
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -111,6 +111,11 @@
 	return slices.IndexFunc(v.members, func(m gossiper.Member) bool { return m.Address == a })
 }
 
+// request asks for room where there may be so many calls.
+func request(most int) tallier.Request {
+	return tallier.Request{Most: most, Until: time.Now().Add(time.Minute)}
+}
+
 // roster returns a list of one target.
 func roster() *enroller.Roster {
 	e := enroller.New(enroller.DefaultSettings())
@@ -130,30 +135,30 @@
 				f.home = home
 				x := roster().Known["t"]
 
-				a, end := f.instances[0].Reserve(t.Context(), x, 2, time.Minute)
-				b, _ := f.instances[1].Reserve(t.Context(), x, 2, time.Minute)
+				a, end := f.instances[0].Reserve(t.Context(), x, request(2))
+				b, _ := f.instances[1].Reserve(t.Context(), x, request(2))
 				i.Equal(a, tallier.Verdict{Outcome: tallier.Granted, Calls: 1})
 				i.Equal(b, tallier.Verdict{Outcome: tallier.Granted, Calls: 2})
 
-				c, none := f.instances[1].Reserve(t.Context(), x, 2, time.Minute)
+				c, none := f.instances[1].Reserve(t.Context(), x, request(2))
 				i.Equal(c, tallier.Verdict{Outcome: tallier.Full, Calls: 2})
-				none()
+				none(tallier.Nothing, 0)
 
-				end()
+				end(tallier.Well, 0.5)
 				synctest.Wait()
 
-				c, _ = f.instances[1].Reserve(t.Context(), x, 2, time.Minute)
+				c, _ = f.instances[1].Reserve(t.Context(), x, request(2))
 				i.Equal(c, tallier.Verdict{Outcome: tallier.Granted, Calls: 2})
 
 				f.instances[1].Report(x, 5)
 				synctest.Wait()
 
-				c, _ = f.instances[0].Reserve(t.Context(), x, 2, time.Minute)
+				c, _ = f.instances[0].Reserve(t.Context(), x, request(2))
 				i.Equal(c.Outcome, tallier.Full)
 
 				f.instances[home].Forget(enroller.New(enroller.DefaultSettings()).Roster())
 
-				c, _ = f.instances[0].Reserve(t.Context(), x, 2, time.Minute)
+				c, _ = f.instances[0].Reserve(t.Context(), x, request(2))
 				i.Equal(c.Outcome, tallier.Granted)
 			})
 		})
@@ -182,8 +187,8 @@
 
 				for range 3 {
 					b := time.Now()
-					v, end := f.instances[0].Reserve(t.Context(), x, 2, time.Minute)
-					end()
+					v, end := f.instances[0].Reserve(t.Context(), x, request(2))
+					end(tallier.Well, 0.5)
 
 					i.Equal(v, tallier.Verdict{})
 					i.True(time.Since(b) <= tc.waits)
@@ -196,7 +201,37 @@
 
 				time.Sleep(time.Second)
 
-				v, _ := f.instances[0].Reserve(t.Context(), x, 2, time.Minute)
+				v, _ := f.instances[0].Reserve(t.Context(), x, request(2))
+				i.Equal(v.Outcome, tallier.Granted)
+			})
+		})
+	}
+}
+
+// What the calls of several instances showed of a target is known to whoever asks next, also
+// how long it takes to begin an answer.
+func TestInstancesGoByOneWord(t *testing.T) {
+	for name, home := range map[string]int{"at a third": 2, "at the first itself": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				f := newFleet(20)
+				f.home = home
+				x := roster().Known["t"]
+
+				for n := range 3 {
+					_, end := f.instances[n].Reserve(t.Context(), x, request(9))
+					end(tallier.Failed, 0.25)
+					synctest.Wait()
+				}
+
+				v, none := f.instances[4].Reserve(t.Context(), x, request(9))
+				i.Equal(v, tallier.Verdict{Outcome: tallier.Left, Pace: 0.25})
+				none(tallier.Nothing, 0)
+
+				q := request(9)
+				q.Anyway = true
+				v, _ = f.instances[4].Reserve(t.Context(), x, q)
 				i.Equal(v.Outcome, tallier.Granted)
 			})
 		})
@@ -215,14 +250,14 @@
 		c, leave := context.WithCancel(t.Context())
 		leave()
 
-		v, _ := f.instances[0].Reserve(c, x, 2, time.Minute)
+		v, _ := f.instances[0].Reserve(c, x, request(2))
 		i.Equal(v, tallier.Verdict{})
 
 		synctest.Wait()
 
 		f.still[2] = false
 
-		v, _ = f.instances[0].Reserve(t.Context(), x, 2, time.Minute)
+		v, _ = f.instances[0].Reserve(t.Context(), x, request(2))
 		i.Equal(v.Outcome, tallier.Granted)
 	})
 }
@@ -234,13 +269,13 @@
 	x := roster().Known["t"]
 
 	f := newFleet(15)
-	v, end := f.instances[0].Reserve(t.Context(), x, 2, time.Minute)
-	end()
+	v, end := f.instances[0].Reserve(t.Context(), x, request(2))
+	end(tallier.Well, 0.5)
 	i.Equal(v, tallier.Verdict{})
 
 	f = newFleet(20)
 	f.members[0].DataCentre = "other"
-	v, _ = f.instances[1].Reserve(t.Context(), x, 2, time.Minute)
+	v, _ = f.instances[1].Reserve(t.Context(), x, request(2))
 	i.Equal(v, tallier.Verdict{})
 	i.Equal(f.asked, 0)
 }
--- a/internal/tallier/replay_test.go
+++ b/internal/tallier/replay_test.go
@@ -145,7 +145,7 @@
 		r.choosers[x.by].Finish(now, x.target, chooser.Good)
 
 		if r.tallier != nil {
-			r.tallier.Release(x.target.Key().Name(), x.id)
+			r.tallier.Release(now, x.target.Key().Name(), x.id, tallier.Well, 0)
 		}
 	}
 }
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -1,11 +1,13 @@
-// Package tallier counts the calls at the targets whose home this instance is, so that all
-// instances go by one count.
+// Package tallier counts the calls at the targets whose home this instance is, and judges
+// these targets by what all calls showed, so that all instances go by one count and one word.
 //
 // Load pattern: hundreds of instances, each with a few calls a second, and one prompt that
 // a tenth of them share. What they tell each other of loads is about a second old at that
 // size. In that second all of them see the same target below its bound and send it what
 // they have: it is buried, then all leave it at once for the next. Plain services run a
-// call for some ten milliseconds; of their loads a second-old word says nothing.
+// call for some ten milliseconds; of their loads a second-old word says nothing. And an instance
+// sends one target a call in half a minute: by its own calls it never finds out that a target
+// fails or has become slow.
 package tallier
 
 import (
@@ -36,6 +38,12 @@
 	Most int
 	// Until is when the call is over at the latest.
 	Until time.Time
+	// Usual is how long targets of the group take to begin an answer, as a part of the time
+	// within which it is of full use.
+	Usual float64
+	// Anyway asks for room though the target is to be left alone: the call has nowhere else
+	// to go.
+	Anyway bool
 }
 
 // Outcome is what became of a request.
@@ -50,6 +58,8 @@
 	Granted
 	// Full means that the target has as many calls as it may have.
 	Full
+	// Left means that the target is to be left alone: it fails, can't be reached, or is slow.
+	Left
 )
 
 // String returns the outcome's name.
@@ -59,6 +69,8 @@
 		return "granted"
 	case Full:
 		return "full"
+	case Left:
+		return "left"
 	case Unanswered:
 		return "unanswered"
 	default:
@@ -71,6 +83,9 @@
 	Outcome Outcome
 	// Calls are those at the target, the granted one included.
 	Calls int
+	// Pace is how long the target takes to begin an answer, as a part of the time within
+	// which it is of full use; zero when that is not known.
+	Pace float64
 }
 
 // hold is a call that was granted room.
@@ -90,11 +105,12 @@
 // Tallier holds the counts. It is not safe for concurrent use.
 type Tallier struct {
 	targets map[enroller.Name]*tally
+	health  *health
 }
 
 // New returns a Tallier that knows of no call.
 func New() *Tallier {
-	return &Tallier{targets: make(map[enroller.Name]*tally)}
+	return &Tallier{targets: make(map[enroller.Name]*tally), health: newHealth()}
 }
 
 // Reserve grants a call room at a target, unless it has as many as it may have. Asking
@@ -103,26 +119,32 @@
 	x := t.tally(r.Target)
 	x.expire(now)
 
-	n := x.calls(now)
+	v := Verdict{Calls: x.calls(now), Pace: t.health.paces.Pace(r.Target)}
+	_, held := x.holds[r.ID]
 
-	if _, ok := x.holds[r.ID]; ok {
-		return Verdict{Outcome: Granted, Calls: n}
-	}
+	switch {
+	case held:
+		v.Outcome = Granted
+	case v.Calls+1 > r.Most:
+		v.Outcome = Full
+	case !r.Anyway && t.health.left(now, r.Target, r.Usual):
+		v.Outcome = Left
+	default:
+		x.holds[r.ID] = hold{granted: now, until: r.Until}
+		v.Outcome = Granted
+		v.Calls++
 
-	if n+1 > r.Most {
-		return Verdict{Outcome: Full, Calls: n}
+		t.health.begin(now, r.Target)
 	}
 
-	x.holds[r.ID] = hold{granted: now, until: r.Until}
-
-	return Verdict{Outcome: Granted, Calls: n + 1}
+	return v
 }
 
-// Release ends a reservation. One that is not known is over already.
-func (t *Tallier) Release(target enroller.Name, id ID) {
-	if x, ok := t.targets[target]; ok {
-		delete(x.holds, id)
-	}
+// Release ends a reservation, with what the call showed of its target. One that is not known
+// is over already, and shows as much.
+func (t *Tallier) Release(now time.Time, target enroller.Name, id ID, s Sign, pace float64) {
+	delete(t.tally(target).holds, id)
+	t.health.note(now, target, s, pace)
 }
 
 // Report takes a target's word on its load. It makes good what this home does not know: the
@@ -143,6 +165,7 @@
 	for n := range t.targets {
 		if !f(n) {
 			delete(t.targets, n)
+			t.health.forget(n)
 		}
 	}
 }
--- a/internal/tallier/tallier_test.go
+++ b/internal/tallier/tallier_test.go
@@ -49,14 +49,14 @@
 		}, request(1, target, 1), 0, granted(1)},
 		"one has ended": {func(x *tallier.Tallier) {
 			x.Reserve(start, request(1, target, 1))
-			x.Release(target, tallier.ID{Instance: 1, Number: 1})
+			x.Release(start, target, tallier.ID{Instance: 1, Number: 1}, tallier.Well, 0)
 		}, request(2, target, 1), 0, granted(1)},
 		"another instance's number ends nothing": {func(x *tallier.Tallier) {
 			x.Reserve(start, request(1, target, 1))
-			x.Release(target, tallier.ID{Instance: 2, Number: 1})
+			x.Release(start, target, tallier.ID{Instance: 2, Number: 1}, tallier.Well, 0)
 		}, request(2, target, 1), 0, full(1)},
 		"an end that is not known": {func(x *tallier.Tallier) {
-			x.Release(target, tallier.ID{Instance: 1, Number: 1})
+			x.Release(start, target, tallier.ID{Instance: 1, Number: 1}, tallier.Well, 0)
 		}, request(1, target, 1), 0, granted(1)},
 		// The instance that asked was killed, and no release comes.
 		"one must be over": {func(x *tallier.Tallier) {
@@ -74,7 +74,7 @@
 		"ended since its word": {func(x *tallier.Tallier) {
 			x.Reserve(start, request(1, target, 9))
 			x.Report(at(time.Second), target, 5)
-			x.Release(target, tallier.ID{Instance: 1, Number: 1})
+			x.Release(start, target, tallier.ID{Instance: 1, Number: 1}, tallier.Well, 0)
 		}, request(2, target, 9), time.Second, granted(5)},
 		"on its way when it gave its word": {func(x *tallier.Tallier) {
 			x.Reserve(start, request(1, target, 9))
@@ -96,3 +96,78 @@
 		})
 	}
 }
+
+// A target fails, can't be reached or has become slow. Each of hundreds of instances sends it a
+// call in half a minute and would find out for itself, one call each; a call that may run once,
+// to an engine that is slow, hangs. By the calls of all it is left alone at once, and by one
+// trial found to be back.
+func TestTargetsThatAreLeftAlone(t *testing.T) {
+	const usual = 0.2
+
+	note := func(x *tallier.Tallier, n int, s tallier.Sign, pace float64) {
+		for range n {
+			x.Release(start, target, tallier.ID{}, s, pace)
+		}
+	}
+
+	for name, tc := range map[string]struct {
+		before func(x *tallier.Tallier)
+		anyway bool
+		at     time.Duration
+		// want is what the first and the second who ask are told.
+		want [2]tallier.Outcome
+	}{
+		"nothing is known": {func(*tallier.Tallier) {}, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted}},
+		"two failures":     {func(x *tallier.Tallier) { note(x, 2, tallier.Failed, 0) }, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted}},
+		"three failures":   {func(x *tallier.Tallier) { note(x, 3, tallier.Failed, 0) }, false, 0, [2]tallier.Outcome{tallier.Left, tallier.Left}},
+		"failures and answers by turns": {func(x *tallier.Tallier) {
+			note(x, 2, tallier.Failed, 0)
+			note(x, 1, tallier.Well, usual)
+			note(x, 2, tallier.Failed, 0)
+		}, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted}},
+		"a trial after a while": {
+			func(x *tallier.Tallier) { note(x, 3, tallier.Failed, 0) }, false, time.Second, [2]tallier.Outcome{tallier.Granted, tallier.Left},
+		},
+		"callers that leave say nothing": {
+			func(x *tallier.Tallier) { note(x, 5, tallier.Nothing, 0) }, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted},
+		},
+		"one instance does not reach it": {
+			func(x *tallier.Tallier) { note(x, 1, tallier.Unreached, 0) }, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted},
+		},
+		"two do not reach it": {func(x *tallier.Tallier) { note(x, 2, tallier.Unreached, 0) }, false, 0, [2]tallier.Outcome{tallier.Left, tallier.Left}},
+		"slow":                {func(x *tallier.Tallier) { note(x, 4, tallier.Well, 1) }, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Left}},
+		"slow, but so are all": {
+			func(x *tallier.Tallier) { note(x, 4, tallier.Well, 2.5*usual) }, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted},
+		},
+		"nowhere else to go": {func(x *tallier.Tallier) { note(x, 3, tallier.Failed, 0) }, true, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted}},
+		"another target": {func(x *tallier.Tallier) {
+			note(x, 3, tallier.Failed, 0)
+			x.Keep(func(n enroller.Name) bool { return n == other })
+		}, false, 0, [2]tallier.Outcome{tallier.Granted, tallier.Granted}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			x := tallier.New()
+			tc.before(x)
+
+			for n, want := range tc.want {
+				r := request(uint64(n), target, 100)
+				r.Usual, r.Anyway = usual, tc.anyway
+				i.Equal(x.Reserve(at(tc.at), r).Outcome, want)
+			}
+		})
+	}
+}
+
+// Who asks learns the target's pace, once enough answers were seen.
+func TestPaceIsTold(t *testing.T) {
+	i := is.New(t)
+	x := tallier.New()
+
+	x.Release(start, target, tallier.ID{}, tallier.Well, 0.5)
+	x.Release(start, target, tallier.ID{}, tallier.Well, 0.5)
+	i.Equal(x.Reserve(start, request(1, target, 9)).Pace, 0.0)
+
+	x.Release(start, target, tallier.ID{}, tallier.Well, 0.5)
+	i.Equal(x.Reserve(start, request(2, target, 9)).Pace, 0.5)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -306,24 +306,35 @@
 
 // Reserve asks the home of a target for room for one call. Target is as in Holder, Number
 // the sender's own for the reservation. Most is how many calls the target may have with
-// this one, and WithinMs when it is over at the latest.
+// this one, and WithinMs when it is over at the latest. Usual is how long targets of the
+// group take to begin an answer, in hundredths of the time within which it is of full use.
+// Anyway asks for room though the target is to be left alone.
 type Reserve struct {
 	Target   uint32
 	Number   uint64
 	Most     uint32
 	WithinMs uint32
+	Usual    uint32
+	Anyway   bool
 }
 
-// Room answers a Reserve: whether the call is counted, and how many the target has.
+// Room answers a Reserve: what became of it, as tallier.Outcome counts, how many calls the
+// target has, and how long it takes to begin an answer, in hundredths as in Reserve, zero
+// when that is not known.
 type Room struct {
-	Granted bool
+	Outcome uint8
 	Calls   uint32
+	Pace    uint32
 }
 
-// Vacate ends the reservation of that number.
+// Vacate ends the reservation of that number. Sign is what the call showed of the target, as
+// tallier.Sign counts, and Pace how long its answer took to begin, in hundredths as in
+// Reserve, zero when it did not begin.
 type Vacate struct {
 	Target uint32
 	Number uint64
+	Sign   uint8
+	Pace   uint32
 }
 
 // Occupancy is how many calls a target said just now that it has, running and waiting.
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -2950,8 +2950,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Target, err = dc.ReadUint32()
@@ -2974,13 +2974,23 @@
 		err = msgp.WrapError(err, "WithinMs")
 		return
 	}
+	z.Usual, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Usual")
+		return
+	}
+	z.Anyway, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Anyway")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Reserve) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
+	// array header, size 6
+	err = en.Append(0x96)
 	if err != nil {
 		return
 	}
@@ -3004,18 +3014,30 @@
 		err = msgp.WrapError(err, "WithinMs")
 		return
 	}
+	err = en.WriteUint32(z.Usual)
+	if err != nil {
+		err = msgp.WrapError(err, "Usual")
+		return
+	}
+	err = en.WriteBool(z.Anyway)
+	if err != nil {
+		err = msgp.WrapError(err, "Anyway")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Reserve) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendUint64(o, z.Number)
 	o = msgp.AppendUint32(o, z.Most)
 	o = msgp.AppendUint32(o, z.WithinMs)
+	o = msgp.AppendUint32(o, z.Usual)
+	o = msgp.AppendBool(o, z.Anyway)
 	return
 }
 
@@ -3027,8 +3049,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
@@ -3051,13 +3073,23 @@
 		err = msgp.WrapError(err, "WithinMs")
 		return
 	}
+	z.Usual, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Usual")
+		return
+	}
+	z.Anyway, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Anyway")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Reserve) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
 	return
 }
 
@@ -3069,13 +3101,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	z.Granted, err = dc.ReadBool()
+	z.Outcome, err = dc.ReadUint8()
 	if err != nil {
-		err = msgp.WrapError(err, "Granted")
+		err = msgp.WrapError(err, "Outcome")
 		return
 	}
 	z.Calls, err = dc.ReadUint32()
@@ -3083,19 +3115,24 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	z.Pace, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z Room) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
-	err = en.WriteBool(z.Granted)
+	err = en.WriteUint8(z.Outcome)
 	if err != nil {
-		err = msgp.WrapError(err, "Granted")
+		err = msgp.WrapError(err, "Outcome")
 		return
 	}
 	err = en.WriteUint32(z.Calls)
@@ -3103,16 +3140,22 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	err = en.WriteUint32(z.Pace)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z Room) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendBool(o, z.Granted)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint8(o, z.Outcome)
 	o = msgp.AppendUint32(o, z.Calls)
+	o = msgp.AppendUint32(o, z.Pace)
 	return
 }
 
@@ -3124,13 +3167,13 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
-	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+	z.Outcome, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Granted")
+		err = msgp.WrapError(err, "Outcome")
 		return
 	}
 	z.Calls, bts, err = msgp.ReadUint32Bytes(bts)
@@ -3138,13 +3181,18 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	z.Pace, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z Room) Msgsize() (s int) {
-	s = 1 + msgp.BoolSize + msgp.Uint32Size
+	s = 1 + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
@@ -4265,8 +4313,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Target, err = dc.ReadUint32()
@@ -4279,13 +4327,23 @@
 		err = msgp.WrapError(err, "Number")
 		return
 	}
+	z.Sign, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "Sign")
+		return
+	}
+	z.Pace, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Vacate) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+func (z *Vacate) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -4299,16 +4357,28 @@
 		err = msgp.WrapError(err, "Number")
 		return
 	}
+	err = en.WriteUint8(z.Sign)
+	if err != nil {
+		err = msgp.WrapError(err, "Sign")
+		return
+	}
+	err = en.WriteUint32(z.Pace)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Vacate) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Vacate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendUint64(o, z.Number)
+	o = msgp.AppendUint8(o, z.Sign)
+	o = msgp.AppendUint32(o, z.Pace)
 	return
 }
 
@@ -4320,8 +4390,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
@@ -4334,13 +4404,23 @@
 		err = msgp.WrapError(err, "Number")
 		return
 	}
+	z.Sign, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Sign")
+		return
+	}
+	z.Pace, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Pace")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Vacate) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint64Size
+func (z *Vacate) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint32Size
 	return
 }
 
