--- a/internal/chooser/candidate.go
+++ b/internal/chooser/candidate.go
@@ -167,8 +167,10 @@
 
 // least returns the candidate with the least load for its size, one in the own data
 // centre while it has room: one elsewhere counts as having near calls more for each slot.
-func least(l []candidate, centre string, near float64) candidate {
-	var o candidate
+// Among equals a number of the call's own decides: were it the first of them, the last would
+// idle for as long as the others have room.
+func least(l []candidate, centre string, near float64, draw uint64) candidate {
+	var o ranked
 
 	b := 0.0
 
@@ -178,10 +180,15 @@
 			w += near
 		}
 
-		if o.target == nil || w < b {
-			o, b = x, w
+		r := ranked{candidate: x, score: hasher.Score(draw, x.target.Rank(), 1)}
+
+		switch {
+		case o.target == nil || w < b:
+			o, b = r, w
+		case w == b:
+			o = o.first(r)
 		}
 	}
 
-	return o
+	return o.candidate
 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -43,9 +43,10 @@
 	// Excluded are the IDs of targets that the call was sent to before.
 	Excluded []string
 	// Declined is how many targets turned out to be full since the last one that the call
-	// was sent to, and Draw a number of the call's own, by which calls spread from there.
+	// was sent to.
 	Declined int
-	Draw     uint64
+	// Draw is a number of the call's own, by which calls are spread among equal targets.
+	Draw uint64
 }
 
 // Choice is where a call goes.
@@ -104,7 +105,7 @@
 	}
 
 	if len(q.Prefixes) == 0 {
-		x := least(u, q.DataCentre, c.settings.Near)
+		x := least(u, q.DataCentre, c.settings.Near, q.Draw)
 
 		return Choice{
 			Target: x.target, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), Usual: usual,
--- a/internal/chooser/decline_test.go
+++ b/internal/chooser/decline_test.go
@@ -68,3 +68,24 @@
 		})
 	}
 }
+
+// A plain target got no call for seconds after it had started again: it was the last by its ID
+// of five that idled, and each call went to the first of those with the least load. Among
+// equals calls are spread.
+func TestTiesAreSpread(t *testing.T) {
+	i := is.New(t)
+	r := roster(5, "a")
+	seen := make(map[string]int)
+
+	for n := range uint64(500) {
+		c := chooser.New(chooser.DefaultSettings())
+		o, ok := c.Choose(time.Unix(0, 0), r, group, chooser.Query{DataCentre: "a", Draw: n})
+		i.True(ok)
+
+		seen[o.Target.ID]++
+	}
+
+	for _, x := range r.Groups[group] {
+		i.True(seen[x.ID] > 60) // A hundred each on average.
+	}
+}
