internal/messenger: a connection that has gone silent is replaced after two calls without an answer

Cause: found while reading: a connection between instances that goes silent without a reset stays in use until the system gives up on what it sent; each call to that peer waits its whole time. Change: two calls in a row without an answer, and without a byte in between, end the connection.

--- a/internal/messenger/connection.go
+++ b/internal/messenger/connection.go
@@ -22,8 +22,18 @@
 	next    uint32
 	waiting map[uint32]chan wire.Frame
 	broken  bool
+	// missed is how many calls in a row got no answer in their time.
+	missed int
 }
 
+// missedMost is how many calls in a row may get no answer before the connection is given up.
+//
+// A connection may go silent for good, without a reset, while new ones work. Nothing shows it
+// but calls that wait their whole time, each of them, for the quarter of an hour in which the
+// system sends again what it holds. One that is late, or a peer that stands still for a moment,
+// is no such sign yet; a peer that stands still for longer takes a new connection too.
+const missedMost = 2
+
 func newConnection(c net.Conn, t *Traffic) *connection {
 	x := &connection{conn: c, traffic: t, waiting: make(map[uint32]chan wire.Frame)}
 
@@ -59,10 +69,26 @@
 
 		return f, nil
 	case <-c.Done():
+		if errors.Is(c.Err(), context.DeadlineExceeded) {
+			x.miss()
+		}
+
 		return wire.Frame{}, errors.Mark(c.Err(), ErrTimeout)
 	}
 }
 
+// miss notes a call that got no answer in its time.
+func (x *connection) miss() {
+	x.mu.Lock()
+	x.missed++
+	m := x.missed
+	x.mu.Unlock()
+
+	if m >= missedMost {
+		x.close()
+	}
+}
+
 func (x *connection) expect(w chan wire.Frame) (uint32, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -112,7 +138,7 @@
 func (x *connection) read() {
 	defer x.close()
 
-	r := bufio.NewReader(x.conn)
+	r := bufio.NewReader(heard{connection: x})
 
 	for {
 		f, n, err := decode(r)
@@ -135,6 +161,26 @@
 	}
 }
 
+// heard reads from a connection and notes that something came: while a long answer is on its
+// way, those behind it are late for that alone.
+type heard struct {
+	connection *connection
+}
+
+// Read is part of io.Reader.
+func (h heard) Read(b []byte) (int, error) {
+	n, err := h.connection.conn.Read(b)
+
+	h.connection.mu.Lock()
+	defer h.connection.mu.Unlock()
+
+	if n > 0 {
+		h.connection.missed = 0
+	}
+
+	return n, err
+}
+
 func (x *connection) usable() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"testing"
@@ -267,3 +268,68 @@
 	s, _ := x.Traffic().Bytes()
 	b.ReportMetric(float64(s)/float64(b.N), "bytes/op")
 }
+
+// silentFirst takes connections as a peer does. The first goes silent: what is sent on it is
+// read by nobody, and nothing ends it. The later ones work.
+type silentFirst struct {
+	net.Dialer
+
+	made int
+}
+
+func (d *silentFirst) DialContext(c context.Context, network, address string) (net.Conn, error) {
+	d.made++
+	if d.made > 1 {
+		return d.Dialer.DialContext(c, network, address)
+	}
+
+	n, m := net.Pipe()
+
+	go func() {
+		_, _ = io.Copy(io.Discard, m)
+		_ = m.Close()
+	}()
+
+	return n, nil
+}
+
+// A connection between two instances goes silent for good, without a reset, while new ones
+// work. Each call to that peer waits its whole time, again and again, until the system notices
+// after a quarter of an hour. After two calls without an answer a new connection is made.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	i := is.New(t)
+	b := newMessenger(t, 2)
+
+	b.Handle(wire.KindAsk, func(context.Context, uint64, []byte) (msgp.Marshaler, error) { return &wire.Verdict{}, nil })
+	b.Serve()
+
+	d := &silentFirst{}
+	a, stop, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), 1, d, nil)
+	i.NoErr(err)
+	t.Cleanup(stop)
+
+	ask := func(within time.Duration) error {
+		c, stop := context.WithTimeout(t.Context(), within)
+		defer stop()
+
+		return a.Call(c, b.Address(), wire.KindAsk, &wire.Ask{}, &wire.Verdict{})
+	}
+
+	for range 2 {
+		i.True(errors.Is(ask(10*time.Millisecond), messenger.ErrTimeout))
+	}
+
+	i.NoErr(ask(10 * time.Second))
+	i.Equal(d.made, 2)
+
+	// A caller that leaves says nothing about the connection.
+	for range 3 {
+		c, leave := context.WithCancel(t.Context())
+		leave()
+
+		i.True(a.Call(c, b.Address(), wire.KindAsk, &wire.Ask{}, &wire.Verdict{}) != nil)
+	}
+
+	i.NoErr(ask(10 * time.Second))
+	i.Equal(d.made, 2)
+}
