internal/chooser, tallier, seeker: what the last reading found twice, or in the wrong place

Cause: read as a newcomer. Twice: the estimate of a load from a target's word and what was counted since, with its time, in chooser and in tallier; the lookup of a prompt's holders, with a copy of the list, for each beginning of each call. In the wrong place: a choice by the bound that was thrown away when calls spread; a score of each plain target where only ties need one. Wrong depth: an outcome of a home that is not known here, of a newer release say, would have had a call ask without end. Change: tallier.Word serves both; put says whether a holder was known; the choice is made once; ties are scored as they come; any outcome but full and left ends the asking, with a test that fails before.

--- a/internal/chooser/candidate.go
+++ b/internal/chooser/candidate.go
@@ -119,6 +119,15 @@
 // above its limit; 0.9 with 2, and 0.5 with 4, where prompts are read at more targets.
 const spreadBy = 3
 
+// prompted returns the candidate for a call with a prompt, which holders are known to hold.
+func prompted(l []candidate, most float64, holders []enroller.Key, q Query) candidate {
+	if q.Declined > 1 {
+		return spread(l, most, holders, q)
+	}
+
+	return bounded(l, most, q.Prefixes[0].Key, holders)
+}
+
 // spread returns a candidate within the bound for a call that found several targets full: one
 // of the first in the key's own order, of several times more with each target that was full.
 //
@@ -170,9 +179,12 @@
 // Among equals a number of the call's own decides: were it the first of them, the last would
 // idle for as long as the others have room.
 func least(l []candidate, centre string, near float64, draw uint64) candidate {
-	var o ranked
+	var o candidate
 
 	b := 0.0
+	before := func(x, y candidate) bool {
+		return hasher.Score(draw, x.target.Rank(), 1) > hasher.Score(draw, y.target.Rank(), 1)
+	}
 
 	for _, x := range l {
 		w := x.load / float64(max(x.target.Slots, 1))
@@ -180,15 +192,10 @@
 			w += near
 		}
 
-		r := ranked{candidate: x, score: hasher.Score(draw, x.target.Rank(), 1)}
-
-		switch {
-		case o.target == nil || w < b:
-			o, b = r, w
-		case w == b:
-			o = o.first(r)
+		if o.target == nil || w < b || w == b && before(x, o) {
+			o, b = x, w
 		}
 	}
 
-	return o.candidate
+	return o
 }
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -114,12 +114,7 @@
 
 	h := c.places.holders(now, q.Prefixes[0].Key)
 	most := c.settings.bound(l)
-	x := bounded(u, most, q.Prefixes[0].Key, h)
-
-	if q.Declined > 1 {
-		x = spread(u, most, h, q)
-	}
-
+	x := prompted(u, most, h, q)
 	n := x.target.Key()
 	o := Choice{
 		Target: x.target, Source: c.source(now, r, n, q.Prefixes),
--- a/internal/chooser/place.go
+++ b/internal/chooser/place.go
@@ -71,15 +71,14 @@
 // use notes that a call with a part is sent to a target by this instance, and says whether
 // the target was not known to hold it.
 func (p *places) use(now time.Time, key uint64, target enroller.Key) (fresh bool) {
-	fresh = !slices.Contains(p.holders(now, key), target)
-	h := p.put(now, key, target)
+	h, known := p.put(now, key, target)
 
 	if now.Sub(h.told) >= tellAgain {
 		h.told = now
 		p.news = append(p.news, Place{Key: key, Target: target.Name()})
 	}
 
-	return fresh
+	return !known
 }
 
 // withdraw drops a place that was noted for a call that was not sent there.
@@ -91,16 +90,18 @@
 
 // learn notes what another instance told.
 func (p *places) learn(now time.Time, key uint64, target enroller.Key) {
-	p.put(now, key, target).told = now
+	h, _ := p.put(now, key, target)
+	h.told = now
 }
 
-// put moves a holder to the front and returns it.
-func (p *places) put(now time.Time, key uint64, target enroller.Key) *holder {
+// put moves a holder to the front and returns it, and whether it was known to hold the part.
+func (p *places) put(now time.Time, key uint64, target enroller.Key) (x *holder, known bool) {
 	l, _ := p.keys.Get(key)
 	h := holder{target: target}
 
 	if i := slices.IndexFunc(l, func(x holder) bool { return x.target == target }); i >= 0 {
 		h = l[i]
+		known = now.Sub(h.used) < holdFor
 		l = slices.Delete(l, i, i+1)
 	}
 
@@ -109,7 +110,7 @@
 	l = l[:min(len(l), maxHolders)]
 	p.keys.Add(key, l)
 
-	return &l[0]
+	return &l[0], known
 }
 
 // take returns the places that others have not been told of.
--- a/internal/chooser/state.go
+++ b/internal/chooser/state.go
@@ -4,16 +4,12 @@
 	"time"
 
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/tallier"
 )
 
-const (
-	// shedFor is how long a target that turned a call away is passed over. It is
-	// about the time in which a full one runs a few calls to their end.
-	shedFor = 100 * time.Millisecond
-	// reportFor is how long a target's word on its load is used. Calls run for a
-	// second or two; after that it says little.
-	reportFor = 2 * time.Second
-)
+// shedFor is how long a target that turned a call away is passed over. It is about the
+// time in which a full one runs a few calls to their end.
+const shedFor = 100 * time.Millisecond
 
 // state is what this instance knows of the load on one process of a target.
 type state struct {
@@ -25,30 +21,24 @@
 	// running counts this instance's calls.
 	running int
 	shed    time.Time
-	// reported is the load of all instances at the time at, when running was base.
-	reported int
-	base     int
-	at       time.Time
+	// word is the target's last, to any instance, whose base are the running of that time.
+	word tallier.Word
 }
 
 // load estimates the calls of all instances at a target: what it said last, to any
 // of them, and what this instance has begun and ended since.
 func (s *state) load(now time.Time) float64 {
-	if now.Sub(s.at) < reportFor {
-		return float64(max(s.reported+s.running-s.base, s.running))
-	}
-
-	return float64(s.running)
+	return float64(s.word.Load(now, s.running))
 }
 
 // report takes a target's word on its load unless it is older than the last, or of a process
 // that is not on the list.
 func (s *state) report(at time.Time, load int) bool {
-	if s.unlisted || !at.After(s.at) {
+	if s.unlisted || !at.After(s.word.At) {
 		return false
 	}
 
-	s.reported, s.base, s.at = load, s.running, at
+	s.word = tallier.Word{Calls: load, Base: s.running, At: at}
 
 	return true
 }
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -40,6 +40,8 @@
 	silentFor = time.Second
 	// sendTimeout bounds a message that has no answer.
 	sendTimeout = 300 * time.Millisecond
+	// whole is a part of one in hundredths.
+	whole = 100
 )
 
 // Messenger talks to other instances.
@@ -292,7 +294,7 @@
 		defer stop()
 
 		if err := r.messenger.Send(c, h.Address, k, m); err != nil {
-			logrus.WithFields(logrus.Fields{"event": "vacateFailed", "peer": h.Address, "error": err}).Debug()
+			logrus.WithFields(logrus.Fields{"event": "homeNotTold", "peer": h.Address, "error": err}).Debug()
 		}
 	}()
 }
@@ -306,6 +308,3 @@
 func part(hundredths uint32) float64 {
 	return float64(hundredths) / whole
 }
-
-// whole is a part of one in hundredths.
-const whole = 100
--- a/internal/seeker/seeker.go
+++ b/internal/seeker/seeker.go
@@ -70,7 +70,9 @@
 		s.full++
 	case tallier.Left:
 		s.left++
-	case tallier.Granted, tallier.Unanswered:
+	default:
+		// Granted, no answer, or one of a newer release that is not known here: asking on
+		// because of that would never end.
 		return Take
 	}
 
--- a/internal/seeker/seeker_test.go
+++ b/internal/seeker/seeker_test.go
@@ -28,6 +28,10 @@
 		"no home answers": {
 			false, []tallier.Outcome{full, tallier.Unanswered}, []seeker.Step{seeker.Ask, seeker.Take}, 6, false,
 		},
+		// Of a newer release, say. The call would ask without end.
+		"an outcome that is not known here": {
+			false, []tallier.Outcome{full, 99}, []seeker.Step{seeker.Ask, seeker.Take}, 6, false,
+		},
 		"full everywhere": {
 			false, []tallier.Outcome{full, full, full, full, full, full},
 			[]seeker.Step{seeker.Ask, seeker.Ask, seeker.Ask, seeker.Ask, seeker.Ask, seeker.Refuse}, 12, false,
--- a/internal/tallier/tallier.go
+++ b/internal/tallier/tallier.go
@@ -16,14 +16,9 @@
 	"github.com/auburntray/auburntray/internal/enroller"
 )
 
-const (
-	// reportFor is how long a target's own word on its load is used. Calls run for a
-	// second or two; after that it says little.
-	reportFor = 2 * time.Second
-	// travel is how long a call takes to its target at most, in a region without trouble.
-	// One that was granted room so shortly before the target's word is not in that word.
-	travel = 5 * time.Millisecond
-)
+// travel is how long a call takes to its target at most, in a region without trouble. One that
+// was granted room so shortly before the target's word is not in that word.
+const travel = 5 * time.Millisecond
 
 // ID names a reservation: the instance that asked, and its own number for it.
 type ID struct {
@@ -96,10 +91,8 @@
 // tally is the count of one target.
 type tally struct {
 	holds map[ID]hold
-	// reported is what the target said of its load at the time at, when base of the holds
-	// were in it.
-	reported, base int
-	at             time.Time
+	// word is the target's last, whose base are the holds that were in it.
+	word Word
 }
 
 // Tallier holds the counts. It is not safe for concurrent use.
@@ -119,7 +112,7 @@
 	x := t.tally(r.Target)
 	x.expire(now)
 
-	v := Verdict{Calls: x.calls(now), Pace: t.health.paces.Pace(r.Target)}
+	v := Verdict{Calls: x.word.Load(now, len(x.holds)), Pace: t.health.paces.Pace(r.Target)}
 	_, held := x.holds[r.ID]
 
 	switch {
@@ -151,11 +144,11 @@
 // calls that another was asked for before, or that nobody asked for while this one was silent.
 func (t *Tallier) Report(now time.Time, target enroller.Name, calls int) {
 	x := t.tally(target)
-	x.reported, x.base, x.at = calls, 0, now
+	x.word = Word{Calls: calls, At: now}
 
 	for _, h := range x.holds {
 		if now.Sub(h.granted) >= travel {
-			x.base++
+			x.word.Base++
 		}
 	}
 }
@@ -180,15 +173,6 @@
 	return x
 }
 
-// calls estimates the calls of all instances at a target.
-func (x *tally) calls(now time.Time) int {
-	if now.Sub(x.at) < reportFor {
-		return max(x.reported+len(x.holds)-x.base, len(x.holds))
-	}
-
-	return len(x.holds)
-}
-
 // expire ends the reservations of calls that must be over. The release of an instance that
 // was killed or cut off never comes; without this its calls would count for ever, and in
 // the end nobody would be granted room at a target that idles.
