internal/digester, forwarder: lines of a call have a digest that is the same for each sending

The lines of a call had its ID, customer and rule. The digest is of customer, method, path with query, and body. Nothing is decided by it.

--- /dev/null
+++ b/internal/digester/digester_test.go
@@ -0,0 +1,56 @@
+package digester_test
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/digester"
+)
+
+func TestWhatMakesTwoCallsTheSame(t *testing.T) {
+	type call struct {
+		customer, method, uri, body string
+	}
+
+	b := call{customer: "c", method: "POST", uri: "/notes/1?x=2", body: "text"}
+
+	for name, x := range map[string]struct {
+		other call
+		same  bool
+	}{
+		"sent again":           {b, true},
+		"another customer":     {call{"d", b.method, b.uri, b.body}, false},
+		"no customer":          {call{"", b.method, b.uri, b.body}, false},
+		"another method":       {call{b.customer, "GET", b.uri, b.body}, false},
+		"another path":         {call{b.customer, b.method, "/notes/2?x=2", b.body}, false},
+		"another query":        {call{b.customer, b.method, "/notes/1?x=3", b.body}, false},
+		"another body":         {call{b.customer, b.method, b.uri, "text "}, false},
+		"no body":              {call{b.customer, b.method, b.uri, ""}, false},
+		"fields change places": {call{b.customer, "POS", "T/notes/1?x=2", b.body}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := digester.Of(b.customer, b.method, b.uri, []byte(b.body))
+			is.New(t).Equal(d == digester.Of(x.other.customer, x.other.method, x.other.uri, []byte(x.other.body)), x.same)
+		})
+	}
+}
+
+func TestDigestIsShownInHexadecimal(t *testing.T) {
+	is.New(t).Equal(digester.Digest(0xab).String(), "00000000000000ab")
+}
+
+func BenchmarkOf(b *testing.B) {
+	for name, n := range map[string]int{"1KB": 1 << 10, "64KB": 64 << 10} {
+		b.Run(name, func(b *testing.B) {
+			x := bytes.Repeat([]byte{'x'}, n)
+			b.SetBytes(int64(n))
+			b.ReportAllocs()
+
+			for b.Loop() {
+				digester.Of("customer", "POST", "/path/1", x)
+			}
+		})
+	}
+}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/auburntray/auburntray/internal/admitter"
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/digester"
 	"github.com/auburntray/auburntray/internal/hasher"
 )
 
@@ -27,6 +28,8 @@
 	priority int
 	deadline time.Time
 	body     []byte
+	// digest is the same for each sending of the call, under whatever ID.
+	digest digester.Digest
 
 	// shared are the beginnings of the prompt that other calls share.
 	shared []chooser.Prefix
@@ -131,6 +134,10 @@
 		l["tried"] = strings.Join(x.tried, ",")
 	}
 
+	if x.digest != 0 {
+		l["digest"] = x.digest
+	}
+
 	if x.choice.Target != nil {
 		l["load"] = int(x.choice.Load)
 		l["bound"] = int(x.choice.Bound)
--- a/internal/forwarder/take.go
+++ b/internal/forwarder/take.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/digester"
 )
 
 // knownWait is how long a call waits for the first catalog and list of targets. A
@@ -126,6 +128,7 @@
 	}
 
 	x.body = b
+	x.digest = digester.Of(x.customer, x.request.Method, x.request.URL.RequestURI(), b)
 
 	return nil
 }
