internal/quarantiner, warner, forwarder: a call under which three targets have ended is held back, at all instances

Cause: no instance remembered under which call a target's process had ended. The same call came again under other IDs, at other instances, and each sent it to a target, and once more when that had ended.

Change: when an attempt breaks and the target's address refuses connections, the end is noted under the call's digest. Ends are a set that instances join: told to all at once, and by asking two others a second, in turn, for what was missed. A call with three ends since it was last served goes to no target and is refused at once with 503, which is true, and when to come back; a call that is served is excused of all ends. The ways of news are a package of their own (spreader), as two use them now.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -96,7 +96,7 @@
 		return false
 	}
 
-	if x.relayed && x.lastEvent == "" {
+	if x.relayed && x.lastEvent == "" || f.held(x) {
 		return false
 	}
 
@@ -161,6 +161,8 @@
 		r = f.whole(c, stop, x, t)
 	}
 
+	f.learnEnd(c, x, t.Target, r)
+
 	x.mayHaveRun = x.mayHaveRun || !r.notRun
 
 	if !errors.Is(r.err, errNeverSent) {
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/auburntray/auburntray/internal/enroller"
 )
@@ -38,6 +39,8 @@
 	// kept keeps connections; fresh makes one for each call.
 	kept  *kept
 	fresh *http.Transport
+	// asked are the dials that find out whether a target has ended.
+	asked singleflight.Group
 }
 
 // dial makes a connection.
--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -85,10 +85,15 @@
 	id     string
 	answer func(n net.Conn, s seen)
 
+	listener net.Listener
+
 	mu    sync.Mutex
 	calls []seen
 }
 
+// end makes the target's address refuse connections, as when its process is gone.
+func (x *target) end() { _ = x.listener.Close() }
+
 // serve takes connections until the test ends.
 func (x *target) serve(t testing.TB) netip.AddrPort { //nolint:thelper // One letter, as in all code here.
 	t.Helper()
@@ -98,6 +103,8 @@
 		t.Fatal(err)
 	}
 
+	x.listener = l
+
 	t.Cleanup(func() { _ = l.Close() })
 
 	go func() {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -74,6 +74,8 @@
 	gone func(p enroller.Process)
 	// homes count the calls of all instances; nil where there are none.
 	homes Homes
+	// quarantine remembers under which calls targets ended; nil remembers nothing.
+	quarantine Quarantine
 
 	stopping chan struct{}
 	stopOnce sync.Once
@@ -138,7 +140,7 @@
 
 // serve takes the steps of a call. Each may end it with a refusal.
 func (f *Forwarder) serve(c context.Context, x *exchange) error {
-	for _, s := range []func(*exchange) error{f.identify, f.match, f.authorize, f.accept} {
+	for _, s := range []func(*exchange) error{f.identify, f.match, f.authorize, f.accept, f.isolate} {
 		if err := s(x); err != nil {
 			return err
 		}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -49,6 +49,7 @@
 	Stopping   Reason = "stopping"
 	Busy       Reason = "busy"
 	Overload   Reason = "overload"
+	HeldBack   Reason = "heldBack"
 )
 
 // Refusal is the gateway's own answer to a call that it has given up on. With
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -18,9 +18,11 @@
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/meter"
+	"github.com/auburntray/auburntray/internal/quarantiner"
 	"github.com/auburntray/auburntray/internal/repeater"
 	"github.com/auburntray/auburntray/internal/reserver"
 	"github.com/auburntray/auburntray/internal/tracer"
+	"github.com/auburntray/auburntray/internal/warner"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -49,7 +51,7 @@
 func Options(s Settings, w World) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newReserver, newForwarder, newGatekeeper),
+		fx.Provide(meter.New, newFacts, newTracer, newMessenger, newMembers, newRepeater, newReserver, newWarner, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		// A process that stands still as it starts must not end by itself for it.
 		fx.StartTimeout(stopMost),
@@ -75,13 +77,23 @@
 	return r
 }
 
+func newWarner(m *messenger.Messenger, j *joiner.Joiner) *warner.Warner {
+	w := warner.New(m, j, quarantiner.DefaultSettings())
+	m.Handle(wire.KindSuspects, w.Told)
+	m.Handle(wire.KindSuspectsRelay, w.Relayed)
+	m.Handle(wire.KindSuspectsRequest, w.Asked)
+
+	return w
+}
+
 func newForwarder(
-	l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer, m *meter.Meter, h *reserver.Reserver,
+	l fx.Lifecycle, s Settings, w World, f *facts, t trace.Tracer, m *meter.Meter, h *reserver.Reserver, q *warner.Warner,
 ) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, Patience: patience, MaxBody: maxBody},
 		w.Dialect, f, t, m, &net.Dialer{}, chooser.New(chooser.DefaultSettings()), budgeter.New(s.Retries, time.Now()))
 	x.UseHomes(h)
+	x.UseQuarantine(q)
 	f.dropped = func(r *enroller.Roster) {
 		x.Forget(r)
 		h.Forget(r)
@@ -107,6 +119,7 @@
 	Messenger *messenger.Messenger
 	Joiner    *joiner.Joiner
 	Repeater  *repeater.Repeater
+	Warner    *warner.Warner
 	Meter     *meter.Meter
 }
 
@@ -127,7 +140,7 @@
 	x.OnGone(i.Gone)
 
 	g := &Gatekeeper{
-		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, informer: i, drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, facts: f, forwarder: x, messenger: m, joiner: j, informer: i, warner: p.Warner, drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, &configSink{
 				facts: f, key: w.ConfigKey, decode: w.DecodeConfig, refusals: &refusals{stream: config, counter: p.Meter},
@@ -144,6 +157,7 @@
 	for name, k := range map[string]wire.Kind{
 		"news": wire.KindNews, "relay": wire.KindRelay, "gone": wire.KindGone, "gossip": wire.KindGossip, "reply": wire.KindReply,
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
+		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
 	} {
 		p.Meter.Follow("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -16,6 +16,7 @@
 	"github.com/auburntray/auburntray/internal/informer"
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/warner"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
@@ -31,6 +32,7 @@
 	messenger *messenger.Messenger
 	joiner    *joiner.Joiner
 	informer  *informer.Informer
+	warner    *warner.Warner
 	watchers  []*watcher.Watcher
 	idler     *idler.Idler
 	callers   *http.Server
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -39,6 +39,7 @@
 	g.messenger.Serve()
 	g.background(func() { g.joiner.Run(x) })
 	g.background(func() { g.informer.Run(x) })
+	g.background(func() { g.warner.Run(x) })
 
 	for _, w := range g.watchers {
 		g.background(func() { w.Run(x) })
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -9,16 +9,14 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/spreader"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -32,20 +30,11 @@
 	// some 60 messages a second however many there are.
 	eachEvery = 16 * time.Millisecond
 	// maxList bounds one message; 12 bytes each.
-	maxList     = 1024
-	sendTimeout = 300 * time.Millisecond
+	maxList = 1024
 )
 
-// Members knows the other instances.
-type Members interface {
-	Live() []gossiper.Member
-	Self() gossiper.Member
-}
-
-// Messenger sends to other instances.
-type Messenger interface {
-	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
-}
+// ways are the kinds of news on its ways.
+var ways = spreader.Kinds{Direct: wire.KindNews, Relay: wire.KindRelay} //nolint:gochecknoglobals // A constant.
 
 // Knowledge is what this instance knows of targets.
 type Knowledge interface {
@@ -57,23 +46,22 @@
 
 // Informer tells and is told. It is safe for concurrent use.
 type Informer struct {
-	messenger Messenger
-	members   Members
+	spreader  *spreader.Spreader
+	members   spreader.Members
 	knowledge Knowledge
 }
 
 // New returns an Informer.
-func New(m Messenger, x Members, k Knowledge) *Informer {
-	return &Informer{messenger: m, members: x, knowledge: k}
+func New(m spreader.Messenger, x spreader.Members, k Knowledge) *Informer {
+	return &Informer{spreader: spreader.New(m, x), members: x, knowledge: k}
 }
 
 // Run tells the others until the context ends.
 func (i *Informer) Run(c context.Context) {
 	for c.Err() == nil {
-		l := i.members.Live()
-		i.tell(c, l)
+		i.tell(c)
 
-		t := time.NewTimer(max(leastEvery, time.Duration(len(l))*eachEvery))
+		t := time.NewTimer(max(leastEvery, time.Duration(len(i.members.Live()))*eachEvery))
 
 		select {
 		case <-t.C:
@@ -116,7 +104,7 @@
 // It names the process and not just the target: the word may come after the list has shown
 // that the target started again, and would have the new process left alone for seconds.
 func (i *Informer) Gone(p enroller.Process) {
-	i.send(context.Background(), direct(i.members.Live(), i.members.Self()), &wire.Gone{
+	i.spreader.Each(context.Background(), wire.KindGone, &wire.Gone{
 		Targets: []string{p.ID}, StartsMs: []int64{p.Start.UnixMilli()},
 	})
 }
@@ -150,14 +138,14 @@
 	}
 
 	// The connection over which it came may end before all are told.
-	i.send(context.WithoutCancel(c), near(i.members.Live(), i.members.Self()), msgp.Raw(body))
+	i.spreader.Near(context.WithoutCancel(c), ways, msgp.Raw(body))
 
 	return nil, nil //nolint:nilnil // News has no reply.
 }
 
 // tell sends what is new to all others. What does not arrive is told again
 // when it is used later.
-func (i *Informer) tell(c context.Context, l []gossiper.Member) {
+func (i *Informer) tell(c context.Context) {
 	n := i.knowledge.News()
 	if len(n.Places) == 0 && len(n.Loads) == 0 {
 		return
@@ -177,31 +165,5 @@
 		})
 	}
 
-	i.send(c, route(l, i.members.Self()), &w)
-}
-
-// send sends a message by each of the ways in the background.
-func (i *Informer) send(c context.Context, l []leg, w msgp.Marshaler) {
-	for _, x := range l {
-		go func() {
-			for _, m := range x.to {
-				if i.sendTo(c, m, x.kind, w) {
-					return
-				}
-			}
-		}()
-	}
-}
-
-// sendTo sends a message to one instance and says whether it took it.
-func (i *Informer) sendTo(c context.Context, m gossiper.Member, k wire.Kind, w msgp.Marshaler) bool {
-	x, stop := context.WithTimeout(c, sendTimeout)
-	defer stop()
-
-	err := i.messenger.Send(x, m.Address, k, w)
-	if err != nil {
-		logrus.WithFields(logrus.Fields{"event": "newsFailed", "peer": m.Address, "error": err}).Debug()
-	}
-
-	return err == nil
+	i.spreader.All(c, ways, &w)
 }
--- /dev/null
+++ b/internal/quarantiner/state.go
@@ -0,0 +1,41 @@
+package quarantiner
+
+import "github.com/auburntray/auburntray/internal/hasher"
+
+// State returns a number that is the same at two instances that have the same Records, so that
+// they need not tell each other any.
+func (q *Quarantiner) State() uint64 {
+	var o uint64
+
+	for _, r := range q.calls {
+		if !q.grave(r) {
+			continue
+		}
+
+		for _, e := range r.Ends {
+			k := hasher.Mix(uint64(r.Call), uint64(e.Process))
+			if e.Excused {
+				k = hasher.Mix(k, 1)
+			}
+
+			o ^= k
+		}
+	}
+
+	return o
+}
+
+// Count returns how many calls are suspected and how many are held back.
+func (q *Quarantiner) Count() (suspected, held int) {
+	for _, r := range q.calls {
+		switch q.verdict(r).Standing {
+		case Held:
+			held++
+		case Suspected:
+			suspected++
+		case Free:
+		}
+	}
+
+	return suspected, held
+}
--- /dev/null
+++ b/internal/warner/warner.go
@@ -0,0 +1,261 @@
+// Package warner keeps what this instance and the others know of calls under which targets
+// have ended, and tells the others.
+//
+// What is new is told to all at once: the same call may be on its way through another
+// instance already. And each instance asks two others a second, all in turn, for what it lacks,
+// and tells them what they lack. So those that were not reached, that have just started, stood
+// still or were cut off know the same within seconds.
+package warner
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/digester"
+	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/quarantiner"
+	"github.com/auburntray/auburntray/internal/spreader"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const (
+	// gather is how long what is new is gathered into one message: the calls of a target
+	// that ended are found within milliseconds of each other.
+	gather = 10 * time.Millisecond
+	// askEvery is the time between two askings. Six instances have met each other after
+	// 2.5 s; the users' bound is three.
+	askEvery = 500 * time.Millisecond
+	// firstEvery is the same for one that has not been answered yet.
+	firstEvery = 50 * time.Millisecond
+	// mostTold bounds a message, to some kilobytes. The calls that are held back come first.
+	mostTold = 64
+	// forgetEvery is how late a call that has not come for long is forgotten.
+	forgetEvery = time.Minute
+)
+
+// kinds are those of what is told at once.
+var kinds = spreader.Kinds{Direct: wire.KindSuspects, Relay: wire.KindSuspectsRelay} //nolint:gochecknoglobals // A constant.
+
+// Warner knows, tells and is told. It is safe for concurrent use.
+type Warner struct {
+	messenger Messenger
+	members   spreader.Members
+	spreader  *spreader.Spreader
+
+	mu          sync.Mutex
+	quarantiner *quarantiner.Quarantiner
+	// untold are the calls of which something is new; wake has an element when there are any.
+	untold map[digester.Digest]bool
+	wake   chan struct{}
+	// counts are the decisions of this instance.
+	counts Counts
+
+	// turn are the instances that are asked next. Only ask uses it.
+	turn []uint64
+}
+
+// Counts are how many calls are known under which targets ended, and how many decisions this
+// instance made on them.
+type Counts struct {
+	// Suspected and Held are the calls that are so now.
+	Suspected, Held int
+	// Ends is how many ends this instance found, each under one call, and Excused how many
+	// calls it served that had been suspected.
+	Ends, Excused int
+}
+
+// New returns a Warner that knows of no call.
+func New(m Messenger, x spreader.Members, s quarantiner.Settings) *Warner {
+	return &Warner{
+		messenger: m, members: x, spreader: spreader.New(m, x), quarantiner: quarantiner.New(s),
+		untold: make(map[digester.Digest]bool), wake: make(chan struct{}, 1),
+	}
+}
+
+// Come returns what a call may do that has come, or is to be sent once more.
+func (w *Warner) Come(d digester.Digest) quarantiner.Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.quarantiner.Come(time.Now(), d)
+}
+
+// Ended takes that a target's process ended while a call was in flight there, and tells the
+// others. It returns what the call may do from now on.
+func (w *Warner) Ended(d digester.Digest, p enroller.Name) quarantiner.Verdict {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	v, added := w.quarantiner.Ended(time.Now(), d, p)
+	if added {
+		w.counts.Ends++
+		w.tellLater(d)
+	}
+
+	return v
+}
+
+// Served takes that a call was answered in full, and tells the others when it was suspected.
+func (w *Warner) Served(d digester.Digest) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if !w.quarantiner.Served(d) {
+		return
+	}
+
+	w.counts.Excused++
+	w.tellLater(d)
+	logrus.WithFields(logrus.Fields{"event": "callExcused", "digest": d}).Info()
+}
+
+// Counts returns the counts of now.
+func (w *Warner) Counts() Counts {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	o := w.counts
+	o.Suspected, o.Held = w.quarantiner.Count()
+
+	return o
+}
+
+// tellLater notes that something is new of a call. The lock is held.
+func (w *Warner) tellLater(d digester.Digest) {
+	w.untold[d] = true
+
+	select {
+	case w.wake <- struct{}{}:
+	default: // It is awake.
+	}
+}
+
+// Run tells and asks the others until the context ends.
+func (w *Warner) Run(c context.Context) {
+	var g sync.WaitGroup
+
+	g.Go(func() { w.tell(c) })
+	g.Go(func() { w.ask(c) })
+	g.Go(func() { w.forget(c) })
+	g.Wait()
+}
+
+// tell tells the others what is new.
+func (w *Warner) tell(c context.Context) {
+	for {
+		select {
+		case <-w.wake:
+		case <-c.Done():
+			return
+		}
+
+		sleep(c, gather)
+
+		if m := w.news(); len(m.Calls) > 0 {
+			w.spreader.All(c, kinds, m)
+		}
+	}
+}
+
+// news returns what is new and has not been told.
+func (w *Warner) news() *wire.Suspects {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	var l []digester.Digest
+
+	for d := range w.untold {
+		if len(l) == mostTold {
+			w.tellLater(d) // The rest follows.
+
+			break
+		}
+
+		l = append(l, d)
+		delete(w.untold, d)
+	}
+
+	return encode(time.Now(), w.quarantiner.Of(l))
+}
+
+// ask asks the other instances in turn.
+func (w *Warner) ask(c context.Context) {
+	d := firstEvery
+
+	for c.Err() == nil {
+		if m, ok := w.next(); ok && w.askOne(c, m) {
+			d = askEvery
+		}
+
+		sleep(c, d)
+	}
+}
+
+// next returns the instance that is asked next. When all had their turn, a new order is drawn.
+func (w *Warner) next() (gossiper.Member, bool) {
+	l := make(map[uint64]gossiper.Member)
+
+	for _, m := range w.members.Live() {
+		if m.ID != w.members.Self().ID {
+			l[m.ID] = m
+		}
+	}
+
+	w.turn = slices.DeleteFunc(w.turn, func(id uint64) bool { _, ok := l[id]; return !ok })
+
+	if len(w.turn) == 0 {
+		// The order of a map is drawn anew by each walk, but not evenly.
+		w.turn = slices.Collect(maps.Keys(l))
+		rand.Shuffle(len(w.turn), func(a, b int) { w.turn[a], w.turn[b] = w.turn[b], w.turn[a] }) //nolint:gosec // Spreads work.
+	}
+
+	if len(w.turn) == 0 {
+		return gossiper.Member{}, false
+	}
+
+	m := l[w.turn[0]]
+	w.turn = w.turn[1:]
+
+	return m, true
+}
+
+func (w *Warner) forget(c context.Context) {
+	for c.Err() == nil {
+		sleep(c, forgetEvery)
+		w.mu.Lock()
+		w.quarantiner.Forget(time.Now())
+		w.mu.Unlock()
+	}
+}
+
+// learn joins what another instance told, and says whether any of it was new.
+func (w *Warner) learn(m *wire.Suspects) bool {
+	w.mu.Lock()
+	b := w.quarantiner.State()
+	l := w.quarantiner.Learn(time.Now(), decode(time.Now(), m))
+	changed := w.quarantiner.State() != b
+	w.mu.Unlock()
+
+	for _, d := range l {
+		logrus.WithFields(logrus.Fields{"event": "callHeldBack", "digest": d, "source": "peer"}).Warn()
+	}
+
+	return changed
+}
+
+func sleep(c context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-t.C:
+	case <-c.Done():
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -46,6 +46,12 @@
 	KindVacate
 	// KindOccupancy tells the home of a target how loaded that is.
 	KindOccupancy
+	// KindSuspects tells of calls under which targets have ended.
+	KindSuspects
+	// KindSuspectsRelay is KindSuspects for all instances of the receiver's data centre.
+	KindSuspectsRelay
+	// KindSuspectsRequest asks for all that an instance knows of such calls.
+	KindSuspectsRequest
 	// Kinds is how many kinds there are.
 	Kinds
 )
@@ -342,3 +348,31 @@
 	Target uint32
 	Calls  uint32
 }
+
+// Suspects tells of calls under which targets have ended. As an answer it has the sender's
+// State; the asker tells what that lacks.
+type Suspects struct {
+	Calls []Suspect
+	State uint64
+}
+
+// Suspect is one such call, by its digest, how long ago it last came, and the ends.
+type Suspect struct {
+	Call   uint64
+	SeenMs uint32
+	Ends   []SuspectEnd
+}
+
+// SuspectEnd is the end of a process, by its short name as in Holder, how long ago it was, and
+// whether the call was served since.
+type SuspectEnd struct {
+	Target  uint32
+	AgeMs   uint32
+	Excused bool
+}
+
+// SuspectsRequest asks for all Suspects that an instance knows of, unless its state is the
+// asker's own.
+type SuspectsRequest struct {
+	State uint64
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -4107,6 +4107,509 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Suspect) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Call, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
+	z.SeenMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "SeenMs")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Ends")
+		return
+	}
+	if cap(z.Ends) >= int(zb0002) {
+		z.Ends = (z.Ends)[:zb0002]
+	} else {
+		z.Ends = make([]SuspectEnd, zb0002)
+	}
+	for za0001 := range z.Ends {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Ends[za0001].Target, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "Target")
+			return
+		}
+		z.Ends[za0001].AgeMs, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "AgeMs")
+			return
+		}
+		z.Ends[za0001].Excused, err = dc.ReadBool()
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "Excused")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Suspect) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Call)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
+	err = en.WriteUint32(z.SeenMs)
+	if err != nil {
+		err = msgp.WrapError(err, "SeenMs")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Ends)))
+	if err != nil {
+		err = msgp.WrapError(err, "Ends")
+		return
+	}
+	for za0001 := range z.Ends {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint32(z.Ends[za0001].Target)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "Target")
+			return
+		}
+		err = en.WriteUint32(z.Ends[za0001].AgeMs)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "AgeMs")
+			return
+		}
+		err = en.WriteBool(z.Ends[za0001].Excused)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "Excused")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Suspect) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Call)
+	o = msgp.AppendUint32(o, z.SeenMs)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
+	for za0001 := range z.Ends {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint32(o, z.Ends[za0001].Target)
+		o = msgp.AppendUint32(o, z.Ends[za0001].AgeMs)
+		o = msgp.AppendBool(o, z.Ends[za0001].Excused)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Suspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Call, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
+	z.SeenMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SeenMs")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Ends")
+		return
+	}
+	if cap(z.Ends) >= int(zb0002) {
+		z.Ends = (z.Ends)[:zb0002]
+	} else {
+		z.Ends = make([]SuspectEnd, zb0002)
+	}
+	for za0001 := range z.Ends {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Ends[za0001].Target, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "Target")
+			return
+		}
+		z.Ends[za0001].AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "AgeMs")
+			return
+		}
+		z.Ends[za0001].Excused, bts, err = msgp.ReadBoolBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001, "Excused")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Suspect) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Ends) * (22 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *SuspectEnd) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.AgeMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	z.Excused, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Excused")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z SuspectEnd) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint32(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	err = en.WriteBool(z.Excused)
+	if err != nil {
+		err = msgp.WrapError(err, "Excused")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z SuspectEnd) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint32(o, z.AgeMs)
+	o = msgp.AppendBool(o, z.Excused)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SuspectEnd) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	z.Excused, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Excused")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SuspectEnd) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Suspects) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	if cap(z.Calls) >= int(zb0002) {
+		z.Calls = (z.Calls)[:zb0002]
+	} else {
+		z.Calls = make([]Suspect, zb0002)
+	}
+	for za0001 := range z.Calls {
+		err = z.Calls[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	z.State, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Suspects) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Calls)))
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	for za0001 := range z.Calls {
+		err = z.Calls[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	err = en.WriteUint64(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Suspects) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Calls)))
+	for za0001 := range z.Calls {
+		o, err = z.Calls[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	o = msgp.AppendUint64(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Suspects) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	if cap(z.Calls) >= int(zb0002) {
+		z.Calls = (z.Calls)[:zb0002]
+	} else {
+		z.Calls = make([]Suspect, zb0002)
+	}
+	for za0001 := range z.Calls {
+		bts, err = z.Calls[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	z.State, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Suspects) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Calls {
+		s += z.Calls[za0001].Msgsize()
+	}
+	s += msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *SuspectsRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.State, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z SuspectsRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z SuspectsRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendUint64(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *SuspectsRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.State, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z SuspectsRequest) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Sync) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
