internal/quarantiner: ends at the same moment count as one only for calls that were served before

Cause: ends less than 50 ms apart counted as one for every call, so that a page that is in flight at all targets of a service when they lose their power together is not held back. A call that ends targets and comes at several instances at the same moment would have counted as one end each time, and its third would have come late.

Change: an instance knows which calls it has served in the last minutes; only ends under such a call must be apart, now by a second, since calls break there also with the next thing that is sent.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -22,8 +22,9 @@
 type Settings struct {
 	// Ends is under how many ends of targets a call is held back.
 	Ends int
-	// Apart is how far apart two ends must be to count as two. Targets that lose their power
-	// together end together, and calls that look alike may be in flight at all of them.
+	// Apart is how far apart two ends under a call that was served before must be to count as
+	// two. Targets that lose their power together end together, and calls that look alike, a
+	// page that one customer asks for all the time, may be in flight at all of them.
 	Apart time.Duration
 	// Keep is how long a call that does not come again is remembered.
 	Keep time.Duration
@@ -38,9 +39,9 @@
 		// second target, when it was sent on to where the same call went too. Each further
 		// end that is waited for costs a target with all its calls.
 		Ends: 3,
-		// A target that ends by a call does so within tens of milliseconds after it began;
-		// two that lose their power together are found within a dial of each other.
-		Apart: 50 * time.Millisecond,
+		// The calls at a target whose power is gone break with its connections, or at the
+		// next thing that is sent on them.
+		Apart: time.Second,
 		// Longer than any pause in which a caller would be told to come back.
 		Keep: 30 * time.Minute,
 		// All calls in flight at a third of 600 targets with 20 calls each.
@@ -93,6 +94,8 @@
 	At      time.Time
 	// Excused says that the call was served since: it was not the cause.
 	Excused bool
+	// Known says that the instance that found the end had served the call shortly before.
+	Known bool
 }
 
 // Record is what is known of one call.
@@ -108,6 +111,7 @@
 type Quarantiner struct {
 	settings Settings
 	calls    map[digester.Digest]*Record
+	served   served
 }
 
 // New returns a Quarantiner that knows of no call.
@@ -136,7 +140,7 @@
 	}
 
 	r.Seen = now
-	added := r.add(End{Process: p, At: now})
+	added := r.add(End{Process: p, At: now, Known: q.served.has(d)})
 
 	return q.verdict(r), added
 }
@@ -144,6 +148,8 @@
 // Served takes that a call was answered in full: it caused none of the ends that are known.
 // It says whether there were any.
 func (q *Quarantiner) Served(d digester.Digest) bool {
+	q.served.add(d)
+
 	r, ok := q.calls[d]
 	if !ok {
 		return false
@@ -261,12 +267,20 @@
 	return o
 }
 
-// verdict judges a call by the ends that count: not excused, and apart from each other.
+// verdict judges a call by the ends that count: not excused, and, if it was served before,
+// apart from each other.
 func (q *Quarantiner) verdict(r *Record) Verdict {
-	var v Verdict
+	var (
+		v     Verdict
+		apart time.Duration
+	)
+
+	if slices.ContainsFunc(r.Ends, func(e End) bool { return e.Known }) {
+		apart = q.settings.Apart
+	}
 
 	for _, e := range r.Ends {
-		if e.Excused || v.Ends > 0 && e.At.Sub(v.Last) < q.settings.Apart {
+		if e.Excused || v.Ends > 0 && e.At.Sub(v.Last) < apart {
 			continue
 		}
 
@@ -289,10 +303,10 @@
 func (r *Record) add(e End) bool {
 	for i, x := range r.Ends {
 		if x.Process == e.Process {
-			changed := e.Excused && !x.Excused
 			r.Ends[i].Excused = x.Excused || e.Excused
+			r.Ends[i].Known = x.Known || e.Known
 
-			return changed
+			return r.Ends[i] != x
 		}
 	}
 
--- a/internal/quarantiner/state.go
+++ b/internal/quarantiner/state.go
@@ -18,6 +18,10 @@
 				k = hasher.Mix(k, 1)
 			}
 
+			if e.Known {
+				k = hasher.Mix(k, 2)
+			}
+
 			o ^= k
 		}
 	}
--- a/internal/warner/message.go
+++ b/internal/warner/message.go
@@ -138,7 +138,7 @@
 	for _, r := range l {
 		s := wire.Suspect{Call: uint64(r.Call), SeenMs: age(now, r.Seen)}
 		for _, e := range r.Ends {
-			s.Ends = append(s.Ends, wire.SuspectEnd{Target: uint32(e.Process), AgeMs: age(now, e.At), Excused: e.Excused})
+			s.Ends = append(s.Ends, wire.SuspectEnd{Target: uint32(e.Process), AgeMs: age(now, e.At), Excused: e.Excused, Known: e.Known})
 		}
 
 		o.Calls = append(o.Calls, s)
@@ -154,7 +154,7 @@
 	for _, s := range m.Calls {
 		r := quarantiner.Record{Call: digester.Digest(s.Call), Seen: before(now, s.SeenMs)}
 		for _, e := range s.Ends {
-			r.Ends = append(r.Ends, quarantiner.End{Process: enroller.Name(e.Target), At: before(now, e.AgeMs), Excused: e.Excused})
+			r.Ends = append(r.Ends, quarantiner.End{Process: enroller.Name(e.Target), At: before(now, e.AgeMs), Excused: e.Excused, Known: e.Known})
 		}
 
 		o = append(o, r)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -364,11 +364,12 @@
 }
 
 // SuspectEnd is the end of a process, by its short name as in Holder, how long ago it was, and
-// whether the call was served since.
+// whether the call was served since, and whether it had been served shortly before.
 type SuspectEnd struct {
 	Target  uint32
 	AgeMs   uint32
 	Excused bool
+	Known   bool
 }
 
 // SuspectsRequest asks for all Suspects that an instance knows of, unless its state is the
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -4141,31 +4141,11 @@
 		z.Ends = make([]SuspectEnd, zb0002)
 	}
 	for za0001 := range z.Ends {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
+		err = z.Ends[za0001].DecodeMsg(dc)
 		if err != nil {
 			err = msgp.WrapError(err, "Ends", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Ends[za0001].Target, err = dc.ReadUint32()
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Target")
-			return
-		}
-		z.Ends[za0001].AgeMs, err = dc.ReadUint32()
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "AgeMs")
-			return
-		}
-		z.Ends[za0001].Excused, err = dc.ReadBool()
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Excused")
-			return
-		}
 	}
 	return
 }
@@ -4193,24 +4173,9 @@
 		return
 	}
 	for za0001 := range z.Ends {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint32(z.Ends[za0001].Target)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Target")
-			return
-		}
-		err = en.WriteUint32(z.Ends[za0001].AgeMs)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "AgeMs")
-			return
-		}
-		err = en.WriteBool(z.Ends[za0001].Excused)
+		err = z.Ends[za0001].EncodeMsg(en)
 		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Excused")
+			err = msgp.WrapError(err, "Ends", za0001)
 			return
 		}
 	}
@@ -4226,11 +4191,11 @@
 	o = msgp.AppendUint32(o, z.SeenMs)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
 	for za0001 := range z.Ends {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint32(o, z.Ends[za0001].Target)
-		o = msgp.AppendUint32(o, z.Ends[za0001].AgeMs)
-		o = msgp.AppendBool(o, z.Ends[za0001].Excused)
+		o, err = z.Ends[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001)
+			return
+		}
 	}
 	return
 }
@@ -4269,31 +4234,11 @@
 		z.Ends = make([]SuspectEnd, zb0002)
 	}
 	for za0001 := range z.Ends {
-		var zb0003 uint32
-		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Ends[za0001].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Ends", za0001)
 			return
 		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Ends[za0001].Target, bts, err = msgp.ReadUint32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Target")
-			return
-		}
-		z.Ends[za0001].AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "AgeMs")
-			return
-		}
-		z.Ends[za0001].Excused, bts, err = msgp.ReadBoolBytes(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Ends", za0001, "Excused")
-			return
-		}
 	}
 	o = bts
 	return
@@ -4301,7 +4246,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Suspect) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Ends) * (22 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize))
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Ends {
+		s += z.Ends[za0001].Msgsize()
+	}
 	return
 }
 
@@ -4313,8 +4261,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Target, err = dc.ReadUint32()
@@ -4332,13 +4280,18 @@
 		err = msgp.WrapError(err, "Excused")
 		return
 	}
+	z.Known, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z SuspectEnd) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *SuspectEnd) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -4357,17 +4310,23 @@
 		err = msgp.WrapError(err, "Excused")
 		return
 	}
+	err = en.WriteBool(z.Known)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z SuspectEnd) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SuspectEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendUint32(o, z.Target)
 	o = msgp.AppendUint32(o, z.AgeMs)
 	o = msgp.AppendBool(o, z.Excused)
+	o = msgp.AppendBool(o, z.Known)
 	return
 }
 
@@ -4379,8 +4338,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
@@ -4398,13 +4357,18 @@
 		err = msgp.WrapError(err, "Excused")
 		return
 	}
+	z.Known, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z SuspectEnd) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize
+func (z *SuspectEnd) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.BoolSize + msgp.BoolSize
 	return
 }
 
