internal/warner, platform: calls that are held back are written to the platform's store

Cause: what instances tell each other is lost when all of them lose their power together. A call that was held back would end three targets again, and more when it comes at several instances before any of them has told the others: with six instances each may send it on before.

Change: the instance that finds the third end writes the call's digest and ends under a key of a stream of ours, and drops it when the call is served after all. Instances that have just started ask others; when none knows, one reads the stream and tells all. What can't be read is told and passed over, what is old is dropped.

--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -77,13 +77,13 @@
 	return r
 }
 
-func newWarner(m *messenger.Messenger, j *joiner.Joiner) *warner.Warner {
-	w := warner.New(m, j, quarantiner.DefaultSettings())
-	m.Handle(wire.KindSuspects, w.Told)
-	m.Handle(wire.KindSuspectsRelay, w.Relayed)
-	m.Handle(wire.KindSuspectsRequest, w.Asked)
+func newWarner(w World, m *messenger.Messenger, j *joiner.Joiner) *warner.Warner {
+	x := warner.New(m, j, w.Held, quarantiner.DefaultSettings())
+	m.Handle(wire.KindSuspects, x.Told)
+	m.Handle(wire.KindSuspectsRelay, x.Relayed)
+	m.Handle(wire.KindSuspectsRequest, x.Asked)
 
-	return w
+	return x
 }
 
 func newForwarder(
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -8,6 +8,7 @@
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/warner"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
@@ -49,6 +50,8 @@
 	// Targets is the stream with an entry for each target.
 	Targets      watcher.Source
 	DecodeTarget func(key string, b []byte) (enroller.Target, error)
+	// Held keeps the calls that are held back; nil keeps them nowhere.
+	Held warner.Shelf
 	// ReadyPath is where the balancer asks.
 	ReadyPath string
 }
--- a/internal/quarantiner/state.go
+++ b/internal/quarantiner/state.go
@@ -1,6 +1,9 @@
 package quarantiner
 
-import "github.com/auburntray/auburntray/internal/hasher"
+import (
+	"github.com/auburntray/auburntray/internal/digester"
+	"github.com/auburntray/auburntray/internal/hasher"
+)
 
 // State returns a number that is the same at two instances that have the same Records, so that
 // they need not tell each other any.
@@ -43,3 +46,16 @@
 
 	return suspected, held
 }
+
+// HeldBack returns the calls that are held back.
+func (q *Quarantiner) HeldBack() []digester.Digest {
+	var o []digester.Digest
+
+	for d, r := range q.calls {
+		if q.verdict(r).Standing == Held {
+			o = append(o, d)
+		}
+	}
+
+	return o
+}
--- a/internal/warner/message.go
+++ b/internal/warner/message.go
@@ -64,7 +64,7 @@
 	defer w.mu.Unlock()
 
 	if q.State == w.quarantiner.State() {
-		return &wire.Suspects{State: q.State}, nil
+		return &wire.Suspects{State: q.State, Informed: w.informed}, nil
 	}
 
 	return w.all(), nil
@@ -73,7 +73,7 @@
 // all returns what every instance should know. The lock is held.
 func (w *Warner) all() *wire.Suspects {
 	m := encode(time.Now(), w.quarantiner.Records(mostTold))
-	m.State = w.quarantiner.State()
+	m.State, m.Informed = w.quarantiner.State(), w.informed
 
 	return m
 }
--- a/internal/warner/warner.go
+++ b/internal/warner/warner.go
@@ -4,7 +4,8 @@
 // What is new is told to all at once: the same call may be on its way through another
 // instance already. And each instance asks two others a second, all in turn, for what it lacks,
 // and tells them what they lack. So those that were not reached, that have just started, stood
-// still or were cut off know the same within seconds.
+// still or were cut off know the same within seconds. The calls that are held back are written
+// to a shelf outside of the instances, for the case that all of them are lost.
 package warner
 
 import (
@@ -48,12 +49,19 @@
 	messenger Messenger
 	members   spreader.Members
 	spreader  *spreader.Spreader
+	shelf     Shelf
+	keep      time.Duration
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
 	// untold are the calls of which something is new; wake has an element when there are any.
 	untold map[digester.Digest]bool
 	wake   chan struct{}
+	// unshelved and shelveWake are the same for the shelf.
+	unshelved  map[digester.Digest]bool
+	shelveWake chan struct{}
+	// informed says that what was held back before this instance started is known.
+	informed bool
 	// counts are the decisions of this instance.
 	counts Counts
 
@@ -71,11 +79,12 @@
 	Ends, Excused int
 }
 
-// New returns a Warner that knows of no call.
-func New(m Messenger, x spreader.Members, s quarantiner.Settings) *Warner {
+// New returns a Warner that knows of no call. Without a shelf nothing outlasts the instances.
+func New(m Messenger, x spreader.Members, h Shelf, s quarantiner.Settings) *Warner {
 	return &Warner{
-		messenger: m, members: x, spreader: spreader.New(m, x), quarantiner: quarantiner.New(s),
+		messenger: m, members: x, spreader: spreader.New(m, x), shelf: h, keep: s.Keep, quarantiner: quarantiner.New(s),
 		untold: make(map[digester.Digest]bool), wake: make(chan struct{}, 1),
+		unshelved: make(map[digester.Digest]bool), shelveWake: make(chan struct{}, 1), informed: h == nil,
 	}
 }
 
@@ -99,6 +108,11 @@
 		w.tellLater(d)
 	}
 
+	if added && v.Standing == quarantiner.Held {
+		w.shelveLater(d)
+		logrus.WithFields(logrus.Fields{"event": "callHeldBack", "digest": d, "source": "own", "ends": v.Ends}).Warn()
+	}
+
 	return v
 }
 
@@ -107,10 +121,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	held := w.quarantiner.Come(time.Now(), d).Standing == quarantiner.Held
 	if !w.quarantiner.Served(d) {
 		return
 	}
 
+	if held {
+		w.shelveLater(d)
+	}
+
 	w.counts.Excused++
 	w.tellLater(d)
 	logrus.WithFields(logrus.Fields{"event": "callExcused", "digest": d}).Info()
@@ -144,6 +163,12 @@
 	g.Go(func() { w.tell(c) })
 	g.Go(func() { w.ask(c) })
 	g.Go(func() { w.forget(c) })
+
+	if w.shelf != nil {
+		g.Go(func() { w.read(c) })
+		g.Go(func() { w.shelve(c) })
+	}
+
 	g.Wait()
 }
 
@@ -238,6 +263,7 @@
 // learn joins what another instance told, and says whether any of it was new.
 func (w *Warner) learn(m *wire.Suspects) bool {
 	w.mu.Lock()
+	w.informed = w.informed || m.Informed
 	b := w.quarantiner.State()
 	l := w.quarantiner.Learn(time.Now(), decode(time.Now(), m))
 	changed := w.quarantiner.State() != b
--- a/internal/warner/warner_test.go
+++ b/internal/warner/warner_test.go
@@ -107,9 +107,16 @@
 	return err
 }
 
-// start starts so many instances in four data centres; those from late on are not there yet.
+// start starts so many instances in four data centres.
 func start(t *testing.T, n int) *fleet {
 	t.Helper()
+
+	return startWith(t, n, nil)
+}
+
+// startWith starts them with a shelf.
+func startWith(t *testing.T, n int, s warner.Shelf) *fleet {
+	t.Helper()
 	logrus.SetLevel(logrus.PanicLevel)
 
 	f := &fleet{cut: make(map[int]bool)}
@@ -119,7 +126,7 @@
 			ID: uint64(i + 1), DataCentre: string(rune('a' + i%4)),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i % 200)}), 1),
 		})
-		f.instances = append(f.instances, warner.New(view{f, i}, view{f, i}, quarantiner.DefaultSettings()))
+		f.instances = append(f.instances, warner.New(view{f, i}, view{f, i}, s, quarantiner.DefaultSettings()))
 	}
 
 	c, stop := context.WithCancel(t.Context())
@@ -256,7 +263,7 @@
 }
 
 func TestWhatCannotBeRead(t *testing.T) {
-	w := warner.New(view{}, view{}, quarantiner.DefaultSettings())
+	w := warner.New(view{}, view{}, nil, quarantiner.DefaultSettings())
 
 	for name, x := range map[string]func(context.Context, uint64, []byte) (msgp.Marshaler, error){
 		"told": w.Told, "relayed": w.Relayed, "asked": w.Asked,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest ShelvedSuspect
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -350,10 +350,12 @@
 }
 
 // Suspects tells of calls under which targets have ended. As an answer it has the sender's
-// State; the asker tells what that lacks.
+// State; the asker tells what that lacks. Informed says that the sender knows what was held back
+// before it started.
 type Suspects struct {
-	Calls []Suspect
-	State uint64
+	Calls    []Suspect
+	State    uint64
+	Informed bool
 }
 
 // Suspect is one such call, by its digest, how long ago it last came, and the ends.
@@ -377,3 +379,10 @@
 type SuspectsRequest struct {
 	State uint64
 }
+
+// ShelvedSuspect is a Suspect as it is kept outside of the instances, with the time to which its
+// ages go, in Unix milliseconds.
+type ShelvedSuspect struct {
+	Suspect   Suspect
+	WrittenMs int64
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -3434,6 +3434,97 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ShelvedSuspect) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	err = z.Suspect.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspect")
+		return
+	}
+	z.WrittenMs, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "WrittenMs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ShelvedSuspect) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = z.Suspect.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspect")
+		return
+	}
+	err = en.WriteInt64(z.WrittenMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WrittenMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ShelvedSuspect) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o, err = z.Suspect.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspect")
+		return
+	}
+	o = msgp.AppendInt64(o, z.WrittenMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ShelvedSuspect) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	bts, err = z.Suspect.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Suspect")
+		return
+	}
+	z.WrittenMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WrittenMs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ShelvedSuspect) Msgsize() (s int) {
+	s = 1 + z.Suspect.Msgsize() + msgp.Int64Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *StateReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -4380,8 +4471,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -4407,13 +4498,18 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
+	z.Informed, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Informed")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *Suspects) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -4434,14 +4530,19 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
+	err = en.WriteBool(z.Informed)
+	if err != nil {
+		err = msgp.WrapError(err, "Informed")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *Suspects) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Calls)))
 	for za0001 := range z.Calls {
 		o, err = z.Calls[za0001].MarshalMsg(o)
@@ -4451,6 +4552,7 @@
 		}
 	}
 	o = msgp.AppendUint64(o, z.State)
+	o = msgp.AppendBool(o, z.Informed)
 	return
 }
 
@@ -4462,8 +4564,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	var zb0002 uint32
@@ -4489,6 +4591,11 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
+	z.Informed, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Informed")
+		return
+	}
 	o = bts
 	return
 }
@@ -4499,7 +4606,7 @@
 	for za0001 := range z.Calls {
 		s += z.Calls[za0001].Msgsize()
 	}
-	s += msgp.Uint64Size
+	s += msgp.Uint64Size + msgp.BoolSize
 	return
 }
 
