internal/quarantiner, warner, forwarder: sendings of a suspected call go one by one; a way back

Cause: between the first end under a call and the third, each instance that the call came to sent it, and each ended a target more: five ended where three are enough to know. And a call that was held back stayed so, also after the model or service that it ended had been repaired.

Change: a call under which a target has ended since it was last served asks its home, the first live instance by rendezvous, which lets one sending out at a time; the others wait, for a second and a third of their time at most. What is known goes with question, answer and end. Without an answer a suspected call goes on, one that is held back does not. A call that is held back is tried again a minute after its last end, then after ten and a hundred minutes, once in the fleet; after that it is not, until an operator releases it. Retry-After says when.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -96,7 +96,11 @@
 		return false
 	}
 
-	if x.relayed && x.lastEvent == "" || f.held(x) {
+	if x.relayed && x.lastEvent == "" {
+		return false
+	}
+
+	if _, ok := f.letOut(x); !ok {
 		return false
 	}
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -30,6 +30,8 @@
 	body     []byte
 	// digest is the same for each sending of the call, under whatever ID.
 	digest digester.Digest
+	// trial ends the sending that was let out of a call under which a target has ended.
+	trial func()
 
 	// shared are the beginnings of the prompt that other calls share.
 	shared []chooser.Prefix
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -140,6 +140,8 @@
 
 // serve takes the steps of a call. Each may end it with a refusal.
 func (f *Forwarder) serve(c context.Context, x *exchange) error {
+	defer x.endTrial()
+
 	for _, s := range []func(*exchange) error{f.identify, f.match, f.authorize, f.accept, f.isolate} {
 		if err := s(x); err != nil {
 			return err
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -14,15 +14,27 @@
 	"github.com/auburntray/auburntray/internal/quarantiner"
 )
 
-// heldWait is when to come back with a call that is held back. Whoever comes back sooner is
-// refused again, at no cost to a target.
-const heldWait = time.Minute
+const (
+	// heldWait is when to come back with a call that is held back and is not tried any more,
+	// and the least for others. Whoever comes back sooner is refused again, at no cost to a
+	// target.
+	heldWait  = time.Hour
+	leastHeld = time.Second
+	// tryWait is how long a call under which a target has ended waits for another sending of
+	// it that is out, and tryPart the part of its time that it waits at most. A call that ends
+	// targets does so within some hundred milliseconds.
+	tryWait = time.Second
+	tryPart = 3
+	// busyWait is when to come back when that was not enough.
+	busyWait = 500 * time.Millisecond
+)
 
 // Quarantine remembers under which calls targets have ended, at all instances; a warner.Warner
 // does.
 type Quarantine interface {
-	// Come returns what a call may do that has come, or is to be sent once more.
-	Come(d digester.Digest) quarantiner.Verdict
+	// Try says whether a call may be sent to a target, now or within a time, and returns what
+	// is called when that has answered or ended.
+	Try(c context.Context, d digester.Digest, until time.Time) (quarantiner.Verdict, bool, func())
 	// Ended takes that a process ended while a call was in flight there, and returns what
 	// the call may do from now on.
 	Ended(d digester.Digest, p enroller.Name) quarantiner.Verdict
@@ -42,22 +54,48 @@
 // Sent on, it ends each target that begins to run it, and all other calls there break: 46
 // targets ended under one in 40 s on a recorded day.
 func (f *Forwarder) isolate(x *exchange) error {
-	if f.quarantine == nil {
+	v, ok := f.letOut(x)
+
+	switch {
+	case ok:
 		return nil
+	case x.request.Context().Err() != nil:
+		return errCallerLeft
+	case v.Standing == quarantiner.Suspected:
+		return refuse(http.StatusServiceUnavailable, HeldBack, busyWait, "a target has ended while it ran this call; another sending of it is out")
 	}
 
-	v := f.quarantine.Come(x.digest)
-	if v.Standing != quarantiner.Held {
-		return nil
+	w := heldWait
+	if v.Back > 0 {
+		w = max(v.Back, leastHeld)
 	}
 
-	return refuse(http.StatusServiceUnavailable, HeldBack, heldWait,
+	return refuse(http.StatusServiceUnavailable, HeldBack, w,
 		"%d targets have ended while they ran this call, the last %v ago; it is held back", v.Ends, time.Since(v.Last).Round(time.Millisecond))
 }
 
-// held says that a call that may have been sent is to be sent to no further target.
-func (f *Forwarder) held(x *exchange) bool {
-	return f.quarantine != nil && f.quarantine.Come(x.digest).Standing == quarantiner.Held
+// letOut says whether a call may be sent to a target now.
+func (f *Forwarder) letOut(x *exchange) (quarantiner.Verdict, bool) {
+	if f.quarantine == nil {
+		return quarantiner.Verdict{}, true
+	}
+
+	x.endTrial()
+
+	n := time.Now()
+
+	v, ok, end := f.quarantine.Try(x.request.Context(), x.digest, n.Add(min(tryWait, x.deadline.Sub(n)/tryPart)))
+	x.trial = end
+
+	return v, ok
+}
+
+// endTrial tells that the sending that was let out is over. Without one it does nothing.
+func (x *exchange) endTrial() {
+	if x.trial != nil {
+		x.trial()
+		x.trial = nil
+	}
 }
 
 // learnEnd takes from the result of an attempt whether the target's process has ended under
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -23,6 +23,8 @@
 	served int
 	ended  []enroller.Name
 	came   []digester.Digest
+	// out is how many sendings were let out and are not over.
+	out int
 }
 
 func newQuarantine(ends int) *quarantine {
@@ -32,13 +34,20 @@
 	return &quarantine{q: quarantiner.New(s)}
 }
 
-func (x *quarantine) Come(d digester.Digest) quarantiner.Verdict {
+func (x *quarantine) Try(_ context.Context, d digester.Digest, _ time.Time) (quarantiner.Verdict, bool, func()) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 
 	x.came = append(x.came, d)
+	v := x.q.Come(time.Now(), d)
+	x.out++
 
-	return x.q.Come(time.Now(), d)
+	return v, v.Standing != quarantiner.Held, func() {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+
+		x.out--
+	}
 }
 
 func (x *quarantine) Ended(d digester.Digest, p enroller.Name) quarantiner.Verdict {
@@ -85,7 +94,8 @@
 			}
 
 			g := front(t, l...)
-			g.forwarder.UseQuarantine(newQuarantine(3))
+			q := newQuarantine(3)
+			g.forwarder.UseQuarantine(q)
 
 			reached := func() (n int) {
 				for _, y := range l {
@@ -101,6 +111,7 @@
 			}
 
 			is.Equal(reached(), 3)
+			is.Equal(q.out, 0)
 			is.Equal(a.status, http.StatusServiceUnavailable)
 
 			w, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -82,6 +82,8 @@
 	m.Handle(wire.KindSuspects, x.Told)
 	m.Handle(wire.KindSuspectsRelay, x.Relayed)
 	m.Handle(wire.KindSuspectsRequest, x.Asked)
+	m.Handle(wire.KindTrial, x.Tried)
+	m.Handle(wire.KindReleaseRequest, x.Release)
 
 	return x
 }
@@ -158,6 +160,7 @@
 		"news": wire.KindNews, "relay": wire.KindRelay, "gone": wire.KindGone, "gossip": wire.KindGossip, "reply": wire.KindReply,
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
+		"trial": wire.KindTrial,
 	} {
 		p.Meter.Follow("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -26,6 +26,10 @@
 	// two. Targets that lose their power together end together, and calls that look alike, a
 	// page that one customer asks for all the time, may be in flight at all of them.
 	Apart time.Duration
+	// Rests are how long after its last end a call that is held back is tried again, and how
+	// long after each trial that failed. After the last it is not tried any more: each trial
+	// of a call that does end targets costs one, and the users allow three.
+	Rests []time.Duration
 	// Keep is how long a call that does not come again is remembered.
 	Keep time.Duration
 	// Most is how many calls are remembered.
@@ -42,8 +46,11 @@
 		// The calls at a target whose power is gone break with its connections, or at the
 		// next thing that is sent on them.
 		Apart: time.Second,
-		// Longer than any pause in which a caller would be told to come back.
-		Keep: 30 * time.Minute,
+		// A target is back after seconds, a model or service is repaired within minutes at
+		// best, and within an hour or two for the most part.
+		Rests: []time.Duration{time.Minute, 10 * time.Minute, 100 * time.Minute},
+		// Longer than any pause after which a caller is told to come back.
+		Keep: 4 * time.Hour,
 		// All calls in flight at a third of 600 targets with 20 calls each.
 		Most: 4096,
 	}
@@ -86,6 +93,10 @@
 	Ends int
 	// Last is when the last of them was.
 	Last time.Time
+	// Due says that a call that is held back is to be tried once, and Back how long it is
+	// until then; zero for ever.
+	Due  bool
+	Back time.Duration
 }
 
 // End is the end of a process while a call was in flight there.
@@ -127,8 +138,14 @@
 	}
 
 	r.Seen = now
+	v := q.verdict(r)
 
-	return q.verdict(r)
+	if n := v.Ends - q.settings.Ends; n >= 0 && n < len(q.settings.Rests) {
+		v.Back = max(v.Last.Add(q.settings.Rests[n]).Sub(now), 0)
+		v.Due = v.Back == 0
+	}
+
+	return v
 }
 
 // Ended takes that a process has ended while a call was in flight there, and returns what the
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -191,3 +191,72 @@
 	is.Equal(q.Come(start().Add(time.Hour), call).Standing, quarantiner.Held)
 	is.Equal(q.Records(1)[0].Call, call) // It is told first.
 }
+
+// A model was repaired, or a target's memory enlarged. A call that was held back is good again,
+// and must not be refused for ever; one that still ends targets may cost three more at most.
+func TestTheWayBack(t *testing.T) {
+	for name, x := range map[string]struct {
+		ends  int
+		after time.Duration
+		due   bool
+		back  time.Duration
+	}{
+		"not yet held back":        {ends: 2, after: time.Hour},
+		"just held back":           {ends: 3, back: time.Minute},
+		"within the minute":        {ends: 3, after: 40 * time.Second, back: 20 * time.Second},
+		"after a minute":           {ends: 3, after: time.Minute, due: true},
+		"one trial failed":         {ends: 4, after: time.Minute, back: 9 * time.Minute},
+		"after ten minutes":        {ends: 4, after: 10 * time.Minute, due: true},
+		"two trials failed":        {ends: 5, after: 99 * time.Minute, back: time.Minute},
+		"after a hundred minutes":  {ends: 5, after: 100 * time.Minute, due: true},
+		"three trials have failed": {ends: 6, after: 200 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := played(ends(0, x.ends))
+			v := q.Come(start().Add(time.Duration(x.ends-1)*time.Second+x.after), call)
+			is.Equal(v.Due, x.due)
+			is.Equal(v.Back, x.back)
+		})
+	}
+}
+
+// The same call comes at many instances at once, after a first target has ended under it. All
+// ask its home, which lets one go and then the next.
+func TestOneTrialAtATime(t *testing.T) {
+	suspected := quarantiner.Verdict{Standing: quarantiner.Suspected, Ends: 1}
+	held := quarantiner.Verdict{Standing: quarantiner.Held, Ends: 3}
+	due := quarantiner.Verdict{Standing: quarantiner.Held, Ends: 3, Due: true}
+
+	for name, x := range map[string]struct {
+		first quarantiner.Verdict
+		over  bool
+		after time.Duration
+		then  quarantiner.Verdict
+		want  []bool
+	}{
+		"while one is out":         {first: suspected, then: suspected, want: []bool{true, false}},
+		"after it is over":         {first: suspected, over: true, then: suspected, want: []bool{true, true}},
+		"its end was never told":   {first: suspected, after: 5 * time.Second, then: suspected, want: []bool{true, true}},
+		"held back meanwhile":      {first: suspected, over: true, then: held, want: []bool{true, false}},
+		"served meanwhile":         {first: suspected, then: quarantiner.Verdict{}, want: []bool{true, true}},
+		"held back, and due":       {first: due, then: due, want: []bool{true, false}},
+		"held back, and not due":   {first: held, then: held, want: []bool{false, false}},
+		"held back, then released": {first: held, then: quarantiner.Verdict{}, want: []bool{false, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+
+			var l quarantiner.Trials
+
+			is.Equal(l.Begin(start(), x.first, call), x.want[0])
+
+			if x.over {
+				l.End(call)
+			}
+
+			is.Equal(l.Begin(start().Add(x.after), x.then, call), x.want[1])
+			is.True(l.Begin(start(), suspected, call+1)) // Another call has trials of its own.
+		})
+	}
+}
--- a/internal/warner/shelf_test.go
+++ b/internal/warner/shelf_test.go
@@ -146,7 +146,7 @@
 	}{
 		"good":                      {call.String(), func(n time.Time) []byte { return encode(good, n.Add(-time.Minute)) }, true, 1},
 		"by a clock that is ahead":  {call.String(), func(n time.Time) []byte { return encode(good, n.Add(time.Minute)) }, true, 1},
-		"old":                       {call.String(), func(n time.Time) []byte { return encode(good, n.Add(-time.Hour)) }, false, 0},
+		"old":                       {call.String(), func(n time.Time) []byte { return encode(good, n.Add(-5*time.Hour)) }, false, 0},
 		"not to be read":            {call.String(), func(time.Time) []byte { return []byte{0xc1} }, false, 1},
 		"under another call's name": {(call + 1).String(), func(n time.Time) []byte { return encode(good, n) }, false, 1},
 		"nothing":                   {call.String(), func(time.Time) []byte { return []byte{} }, false, 1},
--- a/internal/warner/warner.go
+++ b/internal/warner/warner.go
@@ -54,6 +54,8 @@
 
 	mu          sync.Mutex
 	quarantiner *quarantiner.Quarantiner
+	// trials are those of the calls whose home this instance is.
+	trials quarantiner.Trials
 	// untold are the calls of which something is new; wake has an element when there are any.
 	untold map[digester.Digest]bool
 	wake   chan struct{}
@@ -118,21 +120,35 @@
 
 // Served takes that a call was answered in full, and tells the others when it was suspected.
 func (w *Warner) Served(d digester.Digest) {
+	if !w.excuse(d) {
+		return
+	}
+
+	w.mu.Lock()
+	w.counts.Excused++
+	w.mu.Unlock()
+
+	logrus.WithFields(logrus.Fields{"event": "callExcused", "digest": d}).Info()
+}
+
+// excuse lets no end that is known count against a call, tells the others, and says whether
+// there was any.
+func (w *Warner) excuse(d digester.Digest) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	held := w.quarantiner.Come(time.Now(), d).Standing == quarantiner.Held
 	if !w.quarantiner.Served(d) {
-		return
+		return false
 	}
 
 	if held {
 		w.shelveLater(d)
 	}
 
-	w.counts.Excused++
 	w.tellLater(d)
-	logrus.WithFields(logrus.Fields{"event": "callExcused", "digest": d}).Info()
+
+	return true
 }
 
 // Counts returns the counts of now.
@@ -256,6 +272,7 @@
 		sleep(c, forgetEvery)
 		w.mu.Lock()
 		w.quarantiner.Forget(time.Now())
+		w.trials.Forget(time.Now())
 		w.mu.Unlock()
 	}
 }
--- a/internal/warner/warner_test.go
+++ b/internal/warner/warner_test.go
@@ -76,6 +76,8 @@
 		return x.Told(c, v.Self().ID, b)
 	case wire.KindSuspectsRelay:
 		return x.Relayed(c, v.Self().ID, b)
+	case wire.KindTrial:
+		return x.Tried(c, v.Self().ID, b)
 	default:
 		return x.Asked(c, v.Self().ID, b)
 	}
@@ -266,7 +268,7 @@
 	w := warner.New(view{}, view{}, nil, quarantiner.DefaultSettings())
 
 	for name, x := range map[string]func(context.Context, uint64, []byte) (msgp.Marshaler, error){
-		"told": w.Told, "relayed": w.Relayed, "asked": w.Asked,
+		"told": w.Told, "relayed": w.Relayed, "asked": w.Asked, "tried": w.Tried, "release": w.Release,
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := x(t.Context(), 1, []byte{0xc1})
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest ShelvedSuspect
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest ShelvedSuspect Trial TrialReply ReleaseRequest ReleaseReply
 
 // Kind says what a frame's body is.
 type Kind uint8
@@ -52,6 +52,10 @@
 	KindSuspectsRelay
 	// KindSuspectsRequest asks for all that an instance knows of such calls.
 	KindSuspectsRequest
+	// KindTrial asks the home of a suspected call whether it may be sent, or tells that it was.
+	KindTrial
+	// KindReleaseRequest asks to release calls that are held back.
+	KindReleaseRequest
 	// Kinds is how many kinds there are.
 	Kinds
 )
@@ -386,3 +390,29 @@
 	Suspect   Suspect
 	WrittenMs int64
 }
+
+// Trial asks the home of a suspected call whether it may be sent to a target now; with Over it
+// tells that the target has answered, or has ended. Known is what the sender knows of the call.
+type Trial struct {
+	Call  uint64
+	Over  bool
+	Known Suspects
+}
+
+// TrialReply answers a Trial that is not over, with what the home knows of the call.
+type TrialReply struct {
+	Granted bool
+	Known   Suspects
+}
+
+// ReleaseRequest asks to release calls that are held back, those of the digests or, with All,
+// every one.
+type ReleaseRequest struct {
+	Calls []uint64
+	All   bool
+}
+
+// ReleaseReply says which calls were released.
+type ReleaseReply struct {
+	Calls []uint64
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -2807,6 +2807,236 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ReleaseReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	if cap(z.Calls) >= int(zb0002) {
+		z.Calls = (z.Calls)[:zb0002]
+	} else {
+		z.Calls = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Calls {
+		z.Calls[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ReleaseReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Calls)))
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	for za0001 := range z.Calls {
+		err = en.WriteUint64(z.Calls[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReleaseReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Calls)))
+	for za0001 := range z.Calls {
+		o = msgp.AppendUint64(o, z.Calls[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReleaseReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	if cap(z.Calls) >= int(zb0002) {
+		z.Calls = (z.Calls)[:zb0002]
+	} else {
+		z.Calls = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Calls {
+		z.Calls[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReleaseReply) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Calls) * (msgp.Uint64Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ReleaseRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	if cap(z.Calls) >= int(zb0002) {
+		z.Calls = (z.Calls)[:zb0002]
+	} else {
+		z.Calls = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Calls {
+		z.Calls[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	z.All, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "All")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *ReleaseRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Calls)))
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	for za0001 := range z.Calls {
+		err = en.WriteUint64(z.Calls[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	err = en.WriteBool(z.All)
+	if err != nil {
+		err = msgp.WrapError(err, "All")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ReleaseRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Calls)))
+	for za0001 := range z.Calls {
+		o = msgp.AppendUint64(o, z.Calls[za0001])
+	}
+	o = msgp.AppendBool(o, z.All)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReleaseRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	if cap(z.Calls) >= int(zb0002) {
+		z.Calls = (z.Calls)[:zb0002]
+	} else {
+		z.Calls = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Calls {
+		z.Calls[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Calls", za0001)
+			return
+		}
+	}
+	z.All, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "All")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ReleaseRequest) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Calls) * (msgp.Uint64Size)) + msgp.BoolSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Report) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -4879,6 +5109,204 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Trial) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Call, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
+	z.Over, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Over")
+		return
+	}
+	err = z.Known.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *Trial) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Call)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
+	err = en.WriteBool(z.Over)
+	if err != nil {
+		err = msgp.WrapError(err, "Over")
+		return
+	}
+	err = z.Known.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Trial) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Call)
+	o = msgp.AppendBool(o, z.Over)
+	o, err = z.Known.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Trial) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Call, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Call")
+		return
+	}
+	z.Over, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Over")
+		return
+	}
+	bts, err = z.Known.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Trial) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.BoolSize + z.Known.Msgsize()
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *TrialReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Granted, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	err = z.Known.DecodeMsg(dc)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *TrialReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Granted)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	err = z.Known.EncodeMsg(en)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TrialReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBool(o, z.Granted)
+	o, err = z.Known.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TrialReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Granted, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Granted")
+		return
+	}
+	bts, err = z.Known.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Known")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TrialReply) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + z.Known.Msgsize()
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Vacate) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
