internal/warner: what was held back is read as an instance starts

Cause: it was read a second after the start. When all instances had been killed, a call that ends targets ended four by then.

Change: each instance reads at its start, as it reads the catalog and the list. When that fails, those with the lowest IDs go on asking and tell the others.

--- a/internal/warner/shelf.go
+++ b/internal/warner/shelf.go
@@ -28,42 +28,36 @@
 const (
 	// shelfTimeout bounds a call to the shelf.
 	shelfTimeout = time.Second
-	// shelfAgain is the pause after one that failed. What is written counts only when all
-	// instances are lost, so it need not be soon.
+	// shelfAgain is the pause after one that failed, and so much longer for each live instance
+	// with a lower ID, up to rankMost of them: one reads and tells the others, and a shelf
+	// that is away is not asked by all.
 	shelfAgain = time.Second
-	// readAfter is how long an instance that has just started waits for another one that
-	// knows, while those that started together find each other, and rankWait how much longer
-	// each waits than the one before it, by their IDs: when all have started at once, one
-	// reads and tells the others.
-	readAfter = time.Second
-	rankWait  = 200 * time.Millisecond
-	// rankMost bounds that wait, for instances that can't tell each other.
-	rankMost = 10
-	// rankEvery is how late an instance notices another one that goes before it.
-	rankEvery = 50 * time.Millisecond
+	rankMost   = 10
 )
 
 // errRecord marks a record on the shelf that can't be read.
 var errRecord = errors.New("the record of a suspected call is not valid")
 
-// read reads what is on the shelf, unless another instance that knows answers before.
+// read reads what is on the shelf, until it or another instance that knows has answered.
+//
+// It reads at once, as the catalog and the list of targets are read. Read a second after the
+// start of four instances, a call that ends targets had ended four by then.
 func (w *Warner) read(c context.Context) {
-	b := time.Now()
-
-	for c.Err() == nil && time.Since(b) < readAfter+time.Duration(min(w.rank(), rankMost))*rankWait {
-		sleep(c, rankEvery)
-	}
-
-	for c.Err() == nil && !w.isInformed() {
+	for tries := 1; c.Err() == nil && !w.isInformed(); tries++ {
 		l, err := w.newest(c)
 		if err == nil {
-			w.spreader.All(c, kinds, w.take(l))
+			m := w.take(l)
+
+			// Who reads at the first try is one of many that do.
+			if tries > 1 {
+				w.spreader.All(c, kinds, m)
+			}
 
 			return
 		}
 
 		logrus.WithFields(logrus.Fields{"event": "heldCallsUnread", "error": err}).Warn()
-		sleep(c, shelfAgain)
+		sleep(c, time.Duration(1+min(w.rank(), rankMost))*shelfAgain)
 	}
 }
 
