--- /dev/null
+++ b/internal/commander/held.go
@@ -0,0 +1,136 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/auburntray/auburntray/internal/digester"
+	"github.com/auburntray/auburntray/internal/joiner"
+	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/quarantiner"
+	"github.com/auburntray/auburntray/internal/resolver"
+	"github.com/auburntray/auburntray/internal/warner"
+)
+
+// heldTimeout bounds a question to an instance.
+const heldTimeout = 5 * time.Second
+
+// newHeld returns the command that shows and releases calls that are held back.
+func newHeld() *cobra.Command {
+	var (
+		peer    netip.AddrPort
+		release []string
+		all     bool
+	)
+
+	t := resolver.Table{{
+		Name: "peer", Default: "127.0.0.1:8090", Allowed: "an IP number and a port",
+		Help: "address at which an instance of the gateway serves other instances", Read: resolver.Address(&peer, false),
+	}}
+
+	c := &cobra.Command{
+		Use: "held", Short: "Show the calls under which targets have ended, or release them", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if err := t.Read(c.Flags()); err != nil {
+				return err
+			}
+
+			l, err := parseDigests(release)
+			if err != nil {
+				return err
+			}
+
+			x, stop := context.WithTimeout(c.Context(), heldTimeout)
+			defer stop()
+
+			m, end, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), joiner.NewID(), &net.Dialer{}, nil)
+			if err != nil {
+				return err
+			}
+			defer end()
+
+			k := warner.NewClient(m, peer)
+			if all || len(l) > 0 {
+				return releaseHeld(x, c.OutOrStdout(), k, l, all)
+			}
+
+			return showHeld(x, c.OutOrStdout(), k)
+		},
+	}
+	t.AddFlags(c.Flags())
+	c.Flags().StringSliceVar(&release, "release", nil, "digests of calls to release, with commas between them")
+	c.Flags().BoolVar(&all, "release-all", false, "release all calls that are held back")
+	c.MarkFlagsMutuallyExclusive("release", "release-all")
+
+	return c
+}
+
+func parseDigests(l []string) ([]digester.Digest, error) {
+	var o []digester.Digest
+
+	for _, s := range l {
+		d, err := digester.Parse(s)
+		if err != nil {
+			return nil, errors.Mark(err, ErrUsage)
+		}
+
+		o = append(o, d)
+	}
+
+	return o, nil
+}
+
+// showHeld prints a line for each call.
+func showHeld(c context.Context, w io.Writer, k *warner.Client) error {
+	l, err := k.Records(c)
+	if err != nil {
+		return err
+	}
+
+	q := quarantiner.New(quarantiner.DefaultSettings())
+	n := time.Now()
+	q.Learn(n, l)
+
+	for _, r := range l {
+		v := q.Look(n, r.Call)
+
+		_, _ = fmt.Fprintf(w, "digest=%v standing=%v ends=%d last=%v came=%v", r.Call, v.Standing, v.Ends, ago(n, v.Last), ago(n, r.Seen))
+		if v.Back > 0 {
+			_, _ = fmt.Fprintf(w, " triedIn=%v", v.Back.Round(time.Second))
+		}
+
+		_, _ = fmt.Fprintln(w)
+	}
+
+	return nil
+}
+
+// releaseHeld releases calls and prints a line for each. It fails with ErrNotDone when one that
+// was named is not suspected there.
+func releaseHeld(c context.Context, w io.Writer, k *warner.Client, l []digester.Digest, all bool) error {
+	o, err := k.Release(c, l, all)
+	if err != nil {
+		return err
+	}
+
+	for _, d := range o {
+		_, _ = fmt.Fprintf(w, "digest=%v released\n", d)
+	}
+
+	if len(o) < len(l) {
+		return errors.Wrapf(ErrNotDone, "%d of %d calls are not held back or suspected there", len(l)-len(o), len(l))
+	}
+
+	return nil
+}
+
+func ago(now, t time.Time) time.Duration {
+	return now.Sub(t).Round(time.Second)
+}
--- a/internal/digester/digester.go
+++ b/internal/digester/digester.go
@@ -7,8 +7,14 @@
 	"encoding/binary"
 	"fmt"
 	"hash"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
 )
 
+// ErrDigest marks a text that is no digest.
+var ErrDigest = errors.New("the digest is not valid")
+
 // Digest stands for a call: the first 64 bits of a SHA-256. Nothing of the call can be read
 // from it, so it may be logged and told to other instances. Two calls of the 10^9 that a
 // fleet serves in four days share one with a chance of 3 in 100.
@@ -19,6 +25,18 @@
 	return fmt.Sprintf("%016x", uint64(d))
 }
 
+// Parse reads what String returns. It fails with ErrDigest.
+func Parse(s string) (Digest, error) {
+	const base, bits, digits = 16, 64, 16
+
+	n, err := strconv.ParseUint(s, base, bits)
+	if err != nil || len(s) != digits {
+		return 0, errors.Wrapf(ErrDigest, "%q must be 16 hexadecimal digits", s)
+	}
+
+	return Digest(n), nil
+}
+
 // Of returns the digest of a call. Uri is its path with its query as the caller sent it. The
 // call's ID, its framing, its other headers and the event it goes on from make no difference:
 // they differ between two sendings of the same call. It takes a microsecond a KB.
--- a/internal/digester/digester_test.go
+++ b/internal/digester/digester_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/digester"
@@ -37,8 +38,29 @@
 	}
 }
 
-func TestDigestIsShownInHexadecimal(t *testing.T) {
+func TestDigestsAsText(t *testing.T) {
 	is.New(t).Equal(digester.Digest(0xab).String(), "00000000000000ab")
+
+	for name, x := range map[string]struct {
+		text string
+		want digester.Digest
+		ok   bool
+	}{
+		"whole":      {"00000000000000ab", 0xab, true},
+		"too short":  {"ab", 0, false},
+		"too long":   {"000000000000000ab", 0, false},
+		"no digits":  {"00000000000000xy", 0, false},
+		"empty":      {"", 0, false},
+		"with signs": {"+0000000000000ab", 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d, err := digester.Parse(x.text)
+			is.Equal(d, x.want)
+			is.Equal(err == nil, x.ok)
+			is.Equal(errors.Is(err, digester.ErrDigest), !x.ok)
+		})
+	}
 }
 
 func BenchmarkOf(b *testing.B) {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -138,6 +138,17 @@
 	}
 
 	r.Seen = now
+
+	return q.Look(now, d)
+}
+
+// Look returns the same of a call that has not come.
+func (q *Quarantiner) Look(now time.Time, d digester.Digest) Verdict {
+	r, ok := q.calls[d]
+	if !ok {
+		return Verdict{}
+	}
+
 	v := q.verdict(r)
 
 	if n := v.Ends - q.settings.Ends; n >= 0 && n < len(q.settings.Rests) {
--- a/internal/warner/trial_test.go
+++ b/internal/warner/trial_test.go
@@ -45,7 +45,7 @@
 						ends++
 						mu.Unlock()
 
-						w.Ended(call, enroller.Name(1000+i)) //nolint:gosec // Small.
+						w.Ended(call, enroller.Name(1000+i))
 					})
 				}
 
