internal/filterer, router, prober: the router holds back calls that end targets, too

Cause: the one of the gateway, in the other engine: the router sent on what had just ended a target, and remembered nothing of it. Change: a step before the claim, and one before each further attempt, ask the same Warner; the dial that finds an end is a package of its own, as two use it. Targets of the router keep their IDs, so ends within a second count as one. Nothing is written to the log: after a loss of all routers such a call ends three targets again.

--- a/internal/commander/held_test.go
+++ b/internal/commander/held_test.go
@@ -19,7 +19,6 @@
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/quarantiner"
 	"github.com/auburntray/auburntray/internal/warner"
-	"github.com/auburntray/auburntray/internal/wire"
 )
 
 // alone is an instance without others.
@@ -42,8 +41,7 @@
 	t.Cleanup(stop)
 
 	w := warner.New(m, alone{}, nil, quarantiner.DefaultSettings())
-	m.Handle(wire.KindSuspectsRequest, w.Asked)
-	m.Handle(wire.KindReleaseRequest, w.Release)
+	w.Register(m)
 	m.Serve()
 
 	for i := range 3 {
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/auburntray/auburntray/internal/asker"
+	"github.com/auburntray/auburntray/internal/digester"
 	"github.com/auburntray/auburntray/internal/follower"
 	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/registrar"
@@ -43,6 +44,11 @@
 	Force *follower.Force
 	Rule  *matcher.Rule
 
+	// Set by isolate. Digest is the same for each sending of the call, and EndTrial, unless it
+	// is nil, tells that a sending that was let out is over.
+	Digest   digester.Digest
+	EndTrial func()
+
 	// Set by claim; nil when nothing was claimed.
 	Claim *registrar.Claim
 
--- a/internal/exchanger/refusal.go
+++ b/internal/exchanger/refusal.go
@@ -30,6 +30,7 @@
 	CodeBroken        Code = "answerBroken"
 	CodeDeadline      Code = "deadline"
 	CodeCallerHangUp  Code = "callerHungUp"
+	CodeHeldBack      Code = "heldBack"
 	CodeInternalError Code = "internal"
 )
 
--- a/internal/filterer/attempt.go
+++ b/internal/filterer/attempt.go
@@ -21,16 +21,17 @@
 	Steps   []exchanger.Filter
 	Places  places
 	Counter *counter.Counter
+	Isolate Isolate
 
 	mu      sync.Mutex
 	retrier *retrier.Retrier
 }
 
 // NewAttempt returns an Attempt with a full retry budget.
-func NewAttempt(p places, n *counter.Counter, steps ...exchanger.Filter) *Attempt {
+func NewAttempt(p places, n *counter.Counter, i Isolate, steps ...exchanger.Filter) *Attempt {
 	r := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) //nolint:gosec // Jitter.
 
-	return &Attempt{Steps: steps, Places: p, Counter: n, retrier: retrier.New(r)}
+	return &Attempt{Steps: steps, Places: p, Counter: n, Isolate: i, retrier: retrier.New(r)}
 }
 
 // Name returns the name of the step.
@@ -77,6 +78,8 @@
 		return err
 	}
 
+	a.Isolate.learn(c, x, err)
+
 	a.Places.Release(x.Place, granter.Outcome{
 		OK: !x.Result.TargetFailed, NeverSent: !x.Result.Sent && !x.Result.TargetFailed,
 	})
@@ -114,7 +117,9 @@
 
 	select {
 	case <-t.C:
-		return true
+		_, ok := a.Isolate.letOut(c, x)
+
+		return ok
 	case <-c.Done():
 		return false
 	}
--- a/internal/filterer/filterer_test.go
+++ b/internal/filterer/filterer_test.go
@@ -149,7 +149,7 @@
 		filterer.Identify{Deadline: time.Minute, MaxDeadline: time.Minute},
 		filterer.Match{Force: func() *follower.Force { return f }},
 		filterer.Claim{Claims: w, Counter: n},
-		filterer.NewAttempt(w, n, filterer.Pick{Places: w, Region: "r", Counter: n},
+		filterer.NewAttempt(w, n, filterer.Isolate{}, filterer.Pick{Places: w, Region: "r", Counter: n},
 			filterer.Send{Targets: w, Places: w, Pauses: w}, filterer.Relay{Targets: w, Counter: n}),
 	)
 	q := httptest.NewRequest(method, "/x", strings.NewReader("body"))
--- a/internal/filterer/pipeline.go
+++ b/internal/filterer/pipeline.go
@@ -100,6 +100,7 @@
 	defer stop()
 
 	err := run(d, x, p.filters[2:])
+	Isolate{}.over(x)
 	p.settle(x, err)
 
 	return err
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/singleflight"
 
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/prober"
 )
 
 var (
@@ -39,8 +39,8 @@
 	// kept keeps connections; fresh makes one for each call.
 	kept  *kept
 	fresh *http.Transport
-	// asked are the dials that find out whether a target has ended.
-	asked singleflight.Group
+	// prober finds out whether a target has ended.
+	prober *prober.Prober
 }
 
 // dial makes a connection.
@@ -60,8 +60,9 @@
 	}
 
 	return &client{
-		dial: f,
-		kept: newKept(f),
+		dial:   f,
+		prober: prober.New(prober.Dial(f)),
+		kept:   newKept(f),
 		// A kept connection may be closed by the target just as a call is sent on
 		// it; whether it ran is then not known. A call that may run once only goes
 		// over a connection of its own.
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -105,7 +104,7 @@
 	case f.quarantine == nil || r.notRun:
 	case r.err == nil || r.answer != nil:
 		f.quarantine.Served(x.digest)
-	case c.Err() == nil && errors.Is(r.err, errBroken) && f.client.ended(c, t):
+	case c.Err() == nil && errors.Is(r.err, errBroken) && f.client.prober.Ended(c, t.Address):
 		v := f.quarantine.Ended(x.digest, t.Key().Name())
 
 		logrus.WithFields(x.fields()).WithFields(logrus.Fields{
@@ -113,22 +112,3 @@
 		}).Warn()
 	}
 }
-
-// ended says that a target's process is gone: its address refuses connections.
-//
-// A connection that breaks tells less. It may have been reset alone, by the target or on the
-// way, while the target goes on; taken for its end, calls of which answers get lost would be
-// held back. Calls that broke together ask once.
-func (k *client) ended(c context.Context, t *enroller.Target) bool {
-	v, _, _ := k.asked.Do(t.Process().ID+t.Address.String(), func() (any, error) {
-		n, err := k.dial(context.WithoutCancel(c), "tcp", t.Address.String())
-		if err == nil {
-			_ = n.Close() // Nothing was sent.
-		}
-
-		return errors.Is(err, syscall.ECONNREFUSED), nil
-	})
-	gone, _ := v.(bool)
-
-	return gone
-}
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -79,11 +79,7 @@
 
 func newWarner(w World, m *messenger.Messenger, j *joiner.Joiner) *warner.Warner {
 	x := warner.New(m, j, w.Held, quarantiner.DefaultSettings())
-	m.Handle(wire.KindSuspects, x.Told)
-	m.Handle(wire.KindSuspectsRelay, x.Relayed)
-	m.Handle(wire.KindSuspectsRequest, x.Asked)
-	m.Handle(wire.KindTrial, x.Tried)
-	m.Handle(wire.KindReleaseRequest, x.Release)
+	x.Register(m)
 
 	return x
 }
--- /dev/null
+++ b/internal/prober/prober_test.go
@@ -0,0 +1,90 @@
+package prober_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/prober"
+)
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { _ = l.Close() })
+
+	return l, l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func TestOnlyARefusalIsAnEnd(t *testing.T) {
+	d := (&net.Dialer{}).DialContext
+
+	for name, x := range map[string]struct {
+		dial  prober.Dial
+		close bool
+		want  bool
+	}{
+		"it listens":            {dial: d},
+		"nobody listens":        {dial: d, close: true, want: true},
+		"the dial's time is up": {dial: func(context.Context, string, string) (net.Conn, error) { return nil, context.DeadlineExceeded }},
+		"there is no way":       {dial: func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no route") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, a := listen(t)
+			if x.close {
+				_ = l.Close()
+			}
+
+			is.New(t).Equal(prober.New(x.dial).Ended(t.Context(), a), x.want)
+		})
+	}
+}
+
+// A target ends with thirty calls in flight. One dial is enough for all of them, and it goes on
+// when the caller that made it leaves.
+func TestCallsThatBrokeTogetherAskOnce(t *testing.T) {
+	is := is.New(t)
+	l, a := listen(t)
+	_ = l.Close()
+
+	var (
+		dials atomic.Int64
+		ended atomic.Int64
+		g     sync.WaitGroup
+	)
+
+	p := prober.New(func(c context.Context, network, address string) (net.Conn, error) {
+		dials.Add(1)
+		time.Sleep(100 * time.Millisecond)
+
+		return (&net.Dialer{}).DialContext(c, network, address)
+	})
+	c, leave := context.WithCancel(t.Context())
+
+	for range 30 {
+		g.Go(func() {
+			if p.Ended(c, a) {
+				ended.Add(1)
+			}
+		})
+	}
+
+	time.Sleep(20 * time.Millisecond)
+	leave()
+	g.Wait()
+
+	is.Equal(dials.Load(), int64(1))
+	is.Equal(ended.Load(), int64(30))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,11 +26,13 @@
 	"github.com/auburntray/auburntray/internal/keeper"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/orderer"
+	"github.com/auburntray/auburntray/internal/quarantiner"
 	"github.com/auburntray/auburntray/internal/recorder"
 	"github.com/auburntray/auburntray/internal/recoverer"
 	"github.com/auburntray/auburntray/internal/registrar"
 	"github.com/auburntray/auburntray/internal/resolver"
 	"github.com/auburntray/auburntray/internal/sender"
+	"github.com/auburntray/auburntray/internal/warner"
 )
 
 // ErrStart means that the router could not start.
@@ -47,6 +49,7 @@
 	messenger *messenger.Messenger
 	recorder  *recorder.Recorder
 	pipeline  *filterer.Pipeline
+	warner    *warner.Warner
 	drainer   *drainer.Drainer
 	counter   *counter.Counter
 	stalls    *stalls
@@ -75,6 +78,7 @@
 			newRecorder,
 			newSender,
 			newParts,
+			newWarner,
 			newPipeline,
 			newRouter,
 		),
@@ -161,15 +165,24 @@
 	p.Keeper.Update(f)
 }
 
+// newWarner returns what remembers under which calls targets have ended. Nothing of it outlasts
+// all routers: a call that was held back ends three targets more after that.
+func newWarner(m *messenger.Messenger, j *joiner.Joiner) *warner.Warner {
+	return warner.New(m, j, nil, quarantiner.DefaultSettings())
+}
+
 func newPipeline(s resolver.Router, t trace.Tracer, d *drainer.Drainer, f *follower.Follower, a *asker.Asker,
-	g *registrar.Registrar, x *sender.Sender, n *counter.Counter, p *stalls,
+	g *registrar.Registrar, x *sender.Sender, n *counter.Counter, p *stalls, q *warner.Warner,
 ) *filterer.Pipeline {
+	i := filterer.Isolate{Quarantine: q, Targets: x}
+
 	return filterer.New(d, g, n, t,
 		filterer.Accept{MaxBody: int64(s.MaxBody)},
 		filterer.Identify{Deadline: s.Deadline, MaxDeadline: s.MaxDeadline},
 		filterer.Match{Force: f.Force},
+		i,
 		filterer.Claim{Claims: g, Counter: n},
-		filterer.NewAttempt(a, n,
+		filterer.NewAttempt(a, n, i,
 			filterer.Pick{Places: a, Region: s.Region, Counter: n},
 			filterer.Send{Targets: x, Places: a, Pauses: p},
 			filterer.Relay{Targets: x, Counter: n},
@@ -191,6 +204,7 @@
 	Messenger *messenger.Messenger
 	Recorder  *recorder.Recorder
 	Pipeline  *filterer.Pipeline
+	Warner    *warner.Warner
 	Drainer   *drainer.Drainer
 	Counter   *counter.Counter
 	Stalls    *stalls
@@ -204,7 +218,7 @@
 
 	r := &Router{
 		settings: i.Settings, follower: i.Follower, joiner: i.Joiner, keeper: i.Keeper, asker: i.Asker,
-		orderer: i.Orderer, messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, drainer: i.Drainer,
+		orderer: i.Orderer, messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, warner: i.Warner, drainer: i.Drainer,
 		counter: i.Counter, stalls: i.Stalls, listener: l,
 	}
 	r.register(i.Registrar)
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -31,6 +31,7 @@
 	r.messenger.Handle(wire.KindGossip, r.joiner.Gossip)
 	r.messenger.Handle(wire.KindState, r.follower.State)
 	r.keeper.Register(r.messenger)
+	r.warner.Register(r.messenger)
 	g.Register(r.messenger)
 }
 
@@ -56,6 +57,7 @@
 	r.background(func() { r.joiner.Run(c) })
 	r.background(func() { r.follower.Run(c) })
 	r.background(func() { r.asker.Run(c) })
+	r.background(func() { r.warner.Run(c) })
 	r.background(func() { r.keeper.Run(c, r.home) })
 	r.background(func() { r.orderer.Run(c, r.follower.Force, r.mine) })
 	r.background(r.serve)
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburntray/auburntray/internal/certifier"
+	"github.com/auburntray/auburntray/internal/prober"
 )
 
 const (
@@ -41,6 +42,7 @@
 	// reused keeps connections; fresh makes one for each request.
 	reused *http.Transport
 	fresh  *http.Transport
+	prober *prober.Prober
 }
 
 // New returns a Sender, over connections that the dialer makes, and its clean-up
@@ -70,6 +72,7 @@
 
 		return d.DialContext(x, network, address)
 	}
+	s.prober = prober.New(f)
 	s.reused = &http.Transport{
 		DialContext: f, TLSClientConfig: c, IdleConnTimeout: idleTimeout,
 		MaxIdleConnsPerHost: idlePerTarget, DisableCompression: true,
@@ -84,6 +87,11 @@
 	return s, s.reused.CloseIdleConnections, nil
 }
 
+// Ended says that a target's process is gone: its address refuses connections.
+func (s *Sender) Ended(c context.Context, a netip.AddrPort) bool {
+	return s.prober.Ended(c, a)
+}
+
 func (s *Sender) target(a netip.AddrPort, path string) *url.URL {
 	return &url.URL{Scheme: s.scheme, Host: a.String(), Path: path}
 }
--- a/internal/warner/message.go
+++ b/internal/warner/message.go
@@ -12,6 +12,7 @@
 	"github.com/auburntray/auburntray/internal/digester"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/quarantiner"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -28,6 +29,15 @@
 	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
 }
 
+// Register makes the Warner answer other instances. It is called before the messenger serves.
+func (w *Warner) Register(m *messenger.Messenger) {
+	m.Handle(wire.KindSuspects, w.Told)
+	m.Handle(wire.KindSuspectsRelay, w.Relayed)
+	m.Handle(wire.KindSuspectsRequest, w.Asked)
+	m.Handle(wire.KindTrial, w.Tried)
+	m.Handle(wire.KindReleaseRequest, w.Release)
+}
+
 // Told takes what another instance tells.
 func (w *Warner) Told(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
 	var m wire.Suspects
