--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -193,10 +193,9 @@
 	return changed
 }
 
-// Learn joins what another instance knows, and returns the calls that are held back since.
-func (q *Quarantiner) Learn(now time.Time, l []Record) []digester.Digest {
-	var o []digester.Digest
-
+// Learn joins what another instance knows, and returns the calls that are held back since, and
+// whether anything was new.
+func (q *Quarantiner) Learn(now time.Time, l []Record) (held []digester.Digest, changed bool) {
 	for _, x := range l {
 		if now.Sub(x.Seen) >= q.settings.Keep || len(x.Ends) == 0 {
 			continue
@@ -208,14 +207,14 @@
 		}
 
 		b := q.verdict(r).Standing
-		r.join(x)
+		changed = r.join(x) || changed
 
 		if b != Held && q.verdict(r).Standing == Held {
-			o = append(o, x.Call)
+			held = append(held, x.Call)
 		}
 	}
 
-	return o
+	return held, changed
 }
 
 // Records returns the calls under which two ends or more count, at most so many, those with most
@@ -349,15 +348,19 @@
 	return true
 }
 
-// join takes what another record of the same call holds.
-func (r *Record) join(x Record) {
+// join takes what another record of the same call holds, and says whether any end was new.
+func (r *Record) join(x Record) bool {
 	if x.Seen.After(r.Seen) {
 		r.Seen = x.Seen
 	}
 
+	changed := false
+
 	for _, e := range x.Ends {
-		r.add(e)
+		changed = r.add(e) || changed
 	}
+
+	return changed
 }
 
 func (r *Record) clone() Record {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -144,8 +144,13 @@
 	a, b := played(ends(0, 3)), quarantiner.New(quarantiner.DefaultSettings())
 	now := start().Add(time.Minute)
 
-	is.Equal(b.Learn(now, a.Records(10)), []digester.Digest{call})
-	is.Equal(len(b.Learn(now, a.Records(10))), 0)
+	l, changed := b.Learn(now, a.Records(10))
+	is.Equal(l, []digester.Digest{call})
+	is.True(changed)
+
+	l, changed = b.Learn(now, a.Records(10))
+	is.Equal(len(l), 0)
+	is.True(!changed)
 }
 
 // A call that has not come for long is forgotten, and no instance learns it again from
@@ -159,7 +164,9 @@
 	l := q.Records(10)
 	q.Forget(late)
 	is.Equal(q.Come(late, call).Standing, quarantiner.Free)
-	is.Equal(len(q.Learn(late, l)), 0)
+
+	h, _ := q.Learn(late, l)
+	is.Equal(len(h), 0)
 	is.Equal(len(q.Records(10)), 0)
 
 	// While it comes it stays.
--- a/internal/warner/warner.go
+++ b/internal/warner/warner.go
@@ -281,9 +281,7 @@
 func (w *Warner) learn(m *wire.Suspects) bool {
 	w.mu.Lock()
 	w.informed = w.informed || m.Informed
-	b := w.quarantiner.State()
-	l := w.quarantiner.Learn(time.Now(), decode(time.Now(), m))
-	changed := w.quarantiner.State() != b
+	l, changed := w.quarantiner.Learn(time.Now(), decode(time.Now(), m))
 	w.mu.Unlock()
 
 	for _, d := range l {
