--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -37,9 +37,14 @@
 			_ = n.Close() // Nothing was sent.
 		}
 
-		return errors.Is(err, syscall.ECONNREFUSED), nil
+		return Refused(err), nil
 	})
 	ended, _ := v.(bool)
 
 	return ended
 }
+
+// Refused says that an attempt to connect failed because nobody listens at the address.
+func Refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
