--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -177,11 +177,6 @@
 	case Unreachable:
 		h.targets.Result(now, n, false)
 		h.centres.Result(now, c, false)
-	case Ended:
-		// Who refuses a connection is reached. Taken for a cut, targets that end one after
-		// the other took the sound ones of their data centre along, for half a second each.
-		h.targets.Result(now, n, false)
-		h.centres.Result(now, c, true)
 	case Bad:
 		h.failing.Result(now, n, false)
 	case Gone:
--- a/internal/chooser/outcome.go
+++ b/internal/chooser/outcome.go
@@ -11,9 +11,6 @@
 	Bad
 	// Unreachable means that no connection was made.
 	Unreachable
-	// Ended means that the target's address refused a connection: its process is gone, and its
-	// data centre is reached.
-	Ended
 	// Shed is the target's word that it took no more.
 	Shed
 	// Gone means that another process has the target's address.
@@ -31,8 +28,6 @@
 		return "bad"
 	case Unreachable:
 		return "unreachable"
-	case Ended:
-		return "ended"
 	case Shed:
 		return "shed"
 	case Gone:
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -165,9 +165,7 @@
 		r = f.whole(c, stop, x, t)
 	}
 
-	if f.learnEnd(c, x, t.Target, r) {
-		r.outcome = chooser.Ended
-	}
+	f.learnEnd(c, x, t.Target, r)
 
 	x.mayHaveRun = x.mayHaveRun || !r.notRun
 
@@ -227,11 +225,12 @@
 
 	a, err := f.client.send(c, x, t.Target, h)
 	if err != nil {
+		o := chooser.Bad
 		if errors.Is(err, errNeverSent) {
-			return nil, Reply{}, result{err: err, notRun: true, outcome: unmade(err)}
+			o = chooser.Unreachable
 		}
 
-		return nil, Reply{}, result{err: err, outcome: chooser.Bad}
+		return nil, Reply{}, result{err: err, notRun: o == chooser.Unreachable, outcome: o}
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
--- a/internal/forwarder/cut.go
+++ b/internal/forwarder/cut.go
@@ -9,7 +9,6 @@
 
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/enroller"
-	"github.com/auburntray/auburntray/internal/prober"
 )
 
 // cutMost is how long an instance that is cut off asks for its callers to be sent
@@ -83,7 +82,7 @@
 	if err == nil {
 		_ = n.Close() // Nothing was sent.
 	} else {
-		o = unmade(err)
+		o = chooser.Unreachable
 	}
 
 	if f.facts.Stalled(b) {
@@ -95,12 +94,3 @@
 
 	f.chooser.Finish(time.Now(), t, o)
 }
-
-// unmade returns what a connection that was not made says of its target.
-func unmade(err error) chooser.Outcome {
-	if prober.Refused(err) {
-		return chooser.Ended
-	}
-
-	return chooser.Unreachable
-}
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -98,24 +98,17 @@
 }
 
 // learnEnd takes from the result of an attempt whether the target's process has ended under
-// the call, or has survived it, and says whether it has ended.
-func (f *Forwarder) learnEnd(c context.Context, x *exchange, t *enroller.Target, r result) bool {
+// the call, or has survived it.
+func (f *Forwarder) learnEnd(c context.Context, x *exchange, t *enroller.Target, r result) {
 	switch {
 	case f.quarantine == nil || r.notRun:
-		return false
 	case r.err == nil || r.answer != nil:
 		f.quarantine.Served(x.digest)
+	case c.Err() == nil && errors.Is(r.err, errBroken) && f.client.prober.Ended(c, t.Address):
+		v := f.quarantine.Ended(x.digest, t.Key().Name())
 
-		return false
-	case c.Err() != nil || !errors.Is(r.err, errBroken) || !f.client.prober.Ended(c, t.Address):
-		return false
+		logrus.WithFields(x.fields()).WithFields(logrus.Fields{
+			"event": "targetEnded", "target": t.ID, "address": t.Address, "ends": v.Ends, "standing": v.Standing,
+		}).Warn()
 	}
-
-	v := f.quarantine.Ended(x.digest, t.Key().Name())
-
-	logrus.WithFields(x.fields()).WithFields(logrus.Fields{
-		"event": "targetEnded", "target": t.ID, "address": t.Address, "ends": v.Ends, "standing": v.Standing,
-	}).Warn()
-
-	return true
 }
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -37,14 +37,9 @@
 			_ = n.Close() // Nothing was sent.
 		}
 
-		return Refused(err), nil
+		return errors.Is(err, syscall.ECONNREFUSED), nil
 	})
 	ended, _ := v.(bool)
 
 	return ended
 }
-
-// Refused says that an attempt to connect failed because nobody listens at the address.
-func Refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
