internal/prober, chooser, forwarder: an end is told from a cut by other targets of its data centre

Cause: some cuts reset open connections and refuse new ones.

Change: when a target refuses connections, two others of its data centre are dialled, those first that take calls as far as is known. One that connects: the target has ended, and nothing is held against its data centre. None: a cut, and nothing is held against calls. Without others the target's word must do.

--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -597,6 +597,79 @@
 	i.True(c.Views(now, r)[0].Left)
 }
 
+// Targets of a data centre end one after the other, and each call that meets one is refused its
+// connection. Two in a row were taken for a cut of the data centre: its sound targets got no call
+// for half a second, again and again, and an instance that saw more than half of the data centres
+// so asked for its callers to be sent elsewhere.
+func TestTargetsThatEndedAreNoCut(t *testing.T) {
+	i := is.New(t)
+	r := roster(6, "a", "b")
+	c := chooser.New(chooser.DefaultSettings())
+	now := time.Unix(0, 0)
+
+	for _, id := range []string{"t0", "t2"} { // Both of "a".
+		c.Start(now, r.Known[id])
+		c.Finish(now, r.Known[id], chooser.Ended)
+	}
+
+	for _, b := range c.Beliefs() {
+		i.Equal(b.Cause, chooser.TargetUnreachable)
+	}
+
+	called := make(map[string]bool)
+
+	for n := range uint64(50) {
+		o, ok := c.Choose(now, r, group, query(n))
+		i.True(ok)
+
+		called[o.Target.ID] = true
+	}
+
+	i.True(called["t4"]) // The sound one of "a".
+	i.True(!called["t0"])
+	i.True(!called["t2"])
+}
+
+// Whether a target has ended or is cut off shows at others of its data centre, those first that
+// are well; another data centre says nothing of it, unless it stands alone.
+func TestWitnesses(t *testing.T) {
+	ids := func(l []*enroller.Target) []string {
+		o := []string{}
+		for _, x := range l {
+			o = append(o, x.ID)
+		}
+
+		slices.Sort(o)
+
+		return o
+	}
+
+	for name, x := range map[string]struct {
+		centres []string
+		left    []string
+		want    []string
+	}{
+		"the others of its data centre": {[]string{"a", "b"}, nil, []string{"t2", "t4"}},
+		"one has ended too":             {[]string{"a", "b", "a"}, []string{"t2"}, []string{"t3", "t5"}},
+		"all of them have":              {[]string{"a", "b"}, []string{"t2", "t4"}, []string{"t2", "t4"}},
+		"it stands alone":               {[]string{"a", "b", "c", "d", "e", "f"}, []string{"t1", "t2", "t3"}, []string{"t4", "t5"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			r := roster(6, x.centres...)
+			c := chooser.New(chooser.DefaultSettings())
+			now := time.Unix(0, 0)
+
+			for _, id := range x.left {
+				c.Start(now, r.Known[id])
+				c.Finish(now, r.Known[id], chooser.Ended)
+			}
+
+			i.Equal(ids(c.Witnesses(now, r, r.Known["t0"])), x.want)
+		})
+	}
+}
+
 // What another instance found gone is left here too, once it is on this one's list.
 func TestGoneByAnothersWord(t *testing.T) {
 	i := is.New(t)
--- a/internal/chooser/health.go
+++ b/internal/chooser/health.go
@@ -159,6 +159,19 @@
 	return h.reached(now, t) && !h.failing.Out(now, n) && !h.gone.Out(now, n)
 }
 
+// doubts is how many signs there are that a target itself takes no calls.
+func (h *health) doubts(now time.Time, t *enroller.Target) int {
+	o := 0
+
+	for _, out := range []bool{h.targets.Out(now, t.Key()), h.gone.Out(now, t.Key()), h.failing.Out(now, t.Key())} {
+		if out {
+			o++
+		}
+	}
+
+	return o
+}
+
 func (h *health) reached(now time.Time, t *enroller.Target) bool {
 	return !h.targets.Out(now, t.Key()) && !h.centres.Out(now, t.Centre())
 }
@@ -177,6 +190,11 @@
 	case Unreachable:
 		h.targets.Result(now, n, false)
 		h.centres.Result(now, c, false)
+	case Ended:
+		// Taken for a cut, targets that end one after the other took the sound ones of their
+		// data centre along, for half a second each.
+		h.targets.Result(now, n, false)
+		h.centres.Result(now, c, true)
 	case Bad:
 		h.failing.Result(now, n, false)
 	case Gone:
--- a/internal/chooser/outcome.go
+++ b/internal/chooser/outcome.go
@@ -11,6 +11,8 @@
 	Bad
 	// Unreachable means that no connection was made.
 	Unreachable
+	// Ended means that the target's process is gone while its data centre is reached.
+	Ended
 	// Shed is the target's word that it took no more.
 	Shed
 	// Gone means that another process has the target's address.
@@ -28,6 +30,8 @@
 		return "bad"
 	case Unreachable:
 		return "unreachable"
+	case Ended:
+		return "ended"
 	case Shed:
 		return "shed"
 	case Gone:
--- a/internal/chooser/view.go
+++ b/internal/chooser/view.go
@@ -45,3 +45,32 @@
 func (c *Chooser) CutOff(r *enroller.Roster) []*enroller.Target {
 	return c.health.cutOff(r)
 }
+
+// witnessesMost is how many targets are asked whether a data centre is reached.
+const witnessesMost = 2
+
+// Witnesses returns targets that should be reached when a target is: others of its data centre,
+// or of any where it has none, those first that take calls as far as is known.
+func (c *Chooser) Witnesses(now time.Time, r *enroller.Roster, t *enroller.Target) []*enroller.Target {
+	var near, far []*enroller.Target
+
+	for _, x := range r.Known {
+		switch {
+		case x.Key() == t.Key() || x.Draining:
+		case x.DataCentre == t.DataCentre:
+			near = append(near, x)
+		default:
+			far = append(far, x)
+		}
+	}
+
+	if len(near) == 0 {
+		near = far
+	}
+
+	slices.SortStableFunc(near, func(a, b *enroller.Target) int {
+		return c.health.doubts(now, a) - c.health.doubts(now, b)
+	})
+
+	return near[:min(len(near), witnessesMost)]
+}
--- a/internal/filterer/isolate.go
+++ b/internal/filterer/isolate.go
@@ -23,6 +23,8 @@
 	tryPart = 3
 	// heldWait is when to come back with a call that is held back and not tried any more.
 	heldWait = time.Hour
+	// witnessesMost is how many other targets are dialled to tell an end from a cut.
+	witnessesMost = 2
 	// sameEnd is how long the ends of a target that routers find are taken for one. It has an
 	// ID that stays, and is not back so soon.
 	sameEnd = time.Second
@@ -37,7 +39,7 @@
 
 // prober finds out whether a target's process has ended.
 type prober interface {
-	Ended(c context.Context, a netip.AddrPort) bool
+	Ended(c context.Context, a netip.AddrPort, others []netip.AddrPort) bool
 }
 
 // Isolate refuses calls under which targets have ended again and again, before they cost
@@ -103,7 +105,7 @@
 	case i.Quarantine == nil:
 	case err == nil:
 		i.Quarantine.Served(x.Digest)
-	case c.Err() == nil && x.Result.Sent && !x.Result.NotRun && x.Result.TargetFailed && i.Targets.Ended(c, x.Target.Address):
+	case c.Err() == nil && x.Result.Sent && !x.Result.NotRun && x.Result.TargetFailed && i.Targets.Ended(c, x.Target.Address, witnesses(x)):
 		v := i.Quarantine.Ended(x.Digest, process(x.Target, time.Now()))
 
 		logrus.WithFields(logrus.Fields{
@@ -112,6 +114,20 @@
 	}
 }
 
+// witnesses returns the addresses of other targets of the rule in the data centre of the call's:
+// where those refuse too, it may just be cut off.
+func witnesses(x *exchanger.Exchange) []netip.AddrPort {
+	var o []netip.AddrPort
+
+	for _, t := range x.Rule.Targets {
+		if t.ID != x.Target.ID && t.DataCentre == x.Target.DataCentre {
+			o = append(o, t.Address)
+		}
+	}
+
+	return o[:min(len(o), witnessesMost)]
+}
+
 // process names the process of a target that has just ended.
 func process(t *matcher.Target, now time.Time) enroller.Name {
 	k := hasher.Mix(uint64(t.ID), uint64(now.Truncate(sameEnd).UnixMilli()))
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -165,7 +165,9 @@
 		r = f.whole(c, stop, x, t)
 	}
 
-	f.learnEnd(c, x, t.Target, r)
+	if f.learnEnd(c, x, t.Target, r) {
+		r.outcome = chooser.Ended
+	}
 
 	x.mayHaveRun = x.mayHaveRun || !r.notRun
 
@@ -225,12 +227,11 @@
 
 	a, err := f.client.send(c, x, t.Target, h)
 	if err != nil {
-		o := chooser.Bad
 		if errors.Is(err, errNeverSent) {
-			o = chooser.Unreachable
+			return nil, Reply{}, result{err: err, notRun: true, outcome: f.unmade(c, t.Target, err)}
 		}
 
-		return nil, Reply{}, result{err: err, notRun: o == chooser.Unreachable, outcome: o}
+		return nil, Reply{}, result{err: err, outcome: chooser.Bad}
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/digester"
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/prober"
 	"github.com/auburntray/auburntray/internal/quarantiner"
 )
 
@@ -98,17 +101,47 @@
 }
 
 // learnEnd takes from the result of an attempt whether the target's process has ended under
-// the call, or has survived it.
-func (f *Forwarder) learnEnd(c context.Context, x *exchange, t *enroller.Target, r result) {
+// the call, or has survived it, and says whether it has ended.
+func (f *Forwarder) learnEnd(c context.Context, x *exchange, t *enroller.Target, r result) bool {
 	switch {
 	case f.quarantine == nil || r.notRun:
+		return false
 	case r.err == nil || r.answer != nil:
 		f.quarantine.Served(x.digest)
-	case c.Err() == nil && errors.Is(r.err, errBroken) && f.client.prober.Ended(c, t.Address):
-		v := f.quarantine.Ended(x.digest, t.Key().Name())
 
-		logrus.WithFields(x.fields()).WithFields(logrus.Fields{
-			"event": "targetEnded", "target": t.ID, "address": t.Address, "ends": v.Ends, "standing": v.Standing,
-		}).Warn()
+		return false
+	case c.Err() != nil || !errors.Is(r.err, errBroken) || !f.client.prober.Ended(c, t.Address, f.witnesses(t)):
+		return false
 	}
+
+	v := f.quarantine.Ended(x.digest, t.Key().Name())
+
+	logrus.WithFields(x.fields()).WithFields(logrus.Fields{
+		"event": "targetEnded", "target": t.ID, "address": t.Address, "ends": v.Ends, "standing": v.Standing,
+	}).Warn()
+
+	return true
+}
+
+// witnesses returns the addresses of targets that are reached when a target is.
+func (f *Forwarder) witnesses(t *enroller.Target) []netip.AddrPort {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	var o []netip.AddrPort
+	for _, x := range f.chooser.Witnesses(time.Now(), f.facts.Roster(), t) {
+		o = append(o, x.Address)
+	}
+
+	return o
+}
+
+// unmade returns what a connection that was not made says of its target: whether it has ended, or
+// can't be reached.
+func (f *Forwarder) unmade(c context.Context, t *enroller.Target, err error) chooser.Outcome {
+	if prober.Refused(err) && f.client.prober.Reached(c, f.witnesses(t)) {
+		return chooser.Ended
+	}
+
+	return chooser.Unreachable
 }
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -174,6 +174,26 @@
 	}
 }
 
+// A data centre is cut off, and the cut resets what is open and refuses what is new. Seen from
+// there all targets elsewhere ended under the calls that were in flight, which would be held back.
+func TestCutThatRefusesIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	y, z := &target{}, &target{answer: ok}
+	y.answer = func(n net.Conn, _ seen) {
+		y.end()
+		z.end()
+		reset(n)
+	}
+
+	g := front(t, y, z)
+	q := newQuarantine(3)
+	g.forwarder.UseQuarantine(q)
+	g.call(t, http.MethodPost, "/once/", "x")
+
+	is.Equal(y.count(), 1)
+	is.Equal(len(q.ended), 0)
+}
+
 // A caller leaves, which closes its connection to the target, just as the target ends. What
 // broke there is the caller's doing and no sign of an end.
 func TestCallersThatLeaveAreNoSign(t *testing.T) {
--- a/internal/forwarder/room.go
+++ b/internal/forwarder/room.go
@@ -53,7 +53,7 @@
 		return tallier.Well
 	case chooser.Bad:
 		return tallier.Failed
-	case chooser.Unreachable:
+	case chooser.Unreachable, chooser.Ended:
 		return tallier.Unreached
 	case chooser.Gone, chooser.Neither:
 		return tallier.Nothing
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -31,13 +31,22 @@
 func TestOnlyARefusalIsAnEnd(t *testing.T) {
 	d := (&net.Dialer{}).DialContext
 
+	_, near := listen(t)
+	x, gone := listen(t)
+	_ = x.Close()
+
 	for name, x := range map[string]struct {
-		dial  prober.Dial
-		close bool
-		want  bool
+		dial   prober.Dial
+		close  bool
+		others []netip.AddrPort
+		want   bool
 	}{
 		"it listens":            {dial: d},
+		"it and others listen":  {dial: d, others: []netip.AddrPort{near}},
 		"nobody listens":        {dial: d, close: true, want: true},
+		"but at another":        {dial: d, close: true, others: []netip.AddrPort{near}, want: true},
+		"but at one of two":     {dial: d, close: true, others: []netip.AddrPort{gone, near}, want: true},
+		"a cut that refuses":    {dial: d, close: true, others: []netip.AddrPort{gone}},
 		"the dial's time is up": {dial: func(context.Context, string, string) (net.Conn, error) { return nil, context.DeadlineExceeded }},
 		"there is no way":       {dial: func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no route") }},
 	} {
@@ -47,7 +56,7 @@
 				_ = l.Close()
 			}
 
-			is.New(t).Equal(prober.New(x.dial).Ended(t.Context(), a), x.want)
+			is.New(t).Equal(prober.New(x.dial).Ended(t.Context(), a, x.others), x.want)
 		})
 	}
 }
@@ -75,7 +84,7 @@
 
 	for range 30 {
 		g.Go(func() {
-			if p.Ended(c, a) {
+			if p.Ended(c, a, nil) {
 				ended.Add(1)
 			}
 		})
