internal/quarantiner, warner: how long a suspected call waits, and what its caller is told, stand once

Gateway and router had the same limits and the same choice of Retry-After each; the pause of the Warner was one that the repository has.

--- a/internal/filterer/isolate.go
+++ b/internal/filterer/isolate.go
@@ -17,12 +17,6 @@
 )
 
 const (
-	// tryWait is how long a call under which a target has ended waits for another sending of
-	// it that is out, and tryPart the part of its time that it waits at most.
-	tryWait = time.Second
-	tryPart = 3
-	// heldWait is when to come back with a call that is held back and not tried any more.
-	heldWait = time.Hour
 	// witnessesMost is how many other targets are dialled to tell an end from a cut.
 	witnessesMost = 2
 	// sameEnd is how long the ends of a target that routers find are taken for one. It has an
@@ -32,7 +26,7 @@
 
 // quarantine remembers under which calls targets have ended, at all routers.
 type quarantine interface {
-	Try(c context.Context, d digester.Digest, until time.Time) (quarantiner.Verdict, bool, func())
+	Try(c context.Context, d digester.Digest, deadline time.Time) (quarantiner.Verdict, bool, func())
 	Ended(d digester.Digest, p enroller.Name) quarantiner.Verdict
 	Served(d digester.Digest)
 }
@@ -62,18 +56,7 @@
 		return nil
 	}
 
-	if v.Standing != quarantiner.Held {
-		return exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeHeldBack, time.Second,
-			"a target has ended while it ran this call; another sending of it is out")
-	}
-
-	w := heldWait
-	if v.Back > 0 {
-		w = v.Back
-	}
-
-	return exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeHeldBack, w,
-		"%d targets have ended while they ran this call; it is held back", v.Ends)
+	return exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeHeldBack, v.Wait(), "%s", v.Reason(time.Now()))
 }
 
 // letOut says whether a call may be sent to a target now.
@@ -84,8 +67,7 @@
 
 	i.over(x)
 
-	n := time.Now()
-	v, ok, end := i.Quarantine.Try(c, x.Digest, n.Add(min(tryWait, x.Deadline.Sub(n)/tryPart)))
+	v, ok, end := i.Quarantine.Try(c, x.Digest, x.Deadline)
 	x.EndTrial = end
 
 	return v, ok
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -16,27 +16,12 @@
 	"github.com/auburntray/auburntray/internal/quarantiner"
 )
 
-const (
-	// heldWait is when to come back with a call that is held back and is not tried any more,
-	// and the least for others. Whoever comes back sooner is refused again, at no cost to a
-	// target.
-	heldWait  = time.Hour
-	leastHeld = time.Second
-	// tryWait is how long a call under which a target has ended waits for another sending of
-	// it that is out, and tryPart the part of its time that it waits at most. A call that ends
-	// targets does so within some hundred milliseconds.
-	tryWait = time.Second
-	tryPart = 3
-	// busyWait is when to come back when that was not enough.
-	busyWait = 500 * time.Millisecond
-)
-
 // Quarantine remembers under which calls targets have ended, at all instances; a warner.Warner
 // does.
 type Quarantine interface {
-	// Try says whether a call may be sent to a target, now or within a time, and returns what
-	// is called when that has answered or ended.
-	Try(c context.Context, d digester.Digest, until time.Time) (quarantiner.Verdict, bool, func())
+	// Try says whether a call that is to be answered by a time may be sent to a target, and
+	// returns what is called when that has answered or ended.
+	Try(c context.Context, d digester.Digest, deadline time.Time) (quarantiner.Verdict, bool, func())
 	// Ended takes that a process ended while a call was in flight there, and returns what
 	// the call may do from now on.
 	Ended(d digester.Digest, p enroller.Name) quarantiner.Verdict
@@ -63,17 +48,9 @@
 		return nil
 	case x.request.Context().Err() != nil:
 		return errCallerLeft
-	case v.Standing == quarantiner.Suspected:
-		return refuse(http.StatusServiceUnavailable, HeldBack, busyWait, "a target has ended while it ran this call; another sending of it is out")
-	}
-
-	w := heldWait
-	if v.Back > 0 {
-		w = max(v.Back, leastHeld)
+	default:
+		return refuse(http.StatusServiceUnavailable, HeldBack, v.Wait(), "%s", v.Reason(time.Now()))
 	}
-
-	return refuse(http.StatusServiceUnavailable, HeldBack, w,
-		"%d targets have ended while they ran this call, the last %v ago; it is held back", v.Ends, time.Since(v.Last).Round(time.Millisecond))
 }
 
 // letOut says whether a call may be sent to a target now.
@@ -84,9 +61,7 @@
 
 	x.endTrial()
 
-	n := time.Now()
-
-	v, ok, end := f.quarantine.Try(x.request.Context(), x.digest, n.Add(min(tryWait, x.deadline.Sub(n)/tryPart)))
+	v, ok, end := f.quarantine.Try(x.request.Context(), x.digest, x.deadline)
 	x.trial = end
 
 	return v, ok
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -11,6 +11,7 @@
 package quarantiner
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -99,6 +100,36 @@
 	Back time.Duration
 }
 
+const (
+	// busyWait is when to come back with a call of which another sending is out.
+	busyWait = 500 * time.Millisecond
+	// heldWait is the same for one that is held back and not tried any more, and leastWait the
+	// least for others. Whoever comes back sooner is refused again, at no cost to a target.
+	heldWait  = time.Hour
+	leastWait = time.Second
+)
+
+// Wait returns when a call should come back that may not go on.
+func (v Verdict) Wait() time.Duration {
+	switch {
+	case v.Standing != Held:
+		return busyWait
+	case v.Back == 0 && !v.Due:
+		return heldWait
+	default:
+		return max(v.Back, leastWait)
+	}
+}
+
+// Reason says why a call may not go on.
+func (v Verdict) Reason(now time.Time) string {
+	if v.Standing != Held {
+		return "a target has ended while it ran this call, and another sending of it is out"
+	}
+
+	return fmt.Sprintf("%d targets have ended while they ran this call, the last %v ago; it is held back", v.Ends, now.Sub(v.Last).Round(time.Millisecond))
+}
+
 // End is the end of a process while a call was in flight there.
 type End struct {
 	Process enroller.Name
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -207,16 +207,19 @@
 		after time.Duration
 		due   bool
 		back  time.Duration
+		// wait is what its caller is told.
+		wait time.Duration
 	}{
-		"not yet held back":        {ends: 2, after: time.Hour},
-		"just held back":           {ends: 3, back: time.Minute},
-		"within the minute":        {ends: 3, after: 40 * time.Second, back: 20 * time.Second},
-		"after a minute":           {ends: 3, after: time.Minute, due: true},
-		"one trial failed":         {ends: 4, after: time.Minute, back: 9 * time.Minute},
-		"after ten minutes":        {ends: 4, after: 10 * time.Minute, due: true},
-		"two trials failed":        {ends: 5, after: 99 * time.Minute, back: time.Minute},
-		"after a hundred minutes":  {ends: 5, after: 100 * time.Minute, due: true},
-		"three trials have failed": {ends: 6, after: 200 * time.Minute},
+		"not yet held back":        {ends: 2, after: time.Hour, wait: 500 * time.Millisecond},
+		"just held back":           {ends: 3, back: time.Minute, wait: time.Minute},
+		"within the minute":        {ends: 3, after: 40 * time.Second, back: 20 * time.Second, wait: 20 * time.Second},
+		"soon due":                 {ends: 3, after: time.Minute - time.Millisecond, back: time.Millisecond, wait: time.Second},
+		"after a minute":           {ends: 3, after: time.Minute, due: true, wait: time.Second},
+		"one trial failed":         {ends: 4, after: time.Minute, back: 9 * time.Minute, wait: 9 * time.Minute},
+		"after ten minutes":        {ends: 4, after: 10 * time.Minute, due: true, wait: time.Second},
+		"two trials failed":        {ends: 5, after: 99 * time.Minute, back: time.Minute, wait: time.Minute},
+		"after a hundred minutes":  {ends: 5, after: 100 * time.Minute, due: true, wait: time.Second},
+		"three trials have failed": {ends: 6, after: 200 * time.Minute, wait: time.Hour},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -224,6 +227,7 @@
 			v := q.Come(start().Add(time.Duration(x.ends-1)*time.Second+x.after), call)
 			is.Equal(v.Due, x.due)
 			is.Equal(v.Back, x.back)
+			is.Equal(v.Wait(), x.wait)
 		})
 	}
 }
--- a/internal/warner/shelf.go
+++ b/internal/warner/shelf.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/digester"
+	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -57,7 +58,7 @@
 		}
 
 		logrus.WithFields(logrus.Fields{"event": "heldCallsUnread", "error": err}).Warn()
-		sleep(c, time.Duration(1+min(w.rank(), rankMost))*shelfAgain)
+		sleeper.Sleep(c, time.Duration(1+min(w.rank(), rankMost))*shelfAgain)
 	}
 }
 
@@ -175,7 +176,7 @@
 				w.mu.Lock()
 				w.unshelved[d] = true
 				w.mu.Unlock()
-				sleep(c, shelfAgain)
+				sleeper.Sleep(c, shelfAgain)
 			}
 		}
 	}
--- a/internal/warner/trial.go
+++ b/internal/warner/trial.go
@@ -12,6 +12,7 @@
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/quarantiner"
+	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -22,12 +23,20 @@
 	homeTimeout = 30 * time.Millisecond
 	// homeEvery is the time between two questions while another sending of the call is out.
 	homeEvery = 50 * time.Millisecond
+	// tryWait is how long a suspected call waits for another sending of it, and tryPart the
+	// part of the time that is left to it that it waits at most. A call that ends targets does
+	// so within some hundred milliseconds.
+	tryWait = time.Second
+	tryPart = 3
 )
 
-// Try says whether a call may be sent to a target, and returns what is called when that has
-// answered or ended. A suspected call waits while another sending of it is out, until a time at
-// the latest.
-func (w *Warner) Try(c context.Context, d digester.Digest, until time.Time) (quarantiner.Verdict, bool, func()) {
+// Try says whether a call that is to be answered by a time may be sent to a target, and returns
+// what is called when that has answered or ended. A suspected call waits while another sending of
+// it is out.
+func (w *Warner) Try(c context.Context, d digester.Digest, deadline time.Time) (quarantiner.Verdict, bool, func()) {
+	b := time.Now()
+	until := b.Add(min(tryWait, deadline.Sub(b)/tryPart))
+
 	for {
 		v := w.Come(d)
 		if v.Standing == quarantiner.Free {
@@ -43,7 +52,7 @@
 			return v, false, func() {}
 		}
 
-		sleep(c, homeEvery)
+		sleeper.Sleep(c, homeEvery)
 	}
 }
 
--- a/internal/warner/trial_test.go
+++ b/internal/warner/trial_test.go
@@ -12,6 +12,9 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
+// patience is how long the callers of these tests wait for an answer.
+const patience = 3 * time.Second
+
 // A call has ended one target, and comes at all instances at once; each sending of it ends
 // another target after 100 ms. They go out one after the other, and stop after the third end.
 // Without that there were as many ends as instances.
@@ -32,7 +35,7 @@
 
 				for i, w := range f.instances {
 					g.Go(func() {
-						_, ok, over := w.Try(t.Context(), call, time.Now().Add(time.Second))
+						_, ok, over := w.Try(t.Context(), call, time.Now().Add(patience))
 						defer over()
 
 						if !ok {
@@ -72,7 +75,7 @@
 
 		for _, w := range f.instances {
 			g.Go(func() {
-				_, ok, over := w.Try(t.Context(), call, time.Now().Add(time.Second))
+				_, ok, over := w.Try(t.Context(), call, time.Now().Add(patience))
 				is.True(ok)
 				time.Sleep(60 * time.Millisecond)
 				w.Served(call)
--- a/internal/warner/warner.go
+++ b/internal/warner/warner.go
@@ -22,6 +22,7 @@
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/quarantiner"
+	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/spreader"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -197,7 +198,7 @@
 			return
 		}
 
-		sleep(c, gather)
+		sleeper.Sleep(c, gather)
 
 		if m := w.news(); len(m.Calls) > 0 {
 			w.spreader.All(c, kinds, m)
@@ -235,7 +236,7 @@
 			d = askEvery
 		}
 
-		sleep(c, d)
+		sleeper.Sleep(c, d)
 	}
 }
 
@@ -269,7 +270,7 @@
 
 func (w *Warner) forget(c context.Context) {
 	for c.Err() == nil {
-		sleep(c, forgetEvery)
+		sleeper.Sleep(c, forgetEvery)
 		w.mu.Lock()
 		w.quarantiner.Forget(time.Now())
 		w.trials.Forget(time.Now())
@@ -290,13 +291,3 @@
 
 	return changed
 }
-
-func sleep(c context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-
-	select {
-	case <-t.C:
-	case <-c.Done():
-	}
-}
