--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -11,7 +11,6 @@
 package quarantiner
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -57,97 +56,6 @@
 	}
 }
 
-// mostEnds is how many ends of a call are remembered, the newest.
-const mostEnds = 8
-
-// Standing is what a call may do.
-type Standing int
-
-// The standings.
-const (
-	// Free is a call under which no target has ended since it was served last.
-	Free Standing = iota
-	// Suspected is one under which some have; it may go on.
-	Suspected
-	// Held is one that goes to no target.
-	Held
-)
-
-// String returns the standing's name.
-func (s Standing) String() string {
-	switch s {
-	case Free:
-		return "free"
-	case Suspected:
-		return "suspected"
-	case Held:
-		return "held"
-	default:
-		return "unknown"
-	}
-}
-
-// Verdict says what a call may do, and why.
-type Verdict struct {
-	Standing Standing
-	// Ends is how many ends count against the call.
-	Ends int
-	// Last is when the last of them was.
-	Last time.Time
-	// Due says that a call that is held back is to be tried once, and Back how long it is
-	// until then; zero for ever.
-	Due  bool
-	Back time.Duration
-}
-
-const (
-	// busyWait is when to come back with a call of which another sending is out.
-	busyWait = 500 * time.Millisecond
-	// heldWait is the same for one that is held back and not tried any more, and leastWait the
-	// least for others. Whoever comes back sooner is refused again, at no cost to a target.
-	heldWait  = time.Hour
-	leastWait = time.Second
-)
-
-// Wait returns when a call should come back that may not go on.
-func (v Verdict) Wait() time.Duration {
-	switch {
-	case v.Standing != Held:
-		return busyWait
-	case v.Back == 0 && !v.Due:
-		return heldWait
-	default:
-		return max(v.Back, leastWait)
-	}
-}
-
-// Reason says why a call may not go on.
-func (v Verdict) Reason(now time.Time) string {
-	if v.Standing != Held {
-		return "a target has ended while it ran this call, and another sending of it is out"
-	}
-
-	return fmt.Sprintf("%d targets have ended while they ran this call, the last %v ago; it is held back", v.Ends, now.Sub(v.Last).Round(time.Millisecond))
-}
-
-// End is the end of a process while a call was in flight there.
-type End struct {
-	Process enroller.Name
-	At      time.Time
-	// Excused says that the call was served since: it was not the cause.
-	Excused bool
-	// Known says that the instance that found the end had served the call shortly before.
-	Known bool
-}
-
-// Record is what is known of one call.
-type Record struct {
-	Call digester.Digest
-	// Seen is when it last came.
-	Seen time.Time
-	Ends []End
-}
-
 // Quarantiner remembers calls under which targets have ended. It is not safe for concurrent
 // use.
 type Quarantiner struct {
@@ -355,48 +263,3 @@
 
 	return v
 }
-
-// add adds an end in the order of their times, and says whether it was not known. An end
-// that is known on another's word, or excused, stays as it is.
-func (r *Record) add(e End) bool {
-	for i, x := range r.Ends {
-		if x.Process == e.Process {
-			r.Ends[i].Excused = x.Excused || e.Excused
-			r.Ends[i].Known = x.Known || e.Known
-
-			return r.Ends[i] != x
-		}
-	}
-
-	i, _ := slices.BinarySearchFunc(r.Ends, e, func(a, b End) int { return a.At.Compare(b.At) })
-	if len(r.Ends) >= mostEnds && i == 0 {
-		return false
-	}
-
-	r.Ends = slices.Insert(r.Ends, i, e)
-	r.Ends = r.Ends[max(len(r.Ends)-mostEnds, 0):]
-
-	return true
-}
-
-// join takes what another record of the same call holds, and says whether any end was new.
-func (r *Record) join(x Record) bool {
-	if x.Seen.After(r.Seen) {
-		r.Seen = x.Seen
-	}
-
-	changed := false
-
-	for _, e := range x.Ends {
-		changed = r.add(e) || changed
-	}
-
-	return changed
-}
-
-func (r *Record) clone() Record {
-	o := *r
-	o.Ends = slices.Clone(r.Ends)
-
-	return o
-}
