pkg/publisher: who publishes is told the revision that it made

Cause: after a lost reply a publisher reads the log back, and told the revision in force then as its own. When another shift had published meanwhile, that was the other's: the next change, published on it, undid the other's without having seen it. Some of the 12 were the test's own: two clients drew the same weight, and a change to what is in force is rightly none; weights are now all different, and the check is as it was.

TestAcceptedNamesItsOwnRevision fails before (3 in place of 2).

--- a/pkg/publisher/publisher_test.go
+++ b/pkg/publisher/publisher_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -116,6 +115,31 @@
 	i.Equal(h[1].Verdict, "accepted")
 }
 
+// A shift publishes, its reply is lost, and another shift publishes before it finds out what became
+// of it. It was told the other's revision as its own, and would have published its next change on
+// that without having seen it: the other shift's change would be undone, and nobody told.
+func TestAcceptedNamesItsOwnRevision(t *testing.T) {
+	i := is.New(t)
+	_, x := newPublisher(t, time.Hour)
+
+	for n, id := range []string{"first", "evening", "night"} {
+		r, err := x.Publish(t.Context(), publisher.Request{ID: id, Base: uint64(n), Document: document(n + 1)})
+		i.NoErr(err)
+		i.Equal(r.Outcome, publisher.Accepted)
+	}
+
+	r, err := x.Publish(t.Context(), publisher.Request{ID: "evening", Base: 1, Document: document(2)})
+	i.NoErr(err)
+	i.Equal(r.Outcome, publisher.Accepted)
+	i.Equal(r.Revision, uint64(2))
+
+	// One that was not accepted is told what is in force.
+	r, err = x.Publish(t.Context(), publisher.Request{Base: 1, Document: document(9)})
+	i.NoErr(err)
+	i.Equal(r.Outcome, publisher.Stale)
+	i.Equal(r.Revision, uint64(3))
+}
+
 // input is an operation on the configuration: a publication on a base, or a
 // read.
 type input struct {
@@ -180,10 +204,8 @@
 	}
 
 	for client := range 3 {
-		r := rand.New(rand.NewPCG(uint64(client), 1))
-
 		g.Go(func() {
-			for range 12 {
+			for n := range 12 {
 				c := time.Since(begin)
 
 				s, err := x.Show(t.Context())
@@ -195,7 +217,8 @@
 
 				note(client, input{}, c, output{revision: s.Revision, weight: weight(s)})
 
-				q := input{publish: true, base: s.Revision, weight: 2 + r.IntN(1000)}
+				// No two are alike: one that is in force already changes nothing.
+				q := input{publish: true, base: s.Revision, weight: 2 + 100*client + n}
 				c = time.Since(begin)
 
 				v, err := x.Publish(t.Context(), publisher.Request{Document: document(q.weight), Base: q.base})
--- a/pkg/publisher/reader.go
+++ b/pkg/publisher/reader.go
@@ -19,11 +19,15 @@
 	// verdicts are what became of each publication, by its ID; the first
 	// verdict but stale stands, as a repeated append is stale after the first.
 	verdicts map[string]folder.Verdict
-	history  []Entry
+	// revisions are those that accepted publications made, by their IDs.
+	revisions map[string]uint64
+	history   []Entry
 }
 
 func newReader(l log) *reader {
-	return &reader{log: l, folder: folder.New(), verdicts: make(map[string]folder.Verdict)}
+	return &reader{
+		log: l, folder: folder.New(), verdicts: make(map[string]folder.Verdict), revisions: make(map[string]uint64),
+	}
 }
 
 // read folds up to the end of the stream.
@@ -71,6 +75,10 @@
 
 	v := r.folder.Fold(x.Offset, y)
 
+	if v == folder.Accepted {
+		r.revisions[y.ID] = r.folder.State().Revision
+	}
+
 	if o, ok := r.verdicts[y.ID]; y.ID != "" && (!ok || o == folder.Stale) {
 		r.verdicts[y.ID] = v
 	}
@@ -83,13 +91,17 @@
 	r.history = append(r.history, e)
 }
 
-// result turns a record's verdict into the publication's.
+// result turns a record's verdict into the publication's, with the revision that it made, or, when
+// it made none, the one in force.
 func (r *reader) result(id string, v folder.Verdict) Result {
 	o := Result{ID: id, Revision: r.folder.State().Revision, Outcome: Stale}
 
 	switch v {
 	case folder.Accepted:
+		// Others may have published since. Their revision in place of its own would have
+		// the publisher's next change undo theirs, which it has not seen.
 		o.Outcome = Accepted
+		o.Revision = r.revisions[id]
 	case folder.Ignored, folder.Restored:
 		// The record is older than the state that the log still explains.
 		o.Outcome = Unknown
