internal/wire: a list may not claim more elements than any message has

Cause, of the class of calls that end targets: a message from a peer that claims a list of four thousand million elements in ten bytes has its reader make room for them, and ends it for want of memory, each time that it is told. Change: the generated code refuses lists of more than 65,536 elements before it makes room.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,12 @@
 
 //msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest ShelvedSuspect Trial TrialReply ReleaseRequest ReleaseReply
 
+// A list's length is believed before its elements are there: ten bytes of a peer that claim four
+// thousand million of them would end whoever reads them for want of memory, each time that they
+// are told. No message has a list near this long.
+//
+//msgp:limit arrays:65536 marshal:false
+
 // Kind says what a frame's body is.
 type Kind uint8
 
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -6,6 +6,11 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z5817a858limitArrays = 65536
+)
+
 // DecodeMsg implements msgp.Decodable
 func (z *Ask) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -14,6 +19,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 10 {
 		err = msgp.ArrayError{Wanted: 10, Got: zb0001}
 		return
@@ -59,6 +68,10 @@
 		err = msgp.WrapError(err, "Excluded")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Excluded) >= int(zb0002) {
 		z.Excluded = (z.Excluded)[:zb0002]
 	} else {
@@ -225,6 +238,10 @@
 		err = msgp.WrapError(err, "Excluded")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Excluded) >= int(zb0002) {
 		z.Excluded = (z.Excluded)[:zb0002]
 	} else {
@@ -265,6 +282,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -368,6 +389,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -487,6 +512,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -606,6 +635,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 9 {
 		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
@@ -645,7 +678,10 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, err = dc.ReadBytes(z.Answer)
+	z.Answer, err = dc.ReadBytesLimit(z.Answer, z5817a858limitArrays)
+	if err == nil && z.Answer == nil {
+		z.Answer = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
@@ -777,11 +813,27 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Answer == nil || uint32(cap(z.Answer)) < zb0002 {
+		z.Answer = make([]byte, zb0002)
+	} else {
+		z.Answer = z.Answer[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Answer, bts[:zb0002])
+	bts = bts[zb0002:]
 	z.Truncated, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Truncated")
@@ -805,6 +857,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -824,7 +880,10 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, err = dc.ReadBytes(z.Answer)
+	z.Answer, err = dc.ReadBytesLimit(z.Answer, z5817a858limitArrays)
+	if err == nil && z.Answer == nil {
+		z.Answer = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
@@ -923,11 +982,27 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Answer == nil || uint32(cap(z.Answer)) < zb0002 {
+		z.Answer = make([]byte, zb0002)
+	} else {
+		z.Answer = z.Answer[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Answer, bts[:zb0002])
+	bts = bts[zb0002:]
 	z.Truncated, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Truncated")
@@ -956,6 +1031,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -1071,6 +1150,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -1081,6 +1164,10 @@
 		err = msgp.WrapError(err, "Targets")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Targets) >= int(zb0002) {
 		z.Targets = (z.Targets)[:zb0002]
 	} else {
@@ -1099,6 +1186,10 @@
 		err = msgp.WrapError(err, "StartsMs")
 		return
 	}
+	if zb0003 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.StartsMs) >= int(zb0003) {
 		z.StartsMs = (z.StartsMs)[:zb0003]
 	} else {
@@ -1182,6 +1273,10 @@
 		err = msgp.WrapError(err, "Targets")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Targets) >= int(zb0002) {
 		z.Targets = (z.Targets)[:zb0002]
 	} else {
@@ -1200,6 +1295,10 @@
 		err = msgp.WrapError(err, "StartsMs")
 		return
 	}
+	if zb0003 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.StartsMs) >= int(zb0003) {
 		z.StartsMs = (z.StartsMs)[:zb0003]
 	} else {
@@ -1234,6 +1333,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -1249,6 +1352,10 @@
 		err = msgp.WrapError(err, "Beats")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Beats) >= int(zb0002) {
 		z.Beats = (z.Beats)[:zb0002]
 	} else {
@@ -1261,6 +1368,10 @@
 			err = msgp.WrapError(err, "Beats", za0001)
 			return
 		}
+		if zb0003 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 3 {
 			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
@@ -1287,6 +1398,10 @@
 		err = msgp.WrapError(err, "Members")
 		return
 	}
+	if zb0004 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Members) >= int(zb0004) {
 		z.Members = (z.Members)[:zb0004]
 	} else {
@@ -1305,6 +1420,10 @@
 		err = msgp.WrapError(err, "Unknown")
 		return
 	}
+	if zb0005 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Unknown) >= int(zb0005) {
 		z.Unknown = (z.Unknown)[:zb0005]
 	} else {
@@ -1438,6 +1557,10 @@
 		err = msgp.WrapError(err, "Beats")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Beats) >= int(zb0002) {
 		z.Beats = (z.Beats)[:zb0002]
 	} else {
@@ -1476,6 +1599,10 @@
 		err = msgp.WrapError(err, "Members")
 		return
 	}
+	if zb0004 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Members) >= int(zb0004) {
 		z.Members = (z.Members)[:zb0004]
 	} else {
@@ -1494,6 +1621,10 @@
 		err = msgp.WrapError(err, "Unknown")
 		return
 	}
+	if zb0005 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Unknown) >= int(zb0005) {
 		z.Unknown = (z.Unknown)[:zb0005]
 	} else {
@@ -1528,6 +1659,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -1631,6 +1766,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -1646,6 +1785,10 @@
 		err = msgp.WrapError(err, "Places")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Places) >= int(zb0002) {
 		z.Places = (z.Places)[:zb0002]
 	} else {
@@ -1658,6 +1801,10 @@
 			err = msgp.WrapError(err, "Places", za0001)
 			return
 		}
+		if zb0003 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 3 {
 			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
@@ -1763,6 +1910,10 @@
 		err = msgp.WrapError(err, "Places")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Places) >= int(zb0002) {
 		z.Places = (z.Places)[:zb0002]
 	} else {
@@ -1813,6 +1964,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -1884,6 +2039,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -2023,6 +2182,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -2126,6 +2289,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -2245,6 +2412,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -2255,6 +2426,10 @@
 		err = msgp.WrapError(err, "Holders")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Holders) >= int(zb0002) {
 		z.Holders = (z.Holders)[:zb0002]
 	} else {
@@ -2267,6 +2442,10 @@
 			err = msgp.WrapError(err, "Holders", za0001)
 			return
 		}
+		if zb0003 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 2 {
 			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
 			return
@@ -2288,6 +2467,10 @@
 		err = msgp.WrapError(err, "Loads")
 		return
 	}
+	if zb0004 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Loads) >= int(zb0004) {
 		z.Loads = (z.Loads)[:zb0004]
 	} else {
@@ -2300,6 +2483,10 @@
 			err = msgp.WrapError(err, "Loads", za0002)
 			return
 		}
+		if zb0005 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0005 != 3 {
 			err = msgp.ArrayError{Wanted: 3, Got: zb0005}
 			return
@@ -2423,6 +2610,10 @@
 		err = msgp.WrapError(err, "Holders")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Holders) >= int(zb0002) {
 		z.Holders = (z.Holders)[:zb0002]
 	} else {
@@ -2456,6 +2647,10 @@
 		err = msgp.WrapError(err, "Loads")
 		return
 	}
+	if zb0004 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Loads) >= int(zb0004) {
 		z.Loads = (z.Loads)[:zb0004]
 	} else {
@@ -2506,6 +2701,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -2593,6 +2792,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -2696,6 +2899,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -2815,6 +3022,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -2825,6 +3036,10 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Calls) >= int(zb0002) {
 		z.Calls = (z.Calls)[:zb0002]
 	} else {
@@ -2892,6 +3107,10 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Calls) >= int(zb0002) {
 		z.Calls = (z.Calls)[:zb0002]
 	} else {
@@ -2922,6 +3141,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -2932,6 +3155,10 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Calls) >= int(zb0002) {
 		z.Calls = (z.Calls)[:zb0002]
 	} else {
@@ -3010,6 +3237,10 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Calls) >= int(zb0002) {
 		z.Calls = (z.Calls)[:zb0002]
 	} else {
@@ -3045,6 +3276,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 5 {
 		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
@@ -3180,6 +3415,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 6 {
 		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
@@ -3331,6 +3570,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -3434,6 +3677,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 7 {
 		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
@@ -3463,7 +3710,10 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, err = dc.ReadBytes(z.Answer)
+	z.Answer, err = dc.ReadBytesLimit(z.Answer, z5817a858limitArrays)
+	if err == nil && z.Answer == nil {
+		z.Answer = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
@@ -3573,11 +3823,27 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, bts, err = msgp.ReadBytesBytes(bts, z.Answer)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Answer == nil || uint32(cap(z.Answer)) < zb0002 {
+		z.Answer = make([]byte, zb0002)
+	} else {
+		z.Answer = z.Answer[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Answer, bts[:zb0002])
+	bts = bts[zb0002:]
 	z.Truncated, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Truncated")
@@ -3601,6 +3867,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -3672,6 +3942,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -3763,6 +4037,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -3772,7 +4050,10 @@
 		err = msgp.WrapError(err, "Next")
 		return
 	}
-	z.Body, err = dc.ReadBytes(z.Body)
+	z.Body, err = dc.ReadBytesLimit(z.Body, z5817a858limitArrays)
+	if err == nil && z.Body == nil {
+		z.Body = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
@@ -3827,11 +4108,27 @@
 		err = msgp.WrapError(err, "Next")
 		return
 	}
-	z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+		z.Body = make([]byte, zb0002)
+	} else {
+		z.Body = z.Body[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Body, bts[:zb0002])
+	bts = bts[zb0002:]
 	o = bts
 	return
 }
@@ -3850,6 +4147,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -3921,6 +4222,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -3930,7 +4235,10 @@
 		err = msgp.WrapError(err, "Key")
 		return
 	}
-	z.Value, err = dc.ReadBytes(z.Value)
+	z.Value, err = dc.ReadBytesLimit(z.Value, z5817a858limitArrays)
+	if err == nil && z.Value == nil {
+		z.Value = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Value")
 		return
@@ -4007,11 +4315,27 @@
 		err = msgp.WrapError(err, "Key")
 		return
 	}
-	z.Value, bts, err = msgp.ReadBytesBytes(bts, z.Value)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Value")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Value == nil || uint32(cap(z.Value)) < zb0002 {
+		z.Value = make([]byte, zb0002)
+	} else {
+		z.Value = z.Value[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Value, bts[:zb0002])
+	bts = bts[zb0002:]
 	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Offset")
@@ -4040,6 +4364,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -4050,6 +4378,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0002) {
 		z.Records = (z.Records)[:zb0002]
 	} else {
@@ -4121,6 +4453,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0002) {
 		z.Records = (z.Records)[:zb0002]
 	} else {
@@ -4154,6 +4490,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 5 {
 		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
@@ -4179,6 +4519,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0002) {
 		z.Records = (z.Records)[:zb0002]
 	} else {
@@ -4191,7 +4535,10 @@
 			return
 		}
 	}
-	z.Packed, err = dc.ReadBytes(z.Packed)
+	z.Packed, err = dc.ReadBytesLimit(z.Packed, z5817a858limitArrays)
+	if err == nil && z.Packed == nil {
+		z.Packed = []byte{}
+	}
 	if err != nil {
 		err = msgp.WrapError(err, "Packed")
 		return
@@ -4294,6 +4641,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0002) {
 		z.Records = (z.Records)[:zb0002]
 	} else {
@@ -4306,11 +4657,27 @@
 			return
 		}
 	}
-	z.Packed, bts, err = msgp.ReadBytesBytes(bts, z.Packed)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Packed")
 		return
 	}
+	if zb0003 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Packed == nil || uint32(cap(z.Packed)) < zb0003 {
+		z.Packed = make([]byte, zb0003)
+	} else {
+		z.Packed = z.Packed[:zb0003]
+	}
+	if uint32(len(bts)) < zb0003 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Packed, bts[:zb0003])
+	bts = bts[zb0003:]
 	o = bts
 	return
 }
@@ -4333,6 +4700,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -4436,6 +4807,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -4456,6 +4831,10 @@
 		err = msgp.WrapError(err, "Ends")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Ends) >= int(zb0002) {
 		z.Ends = (z.Ends)[:zb0002]
 	} else {
@@ -4549,6 +4928,10 @@
 		err = msgp.WrapError(err, "Ends")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Ends) >= int(zb0002) {
 		z.Ends = (z.Ends)[:zb0002]
 	} else {
@@ -4582,6 +4965,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -4701,6 +5088,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -4711,6 +5102,10 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Calls) >= int(zb0002) {
 		z.Calls = (z.Calls)[:zb0002]
 	} else {
@@ -4804,6 +5199,10 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Calls) >= int(zb0002) {
 		z.Calls = (z.Calls)[:zb0002]
 	} else {
@@ -4848,6 +5247,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 1 {
 		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
@@ -4919,6 +5322,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -4939,6 +5346,10 @@
 		err = msgp.WrapError(err, "Grants")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Grants) >= int(zb0002) {
 		z.Grants = (z.Grants)[:zb0002]
 	} else {
@@ -4951,6 +5362,10 @@
 			err = msgp.WrapError(err, "Grants", za0001)
 			return
 		}
+		if zb0003 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
 		if zb0003 != 3 {
 			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
 			return
@@ -5067,6 +5482,10 @@
 		err = msgp.WrapError(err, "Grants")
 		return
 	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Grants) >= int(zb0002) {
 		z.Grants = (z.Grants)[:zb0002]
 	} else {
@@ -5117,6 +5536,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 3 {
 		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
@@ -5224,6 +5647,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 2 {
 		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
 		return
@@ -5315,6 +5742,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
@@ -5434,6 +5865,10 @@
 		err = msgp.WrapError(err)
 		return
 	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if zb0001 != 4 {
 		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
