internal/messenger: the test of callers that leave has them leave while they wait

It made calls whose context had ended and asked for an error of each. Now no answer comes until all three have left. Stricter than before: with leaving callers counted as answers that were missed the test fails, which the old one was not sure to do.

--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -300,7 +300,14 @@
 	i := is.New(t)
 	b := newMessenger(t, 2)
 
+	answer := make(chan struct{})
+
 	b.Handle(wire.KindAsk, func(context.Context, uint64, []byte) (msgp.Marshaler, error) { return &wire.Verdict{}, nil })
+	b.Handle(wire.KindReserve, func(context.Context, uint64, []byte) (msgp.Marshaler, error) {
+		<-answer
+
+		return &wire.Room{}, nil
+	})
 	b.Serve()
 
 	d := &silentFirst{}
@@ -322,14 +329,15 @@
 	i.NoErr(ask(10 * time.Second))
 	i.Equal(d.made, 2)
 
-	// A caller that leaves says nothing about the connection.
+	// A caller that leaves while it waits says nothing about the connection.
 	for range 3 {
 		c, leave := context.WithCancel(t.Context())
-		leave()
+		time.AfterFunc(5*time.Millisecond, leave)
 
-		i.True(a.Call(c, b.Address(), wire.KindAsk, &wire.Ask{}, &wire.Verdict{}) != nil)
+		i.True(a.Call(c, b.Address(), wire.KindReserve, &wire.Reserve{}, &wire.Room{}) != nil)
 	}
 
+	close(answer)
 	i.NoErr(ask(10 * time.Second))
 	i.Equal(d.made, 2)
 }
