internal/warner: instances that know more than a message holds do not go on telling each other the same

Cause, read in the diff: with more suspected calls than a message holds two instances never come to the same state, and each asking sent 64 calls both ways, twice a second, the second to be passed on in the whole data centre. A caller that makes up ever new calls that end targets would have filled the network between instances.

Change: the answer to an answer goes to its sender alone, and an asking that brings nothing new while messages are full is followed by the next one after five seconds.

warner.TestMoreCallsThanAMessageHolds, 1,200 such calls at twelve instances, fails before (over 9,000 bytes a second and instance) and passes after; the tests of who must know within three seconds pass as before.

--- a/internal/warner/message.go
+++ b/internal/warner/message.go
@@ -107,10 +107,10 @@
 	return o
 }
 
-// askOne asks another instance for all that it knows, tells it what it lacks, and says whether
-// it answered. What is new is passed on in the own data centre, whose instances are likely to
-// have missed it too.
-func (w *Warner) askOne(c context.Context, m gossiper.Member) bool {
+// askOne asks another instance for all that it knows, tells it what it lacks, and returns when to
+// ask the next one, and whether it answered. What is new is passed on in the own data centre, whose
+// instances are likely to have missed it too.
+func (w *Warner) askOne(c context.Context, m gossiper.Member) (next time.Duration, ok bool) {
 	x, stop := context.WithTimeout(c, askTimeout)
 	defer stop()
 
@@ -122,23 +122,28 @@
 	if err := w.messenger.Call(x, m.Address, wire.KindSuspectsRequest, &q, &r); err != nil {
 		logrus.WithFields(logrus.Fields{"event": "suspectsUnanswered", "peer": m.Address, "error": err}).Debug()
 
-		return false
+		return askEvery, false
 	}
 
+	next = askEvery
+
 	if w.learn(&r) {
 		w.spreader.Near(c, kinds, &r)
+	} else if len(r.Calls) >= mostTold {
+		// More is known than a message holds, and this one has told nothing new.
+		next = askFullEvery
 	}
 
 	a := w.reply(&r)
 	if a.State == r.State {
-		return true
+		return askEvery, true
 	}
 
-	if err := w.messenger.Send(x, m.Address, wire.KindSuspectsRelay, a); err != nil {
+	if err := w.messenger.Send(x, m.Address, wire.KindSuspects, a); err != nil {
 		logrus.WithFields(logrus.Fields{"event": "suspectsUntold", "peer": m.Address, "error": err}).Debug()
 	}
 
-	return true
+	return next, true
 }
 
 // encode returns records as a message.
--- a/internal/warner/warner.go
+++ b/internal/warner/warner.go
@@ -34,6 +34,9 @@
 	// askEvery is the time between two askings. Six instances have met each other after
 	// 2.5 s; the users' bound is three.
 	askEvery = 500 * time.Millisecond
+	// askFullEvery is the same while instances know of more calls than a message holds and
+	// tell each other the same again: some 12 KB each time, of 9 KB a second for all control.
+	askFullEvery = 5 * time.Second
 	// firstEvery is the same for one that has not been answered yet.
 	firstEvery = 50 * time.Millisecond
 	// mostTold bounds a message, to some kilobytes. The calls that are held back come first.
@@ -232,8 +235,10 @@
 	d := firstEvery
 
 	for c.Err() == nil {
-		if m, ok := w.next(); ok && w.askOne(c, m) {
-			d = askEvery
+		if m, ok := w.next(); ok {
+			if next, answered := w.askOne(c, m); answered {
+				d = next
+			}
 		}
 
 		sleeper.Sleep(c, d)
--- a/internal/warner/warner_test.go
+++ b/internal/warner/warner_test.go
@@ -264,6 +264,45 @@
 	})
 }
 
+// A caller makes up ever new calls that end targets, and more are known than a message holds.
+// Instances that each know others of them must not go on telling each other the same.
+func TestMoreCallsThanAMessageHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := start(t, 12)
+		time.Sleep(time.Second)
+
+		for i, w := range f.instances {
+			for n := range 100 {
+				d := digester.Digest(1000*i + n)
+
+				f.set(true, i) // Nobody is told.
+				w.Ended(d, 1)
+				w.Ended(d, 2)
+			}
+
+			time.Sleep(50 * time.Millisecond)
+			f.set(false, i)
+		}
+
+		time.Sleep(time.Minute)
+
+		f.mu.Lock()
+		f.bytes = 0
+		f.mu.Unlock()
+
+		const lasts = 100
+
+		time.Sleep(lasts * time.Second)
+
+		f.mu.Lock()
+		defer f.mu.Unlock()
+
+		// Bytes a second and instance that control may take.
+		is.True(f.bytes/lasts/len(f.members) <= 9000)
+	})
+}
+
 func TestWhatCannotBeRead(t *testing.T) {
 	w := warner.New(view{}, view{}, nil, quarantiner.DefaultSettings())
 
