internal/standin/porter: an address that refuses stays the test's own

Traced: its addresses on which nobody listens had been given back, and another process's listener had one of them. The checks are as they were; the prober's tests use such addresses too.

--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -355,7 +355,7 @@
 	g := frontBy(t, d, &target{answer: ok}, &target{answer: ok}, &target{answer: ok})
 
 	for _, k := range g.facts.roster.Known {
-		k.Address = porter.Free(t)
+		k.Address = porter.Refusing(t)
 	}
 
 	live := (&target{answer: ok}).serve(t)
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/prober"
+	"github.com/auburntray/auburntray/internal/standin/porter"
 )
 
 func listen(t *testing.T) (net.Listener, netip.AddrPort) {
@@ -32,8 +33,7 @@
 	d := (&net.Dialer{}).DialContext
 
 	_, near := listen(t)
-	x, gone := listen(t)
-	_ = x.Close()
+	gone := porter.Refusing(t)
 
 	for name, x := range map[string]struct {
 		dial   prober.Dial
@@ -51,9 +51,9 @@
 		"there is no way":       {dial: func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("no route") }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			l, a := listen(t)
+			_, a := listen(t)
 			if x.close {
-				_ = l.Close()
+				a = porter.Refusing(t)
 			}
 
 			is.New(t).Equal(prober.New(x.dial).Ended(t.Context(), a, x.others), x.want)
@@ -65,8 +65,7 @@
 // when the caller that made it leaves.
 func TestCallsThatBrokeTogetherAskOnce(t *testing.T) {
 	is := is.New(t)
-	l, a := listen(t)
-	_ = l.Close()
+	a := porter.Refusing(t)
 
 	var (
 		dials atomic.Int64
