internal/idler: a call that was read before its connection's time is over is served

A goroutine that waits for bytes closes the connection, and what may lie there is unread; one that has read a call goes on, and the deadline is taken away as it says so. Ruled out: looking for unread bytes before the close (they are read already).

Elsewhere: kept connections to targets end by the transport's own timer, which takes only those that lie idle, under its lock; the router's server goes by read deadlines; the messenger has none but the greeting's. At the end of a stop the library closes idle connections in the same way; a call that is read then is turned away and reaches no target.

--- a/internal/idler/idler.go
+++ b/internal/idler/idler.go
@@ -24,6 +24,8 @@
 	since time.Time
 	// header says that the first byte of a call has come.
 	header bool
+	// ended says that its time is over.
+	ended bool
 }
 
 // Idler follows the states of a server's connections. The limits may change while
@@ -47,6 +49,11 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 
+	if s == http.StateActive && i.waiting[c].ended {
+		// The call was read before its connection's time was over: it is served.
+		_ = c.SetReadDeadline(time.Time{}) // Fails only where the connection is closed.
+	}
+
 	switch s {
 	case http.StateNew, http.StateIdle:
 		i.waiting[c] = phase{since: time.Now()}
@@ -77,7 +84,14 @@
 	delete(i.waiting, n)
 }
 
-// Sweep closes the connections whose time is over and returns how many.
+// Sweep ends the connections whose time is over, and returns how many.
+//
+// A call may have been read by the goroutine that serves its connection, which has not come to
+// say so: it waits for the processor, or the process stood still. Were the connection closed,
+// the call would run and nobody would have its answer, or run a second time where its caller
+// tries again. So a sweep only lets reads fail from now on. A goroutine that waits for bytes
+// then closes the connection, with a call that may lie there unread, which the caller may safely
+// send again; one that has read a call goes on.
 func (i *Idler) Sweep() int {
 	l := i.limits()
 
@@ -92,11 +106,18 @@
 			d = l.Header
 		}
 
-		if d > 0 && time.Since(p.since) >= d {
-			delete(i.waiting, c)
-			_ = c.Close() // The server sees the end and forgets it.
+		if d <= 0 || time.Since(p.since) < d {
+			continue
+		}
+
+		if !p.ended {
+			p.ended = true
+			i.waiting[c] = p
 			n++
 		}
+
+		// Again with each sweep: the server clears the deadline as it begins to wait.
+		_ = c.SetReadDeadline(time.Unix(0, 0)) // Fails only where the connection is closed.
 	}
 
 	return n
