internal/forwarder: a call that a stopping instance turns away has its line

Turn now writes callRefused with the ID, the status, the wait and the reason, at most 40 a second; the count has all.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -61,6 +61,8 @@
 	meter    Meter
 	// ordinary bounds the lines about calls that went well.
 	ordinary *rate.Limiter
+	// turned bounds the lines about calls that were not taken.
+	turned *rate.Limiter
 
 	mu       sync.Mutex
 	chooser  *chooser.Chooser
@@ -95,6 +97,10 @@
 // those of an instance at its usual load.
 const ordinaryLines = 150
 
+// turnedLines is how many calls a second are logged that were not taken: as many as come to an
+// instance at its usual load.
+const turnedLines = 40
+
 // Dialer makes connections; a net.Dialer does.
 type Dialer interface {
 	DialContext(c context.Context, network, address string) (net.Conn, error)
@@ -107,7 +113,8 @@
 
 	return &Forwarder{
 		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(enroller.Process) {},
-		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines), stopping: make(chan struct{}),
+		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines),
+		turned: rate.NewLimiter(turnedLines, turnedLines), stopping: make(chan struct{}),
 	}, func() { k.kept.forget(&enroller.Roster{}) }
 }
 
@@ -200,14 +207,33 @@
 
 // Turn answers a call that is not taken, since the instance is stopping or has
 // too many.
-func (f *Forwarder) Turn(w http.ResponseWriter, stopping bool) {
-	r := refuse(http.StatusServiceUnavailable, Busy, turnWait, "this instance has too many calls")
+func (f *Forwarder) Turn(w http.ResponseWriter, r *http.Request, stopping bool) {
+	x := refuse(http.StatusServiceUnavailable, Busy, turnWait, "this instance has too many calls")
 	if stopping {
-		r = refuse(http.StatusServiceUnavailable, Stopping, turnWait, "this instance is stopping")
+		x = refuse(http.StatusServiceUnavailable, Stopping, turnWait, "this instance is stopping")
+	}
+
+	f.meter.Refusal(string(x.Reason))
+
+	// Who asks what became of a call finds it by its ID. In a flood the count is all there is.
+	if f.turned.Allow() {
+		f.logTurned(r, x)
+	}
+
+	x.write(w)
+}
+
+func (f *Forwarder) logTurned(r *http.Request, x *Refusal) {
+	l := logrus.Fields{"event": "callRefused", "status": x.Status, "wait": x.Wait, "reason": x.Reason, "detail": x.Message}
+
+	// Headers that can't be read are no reason to say less.
+	if c, err := f.dialect.Read(r.Header); err == nil {
+		l["id"] = c.ID
+	} else {
+		l["error"] = err
 	}
 
-	f.meter.Refusal(string(r.Reason))
-	r.write(w)
+	logrus.WithFields(l).Info()
 }
 
 // SetRetries replaces the bounds of the retry budget.
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -66,7 +66,7 @@
 
 	if p, ok := g.drainer.Enter(time.Now()); !ok {
 		w.Header().Set("Connection", "close")
-		g.forwarder.Turn(w, p >= drainer.Refusing)
+		g.forwarder.Turn(w, r, p >= drainer.Refusing)
 
 		return
 	}
