internal/confiner: while targets end one after the other, each customer keeps to a part of them

Cause: a customer that sends a new call that ends targets each 250 ms is known too late each time; each call costs targets, and all are away for all customers.

Change: when a third of a group's targets has ended within 10 s, at four moments apart, each customer keeps to a third of them, by rendezvous. Ends come from own calls and from what instances tell each other already.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/confiner"
 	"github.com/auburntray/auburntray/internal/enroller"
 )
 
@@ -47,6 +48,10 @@
 	Declined int
 	// Draw is a number of the call's own, by which calls are spread among equal targets.
 	Draw uint64
+	// Customer is who sends the call. With Confined it only goes to the customer's part of the
+	// targets.
+	Customer uint64
+	Confined bool
 }
 
 // Choice is where a call goes.
@@ -97,7 +102,12 @@
 // Choose returns where a call goes among the targets of its group, and false when
 // there is none, or none that can be reached.
 func (c *Chooser) Choose(now time.Time, r *enroller.Roster, group string, q Query) (Choice, bool) {
-	l, u, usual := c.health.usable(now, group, c.candidates(now, r.Groups[group], q.Excluded))
+	g := r.Groups[group]
+	if q.Confined {
+		g = confiner.Part(q.Customer, g)
+	}
+
+	l, u, usual := c.health.usable(now, group, c.candidates(now, g, q.Excluded))
 	u = filter(u, func(x candidate) bool { return !x.shed })
 
 	if len(u) == 0 {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -44,6 +44,8 @@
 	choice chooser.Choice
 	// room is what the home of its target said to the last choice.
 	room room
+	// confined says that it goes to its customer's part of the targets only.
+	confined bool
 	// full says that no target that was asked had room, in its line either.
 	full bool
 	// sentAt is when the present attempt began.
@@ -107,7 +109,7 @@
 }
 
 func (x *exchange) query(centre string) chooser.Query {
-	return chooser.Query{Prefixes: x.shared, DataCentre: centre, Excluded: x.tried, Draw: hasher.Key(x.call.ID)}
+	return chooser.Query{Prefixes: x.shared, DataCentre: centre, Excluded: x.tried, Draw: hasher.Key(x.call.ID), Customer: hasher.Key(x.customer)}
 }
 
 // kind names the call's kind for counts.
@@ -140,6 +142,10 @@
 		l["digest"] = x.digest
 	}
 
+	if x.confined {
+		l["confined"] = true
+	}
+
 	if x.choice.Target != nil {
 		l["load"] = int(x.choice.Load)
 		l["bound"] = int(x.choice.Bound)
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
+	"github.com/auburntray/auburntray/internal/confiner"
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/meter"
 )
@@ -68,6 +69,10 @@
 	chooser  *chooser.Chooser
 	budgeter *budgeter.Budgeter
 	admitter *admitter.Admitter
+	// confiner says when customers keep to a part of the targets, and confined in which groups
+	// they do.
+	confiner *confiner.Confiner
+	confined map[string]bool
 
 	// cutSince is when it was found that this instance is cut off; nil while it is not.
 	cutSince atomic.Pointer[time.Time]
@@ -113,6 +118,7 @@
 
 	return &Forwarder{
 		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(enroller.Process) {},
+		confiner: confiner.New(), confined: make(map[string]bool),
 		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines),
 		turned: rate.NewLimiter(turnedLines, turnedLines), stopping: make(chan struct{}),
 	}, func() { k.kept.forget(&enroller.Roster{}) }
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -91,6 +91,10 @@
 
 	v := f.quarantine.Ended(x.digest, t.Key().Name())
 
+	f.mu.Lock()
+	f.confiner.Ended(time.Now(), t)
+	f.mu.Unlock()
+
 	logrus.WithFields(x.fields()).WithFields(logrus.Fields{
 		"event": "targetEnded", "target": t.ID, "address": t.Address, "ends": v.Ends, "standing": v.Standing,
 	}).Warn()
@@ -98,6 +102,33 @@
 	return true
 }
 
+// LearnEnds takes other instances' word that processes of targets have ended under calls.
+func (f *Forwarder) LearnEnds(l []quarantiner.End) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	r := f.facts.Roster()
+
+	for _, e := range l {
+		if t, ok := r.Names[e.Process]; ok {
+			f.confiner.Ended(e.At, t)
+		}
+	}
+}
+
+// confine says whether the customers of a group keep to their parts of its targets, and logs when
+// that changes. The lock is held.
+func (f *Forwarder) confine(now time.Time, group string, targets int) bool {
+	o := f.confiner.Confined(now, group, targets)
+
+	if o != f.confined[group] {
+		f.confined[group] = o
+		logrus.WithFields(logrus.Fields{"event": "customersConfined", "group": group, "targets": targets, "confined": o}).Warn()
+	}
+
+	return o
+}
+
 // witnesses returns the addresses of targets that are reached when a target is.
 func (f *Forwarder) witnesses(t *enroller.Target) []netip.AddrPort {
 	f.mu.Lock()
--- a/internal/forwarder/room.go
+++ b/internal/forwarder/room.go
@@ -100,10 +100,13 @@
 
 	n := time.Now()
 
+	r := f.facts.Roster()
+	x.confined = f.confine(n, x.group, len(r.Groups[x.group]))
+
 	q := x.query(f.settings.DataCentre)
-	q.Declined = declined
+	q.Declined, q.Confined = declined, x.confined
 
-	t, ok := f.chooser.Choose(n, f.facts.Roster(), x.group, q)
+	t, ok := f.chooser.Choose(n, r, x.group, q)
 	if ok {
 		f.chooser.Start(n, t.Target)
 	}
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -92,6 +92,7 @@
 		w.Dialect, f, t, m, &net.Dialer{}, chooser.New(chooser.DefaultSettings()), budgeter.New(s.Retries, time.Now()))
 	x.UseHomes(h)
 	x.UseQuarantine(q)
+	q.OnEnds(x.LearnEnds)
 	f.dropped = func(r *enroller.Roster) {
 		x.Forget(r)
 		h.Forget(r)
--- a/internal/warner/warner.go
+++ b/internal/warner/warner.go
@@ -70,6 +70,8 @@
 	informed bool
 	// counts are the decisions of this instance.
 	counts Counts
+	// ends is called with the ends that other instances tell of.
+	ends func(l []quarantiner.End)
 
 	// turn are the instances that are asked next. Only ask uses it.
 	turn []uint64
@@ -91,9 +93,16 @@
 		messenger: m, members: x, spreader: spreader.New(m, x), shelf: h, keep: s.Keep, quarantiner: quarantiner.New(s),
 		untold: make(map[digester.Digest]bool), wake: make(chan struct{}, 1),
 		unshelved: make(map[digester.Digest]bool), shelveWake: make(chan struct{}, 1), informed: h == nil,
+		ends: func([]quarantiner.End) {},
 	}
 }
 
+// OnEnds sets what is called with the ends of targets that other instances tell of, each of them
+// as often as it is told. It is set before the first call comes.
+func (w *Warner) OnEnds(f func(l []quarantiner.End)) {
+	w.ends = f
+}
+
 // Come returns what a call may do that has come, or is to be sent once more.
 func (w *Warner) Come(d digester.Digest) quarantiner.Verdict {
 	w.mu.Lock()
@@ -285,11 +294,17 @@
 
 // learn joins what another instance told, and says whether any of it was new.
 func (w *Warner) learn(m *wire.Suspects) bool {
+	r := decode(time.Now(), m)
+
 	w.mu.Lock()
 	w.informed = w.informed || m.Informed
-	l, changed := w.quarantiner.Learn(time.Now(), decode(time.Now(), m))
+	l, changed := w.quarantiner.Learn(time.Now(), r)
 	w.mu.Unlock()
 
+	for _, x := range r {
+		w.ends(x.Ends)
+	}
+
 	for _, d := range l {
 		logrus.WithFields(logrus.Fields{"event": "callHeldBack", "digest": d, "source": "peer"}).Warn()
 	}
