--- a/internal/chooser/call.go
+++ b/internal/chooser/call.go
@@ -32,7 +32,13 @@
 
 func (c *Chooser) takeBack(now time.Time, x Choice) {
 	c.Finish(now, x.Target, Neither)
+	c.Unread(x)
+}
 
+// Unread takes back what a choice noted of prompts at its target, where the call failed before
+// its answer began. The target has hardly read the prompt; taken for one that holds it, the
+// target that the call goes to next would ask it in vain, and read again what others hold.
+func (c *Chooser) Unread(x Choice) {
 	for _, k := range x.fresh {
 		c.places.withdraw(k, x.Target.Key())
 	}
--- a/internal/chooser/decline_test.go
+++ b/internal/chooser/decline_test.go
@@ -42,6 +42,38 @@
 	i.True(z.Held)
 }
 
+// A caller waits while its prompt of some thousand parts is read a second time, though a target
+// holds it: the call came to one that broke off at once, and the next one asked that for the
+// prompt, since it was the last that the prompt was sent to.
+func TestTargetThatFailedIsNoSource(t *testing.T) {
+	i := is.New(t)
+	r := roster(9, "a")
+	c := chooser.New(chooser.DefaultSettings())
+	now := time.Unix(0, 0)
+
+	x := choose(c, now, r, query(1))
+	c.Finish(now, x.Target, chooser.Good)
+
+	q := query(1)
+	q.Excluded = []string{x.Target.ID}
+	y := choose(c, now, r, q)
+	i.Equal(y.Source, x.Target)
+	c.Finish(now, y.Target, chooser.Bad)
+	c.Unread(y)
+
+	q.Excluded = []string{x.Target.ID, y.Target.ID}
+	z := choose(c, now, r, q)
+	i.Equal(z.Source, x.Target)
+
+	// One that held the prompt before still does.
+	q.Excluded = []string{y.Target.ID, z.Target.ID}
+	x = choose(c, now, r, q)
+	i.True(x.Held)
+	c.Finish(now, x.Target, chooser.Bad)
+	c.Unread(x)
+	i.True(choose(c, now, r, q).Held)
+}
+
 // A prompt that a tenth of all calls share fills one target after the other. Calls that found
 // two full must not all try the third: they spread over those that come next in the prompt's
 // order, further with each one that was full.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -12,7 +12,6 @@
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/chooser"
 	"github.com/auburntray/auburntray/internal/detector"
-	"github.com/auburntray/auburntray/internal/enroller"
 )
 
 // maxTried bounds the targets that a call is tried at when they can't be reached.
@@ -75,12 +74,17 @@
 	f.budgeter.Call(time.Now(), group)
 }
 
-// countOut counts a call out at a target and returns what is now believed.
-func (f *Forwarder) countOut(t *enroller.Target, o chooser.Outcome) []chooser.Belief {
+// countOut counts a call out at a target and returns what is now believed. Begun says that a
+// part of an answer is with the caller.
+func (f *Forwarder) countOut(t chooser.Choice, r result, begun bool) []chooser.Belief {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.chooser.Finish(time.Now(), t, o)
+	f.chooser.Finish(time.Now(), t.Target, r.outcome)
+
+	if r.err != nil && !begun {
+		f.chooser.Unread(t)
+	}
 
 	return f.chooser.Beliefs()
 }
@@ -181,7 +185,7 @@
 
 	f.meter.Attempt(x.group, r.outcome.String())
 
-	f.tellBeliefs(f.countOut(t.Target, r.outcome), logrus.Fields{"id": x.call.ID, "error": r.err})
+	f.tellBeliefs(f.countOut(t, r, x.relayed), logrus.Fields{"id": x.call.ID, "error": r.err})
 	x.room.end(r.outcome)
 
 	return r
