internal/chooser: prompts are fetched from targets that left the list and still serve

Cause, traced as before: targets that never say that they are leaving vanish from the list and serve on for seconds.

Change: a process that leaves the list, was well and was heard of within 2 s before, is asked for prompts for 4 s more. One that started again, or crashed, is not.

--- a/internal/chooser/call.go
+++ b/internal/chooser/call.go
@@ -106,12 +106,17 @@
 //
 // A process that has moved to another address or group keeps its load and its prompts, and
 // is judged anew: it failed, or was not reached, at the other address.
-func (c *Chooser) Forget(r *enroller.Roster) {
+func (c *Chooser) Forget(now time.Time, r *enroller.Roster) {
 	c.listed = r.Processes
+	c.left.forget(now, r)
 
 	for k, s := range c.states {
 		t, ok := r.Processes[k]
 		if !ok {
+			if !s.unlisted && c.health.well(now, s.target) {
+				c.left.add(now, r, s.target, s.word.At)
+			}
+
 			c.health.forget(k)
 			s.unlist()
 			c.clear(k, s)
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -89,6 +89,8 @@
 	states map[enroller.Key]*state
 	// listed are the processes on the list at its last change; nil before the first.
 	listed map[enroller.Key]*enroller.Target
+	// left are the processes that left the list lately.
+	left   leavers
 	loads  []Load
 	health *health
 	places *places
@@ -96,7 +98,7 @@
 
 // New returns a Chooser that knows of no call.
 func New(s Settings) *Chooser {
-	return &Chooser{settings: s, states: make(map[enroller.Key]*state), health: newHealth(), places: newPlaces()}
+	return &Chooser{settings: s, states: make(map[enroller.Key]*state), left: make(leavers), health: newHealth(), places: newPlaces()}
 }
 
 // Choose returns where a call goes among the targets of its group, and false when
@@ -162,6 +164,12 @@
 				return t
 			}
 		}
+
+		for _, n := range h {
+			if t, ok := c.left.source(now, n); ok {
+				return t
+			}
+		}
 	}
 
 	return nil
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -400,9 +400,9 @@
 	c := chooser.New(chooser.DefaultSettings())
 	o := choose(c, now, r, query(1))
 
-	c.Forget(&enroller.Roster{}) // A call still runs there.
+	c.Forget(now, &enroller.Roster{}) // A call still runs there.
 	c.Finish(now, o.Target, chooser.Good)
-	c.Forget(&enroller.Roster{})
+	c.Forget(now, &enroller.Roster{})
 	c.Finish(now, o.Target, chooser.Good) // Not counted below zero.
 	is.Equal(choose(c, now, r, query(1)).Target.ID, o.Target.ID)
 }
--- a/internal/chooser/process_test.go
+++ b/internal/chooser/process_test.go
@@ -194,7 +194,7 @@
 				learn(c, now, e.Roster(), old)
 
 				restart(e, now)
-				c.Forget(e.Roster())
+				c.Forget(now, e.Roster())
 				is.Equal(difference(now, c, e.Roster(), fresh(), e.Roster()), "")
 			})
 		}
@@ -222,7 +222,7 @@
 			}
 
 			e.Set(entry("t0", time.Minute))
-			c.Forget(e.Roster())
+			c.Forget(now, e.Roster())
 			learn(c, now, e.Roster(), old)
 
 			for range 5 {
@@ -251,7 +251,7 @@
 			old := e.Roster().Known["t0"]
 
 			e.Set(entry("t0", time.Minute))
-			c.Forget(e.Roster())
+			c.Forget(now, e.Roster())
 
 			for range 3 {
 				c.Start(now, old)
@@ -266,7 +266,7 @@
 
 			// Nor is it kept for a process of that start that the list may show again.
 			e.Set(entry("t0", 0))
-			c.Forget(e.Roster())
+			c.Forget(now, e.Roster())
 			is.Equal(c.Views(now, e.Roster()), fresh().Views(now, e.Roster()))
 
 			x, ok := c.Choose(now, e.Roster(), group, query(1000))
@@ -304,7 +304,7 @@
 				learn(d, now, r, r.Known["t0"])
 
 				change(e, now)
-				c.Forget(e.Roster())
+				c.Forget(now, e.Roster())
 
 				is.Equal(difference(now, c, e.Roster(), d, r), "")
 				learn(d, now, r, r.Known["t0"])
@@ -336,7 +336,7 @@
 			x := entry("t0", 0)
 			x.Address = netip.MustParseAddrPort("10.0.0.9:80")
 			e.Set(x)
-			c.Forget(e.Roster())
+			c.Forget(now, e.Roster())
 			c.Finish(now, old, chooser.Unreachable) // At the earlier address.
 
 			is.Equal(difference(now, c, e.Roster(), fresh(), e.Roster()) != "", kept[name])
@@ -361,7 +361,7 @@
 			x := entry("t0", 0)
 			x.Group = "others"
 			e.Set(x)
-			c.Forget(e.Roster())
+			c.Forget(now, e.Roster())
 
 			v := c.Views(now, e.Roster())[0]
 			is.Equal(v, chooser.View{Target: e.Roster().Known["t0"], Load: b})
@@ -391,11 +391,11 @@
 	}
 
 	e.Remove(now, "t0")
-	c.Forget(e.Roster())
+	c.Forget(now, e.Roster())
 	c.Finish(now, old, chooser.Bad)
 
 	e.Set(entry("t0", 0))
-	c.Forget(e.Roster())
+	c.Forget(now, e.Roster())
 	is.Equal(c.Views(now, e.Roster())[0].Load, 2.0)
 
 	for range 2 {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -254,7 +254,7 @@
 // are not on it, and the connections that are kept to them.
 func (f *Forwarder) Forget(r *enroller.Roster) {
 	f.mu.Lock()
-	f.chooser.Forget(r)
+	f.chooser.Forget(time.Now(), r)
 	f.mu.Unlock()
 
 	f.client.kept.forget(r)
--- a/internal/tallier/replay_test.go
+++ b/internal/tallier/replay_test.go
@@ -81,7 +81,7 @@
 
 	for range instances {
 		c := chooser.New(chooser.DefaultSettings())
-		c.Forget(r.roster)
+		c.Forget(time.Unix(0, 0), r.roster)
 		r.choosers = append(r.choosers, c)
 	}
 
