internal/chooser: others are told of a prompt's place when it is read

Change: the place is told when the answer has begun; the words that came too early need not be taken back any more.

--- a/internal/chooser/call.go
+++ b/internal/chooser/call.go
@@ -56,6 +56,19 @@
 	}
 }
 
+// Read takes that the answer to a call has begun: its target has read the prompt. Only then are
+// others told. They would have targets ask it for the prompt, which gets them nothing while it
+// reads that itself, or when it broke off before.
+func (c *Chooser) Read(now time.Time, x Choice) {
+	if s, ok := c.states[x.Target.Key()]; !ok || s.unlisted {
+		return
+	}
+
+	for _, p := range x.prefixes {
+		c.places.tell(now, p.Key, x.Target.Key())
+	}
+}
+
 // Begun takes how long a target took until its answer began, as a part of the
 // time within which it is of full use.
 func (c *Chooser) Begun(now time.Time, t *enroller.Target, part float64) {
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -70,8 +70,10 @@
 	// within which it is of full use; zero when that is not known.
 	Usual float64
 
-	// fresh are the beginnings of the prompt that Target was not known to hold.
-	fresh []uint64
+	// prefixes are the beginnings of the prompt, and fresh those that Target was not known to
+	// hold.
+	prefixes []Prefix
+	fresh    []uint64
 }
 
 // Report is what a target said of its load as it answered a call.
@@ -131,6 +133,7 @@
 	o := Choice{
 		Target: x.target, Source: c.source(now, r, n, q.Prefixes),
 		Load: x.load, Bound: most, Usable: len(u), Held: slices.Contains(h, n), Usual: usual,
+		prefixes: q.Prefixes,
 	}
 
 	for _, p := range q.Prefixes {
--- a/internal/chooser/chooser_test.go
+++ b/internal/chooser/chooser_test.go
@@ -322,14 +322,40 @@
 	r := roster(1, "a")
 	c := chooser.New(chooser.DefaultSettings())
 
-	choose(c, now, r, query(1))
+	read := func(now time.Time) { c.Read(now, choose(c, now, r, query(1))) }
+
+	read(now)
 	is.Equal(len(c.News().Places), 1)
-	choose(c, now.Add(time.Second), r, query(1))
+	read(now.Add(time.Second))
 	is.Equal(len(c.News().Places), 0)
-	choose(c, now.Add(30*time.Second), r, query(1))
+	read(now.Add(30 * time.Second))
 	is.Equal(len(c.News().Places), 1)
 }
 
+// A call fetches its prompt from a target that does not have it, and begins late: another
+// instance told that it was there as the call to it was sent. The target was still reading it,
+// or had broken off.
+func TestPromptIsToldWhenItIsRead(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	e := enroller.New(enroller.DefaultSettings())
+	e.Set(enroller.Target{ID: "t", Group: group})
+
+	c := chooser.New(chooser.DefaultSettings())
+	x := choose(c, now, e.Roster(), query(1))
+	is.Equal(len(c.News().Places), 0)
+
+	c.Read(now, x)
+	is.Equal(c.News().Places, []chooser.Place{{Key: 1, Target: x.Target.Key().Name()}})
+
+	// What a process read that is gone from the list is nobody's news.
+	y := choose(c, now.Add(time.Minute), e.Roster(), query(2))
+	e.Remove(now.Add(time.Minute), "t")
+	c.Forget(now.Add(time.Minute), e.Roster())
+	c.Read(now.Add(time.Minute), y)
+	is.Equal(len(c.News().Places), 0)
+}
+
 func TestTargetThatTurnsAwayIsPassedOver(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(0, 0)
--- a/internal/chooser/place.go
+++ b/internal/chooser/place.go
@@ -71,21 +71,25 @@
 // use notes that a call with a part is sent to a target by this instance, and says whether
 // the target was not known to hold it.
 func (p *places) use(now time.Time, key uint64, target enroller.Key) (fresh bool) {
-	h, known := p.put(now, key, target)
+	_, known := p.put(now, key, target)
+
+	return !known
+}
+
+// tell has the others told that a target holds a part, unless they were lately.
+func (p *places) tell(now time.Time, key uint64, target enroller.Key) {
+	h, _ := p.put(now, key, target)
 
 	if now.Sub(h.told) >= tellAgain {
 		h.told = now
 		p.news = append(p.news, Place{Key: key, Target: target.Name()})
 	}
-
-	return !known
 }
 
-// withdraw drops a place that was noted for a call that was not sent there.
+// withdraw drops a place that was noted for a call whose prompt its target has not read.
 func (p *places) withdraw(key uint64, target enroller.Key) {
 	l, _ := p.keys.Get(key)
 	p.keys.Add(key, slices.DeleteFunc(l, func(x holder) bool { return x.target == target }))
-	p.news = slices.DeleteFunc(p.news, func(x Place) bool { return x == Place{Key: key, Target: target.Name()} })
 }
 
 // learn notes what another instance told.
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -263,6 +263,14 @@
 	return a, p, result{}
 }
 
+// read notes that a target has read a call's prompt.
+func (f *Forwarder) read(t chooser.Choice) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.chooser.Read(time.Now(), t)
+}
+
 // begun notes how long a target took until its answer began.
 func (f *Forwarder) begun(x *exchange, t chooser.Choice) {
 	if x.rule.Latency <= 0 {
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -39,7 +39,7 @@
 
 	s := splitter.New(a.Body)
 
-	for {
+	for first := true; ; first = false {
 		e, id, err := s.Next()
 		if errors.Is(err, io.EOF) {
 			return f.finish(x, a)
@@ -53,6 +53,10 @@
 			return result{err: errors.Mark(errors.Newf("event %q came after %q", id, x.lastEvent), errBroken), outcome: chooser.Bad}
 		}
 
+		if first {
+			f.read(t)
+		}
+
 		if !x.relayed {
 			f.begun(x, t)
 		}
