internal/forwarder: a call waits for the first catalog for a part of its own time

Change: a call waits for a quarter of the time that it has, a second at most. A call of 600 ms waits as long as before.

--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -203,6 +203,8 @@
 // facts are what the forwarder knows.
 type facts struct {
 	catalog *cataloger.Catalog
+	// known is what Known returns where learn was called.
+	known   chan struct{}
 	mu      sync.Mutex
 	roster  *enroller.Roster
 	stale   bool
@@ -211,10 +213,30 @@
 	others int
 }
 
-func (f *facts) Catalog() *cataloger.Catalog { return f.catalog }
-func (f *facts) Fresh() bool                 { return !f.stale }
-func (f *facts) Instances() int              { return 1 + f.others }
-func (f *facts) Stalled(time.Time) bool      { return f.stalled }
+func (f *facts) Catalog() *cataloger.Catalog {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.catalog
+}
+
+// learn sets the catalog; nil for none yet.
+func (f *facts) learn(c *cataloger.Catalog) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.catalog = c
+
+	if c == nil {
+		f.known = make(chan struct{})
+	} else if f.known != nil {
+		close(f.known)
+	}
+}
+
+func (f *facts) Fresh() bool            { return !f.stale }
+func (f *facts) Instances() int         { return 1 + f.others }
+func (f *facts) Stalled(time.Time) bool { return f.stalled }
 
 func (f *facts) Roster() *enroller.Roster {
 	f.mu.Lock()
@@ -224,6 +246,13 @@
 }
 
 func (f *facts) Known() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.known != nil {
+		return f.known
+	}
+
 	c := make(chan struct{})
 	if f.catalog != nil {
 		close(c)
--- a/internal/forwarder/take.go
+++ b/internal/forwarder/take.go
@@ -11,9 +11,14 @@
 	"github.com/auburntray/auburntray/internal/digester"
 )
 
-// knownWait is how long a call waits for the first catalog and list of targets. A
-// read of each takes a few milliseconds once the process runs.
-const knownWait = 150 * time.Millisecond
+const (
+	// knownPart is the part of its time that a call waits for the first catalog and list of
+	// targets. What is left is enough for its caller to come back to another instance.
+	knownPart = 0.25
+	// knownMost bounds that. Reads of a long catalog by many instances that start at once take
+	// the platform most of a second; what takes longer is an outage.
+	knownMost = time.Second
+)
 
 // identify reads what the caller says of its call.
 func (f *Forwarder) identify(x *exchange) error {
@@ -30,9 +35,9 @@
 
 // match finds the catalog in force, which the call keeps to its end, and the rule.
 func (f *Forwarder) match(x *exchange) error {
-	// An instance that has just started knows its catalog within milliseconds; a
-	// refusal would cost the caller one of its few tries.
-	t := time.NewTimer(knownWait)
+	// An instance that has just started knows its catalog within milliseconds, or most of a
+	// second when all have; a refusal would cost the caller one of its few tries.
+	t := time.NewTimer(f.knownWait(x))
 	defer t.Stop()
 
 	select {
@@ -63,6 +68,16 @@
 	return nil
 }
 
+// knownWait is how long a call waits for the first catalog and list of targets.
+func (f *Forwarder) knownWait(x *exchange) time.Duration {
+	d := x.call.Patience
+	if d <= 0 {
+		d = f.settings.Patience
+	}
+
+	return min(time.Duration(knownPart*float64(d)), knownMost)
+}
+
 // deny returns the final answer to a call that the catalog does not allow. An
 // instance that is cut off from the platform may not know the newest rules and
 // keys: its callers are asked to come back, which brings them to another one,
