internal/repeater: one instance reads for all data centres

Change: the reader of one data centre of a region, the first by rendezvous, reads for all; the readers of the others read through it, and the rest through these. A reader that can't tell is passed over for a second, in which who read through it reads itself.

A first try changed nothing: homes are kept by their key alone, whatever data centres were asked for, and the key was the same for all.

--- a/internal/repeater/reader.go
+++ b/internal/repeater/reader.go
@@ -14,48 +14,89 @@
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
-// leave passes an instance over that reads for the data centre. One that can't be
-// reached is nobody's; one that answers with old knowledge may only have been
-// turned away itself, and must not be taken for dead: in an outage of the platform
-// that would be every instance.
-func (s *Stream) leave(h gossiper.Member, err error) {
-	if errors.Is(err, errOld) || h.ID == 0 {
+// leave passes an instance over that reads for this one. One of the own data centre that can't be
+// reached is nobody's; one that answers with old knowledge may only have been turned away itself,
+// and must not be taken for dead: in an outage of the platform that would be every instance. The
+// one that reads for all may only be out of reach from here.
+func (s *Stream) leave(x reading, err error) {
+	if x.first || errors.Is(err, errOld) || x.from.ID == 0 {
 		s.mu.Lock()
-		s.skipped = h.ID
+		s.skipped = x.from.ID
 		s.skippedAt = time.Now()
 		s.mu.Unlock()
 	} else {
-		s.repeater.members.Suspect(h.ID)
+		s.repeater.members.Suspect(x.from.ID)
 	}
 
-	logrus.WithFields(logrus.Fields{"event": "readerLost", "stream": s.name, "peer": h.Address, "error": err}).Info()
+	logrus.WithFields(logrus.Fields{"event": "readerLost", "stream": s.name, "peer": x.from.Address, "error": err}).Info()
 }
 
-// reader returns the instance that reads for this one's data centre, and false
-// when this one reads itself.
-func (s *Stream) reader() (gossiper.Member, bool) {
+// reading is a read through another instance.
+type reading struct {
+	from gossiper.Member
+	// wait is how long it is asked to wait for a change, and stale how old its knowledge may be.
+	wait, stale time.Duration
+	// first says that it reads for all data centres, and this one through it for its own.
+	first bool
+}
+
+// reader returns the instance that this one reads through, and false when it reads itself.
+//
+// Each read of the platform has a price, whether it brings anything or not. So one instance reads
+// for all, one of each other data centre through it, and the rest through these. A reader that
+// can't tell is left at once: whoever read through it reads itself.
+func (s *Stream) reader() (reading, bool) {
 	m := s.repeater.members
 	if time.Since(s.repeater.started) < settleIn {
-		return s.seed()
+		x, ok := s.seed()
+
+		return reading{from: x, wait: readerWait, stale: readerStale}, ok
 	}
 
-	h, ok := s.home()
+	x := reading{wait: readerWait, stale: readerStale}
 
-	if !ok || h.ID == m.Self().ID || h.DataCentre != m.Self().DataCentre {
-		return h, false
+	h, ok := s.home(m.Self().DataCentre)
+	if ok && h.ID == m.Self().ID {
+		x.wait, x.stale, x.first = firstWait, firstStale, true
+		h, ok = s.home(s.firstCentre())
+	}
+
+	x.from = h
+
+	if !ok || h.ID == m.Self().ID || !x.first && h.DataCentre != m.Self().DataCentre {
+		return x, false
 	}
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return h, h.ID != s.skipped || time.Since(s.skippedAt) >= skipFor
+	return x, h.ID != s.skipped || time.Since(s.skippedAt) >= skipFor
 }
 
-// home returns the instance that is to read for this one's data centre.
-func (s *Stream) home() (gossiper.Member, bool) {
+// home returns the instance that is to read for a data centre.
+func (s *Stream) home(centre string) (gossiper.Member, bool) {
+	// A key stands for one list of data centres.
+	return s.repeater.members.Home(hasher.Key("reader", s.name, centre), []string{centre})
+}
+
+// firstCentre returns the data centre of the region whose reader reads for all of them.
+func (s *Stream) firstCentre() string {
 	m := s.repeater.members
+	o := m.Self().DataCentre
+	k := hasher.Key("reader", s.name)
+
+	for _, x := range m.Live() {
+		if x.Region == m.Self().Region && before(k, x.DataCentre, o) {
+			o = x.DataCentre
+		}
+	}
+
+	return o
+}
 
-	return m.Home(hasher.Key("reader", s.name), []string{m.Self().DataCentre})
+// before says that a data centre is before another in a key's order.
+func before(key uint64, a, b string) bool {
+	return hasher.Score(key, hasher.Key(a), 1) > hasher.Score(key, hasher.Key(b), 1)
 }
 
 // seed returns one of the seeds, and false when this instance is one or the last
@@ -93,7 +134,7 @@
 	}
 
 	m := s.repeater.members
-	if h, ok := s.home(); !ok || h.ID == m.Self().ID {
+	if h, ok := s.home(m.Self().DataCentre); !ok || h.ID == m.Self().ID {
 		return true
 	}
 
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -34,6 +34,13 @@
 	heardLately = 400 * time.Millisecond
 	// readerWait is how long that instance is asked to wait for a change.
 	readerWait = 400 * time.Millisecond
+	// firstWait and firstStale are the same for the instance that reads for all data centres, and is
+	// asked by the readers of these. What these tell is then not older than readerStale, with a
+	// read of the platform that waits for 700 ms. They notice that it is silent, and read
+	// themselves, before those who read through them do: else all of a data centre would ask the
+	// platform at once.
+	firstWait  = 150 * time.Millisecond
+	firstStale = 900 * time.Millisecond
 	// otherStale is the same for an instance that is asked because the platform
 	// turns this one away; it may itself read through another.
 	otherStale = 2500 * time.Millisecond
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -47,22 +47,22 @@
 	return s.tape.heard
 }
 
-// Follow is part of watcher.Source. It reads from the one instance of the data
-// centre that reads for all, unless that is this one; from the platform when that
-// instance does not answer; and from any other when the platform does not.
+// Follow is part of watcher.Source. It reads through the instance that reads for this
+// one, unless that is itself; from the platform when that instance does not answer; and
+// from any other when the platform does not.
 func (s *Stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
-	h, ok := s.reader()
-	s.note(h, ok)
+	x, ok := s.reader()
+	s.note(x.from, ok)
 
 	if ok {
-		p, err := s.ask(c, h, from, min(wait, readerWait), readerStale)
+		p, err := s.ask(c, x.from, from, min(wait, x.wait), x.stale)
 		s.count(sourceReader, err)
 
 		if err == nil {
 			return s.take(p, from)
 		}
 
-		s.leave(h, err)
+		s.leave(x, err)
 
 		// The time that was meant for waiting may be gone; the platform still has to
 		// be asked before changes are late.
