--- a/internal/chooser/candidate.go
+++ b/internal/chooser/candidate.go
@@ -126,8 +126,8 @@
 }
 
 // spreadBy is how many times more targets a call may go to with each one that turned out to
-// be full. Replayed on 295 instances with a hot prompt, 0.6 in 100 calls came to a target
-// above its limit; 0.9 with 2, and 0.5 with 4, where prompts are read at more targets.
+// be full. With fewer, calls for a hot prompt meet at full targets; with more, the prompt is read
+// at more targets than it needs.
 const spreadBy = 3
 
 // prompted returns the candidate for a call with a prompt, which holders are known to hold.
--- a/internal/chooser/news.go
+++ b/internal/chooser/news.go
@@ -64,9 +64,7 @@
 //
 // The word comes with the answer to a call and counts that too. Among hundreds of instances it
 // is a second old when it arrives, and the call is over: taken as it is, the mean would seem one
-// too high, and all targets might have two more than they may. Replayed on 295 instances with
-// a hot prompt, 2.7 in 100 calls came to a target above twice the mean and three, and 0.6 when
-// that call is left out.
+// too high, and all targets might have two more than they may.
 func (l Load) since(now time.Time) int {
 	if now.Sub(l.At) < oldWord {
 		return l.Calls
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -38,8 +38,7 @@
 // isolate refuses a call under which targets have ended again and again, at once and before it
 // costs anything.
 //
-// Sent on, it ends each target that begins to run it, and all other calls there break: 46
-// targets ended under one in 40 s on a recorded day.
+// Sent on, it ends each target that begins to run it, and all other calls there break.
 func (f *Forwarder) isolate(x *exchange) error {
 	v, ok := f.letOut(x)
 
--- a/internal/forwarder/whole.go
+++ b/internal/forwarder/whole.go
@@ -21,8 +21,7 @@
 	// Well over nine in ten answers come before it.
 	waitPart = 0.6
 	// streamWait is the same for the first event of a stream. An engine that reads
-	// long prompts is slow for a while, and the prompt would be read twice: with
-	// 0.6 here, a fifth more of all prompts was read.
+	// long prompts is slow for a while, and the prompt would be read twice.
 	streamWait = 1.5
 )
 
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -98,8 +98,7 @@
 }
 
 // Gone tells the others at once that a process is gone. Each of them would otherwise find
-// out with a call of its own: with seventy instances and fifteen targets that crashed and
-// started again, 346 calls were turned away within two seconds, a third of them for good.
+// out with a call of its own, and hundreds would be turned away when some targets crash.
 //
 // It names the process and not just the target: the word may come after the list has shown
 // that the target started again, and would have the new process left alone for seconds.
--- a/internal/seeker/seeker.go
+++ b/internal/seeker/seeker.go
@@ -11,16 +11,14 @@
 
 const (
 	// maxAsked is how many homes are asked for room at a target that runs the call at once, a
-	// millisecond or two each. Replayed on 295 instances with a hot prompt, 0.7 in 100 calls
-	// came to a target above its limit with four, and 0.6 with five.
+	// millisecond or two each.
 	maxAsked = 5
 	// maxLeft is how many targets of one choice may be left alone by the word of their homes.
 	// When most of a group fail the call has nowhere better to go, and each question takes time.
 	maxLeft = 2
 	// lineMost is how many calls a plain target may have for each that it runs at a time. One in
-	// line at its end is in time when calls take a quarter of the time that they have. Replayed at
-	// as many calls as can be run, and at a tenth more, 0.94 and 0.83 of their worth is earned with
-	// 2, 0.92 and 0.80 with 1.5, 0.94 and 0.79 with 2.5, 0.88 and 0.60 without a bound.
+	// line at its end is in time when calls take a quarter of the time that they have. In a longer
+	// line calls wait in vain; with a shorter one targets idle between calls.
 	lineMost = 2
 )
 
