--- a/internal/forwarder/turn_test.go
+++ b/internal/forwarder/turn_test.go
@@ -1,16 +1,14 @@
 package forwarder_test
 
 import (
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
-	logs "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/standin/hearer"
 )
 
 // A caller complains that its call was refused, and no log has its ID: the instance that it came
@@ -30,7 +28,7 @@
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
 			g := front(t)
-			h := heard(t)
+			h := hearer.New(t)
 
 			for range x.calls {
 				r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/once/1", http.NoBody)
@@ -52,19 +50,3 @@
 		})
 	}
 }
-
-// heard collects the lines of the log until the test ends.
-func heard(t *testing.T) *logs.Hook {
-	t.Helper()
-
-	l, h := logrus.GetLevel(), logs.NewGlobal()
-
-	logrus.SetLevel(logrus.InfoLevel)
-	logrus.SetOutput(io.Discard)
-	t.Cleanup(func() {
-		logrus.SetLevel(l)
-		logrus.StandardLogger().ReplaceHooks(make(logrus.LevelHooks))
-	})
-
-	return h
-}
--- a/internal/gatekeeper/config_sink_test.go
+++ b/internal/gatekeeper/config_sink_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/standin/hearer"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
@@ -28,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			h := heard(t)
+			h := hearer.New(t)
 			f, c := newFacts(), counts{}
 			f.dropped = func(*enroller.Roster) {}
 			s := &configSink{facts: f, key: "config", refusals: &refusals{stream: "config", counter: c}, decode: func(b []byte) (cataloger.Document, error) {
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -374,6 +374,42 @@
 	is.NoErr(<-stopped)
 }
 
+// A stop took as long as it may with no call running: some callers don't heed that the instance is
+// not ready, and come on and on. Each gets its answer or a refusal, and the process ends in its
+// time all the same.
+func TestStopEndsThoughCallersComeOn(t *testing.T) {
+	is := is.New(t)
+	s := open(t)
+	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) { _, _ = fmt.Fprint(w, "whole") }))
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	waiter.Until(t, "the status 200", status(t, s.ready+"/ready", http.StatusOK))
+
+	stopped := make(chan error, 1)
+
+	go func() { stopped <- s.app.Stop(context.Background()) }()
+
+	seen := make(map[int]int)
+
+	for over := false; !over; {
+		select {
+		case err := <-stopped:
+			is.NoErr(err)
+
+			over = true
+		default:
+			n, _, h := get(t, s.callers+"/x/")
+			seen[n]++
+
+			is.True(n != http.StatusServiceUnavailable || h.Get("Retry-After") != "")
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+
+	is.True(seen[http.StatusOK] > 0)
+	is.True(seen[http.StatusServiceUnavailable] > 0)
+	is.Equal(seen[http.StatusBadGateway]+seen[http.StatusGatewayTimeout], 0)
+}
+
 func TestLeavingTargetGetsNoNewCalls(t *testing.T) {
 	for name, leave := range map[string]func(t *testing.T, s *site, x enroller.Target){
 		"says that it drains": func(t *testing.T, s *site, x enroller.Target) {
--- a/internal/gatekeeper/target_sink_test.go
+++ b/internal/gatekeeper/target_sink_test.go
@@ -1,7 +1,6 @@
 package gatekeeper
 
 import (
-	"io"
 	"maps"
 	"slices"
 	"strconv"
@@ -12,9 +11,9 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
-	logs "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/standin/hearer"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
@@ -62,22 +61,6 @@
 	return f, s, c
 }
 
-// heard collects the lines of log of a test.
-func heard(t *testing.T) *logs.Hook {
-	t.Helper()
-
-	l, h := logrus.GetLevel(), logs.NewGlobal()
-
-	logrus.SetLevel(logrus.InfoLevel)
-	logrus.SetOutput(io.Discard)
-	t.Cleanup(func() {
-		logrus.SetLevel(l)
-		logrus.StandardLogger().ReplaceHooks(make(logrus.LevelHooks))
-	})
-
-	return h
-}
-
 func keys(f *facts) []string { return slices.Sorted(maps.Keys(f.Roster().Known)) }
 
 // A user would see calls fail at a target that is none: another writer has written over its
@@ -96,7 +79,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			h := heard(t)
+			h := hearer.New(t)
 			f, s, c := lists(t, "a", "b")
 			s.Read(time.Minute) // Entries that vanish now are held.
 
@@ -120,7 +103,7 @@
 // of each reading would hide what changes.
 func TestRefusedEntryIsToldOnceForEachChange(t *testing.T) {
 	i := is.New(t)
-	h := heard(t)
+	h := hearer.New(t)
 	_, s, c := lists(t)
 
 	for n := range 3 {
@@ -158,7 +141,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				i := is.New(t)
-				h := heard(t)
+				h := hearer.New(t)
 				_, s, c := lists(t, "b")
 				bad := 0
 
