--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -131,7 +131,7 @@
 	x := prompted(u, most, h, q)
 	n := x.target.Key()
 	o := Choice{
-		Target: x.target, Source: c.sourceOr(now, r, u, n, h, q.Prefixes),
+		Target: x.target, Source: c.fetchFrom(now, r, u, n, h, q.Prefixes),
 		Load: x.load, Bound: most, Usable: len(u), Held: slices.Contains(h, n), Usual: usual,
 		prefixes: q.Prefixes,
 	}
@@ -145,13 +145,14 @@
 	return o, true
 }
 
-// sourceOr returns a target from which another may fetch a prompt that holders are known to hold.
-// Where none is known, it is the first in the prompt's own order, if that is another one.
+// fetchFrom returns the target from which another may fetch a prompt, or the longest beginning of it
+// that is held anywhere; nil when there is none. Where nobody is known to hold the prompt, it is the
+// first in the prompt's own order.
 //
 // After all instances were lost nobody knows where prompts are, though the engines still hold
 // them, and all callers come back at once. What is too much for the first in the order, which
 // had the prompt before, goes to the next ones. Each would read it anew.
-func (c *Chooser) sourceOr(
+func (c *Chooser) fetchFrom(
 	now time.Time, r *enroller.Roster, usable []candidate, target enroller.Key, holders []enroller.Key, l []Prefix,
 ) *enroller.Target {
 	if len(holders) == 0 && l[0].Tokens >= minFetch {
