--- a/internal/confiner/confiner.go
+++ b/internal/confiner/confiner.go
@@ -28,8 +28,8 @@
 	// reason to move anybody.
 	moments = 4
 	apart   = 500 * time.Millisecond
-	// keptPart is the part of a group's targets that a customer keeps to. Two customers of three
-	// that share a target share the harm; a smaller part would not hold the calls of a large one.
+	// keptPart is the part of a group's targets that a customer keeps to. It holds the calls of a
+	// customer that has half of all, and shares but a third of itself with that of another.
 	keptPart = 1.0 / 3
 )
 
