Lines that tell why a configuration is late: its length, and how a read failed

Cause: the logs of the incident can't tell a message that is refused for its length from one that is broken, nor a platform that is silent from an answer that was given up on its way.

Change: catalogInForce has the offset and length of its record, readerLost how long the read took, a refused reply its length, and each failed read of the platform a line with what had come of the answer.

No logic changes.

--- a/internal/gatekeeper/config_sink.go
+++ b/internal/gatekeeper/config_sink.go
@@ -43,7 +43,7 @@
 		var c *cataloger.Catalog
 
 		if c, err = cataloger.New(d); err == nil {
-			s.facts.enforce(c, "stream")
+			s.facts.enforce(c, r)
 
 			return
 		}
--- a/internal/gatekeeper/evacuation_sink_test.go
+++ b/internal/gatekeeper/evacuation_sink_test.go
@@ -165,7 +165,7 @@
 
 	c, err := cataloger.New(cataloger.Document{Version: 1, Groups: []cataloger.Group{{Name: "g"}}})
 	i.NoErr(err)
-	f.enforce(c, "test")
+	f.enforce(c, watcher.Record{})
 	i.Equal(open(f), "b")
 	i.Equal(len(f.Roster().Closed["g"]), 2)
 }
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -12,6 +12,7 @@
 	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/evacuator"
 	"github.com/auburntray/auburntray/internal/forwarder"
+	"github.com/auburntray/auburntray/internal/watcher"
 )
 
 // facts holds what is known of the world. It is safe for concurrent use.
@@ -100,7 +101,9 @@
 // enforce takes a catalog unless it is older than the one in force: reads may be
 // answered from an older state, and a version that callers have seen the effect
 // of never steps back.
-func (f *facts) enforce(c *cataloger.Catalog, source string) {
+//
+// The line tells the record that it came with: its length tells how long it took the link.
+func (f *facts) enforce(c *cataloger.Catalog, r watcher.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -112,7 +115,9 @@
 	f.catalog.Store(c)
 	f.publish()
 	f.learned()
-	logrus.WithFields(logrus.Fields{"event": "catalogInForce", "version": c.Version, "source": source}).Info()
+	logrus.WithFields(logrus.Fields{
+		"event": "catalogInForce", "version": c.Version, "source": "stream", "offset": r.Offset, "bytes": len(r.Value),
+	}).Info()
 }
 
 // learned closes known when there is a catalog and a list. The lock is held.
--- a/internal/gatekeeper/facts_test.go
+++ b/internal/gatekeeper/facts_test.go
@@ -36,7 +36,7 @@
 			if x.catalog {
 				k, err := cataloger.New(c)
 				i.NoErr(err)
-				f.enforce(k, "test")
+				f.enforce(k, watcher.Record{})
 			}
 
 			if x.targets {
@@ -94,7 +94,7 @@
 
 		c, err := cataloger.New(d)
 		i.NoErr(err)
-		f.enforce(c, "test")
+		f.enforce(c, watcher.Record{})
 	}
 
 	enforce(1, "g")
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -157,7 +157,7 @@
 	}
 
 	if _, err := r.UnmarshalMsg(f.Body); err != nil {
-		return errors.Mark(err, ErrFrame)
+		return errors.Mark(errors.Wrapf(err, "a reply of %d bytes", len(f.Body)), ErrFrame)
 	}
 
 	return nil
--- a/internal/repeater/reader.go
+++ b/internal/repeater/reader.go
@@ -19,7 +19,7 @@
 // reached is nobody's; one that answers with old knowledge may only have been turned away itself,
 // and must not be taken for dead: in an outage of the platform that would be every instance. The
 // one that reads for all may only be out of reach from here.
-func (s *Stream) leave(x reading, err error) {
+func (s *Stream) leave(x reading, took time.Duration, err error) {
 	if x.first || errors.Is(err, errOld) || x.from.ID == 0 {
 		s.mu.Lock()
 		s.skipped = x.from.ID
@@ -29,7 +29,9 @@
 		s.repeater.members.Suspect(x.from.ID)
 	}
 
-	logrus.WithFields(logrus.Fields{"event": "readerLost", "stream": s.name, "peer": x.from.Address, "error": err}).Info()
+	logrus.WithFields(logrus.Fields{
+		"event": "readerLost", "stream": s.name, "peer": x.from.Address, "took": took.Round(time.Millisecond), "error": err,
+	}).Info()
 }
 
 // reading is a read through another instance.
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/watcher"
@@ -55,6 +56,7 @@
 	s.note(x.from, ok)
 
 	if ok {
+		b := time.Now()
 		p, err := s.ask(c, x.from, from, min(wait, x.wait), x.stale)
 		s.count(sourceReader, err)
 
@@ -62,7 +64,7 @@
 			return s.take(p, from)
 		}
 
-		s.leave(x, err)
+		s.leave(x, time.Since(b), err)
 
 		// The time that was meant for waiting may be gone; the platform still has to
 		// be asked before changes are late.
@@ -90,6 +92,10 @@
 		return nil, 0, err
 	}
 
+	logrus.WithFields(logrus.Fields{
+		"event": "platformReadFailed", "stream": s.name, "took": time.Since(b).Round(time.Millisecond), "error": err,
+	}).Info()
+
 	return s.ofOthers(c, from, err)
 }
 
