internal/wire: a value may be as long as a frame

What callers saw: a configuration that had been replaced over three seconds before. Cause: the bound on the elements of a list, 65,536, which guards against lists that claim to be longer than they are, holds for bytes too. From a configuration on whose short form is longer, no instance could tell it to another: each left its reader and read the platform itself.

Change: each field with a value has a bound of its own, the length of a frame. A value that claims four thousand million bytes is still refused before memory is taken (two cases more).

The same cause elsewhere: the router's configuration told by a peer (302 KB at the design size) and the answers of calls that run once, told or in the log, were refused too.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,7 +13,8 @@
 
 // A list's length is believed before its elements are there: ten bytes of a peer that claim four
 // thousand million of them would end whoever reads them for want of memory, each time that they
-// are told. No message has a list near this long.
+// are told. No message has a list near this long. The bound holds for bytes too, and a value may
+// be as long as a frame: its field says so.
 //
 //msgp:limit arrays:65536 marshal:false
 
@@ -187,7 +188,7 @@
 	State        uint8
 	Status       int
 	ContentType  string
-	Answer       []byte
+	Answer       []byte `msg:"Answer,limit=16777216"`
 	Truncated    bool
 	RetryAfterMs uint32
 }
@@ -199,7 +200,7 @@
 	State       uint8
 	Status      int
 	ContentType string
-	Answer      []byte
+	Answer      []byte `msg:"Answer,limit=16777216"`
 	Truncated   bool
 }
 
@@ -218,7 +219,7 @@
 // peer has folded. An empty body means nothing newer.
 type StateReply struct {
 	Next uint64
-	Body []byte
+	Body []byte `msg:"Body,limit=16777216"`
 }
 
 // Place is one remembered chat.
@@ -253,7 +254,7 @@
 	Settled     uint8
 	Status      int
 	ContentType string
-	Answer      []byte
+	Answer      []byte `msg:"Answer,limit=16777216"`
 	Truncated   bool
 }
 
@@ -275,7 +276,7 @@
 	Whole   bool
 	AgeMs   uint32
 	Records []StreamRecord
-	Packed  []byte
+	Packed  []byte `msg:"Packed,limit=16777216"`
 }
 
 // StreamRecords are records in their order.
@@ -287,7 +288,7 @@
 // value is compressed by DEFLATE.
 type StreamRecord struct {
 	Key    string
-	Value  []byte
+	Value  []byte `msg:"Value,limit=16777216"`
 	Offset int64
 	Packed bool
 }
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -678,7 +678,7 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, err = dc.ReadBytesLimit(z.Answer, z5817a858limitArrays)
+	z.Answer, err = dc.ReadBytesLimit(z.Answer, 16777216)
 	if err == nil && z.Answer == nil {
 		z.Answer = []byte{}
 	}
@@ -819,7 +819,7 @@
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
-	if zb0002 > z5817a858limitArrays {
+	if zb0002 > 16777216 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -880,7 +880,7 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, err = dc.ReadBytesLimit(z.Answer, z5817a858limitArrays)
+	z.Answer, err = dc.ReadBytesLimit(z.Answer, 16777216)
 	if err == nil && z.Answer == nil {
 		z.Answer = []byte{}
 	}
@@ -988,7 +988,7 @@
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
-	if zb0002 > z5817a858limitArrays {
+	if zb0002 > 16777216 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -4050,7 +4050,7 @@
 		err = msgp.WrapError(err, "ContentType")
 		return
 	}
-	z.Answer, err = dc.ReadBytesLimit(z.Answer, z5817a858limitArrays)
+	z.Answer, err = dc.ReadBytesLimit(z.Answer, 16777216)
 	if err == nil && z.Answer == nil {
 		z.Answer = []byte{}
 	}
@@ -4169,7 +4169,7 @@
 		err = msgp.WrapError(err, "Answer")
 		return
 	}
-	if zb0002 > z5817a858limitArrays {
+	if zb0002 > 16777216 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -4390,7 +4390,7 @@
 		err = msgp.WrapError(err, "Next")
 		return
 	}
-	z.Body, err = dc.ReadBytesLimit(z.Body, z5817a858limitArrays)
+	z.Body, err = dc.ReadBytesLimit(z.Body, 16777216)
 	if err == nil && z.Body == nil {
 		z.Body = []byte{}
 	}
@@ -4454,7 +4454,7 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
-	if zb0002 > z5817a858limitArrays {
+	if zb0002 > 16777216 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -4575,7 +4575,7 @@
 		err = msgp.WrapError(err, "Key")
 		return
 	}
-	z.Value, err = dc.ReadBytesLimit(z.Value, z5817a858limitArrays)
+	z.Value, err = dc.ReadBytesLimit(z.Value, 16777216)
 	if err == nil && z.Value == nil {
 		z.Value = []byte{}
 	}
@@ -4661,7 +4661,7 @@
 		err = msgp.WrapError(err, "Value")
 		return
 	}
-	if zb0002 > z5817a858limitArrays {
+	if zb0002 > 16777216 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
@@ -4875,7 +4875,7 @@
 			return
 		}
 	}
-	z.Packed, err = dc.ReadBytesLimit(z.Packed, z5817a858limitArrays)
+	z.Packed, err = dc.ReadBytesLimit(z.Packed, 16777216)
 	if err == nil && z.Packed == nil {
 		z.Packed = []byte{}
 	}
@@ -5003,7 +5003,7 @@
 		err = msgp.WrapError(err, "Packed")
 		return
 	}
-	if zb0003 > z5817a858limitArrays {
+	if zb0003 > 16777216 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -45,6 +45,8 @@
 		"ends":            {&wire.Suspects{}, append([]byte{0x93, 0x91}, append([]byte{0x93, 0x01, 0x01}, claimed(0, 0)[1:]...)...)},
 		"released calls":  {&wire.ReleaseRequest{}, claimed(2, 0)},
 		"records":         {&wire.StreamRecords{}, claimed(1, 0)},
+		"a value":         {&wire.StreamRecord{}, []byte{0x94, 0xa0, 0xc6, 0xff, 0xff, 0xff, 0xff}},
+		"a short form":    {&wire.StreamReply{}, []byte{0x95, 0x00, 0xc2, 0x00, 0x90, 0xc6, 0xff, 0xff, 0xff, 0xff}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
