A long record is carried: reads last while they arrive, and who was told tells others

What callers saw: a configuration that had been replaced over three seconds before. Class: a time that fits one length of answer only. A read was given up after 1.35 s or 0.6 s, whether or not its answer was on the way; a reader whose answer was on the way looked silent, and all who read through it read the platform; one reader told all of its data centre, 27 copies of 80 KB over a link of 10 Mbit/s.

Change: internal/extender makes contexts that last while something arrives; the platform's client and the messenger tell of it.

The same cause elsewhere: the whole list of targets had 2.5 s in any case, and answers of others 250 ms; both last while they arrive now.

Besides: the first data centre is found with one look at each data centre, not at each instance.

--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -126,6 +126,7 @@
 		{"peers", a.Peers == b.Peers},
 		{"mostLoad", a.MostLoad == b.MostLoad},
 		{"within", a.Within == b.Within},
+		{"link", a.Link == b.Link},
 	} {
 		if !f.same {
 			o = append(o, f.name)
@@ -138,7 +139,7 @@
 func gatewaySettings(s platform.Settings) gatekeeper.Settings {
 	return gatekeeper.Settings{
 		Name: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Region: s.Region,
-		Regions: s.Regions, MostLoad: s.MostLoad, Within: s.Within,
+		Regions: s.Regions, MostLoad: s.MostLoad, Within: s.Within, Link: s.Link,
 		Tunables: gatekeeper.Tunables{
 			Seeds: s.Seeds, Stop: s.Stop,
 			Retries: budgeter.Settings{Ratio: s.RetryRatio, Window: s.RetryWindow, Slack: s.RetrySlack},
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -41,8 +41,8 @@
 	// reason.
 	stopMost = time.Hour
 	// configRest is the pause between two reads of the configuration when it changes all the time, and
-	// targetRestPart that between two reads of the targets, as a part of the time within which a change
-	// must be known. Each read has a price.
+	// targetRestPart that between two reads of the targets, as a part of the time that
+	// waits may take. Each read has a price.
 	configRest     = 100 * time.Millisecond
 	targetRestPart = 0.3
 )
@@ -170,6 +170,8 @@
 	m.Handle(wire.KindGone, i.ToldGone)
 	x.OnGone(i.Gone)
 
+	d := watcher.Waits(s.within())
+
 	g := &Gatekeeper{
 		settings: s, facts: f, forwarder: x, evacuations: newEvacuations(f, x), messenger: m, joiner: j, informer: i, warner: p.Warner, drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
@@ -181,10 +183,10 @@
 				&configSink{
 					facts: f, key: w.ConfigKey, decode: w.DecodeConfig, refusals: &refusals{stream: config, counter: p.Meter},
 				},
-			}, configRest, s.within()),
+			}, configRest, d),
 			watcher.New(targets, t, &targetSink{
 				facts: f, decode: w.DecodeTarget, marks: newMarks(), refusals: &refusals{stream: targets, counter: p.Meter},
-			}, time.Duration(targetRestPart*float64(s.within())), s.within()),
+			}, time.Duration(targetRestPart*float64(d)), d),
 		},
 	}
 	m.Handle(wire.KindEvacuations, g.evacuations.Asked)
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -32,6 +32,8 @@
 	// Within is the time within which a change of the configuration or of the targets must be in force
 	// at all instances; zero stands for DefaultWithin. The waits of reads follow from it.
 	Within time.Duration
+	// Link is what the instance's link carries, in bytes a second; zero stands for DefaultLink.
+	Link float64
 	// Metrics is where counts are served; zero serves them to nobody.
 	Metrics netip.AddrPort
 
@@ -46,6 +48,17 @@
 	withinMost    = 4 * time.Second
 )
 
+// DefaultLink is what a link carries where nobody says, in bytes a second: 10 Mbit/s.
+const DefaultLink = 1.25e6
+
+func (s Settings) link() float64 {
+	if s.Link == 0 {
+		return DefaultLink
+	}
+
+	return s.Link
+}
+
 func (s Settings) within() time.Duration {
 	if s.Within == 0 {
 		return DefaultWithin
--- a/internal/messenger/answer.go
+++ b/internal/messenger/answer.go
@@ -40,7 +40,7 @@
 	_ = c.SetReadDeadline(time.Time{})
 
 	for {
-		f, n, err := decode(r)
+		f, n, err := decode(r, nil)
 		if err != nil {
 			return
 		}
@@ -66,7 +66,7 @@
 
 // greeted reads the first frame of a connection, which says who is there.
 func (m *Messenger) greeted(r *bufio.Reader) (uint64, error) {
-	f, n, err := decode(r)
+	f, n, err := decode(r, nil)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -15,6 +15,8 @@
 	// MaxFrame is the largest frame in bytes. A document of the design size
 	// fits several times.
 	MaxFrame = 16 << 20
+	// piece is how many bytes of a frame are read at a time.
+	piece = 16 << 10
 	// room is for the length and the frame's own fields.
 	room = 24
 )
@@ -66,7 +68,9 @@
 // decode reads one frame and returns it with its size. A length above MaxFrame
 // is refused before memory is taken for it, or one bad peer could take all of
 // it.
-func decode(r *bufio.Reader) (wire.Frame, int, error) {
+//
+// It calls came, when that is not nil, as the pieces of a long frame arrive.
+func decode(r *bufio.Reader, came func()) (wire.Frame, int, error) {
 	var f wire.Frame
 
 	n, err := binary.ReadUvarint(r)
@@ -79,8 +83,15 @@
 	}
 
 	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
-		return f, 0, errors.Mark(err, ErrUnreachable)
+
+	for o := 0; o < len(b); o += piece {
+		if o > 0 && came != nil {
+			came()
+		}
+
+		if _, err := io.ReadFull(r, b[o:min(o+piece, len(b))]); err != nil {
+			return f, 0, errors.Mark(err, ErrUnreachable)
+		}
 	}
 
 	if _, err := f.UnmarshalMsg(b); err != nil {
--- a/internal/repeater/answer.go
+++ b/internal/repeater/answer.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/relayer"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
 // answer tells another instance what it asks for, as soon as there is something.
-func (s *Stream) answer(c context.Context, q wire.StreamRequest) (*wire.StreamReply, error) {
+func (s *Stream) answer(c context.Context, asker uint64, q wire.StreamRequest) (*wire.StreamReply, error) {
 	t := time.NewTimer(time.Duration(q.WaitMs) * time.Millisecond)
 	defer t.Stop()
 
@@ -23,7 +25,7 @@
 		}
 
 		if n > q.From || q.WaitMs == 0 {
-			return s.reply(q.From), nil
+			return s.ration(s.reply(q.From), asker, q.From), nil
 		}
 
 		select {
@@ -40,8 +42,7 @@
 	s.mu.Lock()
 	l, w := s.tape.since(from)
 	p := &wire.StreamReply{
-		Next: s.tape.next, Whole: w,
-		AgeMs: uint32(min(time.Since(s.tape.heard), time.Hour).Milliseconds()), //nolint:gosec // An hour at most.
+		Next: s.tape.next, Whole: w, AgeMs: sinceMs(s.tape.heard), ComingMs: sinceMs(s.came),
 	}
 
 	s.mu.Unlock()
@@ -85,3 +86,51 @@
 
 	return v, len(v) < len(r.Value)
 }
+
+// ration takes the records out of an answer that the link has no room for, and says who has them.
+func (s *Stream) ration(p *wire.StreamReply, asker uint64, from int64) *wire.StreamReply {
+	n := length(p)
+	if n < relayer.LongFrom || from < 0 {
+		return p
+	}
+
+	a, far := s.whereabouts(asker)
+
+	s.mu.Lock()
+	e, ok := s.relayer.Tell(time.Now(), p.Next, n, a, far)
+	s.mu.Unlock()
+
+	if ok {
+		return p
+	}
+
+	return &wire.StreamReply{Next: from, AgeMs: p.AgeMs, ComingMs: p.ComingMs, Elsewhere: e.String()}
+}
+
+// sinceMs returns how long ago a time was, an hour at most.
+func sinceMs(t time.Time) uint32 {
+	return uint32(min(time.Since(t), time.Hour).Milliseconds()) //nolint:gosec // Fits.
+}
+
+// whereabouts returns the address of an instance, which is not valid when it isn't known, and whether it is
+// of another data centre: it reads for all of that then.
+func (s *Stream) whereabouts(id uint64) (netip.AddrPort, bool) {
+	m := s.repeater.members
+	for _, x := range m.Live() {
+		if x.ID == id {
+			return x.Address, x.DataCentre != m.Self().DataCentre
+		}
+	}
+
+	return netip.AddrPort{}, false
+}
+
+// length returns how many bytes an answer's records take.
+func length(p *wire.StreamReply) int {
+	n := len(p.Packed)
+	for _, r := range p.Records {
+		n += len(r.Value)
+	}
+
+	return n
+}
--- a/internal/repeater/others.go
+++ b/internal/repeater/others.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/extender"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -17,7 +19,7 @@
 // something new, else that of the one that heard of the platform last.
 func (s *Stream) others(c context.Context, from int64) (*wire.StreamReply, error) {
 	// A time of its own: that for the platform may have run out.
-	x, stop := context.WithTimeout(context.WithoutCancel(c), peerTimeout)
+	x, stop := extender.New(context.WithoutCancel(c), extender.Settings{First: peerTimeout, Gap: carryGap, Most: carryMost})
 	defer stop()
 
 	l := s.some()
@@ -66,6 +68,25 @@
 	s.repeater.meter.Read(s.name, source, err == nil)
 }
 
+// askOn asks the instance that this one reads through, and those that it is sent on to.
+func (s *Stream) askOn(c context.Context, x reading, from int64, wait time.Duration) (*wire.StreamReply, error) {
+	p, err := s.ask(c, x.from, from, wait, x.stale)
+
+	for n := 0; err == nil && p.Elsewhere != "" && n < sentOnMost; n++ {
+		a, e := netip.ParseAddrPort(p.Elsewhere)
+		if e != nil {
+			return nil, errors.Mark(e, ErrPeer)
+		}
+
+		// It may be told just now: it is given the time for it.
+		if p, err = s.ask(c, gossiper.Member{Address: a}, from, x.wait, x.stale); err != nil {
+			err = errors.Mark(err, errSentOn)
+		}
+	}
+
+	return p, err
+}
+
 // ask asks one instance, whose own knowledge may be so old.
 func (s *Stream) ask(c context.Context, m gossiper.Member, from int64, wait, stale time.Duration) (*wire.StreamReply, error) {
 	d := peerTimeout
@@ -73,7 +94,7 @@
 		d = wait + peerSlack
 	}
 
-	x, stop := context.WithTimeout(c, d)
+	x, stop := extender.New(c, extender.Settings{First: d, Gap: carryGap, Most: carryMost, Came: s.arrived})
 	defer stop()
 
 	var p wire.StreamReply
@@ -84,7 +105,10 @@
 		return nil, errors.Mark(err, ErrPeer)
 	}
 
-	if time.Duration(p.AgeMs)*time.Millisecond > stale {
+	y := time.Duration(p.ComingMs) * time.Millisecond
+	s.coming(time.Now().Add(-y))
+
+	if time.Duration(p.AgeMs)*time.Millisecond > stale && y >= carryGap {
 		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), errOld)
 	}
 
--- a/internal/repeater/reader.go
+++ b/internal/repeater/reader.go
@@ -20,12 +20,15 @@
 // and must not be taken for dead: in an outage of the platform that would be every instance. The
 // one that reads for all may only be out of reach from here.
 func (s *Stream) leave(x reading, took time.Duration, err error) {
-	if x.first || errors.Is(err, errOld) || x.from.ID == 0 {
+	switch {
+	case errors.Is(err, errSentOn):
+		// The reader itself has answered.
+	case x.first || errors.Is(err, errOld) || x.from.ID == 0:
 		s.mu.Lock()
 		s.skipped = x.from.ID
 		s.skippedAt = time.Now()
 		s.mu.Unlock()
-	} else {
+	default:
 		s.repeater.members.Suspect(x.from.ID)
 	}
 
@@ -83,21 +86,19 @@
 // firstCentre returns the data centre of the region whose reader reads for all of them.
 func (s *Stream) firstCentre() string {
 	m := s.repeater.members
-	o := m.Self().DataCentre
-	k := hasher.Key("reader", s.name)
+	l := []string{m.Self().DataCentre}
 
 	for _, x := range m.Live() {
-		if x.Region == m.Self().Region && before(k, x.DataCentre, o) {
-			o = x.DataCentre
+		if x.Region == m.Self().Region && !slices.Contains(l, x.DataCentre) {
+			l = append(l, x.DataCentre)
 		}
 	}
 
-	return o
-}
+	k := hasher.Key("reader", s.name)
 
-// before says that a data centre is before another in a key's order.
-func before(key uint64, a, b string) bool {
-	return hasher.Score(key, hasher.Key(a), 1) > hasher.Score(key, hasher.Key(b), 1)
+	return slices.MaxFunc(l, func(a, b string) int {
+		return cmp.Compare(hasher.Score(k, hasher.Key(a), 1), hasher.Score(k, hasher.Key(b), 1))
+	})
 }
 
 // seed returns the read through one of the seeds, and false when this instance reads itself or the
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -12,6 +12,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/relayer"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -21,9 +22,11 @@
 	ErrPeer = errors.New("no instance could tell")
 	// errOld means that an instance answered with what is too old.
 	errOld = errors.New("what the instance knows is old")
+	// errSentOn means that an instance did not tell to which another sent this one on.
+	errSentOn = errors.New("sent on in vain")
 )
 
-// The parts are of the time within which a change must be in force everywhere.
+// The parts are of the time that all waits along the way of a change may take together.
 const (
 	// readerStalePart is how old the knowledge of the instance that reads for a data
 	// centre may be. Its reads wait for a third of that time; when they bring nothing for longer
@@ -53,6 +56,9 @@
 	// peerSlack is how much later than it should an answer to one that waits is
 	// given up.
 	peerSlack = 250 * time.Millisecond
+	// tellMost is for how long an instance's link may be taken by what others are told of a long answer when
+	// one more is told. It is below peerSlack: who waits behind them does not give up.
+	tellMost = 200 * time.Millisecond
 	// othersEvery is the pause between two rounds of asking others while the
 	// platform turns this instance away; the platform is asked again in each, and
 	// a refusal has a price too.
@@ -73,6 +79,12 @@
 	// settleIn is how long after its start an instance reads through a seed. By
 	// then gossip has told it of the others.
 	settleIn = 14 * time.Second
+	// carryMost bounds an answer that goes on arriving, and carryGap the time in which nothing of it does.
+	carryMost = 5 * time.Second
+	carryGap  = 300 * time.Millisecond
+	// sentOnMost bounds how often an instance is sent on to another that has the records: the levels that
+	// a data centre of some thousand instances has.
+	sentOnMost = 6
 )
 
 // Members knows the other instances.
@@ -108,26 +120,34 @@
 	messenger Messenger
 	members   Members
 	meter     Meter
-	// within is the time within which a change must be in force everywhere.
-	within  time.Duration
-	started time.Time
-	streams map[string]*Stream
+	settings  Settings
+	started   time.Time
+	streams   map[string]*Stream
 }
 
-// New returns a Repeater without streams, for changes that must be in force everywhere within a time.
-func New(m Messenger, x Members, c Meter, within time.Duration) *Repeater {
-	return &Repeater{messenger: m, members: x, meter: c, within: within, started: time.Now(), streams: make(map[string]*Stream)}
+// Settings are what a Repeater must know of the platform and of the instance.
+type Settings struct {
+	// Waits is the time that all waits along the way of a change may take together.
+	Waits time.Duration
+	// Rate is what the instance's link carries, in bytes a second.
+	Rate float64
 }
 
-// part returns a part of the time within which a change must be in force everywhere.
+// New returns a Repeater without streams.
+func New(m Messenger, x Members, c Meter, s Settings) *Repeater {
+	return &Repeater{messenger: m, members: x, meter: c, settings: s, started: time.Now(), streams: make(map[string]*Stream)}
+}
+
+// part returns a part of the time that waits may take.
 func (r *Repeater) part(f float64) time.Duration {
-	return time.Duration(f * float64(r.within))
+	return time.Duration(f * float64(r.settings.Waits))
 }
 
 // Stream adds a stream that is read from a source, or from other instances.
 func (r *Repeater) Stream(name string, s watcher.Source) *Stream {
 	x := &Stream{
 		name: name, repeater: r, source: s, tape: newTape(), changed: make(chan struct{}),
+		relayer: relayer.New(relayer.Settings{Rate: r.settings.Rate, Most: tellMost}),
 	}
 	r.streams[name] = x
 
@@ -135,7 +155,7 @@
 }
 
 // Answer answers an instance that reads from this one.
-func (r *Repeater) Answer(c context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
+func (r *Repeater) Answer(c context.Context, from uint64, body []byte) (msgp.Marshaler, error) {
 	var q wire.StreamRequest
 	if _, err := q.UnmarshalMsg(body); err != nil {
 		return nil, errors.Mark(err, ErrPeer)
@@ -146,5 +166,5 @@
 		return nil, ErrPeer
 	}
 
-	return s.answer(c, q)
+	return s.answer(c, from, q)
 }
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/extender"
+	"github.com/auburntray/auburntray/internal/relayer"
 	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -33,6 +35,9 @@
 	skippedAt time.Time
 	// refused says that the platform did not answer this instance's last call.
 	refused bool
+	// came is when something of an answer last arrived.
+	came    time.Time
+	relayer *relayer.Relayer
 	// reads was the last reader in the log, zero for this instance.
 	reads netip.AddrPort
 	noted bool
@@ -57,7 +62,7 @@
 
 	if ok {
 		b := time.Now()
-		p, err := s.ask(c, x.from, from, min(wait, x.wait), x.stale)
+		p, err := s.askOn(c, x, from, min(wait, x.wait))
 		s.count(sourceReader, err)
 
 		if err == nil {
@@ -78,7 +83,11 @@
 	}
 
 	b := time.Now()
-	l, n, err := s.source.Follow(c, from, wait)
+	y, stop := extender.New(c, extender.Settings{Came: s.arrived})
+
+	defer stop()
+
+	l, n, err := s.source.Follow(y, from, wait)
 	s.count(sourcePlatform, err)
 	s.setRefused(err)
 
@@ -99,6 +108,22 @@
 	return s.ofOthers(c, from, err)
 }
 
+// arrived notes that something of an answer has arrived here.
+func (s *Stream) arrived() {
+	s.coming(time.Now())
+}
+
+// coming notes when something of an answer arrived, here or where this instance reads. Those who read through
+// it wait for that, though what it knows is old: reading for themselves would take longer.
+func (s *Stream) coming(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if at.After(s.came) {
+		s.came = at
+	}
+}
+
 // ofOthers reads from others when the platform did not answer, for the reason given.
 func (s *Stream) ofOthers(c context.Context, from int64, err error) ([]watcher.Record, int64, error) {
 	p, e := s.others(c, from)
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/extender"
 	"github.com/auburntray/auburntray/internal/sleeper"
 )
 
@@ -18,8 +19,7 @@
 var ErrForgotten = errors.New("the records are no longer kept")
 
 const (
-	// waitPart is how long a read waits for a change, as a part of the time within which one must be
-	// in force everywhere. Each read has a price, but one that was under way when the network was cut
+	// waitPart is how long a read waits for a change, as a part of the time that waits may take. Each read has a price, but one that was under way when the network was cut
 	// is never answered, and nothing is heard until it is given up after silentAfter more. Others may
 	// read through this instance and are blind for as long.
 	waitPart    = 0.35
@@ -37,6 +37,9 @@
 	// every instance asks, and each refusal has a price.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// carryMost bounds a read whose answer goes on arriving. A configuration of two megabytes takes a
+	// link of 10 Mbit/s that long when callers take two thirds of it.
+	carryMost = 5 * time.Second
 	// maxDoublings bounds the exponent; by then retryMost is reached.
 	maxDoublings = 4
 )
@@ -48,7 +51,7 @@
 	Offset int64
 }
 
-// Source reads one stream.
+// Source reads one stream. It calls extender.Extend as an answer arrives, or the read is given up on its way.
 type Source interface {
 	// Newest returns the newest record of each key, and the offset after the
 	// last record that is surely among them.
@@ -91,9 +94,23 @@
 }
 
 // New returns a Watcher with the stream's name in logs, the pause after a read that brought records,
-// and the time within which a change must be in force everywhere.
-func New(name string, s Source, k Sink, rest, within time.Duration) *Watcher {
-	return &Watcher{name: name, source: s, sink: k, rest: rest, wait: time.Duration(waitPart * float64(within)), next: -1}
+// and the time that all waits along the way of a change may take together, see Waits.
+func New(name string, s Source, k Sink, rest, waits time.Duration) *Watcher {
+	return &Watcher{name: name, source: s, sink: k, rest: rest, wait: time.Duration(waitPart * float64(waits)), next: -1}
+}
+
+const (
+	// carryTime is how long a long record may take to come to all, beside the waits: a megabyte takes a link
+	// of 10 Mbit/s most of a second, and must be decoded.
+	carryTime = time.Second
+	// waitsLeast is the time for waits that is left in any case: reads have a price.
+	waitsLeast = 2 * time.Second
+)
+
+// Waits returns the time that all waits along the way of a change may take together, when it must be in force
+// everywhere within a time.
+func Waits(within time.Duration) time.Duration {
+	return within
 }
 
 // Run follows the stream until the context ends.
@@ -127,7 +144,7 @@
 		d, most = 0, shortTimeout
 	}
 
-	x, stop := context.WithTimeout(c, most)
+	x, stop := extender.New(c, extender.Settings{First: most, Gap: silentAfter, Most: carryMost})
 	defer stop()
 
 	l, n, err := w.source.Follow(x, w.next, d)
@@ -155,7 +172,7 @@
 // Reads may be answered from an older state than the one already seen. Such an
 // answer shows by its end, and taking it would bring back what was dropped.
 func (w *Watcher) reset(c context.Context) (int, error) {
-	x, stop := context.WithTimeout(c, newestTimeout)
+	x, stop := extender.New(c, extender.Settings{First: newestTimeout, Gap: silentAfter, Most: carryMost})
 	defer stop()
 
 	l, n, err := w.source.Newest(x)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -271,12 +271,19 @@
 // Whole they are the newest of each key, and keys that are not among them are
 // gone. AgeMs is how long ago the sender last heard from the platform. Packed holds, when
 // it is not empty, the records in place of Records: a StreamRecords, compressed by DEFLATE.
+//
+// With Elsewhere there are records, and the instance at that address has them; the sender's link is taken.
+// ComingMs is how long ago something last arrived of an answer on its way to the sender, or to whom the sender
+// reads through: it knows more in a moment when that is short.
 type StreamReply struct {
 	Next    int64
 	Whole   bool
 	AgeMs   uint32
 	Records []StreamRecord
 	Packed  []byte `msg:"Packed,limit=16777216"`
+
+	Elsewhere string
+	ComingMs  uint32
 }
 
 // StreamRecords are records in their order.
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -4834,8 +4834,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Next, err = dc.ReadInt64()
@@ -4883,13 +4883,23 @@
 		err = msgp.WrapError(err, "Packed")
 		return
 	}
+	z.Elsewhere, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Elsewhere")
+		return
+	}
+	z.ComingMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "ComingMs")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 5
-	err = en.Append(0x95)
+	// array header, size 7
+	err = en.Append(0x97)
 	if err != nil {
 		return
 	}
@@ -4925,14 +4935,24 @@
 		err = msgp.WrapError(err, "Packed")
 		return
 	}
+	err = en.WriteString(z.Elsewhere)
+	if err != nil {
+		err = msgp.WrapError(err, "Elsewhere")
+		return
+	}
+	err = en.WriteUint32(z.ComingMs)
+	if err != nil {
+		err = msgp.WrapError(err, "ComingMs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendInt64(o, z.Next)
 	o = msgp.AppendBool(o, z.Whole)
 	o = msgp.AppendUint32(o, z.AgeMs)
@@ -4945,6 +4965,8 @@
 		}
 	}
 	o = msgp.AppendBytes(o, z.Packed)
+	o = msgp.AppendString(o, z.Elsewhere)
+	o = msgp.AppendUint32(o, z.ComingMs)
 	return
 }
 
@@ -4956,8 +4978,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Next, bts, err = msgp.ReadInt64Bytes(bts)
@@ -5018,6 +5040,16 @@
 	}
 	copy(z.Packed, bts[:zb0003])
 	bts = bts[zb0003:]
+	z.Elsewhere, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Elsewhere")
+		return
+	}
+	z.ComingMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ComingMs")
+		return
+	}
 	o = bts
 	return
 }
@@ -5028,7 +5060,7 @@
 	for za0001 := range z.Records {
 		s += z.Records[za0001].Msgsize()
 	}
-	s += msgp.BytesPrefixSize + len(z.Packed)
+	s += msgp.BytesPrefixSize + len(z.Packed) + msgp.StringPrefixSize + len(z.Elsewhere) + msgp.Uint32Size
 	return
 }
 
