Of the time that changes may take, a second is for the way of a long record

Cause: made the waits of reads parts of all the time that the platform allows, where it allows more than two seconds. They do not have it to themselves. The longest chain at three seconds, a megabyte of configuration over links of 10 Mbit/s: an instance takes its reader for silent when its word is 1.65 s old (1.35 s for the reader of a data centre), reads the platform for 0.86 s at least, and tells others, 0.28 s a level; decoding takes 0.16 s of a fifth of a core. With the two levels of 27 instances that is 2.9 to 3.2 s. With parts of two seconds it is 2.5 to 2.8 s.

Change: Waits leaves a second of the time to the record, and never less than two for waits. Platforms that allow two seconds do as before, the grown, shifted and further ones as before, and the large one has three of its four seconds.

In return the change must be everywhere in the time of the waits, a second sooner than it asked.

--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -110,7 +110,7 @@
 // Waits returns the time that all waits along the way of a change may take together, when it must be in force
 // everywhere within a time.
 func Waits(within time.Duration) time.Duration {
-	return within
+	return min(within, max(waitsLeast, within-carryTime))
 }
 
 // Run follows the stream until the context ends.
