--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -51,7 +51,7 @@
 	Offset int64
 }
 
-// Source reads one stream. It calls extender.Extend as an answer arrives, or the read is given up on its way.
+// Source reads one stream. It calls extender.Extend as a long answer arrives, or the read is given up on its way.
 type Source interface {
 	// Newest returns the newest record of each key, and the offset after the
 	// last record that is surely among them.
