internal/repeater: only what may be long leaves a second for its way

Cause: the second that waits leave to the way of a long record was taken for the stream of targets too, whose entries are some hundred bytes; their reads are half of the calls to the platform.

Change: a stream is given the time that its waits may take together; that of the targets has all of it.

--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -159,7 +159,9 @@
 
 	const config, targets = "config", "targets"
 
-	c, t := r.Stream(config, w.Config), r.Stream(targets, w.Targets)
+	// Entries of targets are short, and the way to all instances takes them no time.
+	d, e := watcher.Waits(s.within()), s.within()
+	c, t := r.Stream(config, w.Config, d), r.Stream(targets, w.Targets, e)
 	f.heard = c.Heard
 	m.Handle(wire.KindStream, r.Answer)
 	m.Handle(wire.KindGossip, j.Gossip)
@@ -170,8 +172,6 @@
 	m.Handle(wire.KindGone, i.ToldGone)
 	x.OnGone(i.Gone)
 
-	d := watcher.Waits(s.within())
-
 	g := &Gatekeeper{
 		settings: s, facts: f, forwarder: x, evacuations: newEvacuations(f, x), messenger: m, joiner: j, informer: i, warner: p.Warner, drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
@@ -186,7 +186,7 @@
 			}, configRest, d),
 			watcher.New(targets, t, &targetSink{
 				facts: f, decode: w.DecodeTarget, marks: newMarks(), refusals: &refusals{stream: targets, counter: p.Meter},
-			}, time.Duration(targetRestPart*float64(d)), d),
+			}, time.Duration(targetRestPart*float64(e)), e),
 		},
 	}
 	m.Handle(wire.KindEvacuations, g.evacuations.Asked)
--- a/internal/gatekeeper/members.go
+++ b/internal/gatekeeper/members.go
@@ -17,7 +17,6 @@
 	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/recorder"
 	"github.com/auburntray/auburntray/internal/repeater"
-	"github.com/auburntray/auburntray/internal/watcher"
 )
 
 // processID names this process among all instances' processes.
@@ -63,7 +62,7 @@
 }
 
 func newRepeater(s Settings, m *messenger.Messenger, j *joiner.Joiner, c *meter.Meter) *repeater.Repeater {
-	return repeater.New(m, j, c, repeater.Settings{Waits: watcher.Waits(s.within()), Rate: s.link()})
+	return repeater.New(m, j, c, s.link())
 }
 
 // peakFor is how long the largest number of instances seen stands. Instances that
--- a/internal/repeater/others.go
+++ b/internal/repeater/others.go
@@ -27,7 +27,7 @@
 
 	for _, m := range l {
 		go func() {
-			p, err := s.ask(x, m, from, 0, s.repeater.part(otherStalePart))
+			p, err := s.ask(x, m, from, 0, s.part(otherStalePart))
 			s.count(sourceOther, err)
 
 			o <- p
--- a/internal/repeater/reader.go
+++ b/internal/repeater/reader.go
@@ -57,11 +57,11 @@
 		return s.seed()
 	}
 
-	x := reading{wait: s.repeater.part(readerWaitPart), stale: s.repeater.part(readerStalePart)}
+	x := reading{wait: s.part(readerWaitPart), stale: s.part(readerStalePart)}
 
 	h, ok := s.home(m.Self().DataCentre)
 	if ok && h.ID == m.Self().ID {
-		x.wait, x.stale, x.first = s.repeater.part(firstWaitPart), s.repeater.part(firstStalePart), true
+		x.wait, x.stale, x.first = s.part(firstWaitPart), s.part(firstStalePart), true
 		h, ok = s.home(s.firstCentre())
 	}
 
@@ -119,7 +119,7 @@
 	}
 
 	if !slices.Contains(l, m.Self().Address) {
-		return reading{from: gossiper.Member{Address: l[m.Self().ID%uint64(len(l))]}, wait: s.repeater.part(readerWaitPart), stale: s.repeater.part(readerStalePart)}, true
+		return reading{from: gossiper.Member{Address: l[m.Self().ID%uint64(len(l))]}, wait: s.part(readerWaitPart), stale: s.part(readerStalePart)}, true
 	}
 
 	k := hasher.Key("reader", s.name)
@@ -127,7 +127,7 @@
 		return cmp.Compare(hasher.Score(k, hasher.Key(a.String()), 1), hasher.Score(k, hasher.Key(b.String()), 1))
 	})
 
-	return reading{from: gossiper.Member{Address: f}, wait: s.repeater.part(firstWaitPart), stale: s.repeater.part(firstStalePart), first: true}, f != m.Self().Address
+	return reading{from: gossiper.Member{Address: f}, wait: s.part(firstWaitPart), stale: s.part(firstStalePart), first: true}, f != m.Self().Address
 }
 
 // probes says whether this instance asks the platform itself: when the platform
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -120,34 +120,23 @@
 	messenger Messenger
 	members   Members
 	meter     Meter
-	settings  Settings
-	started   time.Time
-	streams   map[string]*Stream
+	// rate is what the instance's link carries, in bytes a second.
+	rate    float64
+	started time.Time
+	streams map[string]*Stream
 }
 
-// Settings are what a Repeater must know of the platform and of the instance.
-type Settings struct {
-	// Waits is the time that all waits along the way of a change may take together.
-	Waits time.Duration
-	// Rate is what the instance's link carries, in bytes a second.
-	Rate float64
+// New returns a Repeater without streams, for an instance whose link carries so many bytes a second.
+func New(m Messenger, x Members, c Meter, rate float64) *Repeater {
+	return &Repeater{messenger: m, members: x, meter: c, rate: rate, started: time.Now(), streams: make(map[string]*Stream)}
 }
 
-// New returns a Repeater without streams.
-func New(m Messenger, x Members, c Meter, s Settings) *Repeater {
-	return &Repeater{messenger: m, members: x, meter: c, settings: s, started: time.Now(), streams: make(map[string]*Stream)}
-}
-
-// part returns a part of the time that waits may take.
-func (r *Repeater) part(f float64) time.Duration {
-	return time.Duration(f * float64(r.settings.Waits))
-}
-
-// Stream adds a stream that is read from a source, or from other instances.
-func (r *Repeater) Stream(name string, s watcher.Source) *Stream {
+// Stream adds a stream that is read from a source, or from other instances. All waits along the way of a change
+// may take a time together.
+func (r *Repeater) Stream(name string, s watcher.Source, waits time.Duration) *Stream {
 	x := &Stream{
-		name: name, repeater: r, source: s, tape: newTape(), changed: make(chan struct{}),
-		relayer: relayer.New(relayer.Settings{Rate: r.settings.Rate, Most: tellMost}),
+		name: name, repeater: r, source: s, waits: waits, tape: newTape(), changed: make(chan struct{}),
+		relayer: relayer.New(relayer.Settings{Rate: r.rate, Most: tellMost}),
 	}
 	r.streams[name] = x
 
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -372,8 +372,8 @@
 
 	for n, c := range centres {
 		i := &instance{fleet: f, number: n, centre: c, sink: &sink{}, suspected: map[uint64]time.Time{}}
-		i.repeater = repeater.New(i, i, meter.New(), repeater.Settings{Waits: waits, Rate: 1.25e6})
-		i.stream = i.repeater.Stream("s", view{f.platform, n})
+		i.repeater = repeater.New(i, i, meter.New(), 1.25e6)
+		i.stream = i.repeater.Stream("s", view{f.platform, n}, waits)
 		f.instances = append(f.instances, i)
 		f.members = append(f.members, i.member())
 	}
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -21,6 +21,8 @@
 	name     string
 	repeater *Repeater
 	source   watcher.Source
+	// waits is the time that all waits along the way of a change may take together.
+	waits time.Duration
 
 	// packing is held while a short form is made, and taken before mu.
 	packing sync.Mutex
@@ -45,6 +47,11 @@
 
 var _ watcher.Source = (*Stream)(nil)
 
+// part returns a part of the time that waits may take.
+func (s *Stream) part(f float64) time.Duration {
+	return time.Duration(f * float64(s.waits))
+}
+
 // Heard returns when the platform last confirmed what is known of the stream.
 func (s *Stream) Heard() time.Time {
 	s.mu.Lock()
@@ -73,7 +80,7 @@
 
 		// The time that was meant for waiting may be gone; the platform still has to
 		// be asked before changes are late.
-		if time.Since(s.Heard()) > s.repeater.part(heardLatelyPart) {
+		if time.Since(s.Heard()) > s.part(heardLatelyPart) {
 			wait = 0
 		}
 	}
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -107,8 +107,8 @@
 	waitsLeast = 2 * time.Second
 )
 
-// Waits returns the time that all waits along the way of a change may take together, when it must be in force
-// everywhere within a time.
+// Waits returns the time that all waits along the way of a change may take together, when its record may be long
+// and it must be in force everywhere within a time.
 func Waits(within time.Duration) time.Duration {
 	return min(within, max(waitsLeast, within-carryTime))
 }
