internal/repeater: who reads for others has one of the widest links

An instance tells the class in the two lowest bits of its ID, which were random: messages between releases stay as they are.

The fake fleet has wide links now: two of 27 instances of each data centre read for the others, and the record comes in time, also when who reads is cut off. Where all links are alike nothing changes.

--- a/internal/commander/ask.go
+++ b/internal/commander/ask.go
@@ -27,7 +27,7 @@
 	c, stop := context.WithTimeout(c, askTimeout)
 	defer stop()
 
-	m, end, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), joiner.NewID(), &net.Dialer{}, nil)
+	m, end, err := messenger.New(netip.MustParseAddrPort("127.0.0.1:0"), joiner.NewID(0), &net.Dialer{}, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/gatekeeper/members.go
+++ b/internal/gatekeeper/members.go
@@ -23,7 +23,7 @@
 type processID uint64
 
 func newMessenger(l fx.Lifecycle, s Settings) (*messenger.Messenger, processID, error) {
-	id := processID(joiner.NewID())
+	id := processID(joiner.NewID(gossiper.ClassOf(s.link())))
 
 	m, stop, err := messenger.New(s.Peers, uint64(id), &net.Dialer{}, nil)
 	if err != nil {
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -61,15 +61,18 @@
 }
 
 // NewID returns an ID for this process that is higher than that of any earlier one
-// at its address, as far as its clock goes, and that no two processes share.
-func NewID() uint64 {
+// at its address, as far as its clock goes, and that no two processes share. It tells the class of the process's
+// link, see gossiper.Member.Link.
+func NewID(k gossiper.LinkClass) uint64 {
 	var b [8]byte
 
 	_, _ = rand.Read(b[:])
 
 	const randomBits = 12
 
-	return uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1)
+	o := uint64(time.Now().UnixMicro())<<randomBits | binary.LittleEndian.Uint64(b[:])&(1<<randomBits-1)
+
+	return o>>gossiper.LinkClassBits<<gossiper.LinkClassBits | uint64(k)
 }
 
 // Hooks connect a Joiner with the rest of the router.
--- a/internal/repeater/long_test.go
+++ b/internal/repeater/long_test.go
@@ -22,6 +22,8 @@
 	storeByte = 12 * time.Nanosecond
 	// applying is how long a fifth of a core takes to decode a configuration of a megabyte and put it in force.
 	applying = 200 * time.Millisecond
+	// wideTimes is by how much wide links carry more.
+	wideTimes = 20
 	// piece is how many bytes come at a time.
 	piece = 16 << 10
 )
@@ -30,6 +32,8 @@
 type links struct {
 	// perByte is how long a byte takes an instance's link; zero carries everything at once.
 	perByte time.Duration
+	// wide are the instances whose links carry more.
+	wide map[int]bool
 	// free is when each instance's link is free again, and store when the platform is.
 	free  map[int]time.Time
 	store time.Time
@@ -44,7 +48,13 @@
 		l := &p.links
 		b := latest(time.Now(), l.store)
 		l.store = b.Add(n * storeByte)
-		e := latest(l.store, l.free[instance]).Add(n * l.perByte)
+
+		d := l.perByte
+		if l.wide[instance] {
+			d /= wideTimes
+		}
+
+		e := latest(l.store, l.free[instance]).Add(n * d)
 		l.free[instance] = e
 		p.mu.Unlock()
 
@@ -100,14 +110,18 @@
 		within, perByte      time.Duration
 		// cut takes the instance that reads for all away from the platform and from all others.
 		cut bool
+		// wide is how many instances of each data centre have a wide link.
+		wide int
 	}{
-		"8 instances":                     {2, 4, five, 3 * time.Second, thin, false},
-		"8, who reads is cut off":         {2, 4, five, 3 * time.Second, thin, true},
-		"80 instances":                    {3, 27, five, 3 * time.Second, thin, false},
-		"80, who reads is cut off":        {3, 27, five, 3 * time.Second, thin, true},
-		"295, links twice as fast":        {6, 50, five, 4 * time.Second, thin / 2, false},
-		"380, who reads is cut off":       {8, 48, five, 4 * time.Second, thin, true},
-		"80, a short one, reader cut off": {3, 27, 40, 3 * time.Second, thin, true},
+		"8 instances":                     {2, 4, five, 3 * time.Second, thin, false, 0},
+		"8, who reads is cut off":         {2, 4, five, 3 * time.Second, thin, true, 0},
+		"80 instances":                    {3, 27, five, 3 * time.Second, thin, false, 0},
+		"80, who reads is cut off":        {3, 27, five, 3 * time.Second, thin, true, 0},
+		"295, links twice as fast":        {6, 50, five, 4 * time.Second, thin / 2, false, 0},
+		"380, who reads is cut off":       {8, 48, five, 4 * time.Second, thin, true, 0},
+		"80, two wide ones each":          {3, 27, five, 3 * time.Second, thin, false, 2},
+		"80, and who reads is cut off":    {3, 27, five, 3 * time.Second, thin, true, 2},
+		"80, a short one, reader cut off": {3, 27, 40, 3 * time.Second, thin, true, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -118,9 +132,18 @@
 					l = append(l, slices.Repeat([]string{fmt.Sprint(n)}, x.each)...)
 				}
 
-				f, stop := startIn(t, newPlatform(), nil, x.within, l...)
+				p := newPlatform()
+				p.links.wide = map[int]bool{}
+
+				for n := range l {
+					p.links.wide[n] = n%x.each >= x.each-x.wide
+				}
+
+				f, stop := startIn(t, p, nil, x.within, l...)
 				defer stop()
 
+				i.True(x.wide == 0 || p.links.wide[f.mostReads()])
+
 				f.mu.Lock()
 				f.perByte = x.perByte
 				f.mu.Unlock()
--- a/internal/repeater/reader.go
+++ b/internal/repeater/reader.go
@@ -77,10 +77,39 @@
 	return x, h.ID != s.skipped || time.Since(s.skippedAt) >= skipFor
 }
 
-// home returns the instance that is to read for a data centre.
+// home returns the instance that is to read for a data centre: one of those whose links carry most. While a long
+// record comes over a thin link, nobody is answered there for a second.
 func (s *Stream) home(centre string) (gossiper.Member, bool) {
 	// A key stands for one list of data centres.
-	return s.repeater.members.Home(hasher.Key("reader", s.name, centre), []string{centre})
+	k := hasher.Key("reader", s.name, centre)
+
+	o, ok := s.repeater.members.Home(k, []string{centre})
+	if !ok || o.DataCentre != centre {
+		return o, ok
+	}
+
+	l := s.repeater.members.Live()
+	c := o.Link()
+
+	for _, x := range l {
+		if x.DataCentre == centre {
+			c = max(c, x.Link())
+		}
+	}
+
+	if o.Link() == c {
+		return o, true
+	}
+
+	most := -1.0
+
+	for _, x := range l {
+		if n := hasher.Score(k, x.ID, 1); x.DataCentre == centre && x.Link() == c && n > most {
+			o, most = x, n
+		}
+	}
+
+	return o, true
 }
 
 // firstCentre returns the data centre of the region whose reader reads for all of them.
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -157,8 +157,10 @@
 	// each instance's link is free again.
 	perByte time.Duration
 	free    map[int]time.Time
-	sent    int
-	mu      sync.Mutex
+	// wide are instances whose links carry twenty times as much.
+	wide map[int]bool
+	sent int
+	mu   sync.Mutex
 }
 
 type instance struct {
@@ -173,11 +175,29 @@
 
 func (i *instance) member() gossiper.Member {
 	return gossiper.Member{
-		ID: uint64(i.number + 1), DataCentre: i.centre,
+		ID: uint64(i.number+1)<<gossiper.LinkClassBits | uint64(i.link()), DataCentre: i.centre,
 		Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i.number+1)),
 	}
 }
 
+// link returns the class of the instance's link.
+func (i *instance) link() gossiper.LinkClass {
+	if i.fleet.wide[i.number] {
+		return 1
+	}
+
+	return 0
+}
+
+// per returns how long a byte takes from an instance.
+func (f *fleet) per(n int) time.Duration {
+	if f.wide[n] {
+		return f.perByte / wideTimes
+	}
+
+	return f.perByte
+}
+
 func (i *instance) Self() gossiper.Member { return i.member() }
 
 func (i *instance) Seeds() []netip.AddrPort { return i.fleet.seeds }
@@ -260,7 +280,7 @@
 		k := min(piece, len(b)-o)
 
 		i.fleet.mu.Lock()
-		at := latest(time.Now(), i.fleet.free[n]).Add(time.Duration(k) * i.fleet.perByte)
+		at := latest(time.Now(), i.fleet.free[n]).Add(time.Duration(k) * i.fleet.per(n))
 		i.fleet.free[n] = at
 		i.fleet.sent += k
 		i.fleet.mu.Unlock()
@@ -365,6 +385,7 @@
 		down:     map[int]bool{},
 		seeds:    seeds,
 		free:     map[int]time.Time{},
+		wide:     p.links.wide,
 	}
 	f.platform.put("k", "0")
 
@@ -372,7 +393,13 @@
 
 	for n, c := range centres {
 		i := &instance{fleet: f, number: n, centre: c, sink: &sink{}, suspected: map[uint64]time.Time{}}
-		i.repeater = repeater.New(i, i, meter.New(), 1.25e6)
+
+		r := 1.25e6 // Bytes a second: 10 Mbit/s.
+		if f.wide[n] {
+			r *= wideTimes
+		}
+
+		i.repeater = repeater.New(i, i, meter.New(), r)
 		i.stream = i.repeater.Stream("s", view{f.platform, n}, waits)
 		f.instances = append(f.instances, i)
 		f.members = append(f.members, i.member())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -100,7 +100,7 @@
 type processID uint64
 
 func newID() processID {
-	return processID(joiner.NewID())
+	return processID(joiner.NewID(0))
 }
 
 // Peer is the address on which this router is reached by others.
