--- a/internal/gossiper/link.go
+++ b/internal/gossiper/link.go
@@ -28,5 +28,5 @@
 
 // Link returns the class of the member's link.
 func (m Member) Link() LinkClass {
-	return LinkClass(m.ID % linkClasses) //nolint:gosec // A few classes.
+	return LinkClass(m.ID % linkClasses)
 }
