internal/repeater: the fake platform wakes its readers

Its reads looked for a change each millisecond of fake time: five million timers for 380 instances that have just started. Readers wait for the change itself.

--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -31,6 +31,8 @@
 type platform struct {
 	mu      sync.Mutex
 	records []watcher.Record
+	// changed is closed when a record is added.
+	changed chan struct{}
 	refused map[int]bool
 	silent  map[int]bool
 	reads   map[int]int
@@ -58,6 +60,9 @@
 	defer p.mu.Unlock()
 
 	p.records = append(p.records, watcher.Record{Key: key, Value: []byte(value), Offset: int64(len(p.records))})
+
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 // view is the platform as one instance sees it.
@@ -119,6 +124,10 @@
 	b := time.Now()
 
 	for {
+		v.mu.Lock()
+		x := v.changed
+		v.mu.Unlock()
+
 		if l := v.since(from); len(l) > 0 || time.Since(b) >= wait {
 			n := 0
 			for _, r := range l {
@@ -129,7 +138,8 @@
 		}
 
 		select {
-		case <-time.After(time.Millisecond):
+		case <-x:
+		case <-time.After(wait - time.Since(b)):
 		case <-c.Done():
 			return nil, 0, c.Err()
 		}
@@ -364,7 +374,7 @@
 }
 
 func newPlatform() *platform {
-	return &platform{refused: map[int]bool{}, silent: map[int]bool{}, reads: map[int]int{}, takes: map[int]time.Duration{}, links: links{free: map[int]time.Time{}}}
+	return &platform{changed: make(chan struct{}), refused: map[int]bool{}, silent: map[int]bool{}, reads: map[int]int{}, takes: map[int]time.Duration{}, links: links{free: map[int]time.Time{}}}
 }
 
 // startOn runs them on a platform whose changes must be in force within two seconds.
