--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -19,9 +19,10 @@
 var ErrForgotten = errors.New("the records are no longer kept")
 
 const (
-	// waitPart is how long a read waits for a change, as a part of the time that waits may take. Each read has a price, but one that was under way when the network was cut
-	// is never answered, and nothing is heard until it is given up after silentAfter more. Others may
-	// read through this instance and are blind for as long.
+	// waitPart is how long a read waits for a change, as a part of the time that waits may take. Each read
+	// has a price, but one that was under way when the network was cut is never answered, and nothing is
+	// heard until it is given up after silentAfter more. Others may read through this instance and are
+	// blind for as long.
 	waitPart    = 0.35
 	silentAfter = 300 * time.Millisecond
 	// newestTimeout bounds a read of all keys. The source answers within a few
