--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -175,6 +175,7 @@
 
 	x.tried = append(x.tried, t.Target.ID)
 	x.choice = t
+	x.reply = Reply{}
 	x.sentAt = time.Now()
 
 	if x.rule.Kind == cataloger.Stream {
@@ -253,6 +254,7 @@
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
+	x.reply = p
 	f.report(x, t.Target, p)
 
 	// An answer to an earlier call may come late, where that to this one is due.
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -75,6 +75,11 @@
 	Sealed bool
 	// Misdirected says that another target has the address.
 	Misdirected bool
+	// Leaving says that the target's process is about to leave and wants no new calls.
+	Leaving bool
+	// Rest is for how long the target wants no calls from this instance, which it has just turned
+	// away; zero when it does not say.
+	Rest time.Duration
 	// Load is how many calls the target runs and has waiting; Slots is how many
 	// it runs at most. All are zero when it does not say.
 	Running, Waiting, Slots int
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -52,6 +52,8 @@
 	full bool
 	// cold is how many targets the last choice left out since they are cold.
 	cold int
+	// reply is what the target of the last choice said of itself.
+	reply Reply
 	// sentAt is when the present attempt began.
 	sentAt time.Time
 	// ticket is the call's place among those that should begin in time, or, when late
@@ -191,6 +193,14 @@
 		l["counted"] = x.room.verdict.Calls
 	}
 
+	if x.reply.Leaving {
+		l["saysLeaving"] = true
+	}
+
+	if x.reply.Rest > 0 {
+		l["asksRest"] = x.reply.Rest
+	}
+
 	if !x.passed.IsZero() {
 		l["first"] = x.first.Round(time.Microsecond)
 		l["longestPause"] = x.longest.Round(time.Microsecond)
