A target that says in an answer that it leaves gets no more calls, from any instance

What callers saw: nothing yet; calls went to engines that were about to end, 2.3 s and more after they had said so to the very instance, while the platform was away.

Cause: nothing read that word. The class: what a target says of itself in an answer goes unheard.

Change: the word is taken with the head of an answer, whatever becomes of the call (served, failed, turned away, broken off, another call's late answer), unless another target has the address (421). It is kept with the list of targets, by process: the roster has no calls for such a target, so that no way of a call can miss it, those that asked a home meanwhile included. It outlives an older list and a lapse of the entry for a minute, and ends with the process. Where all targets of a group leave, calls are refused at once, with when to come back.

--- a/internal/chooser/view.go
+++ b/internal/chooser/view.go
@@ -70,7 +70,7 @@
 
 	for _, x := range r.Known {
 		switch {
-		case x.Key() == t.Key() || x.Draining:
+		case x.Key() == t.Key() || x.Leaves():
 		case x.DataCentre == t.DataCentre:
 			near = append(near, x)
 		default:
--- a/internal/enroller/enroller.go
+++ b/internal/enroller/enroller.go
@@ -36,6 +36,9 @@
 type Enroller struct {
 	settings Settings
 	entries  map[string]*entry
+	// leaving are the processes that said in answers that they leave, with when they were last on
+	// the list, or were heard if they were not.
+	leaving map[Key]time.Time
 	// regained is when the list was last back after it had been away.
 	regained time.Time
 	// roster is the last one made, and stale says that entries have changed since.
@@ -45,7 +48,7 @@
 
 // New returns an Enroller without targets.
 func New(s Settings) *Enroller {
-	return &Enroller{settings: s, entries: make(map[string]*entry), stale: true}
+	return &Enroller{settings: s, entries: make(map[string]*entry), leaving: make(map[Key]time.Time), stale: true}
 }
 
 // Roster returns the targets that are believed now. It is made anew when entries have
@@ -80,10 +83,56 @@
 // and the last one names the process that runs, also when its start is before that of the
 // one before: see Process.
 func (e *Enroller) Set(t Target) {
-	e.entries[t.ID] = &entry{target: t.enter()}
+	e.enter(t)
 	e.stale = true
 }
 
+// enter enters a target, whose process may have said that it leaves.
+func (e *Enroller) enter(t Target) {
+	x := t.enter()
+	_, x.Leaving = e.leaving[x.key]
+	e.entries[t.ID] = &entry{target: x}
+}
+
+// leavingFor is how long it is remembered that a process leaves which is not on the list. One that
+// leaves while the platform is away lapses, and is on the list once more when that is back.
+const leavingFor = time.Minute
+
+// Leave takes a process's own word that it leaves, and says whether that was news. It takes no new
+// calls from then on, whatever the list says; that word is older, or waits for the platform.
+func (e *Enroller) Leave(now time.Time, p Process) bool {
+	k := p.Key()
+	if _, ok := e.leaving[k]; ok {
+		return false
+	}
+
+	e.leaving[k] = now
+
+	if x, ok := e.entries[p.ID]; ok && x.target.key == k {
+		t := *x.target
+		t.Leaving = true
+		x.target = &t
+		e.stale = true
+	}
+
+	return true
+}
+
+// forgetLeaving drops the processes that have long been off the list.
+func (e *Enroller) forgetLeaving(now time.Time) {
+	for _, x := range e.entries {
+		if x.target.Leaving {
+			e.leaving[x.target.key] = now
+		}
+	}
+
+	for k, at := range e.leaving {
+		if now.Sub(at) >= leavingFor {
+			delete(e.leaving, k)
+		}
+	}
+}
+
 // Remove takes a target off. It says whether the target was dropped at once and
 // not held.
 //
@@ -96,7 +145,7 @@
 		return false
 	}
 
-	if now.Before(e.regained.Add(e.settings.Grace)) && !x.target.Draining {
+	if now.Before(e.regained.Add(e.settings.Grace)) && !x.target.Leaves() {
 		x.held = true
 
 		return false
@@ -126,7 +175,7 @@
 
 	for _, t := range l {
 		k[t.ID] = true
-		e.entries[t.ID] = &entry{target: t.enter()}
+		e.enter(t)
 	}
 
 	for id := range e.entries {
@@ -138,8 +187,13 @@
 	e.stale = true
 }
 
-// Settle drops the held entries whose grace is over and returns their IDs.
+// Settle drops the held entries whose grace is over and returns their IDs. It is to be called again
+// and again.
 func (e *Enroller) Settle(now time.Time) []string {
+	if len(e.leaving) > 0 {
+		e.forgetLeaving(now)
+	}
+
 	if now.Before(e.regained.Add(e.settings.Grace)) {
 		return nil
 	}
--- a/internal/enroller/roster.go
+++ b/internal/enroller/roster.go
@@ -18,7 +18,7 @@
 	// Reopened is when evacuations of data centres were over. Their targets may have become cold
 	// meanwhile, which the list tells later.
 	Reopened map[string]time.Time
-	// Known holds all targets on the list, those that are draining too.
+	// Known holds all targets on the list, those that leave too.
 	Known map[string]*Target
 	// Processes holds the same by the keys of their processes.
 	Processes map[Key]*Target
@@ -72,7 +72,7 @@
 	return &o
 }
 
-// Takes says that a process takes new calls as the same target: it is on the list, is not draining
+// Takes says that a process takes new calls as the same target: it is on the list, does not leave
 // and its data centre is not evacuated.
 func (r *Roster) Takes(t *Target) bool {
 	x, ok := r.Processes[t.Key()]
@@ -80,6 +80,17 @@
 	return ok && !x.Moved(t) && slices.Contains(r.Groups[x.Group], x)
 }
 
+// Leaves says that there are targets of a group that leave.
+func (r *Roster) Leaves(group string) bool {
+	for _, t := range r.Known {
+		if t.Group == group && t.Leaves() {
+			return true
+		}
+	}
+
+	return false
+}
+
 // newRoster returns the roster of targets.
 func newRoster(l []*Target) *Roster {
 	r := &Roster{
@@ -99,7 +110,7 @@
 		r.Processes[t.key] = t
 		r.Names[n] = t
 
-		if !t.Draining {
+		if !t.Leaves() {
 			r.Groups[t.Group] = append(r.Groups[t.Group], t)
 		}
 	}
--- a/internal/enroller/target.go
+++ b/internal/enroller/target.go
@@ -18,6 +18,8 @@
 	Slots int
 	// Draining says that it is about to leave and takes no new calls.
 	Draining bool
+	// Leaving says that its process said so itself in an answer, whatever the list says.
+	Leaving bool
 	// Start is when its process started, by its own clock, which may step; zero when the
 	// list does not say. It tells two processes under one ID apart, and not which of them
 	// is the later.
@@ -88,6 +90,9 @@
 // no roster.
 func (t *Target) Centre() uint32 { return t.centre }
 
+// Leaves says that the target is about to leave, by the list's word or its own.
+func (t *Target) Leaves() bool { return t.Draining || t.Leaving }
+
 // Moved says that an entry of the same process has another address or group.
 func (t *Target) Moved(from *Target) bool {
 	return t.Address != from.Address || t.Group != from.Group
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -144,6 +144,8 @@
 	switch {
 	case len(r.Groups[x.group]) == 0 && len(r.Closed[x.group]) > 0:
 		return refuse(http.StatusServiceUnavailable, Evacuated, evacuatedWait, "all data centres with targets are evacuated")
+	case len(r.Groups[x.group]) == 0 && r.Leaves(x.group):
+		return refuse(http.StatusServiceUnavailable, Leaving, leavingWait, "all targets leave")
 	case x.cold > 0:
 		return refuse(http.StatusServiceUnavailable, Cold, failWait, "%d targets are cold and bear no more calls now", x.cold)
 	default:
@@ -256,6 +258,7 @@
 	p := f.dialect.Answer(a.Header, a.StatusCode)
 	x.reply = p
 	f.report(x, t.Target, p)
+	f.heed(t.Target, p)
 
 	// An answer to an earlier call may come late, where that to this one is due.
 	// Its ID shows it; passing it on would give the caller another's answer.
--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -61,7 +61,11 @@
 func (dialect) Answer(h http.Header, status int) forwarder.Reply {
 	o := forwarder.Reply{
 		ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Sealed: h.Get("Seal") != "",
-		Misdirected: status == http.StatusMisdirectedRequest,
+		Misdirected: status == http.StatusMisdirectedRequest, Leaving: h.Get("Leaving") != "",
+	}
+
+	if n, err := strconv.Atoi(h.Get("Rest-Ms")); err == nil {
+		o.Rest = time.Duration(n) * time.Millisecond
 	}
 
 	if n, err := strconv.Atoi(h.Get("Running")); err == nil {
@@ -209,6 +213,8 @@
 	roster  *enroller.Roster
 	stale   bool
 	stalled bool
+	// leave is called with processes that said that they leave.
+	leave func(p enroller.Process) bool
 	// others is how many instances there are besides.
 	others int
 }
@@ -234,9 +240,10 @@
 	}
 }
 
-func (f *facts) Fresh() bool            { return !f.stale }
-func (f *facts) Instances() int         { return 1 + f.others }
-func (f *facts) Stalled(time.Time) bool { return f.stalled }
+func (f *facts) Fresh() bool                   { return !f.stale }
+func (f *facts) Leave(p enroller.Process) bool { return f.leave(p) }
+func (f *facts) Instances() int                { return 1 + f.others }
+func (f *facts) Stalled(time.Time) bool        { return f.stalled }
 
 func (f *facts) Roster() *enroller.Roster {
 	f.mu.Lock()
@@ -291,13 +298,28 @@
 
 // list changes the list of targets.
 func (g *gateway) list(l ...enroller.Target) {
-	for _, x := range l {
-		g.enroller.Set(x)
-	}
+	g.change(func(e *enroller.Enroller) {
+		for _, x := range l {
+			e.Set(x)
+		}
+	})
+}
 
-	r := g.enroller.Roster()
+// leave notes that a process said that it leaves.
+func (g *gateway) leave(p enroller.Process) bool {
+	var o bool
 
+	g.change(func(e *enroller.Enroller) { o = e.Leave(time.Now(), p) })
+
+	return o
+}
+
+// change changes what is known of the targets.
+func (g *gateway) change(u func(e *enroller.Enroller)) {
 	g.facts.mu.Lock()
+	u(g.enroller)
+
+	r := g.enroller.Roster()
 	g.facts.roster = r
 	g.facts.mu.Unlock()
 
@@ -356,7 +378,10 @@
 		stop()
 	})
 
-	return &gateway{Server: s, facts: f, forwarder: x, enroller: e}
+	g := &gateway{Server: s, facts: f, forwarder: x, enroller: e}
+	f.leave = g.leave
+
+	return g
 }
 
 // answer is what a caller got.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -37,6 +37,9 @@
 	Fresh() bool
 	// Roster returns the targets.
 	Roster() *enroller.Roster
+	// Leave notes that a process said that it leaves, so that the roster has no calls for it, and
+	// says whether that was news.
+	Leave(p enroller.Process) bool
 	// Stalled says that this process stood still at some time after since.
 	Stalled(since time.Time) bool
 	// Instances returns how many instances share the retry budget.
@@ -82,6 +85,8 @@
 
 	// gone tells other instances of a process that is gone.
 	gone func(p enroller.Process)
+	// leaving tells other instances of a process that said that it leaves.
+	leaving func(p enroller.Process)
 	// homes count the calls of all instances; nil where there are none.
 	homes Homes
 	// quarantine remembers under which calls targets ended; nil remembers nothing.
@@ -120,7 +125,7 @@
 	k := newClient(x)
 
 	return &Forwarder{
-		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(enroller.Process) {},
+		settings: s, dialect: d, facts: f, tracer: t, client: k, chooser: c, budgeter: b, admitter: admitter.New(), gone: func(enroller.Process) {}, leaving: func(enroller.Process) {},
 		confiner: confiner.New(), confined: make(map[string]bool),
 		meter: m, ordinary: rate.NewLimiter(ordinaryLines, ordinaryLines),
 		turned: rate.NewLimiter(turnedLines, turnedLines), stopping: make(chan struct{}),
@@ -315,6 +320,21 @@
 	f.gone = g
 }
 
+// LearnLeaving takes another instance's word that processes of targets said that they leave.
+func (f *Forwarder) LearnLeaving(l []enroller.Process) {
+	for _, p := range l {
+		if f.facts.Leave(p) {
+			logLeaving(p, chooser.Peer)
+		}
+	}
+}
+
+// OnLeaving sets what is called with a process of a target that said to this instance that it leaves.
+// It is set before the first call comes.
+func (f *Forwarder) OnLeaving(g func(p enroller.Process)) {
+	f.leaving = g
+}
+
 // News returns what other instances should be told.
 func (f *Forwarder) News() chooser.News {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/forwarder/heed_test.go
@@ -0,0 +1,158 @@
+package forwarder_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/enroller"
+)
+
+// says makes a target say something of itself in each answer.
+func says(status, body string, headers ...string) func(n net.Conn, s seen) {
+	return func(n net.Conn, s seen) {
+		reply(n, s, status, body, append(headers, "Seal: "+s.target)...)
+	}
+}
+
+// Guards against a target that goes on getting calls after it has said in an answer, of whatever
+// kind, that it leaves.
+func TestTargetThatSaysThatItLeaves(t *testing.T) {
+	const leaving = "Leaving: 1"
+
+	for name, x := range map[string]struct {
+		answer func(n net.Conn, s seen)
+		path   string
+		// stays says that the answer is no word of the target's, or that it is not well.
+		stays bool
+	}{
+		"served":                 {answer: says("200 OK", "x", leaving), path: "/once/"},
+		"served over a kept way": {answer: says("200 OK", "x", leaving), path: "/again/"},
+		"failed":                 {answer: says("500 Internal Server Error", "x", leaving), path: "/once/"},
+		"failed, and sent again": {answer: says("500 Internal Server Error", "x", leaving), path: "/again/"},
+		"turned away":            {answer: says("503 Service Unavailable", "", leaving, "Not-Run: 1"), path: "/once/"},
+		"turned away for good":   {answer: says("503 Service Unavailable", "", leaving), path: "/once/"},
+		"too late":               {answer: says("504 Gateway Timeout", "", leaving), path: "/once/"},
+		"a stream that failed":   {answer: says("500 Internal Server Error", "", leaving), path: "/stream/"},
+		"another's answer": {answer: func(n net.Conn, _ seen) {
+			_, _ = n.Write([]byte("HTTP/1.1 200 OK\r\nId: other\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n"))
+		}, path: "/again/"},
+		"an answer that breaks": {answer: func(n net.Conn, _ seen) {
+			_, _ = n.Write([]byte("HTTP/1.1 200 OK\r\nId: call-1\r\nSeal: 1\r\nLeaving: 1\r\nContent-Length: 9\r\n\r\n12"))
+			reset(n)
+		}, path: "/again/"},
+		"another has the address": {answer: says("421 Misdirected Request", "", leaving, "Not-Run: 1"), path: "/once/", stays: true},
+		"says nothing of it":      {answer: ok, path: "/once/", stays: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			g := front(t, &target{answer: x.answer}, &target{answer: ok})
+
+			var told []enroller.Process
+
+			g.forwarder.OnLeaving(func(p enroller.Process) { told = append(told, p) })
+			g.call(t, http.MethodGet, x.path, "")
+
+			r := g.facts.Roster()
+			i.Equal(r.Known["t0"].Leaving, !x.stays)
+			i.Equal(r.Takes(r.Known["t0"]), x.stays)
+			i.True(r.Takes(r.Known["t1"]))
+
+			if x.stays {
+				i.Equal(len(told), 0)
+
+				return
+			}
+
+			i.Equal(told, []enroller.Process{r.Known["t0"].Process()})
+
+			// The list still says that it is well.
+			g.list(*r.Known["t0"])
+
+			for range 3 {
+				i.Equal(g.call(t, http.MethodGet, "/again/", "").body, "from t1")
+			}
+
+			i.Equal(len(told), 1)
+		})
+	}
+}
+
+// Guards against a word that is heard only when the stream that brought it has ended.
+func TestLeavingIsHeardFromTheHeadOfAStream(t *testing.T) {
+	i := is.New(t)
+	held := make(chan struct{})
+	g := front(t, &target{answer: func(n net.Conn, _ seen) {
+		_, _ = n.Write([]byte("HTTP/1.1 200 OK\r\nId: call-1\r\nSeal: t0\r\nLeaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		<-held
+		chunk(n, event(1))
+		finish(n)
+	}}, &target{answer: ok})
+
+	o := make(chan answer, 1)
+
+	go func() { o <- g.call(t, http.MethodGet, "/stream/", "") }()
+
+	waitFor(t, func() bool { return g.facts.Roster().Known["t0"].Leaving })
+	i.Equal(g.call(t, http.MethodGet, "/once/", "").body, "from t1")
+
+	// What runs there runs to its end.
+	close(held)
+
+	a := <-o
+	i.Equal(a.status, http.StatusOK)
+	i.Equal(a.body, event(1))
+}
+
+func waitFor(t *testing.T, f func() bool) {
+	t.Helper()
+
+	for b := time.Now(); !f(); time.Sleep(time.Millisecond) {
+		if time.Since(b) > time.Second {
+			t.Fatal("it did not come")
+		}
+	}
+}
+
+// Guards against calls that wait for their time to pass when all that could serve them leave, and
+// against a second try at a target that has just said that it leaves.
+func TestAllTargetsLeave(t *testing.T) {
+	i := is.New(t)
+	w := says("503 Service Unavailable", "", "Leaving: 1", "Not-Run: 1")
+	a, b := &target{answer: w}, &target{answer: w}
+	g := front(t, a, b)
+
+	for range 4 {
+		n := time.Now()
+		o := g.call(t, http.MethodGet, "/again/", "")
+		i.Equal(o.status, http.StatusServiceUnavailable)
+		i.True(o.header.Get("Retry-After") != "")
+		i.True(time.Since(n) < 500*time.Millisecond)
+	}
+
+	i.Equal(a.count(), 1)
+	i.Equal(b.count(), 1)
+}
+
+// Guards against instances that go on sending to a target after another one has told them that it
+// leaves, and against news that goes round.
+func TestAnothersWordThatATargetLeaves(t *testing.T) {
+	i := is.New(t)
+	g := front(t, &target{answer: ok}, &target{answer: ok})
+
+	var told []enroller.Process
+
+	g.forwarder.OnLeaving(func(p enroller.Process) { told = append(told, p) })
+
+	x := g.facts.Roster().Known["t0"].Process()
+	g.forwarder.LearnLeaving([]enroller.Process{x, x, {ID: "unknown"}})
+	i.Equal(g.call(t, http.MethodGet, "/once/", "").body, "from t1")
+
+	// It starts again, and the new process has not said so.
+	g.list(g.restarted("t0"))
+	i.Equal(g.call(t, http.MethodGet, "/once/", "").body, "from t0")
+	i.Equal(len(told), 0)
+}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -32,6 +32,9 @@
 	// evacuatedWait is when to come back while all that could serve is evacuated, which
 	// operators end in seconds at best.
 	evacuatedWait = time.Second
+	// leavingWait is when to come back while all that could serve leave. Others take their places, at
+	// a time that nobody told.
+	leavingWait = time.Second
 )
 
 // Reason says in a word why a call was given up on, for logs and counts.
@@ -55,6 +58,7 @@
 	HeldBack   Reason = "heldBack"
 	Evacuated  Reason = "evacuated"
 	Cold       Reason = "targetsCold"
+	Leaving    Reason = "targetsLeaving"
 )
 
 // Refusal is the gateway's own answer to a call that it has given up on. With
--- a/internal/gatekeeper/construct.go
+++ b/internal/gatekeeper/construct.go
@@ -171,6 +171,8 @@
 	m.Handle(wire.KindRelay, i.Relayed)
 	m.Handle(wire.KindGone, i.ToldGone)
 	x.OnGone(i.Gone)
+	m.Handle(wire.KindLeaving, i.ToldLeaving)
+	x.OnLeaving(i.Leaving)
 
 	g := &Gatekeeper{
 		settings: s, facts: f, forwarder: x, evacuations: newEvacuations(f, x), messenger: m, joiner: j, informer: i, warner: p.Warner, drainer: drainer.New(drainNotice, maxCalls),
@@ -195,7 +197,7 @@
 	g.follow(p.Meter)
 
 	for name, k := range map[string]wire.Kind{
-		"news": wire.KindNews, "relay": wire.KindRelay, "gone": wire.KindGone, "gossip": wire.KindGossip, "reply": wire.KindReply,
+		"news": wire.KindNews, "relay": wire.KindRelay, "gone": wire.KindGone, "leaving": wire.KindLeaving, "gossip": wire.KindGossip, "reply": wire.KindReply,
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
 		"trial": wire.KindTrial,
--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -140,6 +140,17 @@
 	f.publish()
 }
 
+// Leave is part of forwarder.Facts.
+func (f *facts) Leave(p enroller.Process) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	o := f.enroller.Leave(time.Now(), p)
+	f.publish()
+
+	return o
+}
+
 // evacuations returns which data centres are evacuated.
 func (f *facts) evacuations() *evacuator.State {
 	f.mu.Lock()
--- a/internal/informer/informer.go
+++ b/internal/informer/informer.go
@@ -42,6 +42,8 @@
 	Learn(n chooser.News)
 	// LearnGone takes that processes are gone.
 	LearnGone(l []enroller.Process)
+	// LearnLeaving takes that processes said that they leave.
+	LearnLeaving(l []enroller.Process)
 }
 
 // Informer tells and is told. It is safe for concurrent use.
@@ -103,13 +105,42 @@
 // It names the process and not just the target: the word may come after the list has shown
 // that the target started again, and would have the new process left alone for seconds.
 func (i *Informer) Gone(p enroller.Process) {
-	i.spreader.Each(context.Background(), wire.KindGone, &wire.Gone{
+	i.tellOf(wire.KindGone, p)
+}
+
+// Leaving tells the others at once that a process said that it leaves.
+func (i *Informer) Leaving(p enroller.Process) {
+	i.tellOf(wire.KindLeaving, p)
+}
+
+func (i *Informer) tellOf(k wire.Kind, p enroller.Process) {
+	i.spreader.Each(context.Background(), k, &wire.Gone{
 		Targets: []string{p.ID}, StartsMs: []int64{p.Start.UnixMilli()},
 	})
 }
 
 // ToldGone takes what another instance tells of processes that are gone.
 func (i *Informer) ToldGone(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
+	l, err := processes(body)
+	if err == nil {
+		i.knowledge.LearnGone(l)
+	}
+
+	return nil, err
+}
+
+// ToldLeaving takes what another instance tells of processes that said that they leave.
+func (i *Informer) ToldLeaving(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
+	l, err := processes(body)
+	if err == nil {
+		i.knowledge.LearnLeaving(l)
+	}
+
+	return nil, err
+}
+
+// processes reads the names of processes. It fails with ErrNews.
+func processes(body []byte) ([]enroller.Process, error) {
 	var w wire.Gone
 	if _, err := w.UnmarshalMsg(body); err != nil {
 		return nil, errors.Mark(err, ErrNews)
@@ -124,9 +155,7 @@
 		l[k] = enroller.Process{ID: id, Start: time.UnixMilli(w.StartsMs[k])}
 	}
 
-	i.knowledge.LearnGone(l)
-
-	return nil, nil //nolint:nilnil // News has no reply.
+	return l, nil
 }
 
 // Relayed takes what an instance of another data centre tells, and passes it on in the own
--- a/internal/informer/informer_test.go
+++ b/internal/informer/informer_test.go
@@ -32,6 +32,7 @@
 	// always makes the news come again and again.
 	always bool
 	gone   []enroller.Process
+	leave  []enroller.Process
 }
 
 func (k *knowledge) News() chooser.News {
@@ -53,6 +54,8 @@
 
 func (k *knowledge) LearnGone(l []enroller.Process) { k.gone = append(k.gone, l...) }
 
+func (k *knowledge) LearnLeaving(l []enroller.Process) { k.leave = append(k.leave, l...) }
+
 // fleet joins instances without a network.
 type fleet struct {
 	members   []gossiper.Member
@@ -110,6 +113,8 @@
 	switch x := v.instances[n]; kind {
 	case wire.KindGone:
 		_, err = x.ToldGone(c, v.Self().ID, b)
+	case wire.KindLeaving:
+		_, err = x.ToldLeaving(c, v.Self().ID, b)
 	case wire.KindRelay:
 		_, err = x.Relayed(c, v.Self().ID, b)
 	default:
@@ -184,6 +189,15 @@
 
 				for n, k := range f.known {
 					is.Equal(len(k.gone) == 1 && k.gone[0].Key() == p.Key(), n != 3)
+					is.Equal(len(k.leave), 0)
+				}
+
+				f.instances[5].Leaving(p)
+				synctest.Wait()
+
+				for n, k := range f.known {
+					is.Equal(len(k.leave) == 1 && k.leave[0].Key() == p.Key(), n != 5)
+					is.Equal(len(k.gone) == 1, n != 3)
 				}
 			})
 		})
@@ -206,6 +220,10 @@
 			_, err := f.instances[0].ToldGone(t.Context(), 2, b)
 			is.True(errors.Is(err, informer.ErrNews))
 			is.Equal(len(f.known[0].gone), 0)
+
+			_, err = f.instances[0].ToldLeaving(t.Context(), 2, b)
+			is.True(errors.Is(err, informer.ErrNews))
+			is.Equal(len(f.known[0].leave), 0)
 		})
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -65,6 +65,8 @@
 	KindReleaseRequest
 	// KindEvacuations asks which data centres are evacuated.
 	KindEvacuations
+	// KindLeaving tells, as a Gone, of processes of targets that said that they leave.
+	KindLeaving
 	// Kinds is how many kinds there are.
 	Kinds
 )
