A target that asks for rest as it turns a call away gets none from that instance until it is over

What callers saw: calls went to engines that turned every call away and had asked for three seconds of rest, some twenty a second in all; each cost its caller a try, and where the second one rested too its caller was refused.

Cause: the same class as the leaving targets. Of an answer with 503 and Retry-After only that it turned the call away was kept, for a tenth of a second; then the target seemed to idle, and calls whose prompts it holds went there again.

Change: sparer, a decision without I/O. A rest is kept to its end, ten minutes at most, by each instance for itself and by process. It holds also when nothing else is left: then the call is refused at once, with a Retry-After that is never before the end of the first rest (targetsResting). After a rest one call goes, and more with each that begins to be answered, so that nothing rushes back; a call that gets no answer makes room after a second. Also a 503 that does not say "not run" counts; the word of another target at the address does not. A call that waited for the home of its target asks once more before it is sent. Resting targets count for the mean of loads, as others that are left alone.

--- a/internal/chooser/belief.go
+++ b/internal/chooser/belief.go
@@ -22,10 +22,12 @@
 	TargetGone Cause = "targetGone"
 	// TargetSlow means that a target's answers begin much later than those of others.
 	TargetSlow Cause = "targetSlow"
+	// TargetRests means that a target has asked for rest.
+	TargetRests Cause = "targetRests"
 )
 
 // targetCauses are those of single targets.
-var targetCauses = []Cause{TargetUnreachable, TargetFailing, TargetGone, TargetSlow} //nolint:gochecknoglobals // A constant table.
+var targetCauses = []Cause{TargetUnreachable, TargetFailing, TargetGone, TargetSlow, TargetRests} //nolint:gochecknoglobals // A constant table.
 
 // Source is whose word a belief rests on.
 type Source string
--- a/internal/chooser/call.go
+++ b/internal/chooser/call.go
@@ -38,6 +38,7 @@
 
 func (c *Chooser) takeBack(now time.Time, x Choice) {
 	c.Finish(now, x.Target, Neither)
+	c.sparer.Withdraw(x.Target.Key())
 	c.Unread(x)
 }
 
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -8,6 +8,7 @@
 
 	"github.com/auburntray/auburntray/internal/confiner"
 	"github.com/auburntray/auburntray/internal/enroller"
+	"github.com/auburntray/auburntray/internal/sparer"
 	"github.com/auburntray/auburntray/internal/throttler"
 )
 
@@ -106,6 +107,10 @@
 	// is cold too, and how it answers says nothing of how it answers later.
 	Cold      int
 	Throttled bool
+	// Resting is how many targets it could not go to since they have asked for rest, and Rest when
+	// the first of them takes calls again.
+	Resting int
+	Rest    time.Duration
 	// Usual is how long targets of the group take to begin an answer, as a part of the time
 	// within which it is of full use; zero when that is not known.
 	Usual float64
@@ -136,6 +141,8 @@
 	loads  []Load
 	health *health
 	places *places
+	// sparer knows which targets have asked this instance for rest.
+	sparer *sparer.Sparer
 	// throttler bounds the calls at cold targets, and fleet is what is known of all instances.
 	throttler *throttler.Throttler
 	fleet     func() throttler.Fleet
@@ -143,7 +150,7 @@
 
 // New returns a Chooser that knows of no call.
 func New(s Settings) *Chooser {
-	c := &Chooser{settings: s, states: make(map[enroller.Key]*state), left: make(leavers), health: newHealth(), places: newPlaces()}
+	c := &Chooser{settings: s, states: make(map[enroller.Key]*state), left: make(leavers), health: newHealth(), places: newPlaces(), sparer: sparer.New()}
 	c.Throttle(throttler.DefaultSettings(), func() throttler.Fleet {
 		return throttler.Fleet{Live: []uint64{0}, Most: 1, Settled: true}
 	})
@@ -166,27 +173,28 @@
 	}
 
 	all := c.candidates(now, r, g, &q)
-	open := c.open(now, all, &q)
-	cold := len(all) - len(open)
+	rested, rest := c.rested(now, all)
+	open := c.open(now, rested, &q)
+	resting, cold := len(all)-len(rested), len(rested)-len(open)
 
 	l, u, usual := c.health.usable(now, group, open)
 	u = filter(u, func(x candidate) bool { return !x.shed })
 
 	if len(u) == 0 {
-		return Choice{Cold: cold}, false
+		return Choice{Cold: cold, Resting: resting, Rest: rest}, false
 	}
 
-	if cold > 0 {
+	if len(open) < len(all) {
 		l = c.counted(now, l, all)
 	}
 
 	if len(q.Prefixes) == 0 {
 		x := least(u, q.DataCentre, c.settings.Near, q.Draw)
-		c.throttle(now, x)
+		c.sent(now, x)
 
 		return Choice{
 			Target: x.target, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), Usual: usual,
-			Cold: cold, Throttled: x.cold,
+			Cold: cold, Throttled: x.cold, Resting: resting, Rest: rest,
 		}, true
 	}
 
@@ -194,12 +202,12 @@
 	most := c.settings.bound(l, c.candidates(now, r, r.Closed[group], &Query{}))
 	x := prompted(u, most, h, q)
 	n := x.target.Key()
-	c.throttle(now, x)
+	c.sent(now, x)
 
 	o := Choice{
 		Target: x.target, Source: c.fetchFrom(now, r, u, n, h, &q),
 		Load: x.load, Bound: most, Usable: len(u), Held: slices.Contains(h, n), Usual: usual, Cold: cold, Throttled: x.cold,
-		prefixes: q.Prefixes,
+		Resting: resting, Rest: rest, prefixes: q.Prefixes,
 	}
 
 	for _, p := range q.Prefixes {
--- a/internal/chooser/cold.go
+++ b/internal/chooser/cold.go
@@ -34,7 +34,7 @@
 }
 
 // counted returns the candidates that count for the mean of loads: all that can be reached, also the
-// cold ones that are left out. Where none can, they are those that are tried all the same.
+// cold and the resting ones that are left out. Where none can, they are those that are tried all the same.
 func (c *Chooser) counted(now time.Time, tried, all []candidate) []candidate {
 	if l := c.health.reachable(now, all); len(l) > 0 {
 		return l
@@ -43,9 +43,12 @@
 	return tried
 }
 
-// throttle counts a call to a cold target, also when its home turns it away after that.
-func (c *Chooser) throttle(now time.Time, x candidate) {
+// sent counts a call to a target that is cold or has rested. At a cold one it counts also when its
+// home turns it away after that.
+func (c *Chooser) sent(now time.Time, x candidate) {
 	if x.cold {
 		c.throttler.Sent(now, x.target.Key())
 	}
+
+	c.sparer.Sent(now, x.target.Key())
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -146,6 +146,8 @@
 		return refuse(http.StatusServiceUnavailable, Evacuated, evacuatedWait, "all data centres with targets are evacuated")
 	case len(r.Groups[x.group]) == 0 && r.Leaves(x.group):
 		return refuse(http.StatusServiceUnavailable, Leaving, leavingWait, "all targets leave")
+	case x.resting > 0:
+		return refuse(http.StatusServiceUnavailable, Resting, afterSpread(x.rest), "%d targets have asked for rest", x.resting)
 	case x.cold > 0:
 		return refuse(http.StatusServiceUnavailable, Cold, failWait, "%d targets are cold and bear no more calls now", x.cold)
 	default:
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -52,6 +52,10 @@
 	full bool
 	// cold is how many targets the last choice left out since they are cold.
 	cold int
+	// resting is how many it left out since they have asked for rest, and rest when the first of
+	// them takes calls again.
+	resting int
+	rest    time.Duration
 	// reply is what the target of the last choice said of itself.
 	reply Reply
 	// sentAt is when the present attempt began.
@@ -184,6 +188,10 @@
 		l["cold"] = x.cold
 	}
 
+	if x.resting > 0 {
+		l["resting"] = x.resting
+	}
+
 	if x.choice.Target != nil {
 		l["load"] = int(x.choice.Load)
 		l["bound"] = int(x.choice.Bound)
--- a/internal/forwarder/heed.go
+++ b/internal/forwarder/heed.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/chooser"
@@ -17,6 +19,29 @@
 	if p.Leaving {
 		f.heedLeaving(t)
 	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	switch n := time.Now(); {
+	case p.Rest > 0:
+		f.chooser.Rest(n, t, p.Rest)
+	case !p.NotRun:
+		f.chooser.Answered(n, t)
+	}
+}
+
+// takes says that a target still takes calls. While its home was asked it may have begun to leave, or
+// have asked for rest, or its data centre may have been evacuated.
+func (f *Forwarder) takes(t *enroller.Target) bool {
+	if !f.facts.Roster().Takes(t) {
+		return false
+	}
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return !f.chooser.Resting(time.Now(), t)
 }
 
 // heedLeaving takes a target's word that it leaves, and tells other instances.
--- a/internal/forwarder/heed_test.go
+++ b/internal/forwarder/heed_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -156,3 +157,89 @@
 	i.Equal(g.call(t, http.MethodGet, "/once/", "").body, "from t0")
 	i.Equal(len(told), 0)
 }
+
+// Guards against a target that goes on getting calls in the rest that it has asked for as it turned
+// one away, and against a rest that is taken for one where it was not asked for.
+func TestTargetThatAsksForRest(t *testing.T) {
+	const rest = "Rest-Ms: 400"
+
+	for name, x := range map[string]struct {
+		answer func(n net.Conn, s seen)
+		path   string
+		// stays says that no rest was asked for.
+		stays bool
+	}{
+		"a call that may run once":    {answer: says("503 Service Unavailable", "", rest, "Not-Run: 1"), path: "/once/"},
+		"a call that may run again":   {answer: says("503 Service Unavailable", "", rest, "Not-Run: 1"), path: "/again/"},
+		"a stream":                    {answer: says("503 Service Unavailable", "", rest, "Not-Run: 1"), path: "/stream/"},
+		"it does not say: not run":    {answer: says("503 Service Unavailable", "", rest), path: "/once/"},
+		"it does not say, of streams": {answer: says("503 Service Unavailable", "", rest), path: "/stream/"},
+		"turned away without a word":  {answer: says("503 Service Unavailable", "", "Not-Run: 1"), path: "/once/", stays: true},
+		"another has the address":     {answer: says("421 Misdirected Request", "", rest, "Not-Run: 1"), path: "/once/", stays: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			a := &target{answer: x.answer}
+			g := front(t, a, &target{answer: ok})
+			g.call(t, http.MethodGet, x.path, "")
+			i.Equal(a.count(), 1)
+
+			if x.stays {
+				// Whatever else is believed of it ends when it is elsewhere; a rest would not.
+				c := &target{id: "t0", answer: ok}
+				y := *g.facts.Roster().Known["t0"]
+				y.Address = c.serve(t)
+				g.list(y)
+				time.Sleep(110 * time.Millisecond)
+				i.Equal(g.call(t, http.MethodGet, "/once/", "").body, "from t0")
+
+				return
+			}
+
+			b := time.Now()
+			i.Equal(g.leftAlone(), []string{"t0"})
+
+			for range 5 {
+				i.Equal(g.call(t, http.MethodGet, "/again/", "").body, "from t1")
+				time.Sleep(50 * time.Millisecond)
+			}
+
+			i.Equal(a.count(), 1)
+
+			// When it is over, calls go there again: t0 is the nearer one.
+			time.Sleep(400*time.Millisecond - time.Since(b) + 10*time.Millisecond)
+			g.call(t, http.MethodGet, "/again/", "")
+			i.Equal(a.count(), 2)
+		})
+	}
+}
+
+// Guards against calls that wait, or are sent all the same, when all that could serve them have asked
+// for rest, and against callers who are told to come back before it is over.
+func TestAllTargetsRest(t *testing.T) {
+	i := is.New(t)
+	a := &target{answer: says("503 Service Unavailable", "", "Rest-Ms: 2000", "Not-Run: 1")}
+	b := &target{answer: says("503 Service Unavailable", "", "Rest-Ms: 1000", "Not-Run: 1")}
+	g := front(t, a, b)
+
+	i.Equal(g.call(t, http.MethodGet, "/again/", "").status, http.StatusServiceUnavailable)
+
+	end := time.Now().Add(time.Second)
+
+	for range 5 {
+		n := time.Now()
+		o := g.call(t, http.MethodGet, "/again/", "")
+		i.Equal(o.status, http.StatusServiceUnavailable)
+		i.True(time.Since(n) < 200*time.Millisecond)
+
+		w, err := strconv.ParseFloat(o.header.Get("Retry-After"), 64)
+		i.NoErr(err)
+
+		back := n.Add(time.Duration(w * float64(time.Second)))
+		i.True(back.After(end.Add(-50 * time.Millisecond)))
+		i.True(back.Before(end.Add(time.Second)))
+	}
+
+	i.Equal(a.count(), 1)
+	i.Equal(b.count(), 1)
+}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -59,6 +59,7 @@
 	Evacuated  Reason = "evacuated"
 	Cold       Reason = "targetsCold"
 	Leaving    Reason = "targetsLeaving"
+	Resting    Reason = "targetsResting"
 )
 
 // Refusal is the gateway's own answer to a call that it has given up on. With
@@ -87,6 +88,12 @@
 	return &Refusal{Status: status, Reason: r, Wait: wait, Message: fmt.Sprintf(format, a...)}
 }
 
+// afterSpread returns the wait with which refused callers come back spread over a time that begins
+// when a wait is over, and not before.
+func afterSpread(d time.Duration) time.Duration {
+	return d * 4 / 3 //nolint:mnd // The least of the spread is three quarters.
+}
+
 func (r *Refusal) write(w http.ResponseWriter) {
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/forwarder/room.go
+++ b/internal/forwarder/room.go
@@ -78,9 +78,7 @@
 
 		f.reserve(c, x, t, &s)
 
-		// While its home was asked, the target may have begun to leave, or its data centre may
-		// have been evacuated.
-		if !f.facts.Roster().Takes(t.Target) {
+		if !f.takes(t.Target) {
 			f.withdraw(x, t)
 
 			continue
@@ -115,7 +113,7 @@
 	q.Declined, q.Confined = declined, x.confined
 
 	t, ok := f.chooser.Choose(n, r, x.group, q)
-	x.cold = t.Cold
+	x.cold, x.resting, x.rest = t.Cold, t.Resting, t.Rest
 
 	if ok {
 		f.chooser.Start(n, t.Target)
