internal/forwarder: the wait of a refusal is that of the rest only where all targets rest; a 421 says nothing of the target

And the load in an answer with 421, another target's, was taken for that of the one that had been called.

Change: the wait is asked for when the call is refused, over all targets that it may go to. A misdirected answer is not read at all. A count of targets that said that they leave.

--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -107,10 +107,8 @@
 	// is cold too, and how it answers says nothing of how it answers later.
 	Cold      int
 	Throttled bool
-	// Resting is how many targets it could not go to since they have asked for rest, and Rest when
-	// the first of them takes calls again.
+	// Resting is how many targets it could not go to since they have asked for rest.
 	Resting int
-	Rest    time.Duration
 	// Usual is how long targets of the group take to begin an answer, as a part of the time
 	// within which it is of full use; zero when that is not known.
 	Usual float64
@@ -173,7 +171,7 @@
 	}
 
 	all := c.candidates(now, r, g, &q)
-	rested, rest := c.rested(now, all)
+	rested, _ := c.rested(now, all)
 	open := c.open(now, rested, &q)
 	resting, cold := len(all)-len(rested), len(rested)-len(open)
 
@@ -181,7 +179,7 @@
 	u = filter(u, func(x candidate) bool { return !x.shed })
 
 	if len(u) == 0 {
-		return Choice{Cold: cold, Resting: resting, Rest: rest}, false
+		return Choice{Cold: cold, Resting: resting}, false
 	}
 
 	if len(open) < len(all) {
@@ -194,7 +192,7 @@
 
 		return Choice{
 			Target: x.target, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), Usual: usual,
-			Cold: cold, Throttled: x.cold, Resting: resting, Rest: rest,
+			Cold: cold, Throttled: x.cold, Resting: resting,
 		}, true
 	}
 
@@ -207,7 +205,7 @@
 	o := Choice{
 		Target: x.target, Source: c.fetchFrom(now, r, u, n, h, &q),
 		Load: x.load, Bound: most, Usable: len(u), Held: slices.Contains(h, n), Usual: usual, Cold: cold, Throttled: x.cold,
-		Resting: resting, Rest: rest, prefixes: q.Prefixes,
+		Resting: resting, prefixes: q.Prefixes,
 	}
 
 	for _, p := range q.Prefixes {
--- a/internal/chooser/rest.go
+++ b/internal/chooser/rest.go
@@ -29,6 +29,16 @@
 	}
 }
 
+// Rests says that all targets of a group to which a call may go want none from this instance, those to
+// which it was sent before included, and returns when the first of them takes calls again.
+func (c *Chooser) Rests(now time.Time, r *enroller.Roster, group string, q Query) (time.Duration, bool) {
+	q.Excluded = nil
+	all := c.candidates(now, r, r.Groups[group], &q)
+	l, first := c.rested(now, all)
+
+	return first, len(all) > 0 && len(l) == 0
+}
+
 // rested returns the candidates that have not asked for rest, or have had it, and when the first of
 // the others takes calls again. What it leaves out is not used either when nothing else is left.
 func (c *Chooser) rested(now time.Time, l []candidate) ([]candidate, time.Duration) {
--- a/internal/chooser/rest_replay_test.go
+++ b/internal/chooser/rest_replay_test.go
@@ -21,8 +21,8 @@
 	asked map[string]time.Time
 	// early are the calls that came in a rest, by instance and engine.
 	early map[string]int
-	// served, turnedAway and refused count calls; short are the refusals after which a caller that
-	// comes back when it was told finds the rest not over.
+	// served, turnedAway and refused count calls; short are the refusals whose wait is not that of a
+	// rest.
 	served, turnedAway, refused, short int
 }
 
@@ -37,7 +37,7 @@
 		if !ok {
 			s.refused++
 
-			if x.Rest <= 0 || x.Resting == 0 {
+			if d, ok := c.Rests(now, s.roster, group, q); !ok || d <= 0 || d > askedRest {
 				s.short++
 			}
 
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -140,14 +140,15 @@
 // refuseUnplaced returns the refusal of a call that was not run and that no target may take.
 func (f *Forwarder) refuseUnplaced(x *exchange) *Refusal {
 	r := f.facts.Roster()
+	rest := f.rest(x, r)
 
 	switch {
 	case len(r.Groups[x.group]) == 0 && len(r.Closed[x.group]) > 0:
 		return refuse(http.StatusServiceUnavailable, Evacuated, evacuatedWait, "all data centres with targets are evacuated")
 	case len(r.Groups[x.group]) == 0 && r.Leaves(x.group):
 		return refuse(http.StatusServiceUnavailable, Leaving, leavingWait, "all targets leave")
-	case x.resting > 0:
-		return refuse(http.StatusServiceUnavailable, Resting, afterSpread(x.rest), "%d targets have asked for rest", x.resting)
+	case rest > 0:
+		return refuse(http.StatusServiceUnavailable, Resting, afterSpread(rest), "all targets have asked for rest")
 	case x.cold > 0:
 		return refuse(http.StatusServiceUnavailable, Cold, failWait, "%d targets are cold and bear no more calls now", x.cold)
 	default:
@@ -258,9 +259,7 @@
 	}
 
 	p := f.dialect.Answer(a.Header, a.StatusCode)
-	x.reply = p
-	f.report(x, t.Target, p)
-	f.heed(t.Target, p)
+	f.heed(x, t.Target, p)
 
 	// An answer to an earlier call may come late, where that to this one is due.
 	// Its ID shows it; passing it on would give the caller another's answer.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -52,10 +52,8 @@
 	full bool
 	// cold is how many targets the last choice left out since they are cold.
 	cold int
-	// resting is how many it left out since they have asked for rest, and rest when the first of
-	// them takes calls again.
+	// resting is how many it left out since they have asked for rest.
 	resting int
-	rest    time.Duration
 	// reply is what the target of the last choice said of itself.
 	reply Reply
 	// sentAt is when the present attempt began.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -324,7 +324,7 @@
 func (f *Forwarder) LearnLeaving(l []enroller.Process) {
 	for _, p := range l {
 		if f.facts.Leave(p) {
-			logLeaving(p, chooser.Peer)
+			f.logLeaving(p, chooser.Peer)
 		}
 	}
 }
--- a/internal/forwarder/heed.go
+++ b/internal/forwarder/heed.go
@@ -10,12 +10,15 @@
 )
 
 // heed takes what a target says of itself with the head of an answer, whatever becomes of the call.
-func (f *Forwarder) heed(t *enroller.Target, p Reply) {
+func (f *Forwarder) heed(x *exchange, t *enroller.Target, p Reply) {
 	// It is the word of another target, which has the address now.
 	if p.Misdirected {
 		return
 	}
 
+	x.reply = p
+	f.report(x, t, p)
+
 	if p.Leaving {
 		f.heedLeaving(t)
 	}
@@ -44,6 +47,19 @@
 	return !f.chooser.Resting(time.Now(), t)
 }
 
+// rest returns when the first target takes calls again where all that might serve a call have asked
+// for rest, and zero where one has not.
+func (f *Forwarder) rest(x *exchange, r *enroller.Roster) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if d, ok := f.chooser.Rests(time.Now(), r, x.group, x.query(f.settings)); ok {
+		return d
+	}
+
+	return 0
+}
+
 // heedLeaving takes a target's word that it leaves, and tells other instances.
 //
 // They would hear it from the list, which lags and may be away for longer than the target stays.
@@ -53,11 +69,13 @@
 	}
 
 	if p := t.Process(); f.facts.Leave(p) {
-		logLeaving(p, chooser.Own)
+		f.logLeaving(p, chooser.Own)
 		f.leaving(p)
 	}
 }
 
-func logLeaving(p enroller.Process, s chooser.Source) {
+// logLeaving notes that a target is left since its process said that it leaves.
+func (f *Forwarder) logLeaving(p enroller.Process, s chooser.Source) {
+	f.meter.Left("targetLeaves", true)
 	logrus.WithFields(logrus.Fields{"event": "targetLeaves", "target": p.ID, "source": s}).Info()
 }
--- a/internal/forwarder/heed_test.go
+++ b/internal/forwarder/heed_test.go
@@ -214,6 +214,37 @@
 	}
 }
 
+// Guards against a target that is taken for loaded by the word of another, which has its address.
+func TestLoadOfAnotherAtTheAddress(t *testing.T) {
+	i := is.New(t)
+	g := front(t, &target{answer: says("421 Misdirected Request", "", "Not-Run: 1", "Running: 50")}, &target{answer: ok})
+	g.call(t, http.MethodGet, "/once/", "")
+
+	for _, v := range g.forwarder.Views() {
+		i.Equal(v.Load, 0.0)
+	}
+}
+
+// Guards against a wait for the end of a rest where another target may serve before.
+func TestOneTargetRests(t *testing.T) {
+	i := is.New(t)
+	a := &target{answer: says("503 Service Unavailable", "", "Rest-Ms: 5000", "Not-Run: 1")}
+	b := &target{answer: says("503 Service Unavailable", "", "Not-Run: 1")}
+	g := front(t, a, b)
+
+	for range 3 {
+		o := g.call(t, http.MethodGet, "/again/", "")
+		i.Equal(o.status, http.StatusServiceUnavailable)
+
+		w, err := strconv.ParseFloat(o.header.Get("Retry-After"), 64)
+		i.NoErr(err)
+		i.True(w < 1)
+	}
+
+	i.Equal(a.count(), 1)
+	i.Equal(b.count(), 3)
+}
+
 // Guards against calls that wait, or are sent all the same, when all that could serve them have asked
 // for rest, and against callers who are told to come back before it is over.
 func TestAllTargetsRest(t *testing.T) {
@@ -222,8 +253,6 @@
 	b := &target{answer: says("503 Service Unavailable", "", "Rest-Ms: 1000", "Not-Run: 1")}
 	g := front(t, a, b)
 
-	i.Equal(g.call(t, http.MethodGet, "/again/", "").status, http.StatusServiceUnavailable)
-
 	end := time.Now().Add(time.Second)
 
 	for range 5 {
--- a/internal/forwarder/room.go
+++ b/internal/forwarder/room.go
@@ -113,7 +113,7 @@
 	q.Declined, q.Confined = declined, x.confined
 
 	t, ok := f.chooser.Choose(n, r, x.group, q)
-	x.cold, x.resting, x.rest = t.Cold, t.Resting, t.Rest
+	x.cold, x.resting = t.Cold, t.Resting
 
 	if ok {
 		f.chooser.Start(n, t.Target)
