The router's targets that ask for rest get none, from any router

What a target of the router's own interface says of leaving is heard from each answer and each check since long; its Retry-After was not. With two of four services turning all calls away for 30 s, callers were refused though others idled, and were told to come back after a second or two.

Change: sparer has keys of any type, and stands in the granter too, for the whole cell: the home of the cell is told at the head of the answer (KindRest, which an older release skips), grants no place there, and does not check such a target. Where all that a rule selects rest, a refusal tells the rest.

--- a/internal/asker/asker.go
+++ b/internal/asker/asker.go
@@ -40,6 +40,7 @@
 	Ask(now time.Time, entry uint64, w wire.Ask) (wire.Verdict, error)
 	Release(now time.Time, entry uint64, w wire.Release)
 	Report(now time.Time, w wire.Report)
+	Rest(now time.Time, w wire.Rest)
 	Sync(now time.Time, entry uint64, w wire.Sync)
 }
 
--- a/internal/asker/asker_test.go
+++ b/internal/asker/asker_test.go
@@ -114,6 +114,8 @@
 	n.freed[self] = append(n.freed[self], w)
 }
 
+func (n *network) Rest(time.Time, wire.Rest) {}
+
 func (n *network) Report(_ time.Time, w wire.Report) {
 	n.reports[self] = append(n.reports[self], w)
 }
--- a/internal/asker/tell.go
+++ b/internal/asker/tell.go
@@ -65,6 +65,20 @@
 	a.send(h, wire.KindReport, &w)
 }
 
+// Rest tells the home that a target wants no requests for a time.
+func (a *Asker) Rest(p Place, d time.Duration) {
+	w := wire.Rest{Cell: p.cell.ID, Target: p.Target, ForMs: uint32(min(d.Milliseconds(), math.MaxUint32))} //nolint:gosec // Bounded.
+
+	h, ok := a.away(p.cell)
+	if !ok {
+		a.keeper.Rest(time.Now(), w)
+
+		return
+	}
+
+	a.send(h, wire.KindRest, &w)
+}
+
 func (a *Asker) send(h gossiper.Member, k wire.Kind, m msgp.Marshaler) {
 	c, stop := context.WithTimeout(context.Background(), sendTimeout)
 	defer stop()
--- a/internal/chooser/chooser.go
+++ b/internal/chooser/chooser.go
@@ -140,7 +140,7 @@
 	health *health
 	places *places
 	// sparer knows which targets have asked this instance for rest.
-	sparer *sparer.Sparer
+	sparer *sparer.Sparer[enroller.Key]
 	// throttler bounds the calls at cold targets, and fleet is what is known of all instances.
 	throttler *throttler.Throttler
 	fleet     func() throttler.Fleet
@@ -148,7 +148,7 @@
 
 // New returns a Chooser that knows of no call.
 func New(s Settings) *Chooser {
-	c := &Chooser{settings: s, states: make(map[enroller.Key]*state), left: make(leavers), health: newHealth(), places: newPlaces(), sparer: sparer.New()}
+	c := &Chooser{settings: s, states: make(map[enroller.Key]*state), left: make(leavers), health: newHealth(), places: newPlaces(), sparer: sparer.New[enroller.Key]()}
 	c.Throttle(throttler.DefaultSettings(), func() throttler.Fleet {
 		return throttler.Fleet{Live: []uint64{0}, Most: 1, Settled: true}
 	})
--- a/internal/filterer/filterer_test.go
+++ b/internal/filterer/filterer_test.go
@@ -98,6 +98,7 @@
 
 func (w *world) Stalled(time.Time) bool                        { return w.still }
 func (w *world) Report(asker.Place, int, tracker.State)        {}
+func (w *world) Rest(asker.Place, time.Duration)               {}
 func (w *world) Cancel(*exchanger.Exchange)                    {}
 func (w *world) answer(b string, h http.Header) *http.Response { return response(200, b, h) }
 
--- a/internal/filterer/pick.go
+++ b/internal/filterer/pick.go
@@ -22,6 +22,7 @@
 	Ask(c context.Context, r asker.Request) (asker.Place, error)
 	Release(p asker.Place, o granter.Outcome)
 	Report(p asker.Place, requests int, s tracker.State)
+	Rest(p asker.Place, d time.Duration)
 }
 
 // Pick gets a place on a target.
--- a/internal/filterer/send.go
+++ b/internal/filterer/send.go
@@ -65,6 +65,10 @@
 	h := sender.Report(r.Header)
 	s.Places.Report(x.Place, h.Requests, h.State)
 
+	if h.Rest > 0 && r.StatusCode == http.StatusServiceUnavailable {
+		s.Places.Rest(x.Place, h.Rest)
+	}
+
 	return s.status(x, r)
 }
 
--- a/internal/granter/choose.go
+++ b/internal/granter/choose.go
@@ -33,7 +33,7 @@
 	for _, t := range g.targets {
 		l, r := g.load(now, t)
 		s := a.Allowed == nil || a.Allowed(t.ID)
-		o := !s || g.tracker.Get(t.ID).Leaving || slices.Contains(a.Excluded, t.ID) || (!p && g.ejector.Out(now, t.ID))
+		o := !s || g.tracker.Get(t.ID).Leaving || slices.Contains(a.Excluded, t.ID) || (!p && g.ejector.Out(now, t.ID)) || g.sparer.Wait(now, t.ID) > 0
 
 		if !o {
 			n++
@@ -145,6 +145,7 @@
 
 func (g *Granter) grant(now time.Time, a Ask, t *target, w float64) {
 	g.ejector.Probe(now, t.ID)
+	g.sparer.Sent(now, t.ID)
 	g.start(now, Grant{ID: a.ID, Target: t.ID, Customer: a.Customer, Work: w}, a.Weight)
 
 	if a.Chat != 0 && t.Engine {
@@ -211,6 +212,32 @@
 	}
 }
 
+// refuseUnserved refuses a request that no target may get. Where the first of them does so after a
+// rest, that is when to come back at the earliest.
+func (g *Granter) refuseUnserved(now time.Time, a Ask) Verdict {
+	var rest time.Duration
+
+	for _, t := range g.targets {
+		if a.Allowed != nil && !a.Allowed(t.ID) || g.tracker.Get(t.ID).Leaving {
+			continue
+		}
+
+		w := g.sparer.Wait(now, t.ID)
+		if w == 0 {
+			return g.refuse(NoTargets)
+		}
+
+		if rest == 0 || w < rest {
+			rest = w
+		}
+	}
+
+	v := g.refuse(NoTargets)
+	v.RetryAfter = max(v.RetryAfter, rest+time.Duration(g.random.Int64N(int64(retrySpread))))
+
+	return v
+}
+
 func (g *Granter) refuse(r Reason) Verdict {
 	return Verdict{Reason: r, RetryAfter: retryAtLeast + time.Duration(g.random.Int64N(int64(retrySpread)))}
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -11,6 +11,7 @@
 	"github.com/auburntray/auburntray/internal/picker"
 	"github.com/auburntray/auburntray/internal/placer"
 	"github.com/auburntray/auburntray/internal/sharer"
+	"github.com/auburntray/auburntray/internal/sparer"
 	"github.com/auburntray/auburntray/internal/tracker"
 )
 
@@ -41,6 +42,7 @@
 	sharer   *sharer.Sharer
 	ejector  *ejector.Ejector[uint32]
 	tracker  *tracker.Tracker
+	sparer   *sparer.Sparer[uint32]
 	window   time.Time
 	others   []other
 	// changed are the chats whose place is new, and scanned how far the table
@@ -63,6 +65,7 @@
 		sharer:   sharer.New(),
 		ejector:  ejector.New[uint32](s.Ejector),
 		tracker:  tracker.New(),
+		sparer:   sparer.New[uint32](),
 	}
 }
 
@@ -111,7 +114,7 @@
 
 	c, n := g.candidates(now, a)
 	if n == 0 {
-		return g.refuse(NoTargets)
+		return g.refuseUnserved(now, a)
 	}
 
 	p, h := g.place(a)
@@ -183,8 +186,24 @@
 		return
 	}
 
-	if !o.NeverSent {
-		g.ejector.Result(now, x.Target, o.OK)
+	if o.NeverSent {
+		g.sparer.Withdraw(x.Target)
+
+		return
+	}
+
+	g.ejector.Result(now, x.Target, o.OK)
+
+	if o.OK {
+		g.sparer.Answered(now, x.Target)
+	}
+}
+
+// Rest takes that a target, which turned a request away, wants none for a time. It gets none from any
+// entry, as all of them ask here.
+func (g *Granter) Rest(now time.Time, t uint32, d time.Duration) {
+	if _, ok := g.byID[t]; ok {
+		g.sparer.Rest(now, t, d)
 	}
 }
 
@@ -267,11 +286,11 @@
 }
 
 // Idle lists the targets that have not reported since a time.
-func (g *Granter) Idle(since time.Time) []uint32 {
+func (g *Granter) Idle(now, since time.Time) []uint32 {
 	var o []uint32
 
 	for _, t := range g.targets {
-		if t.reportedAt.Before(since) {
+		if t.reportedAt.Before(since) && !g.sparer.Resting(now, t.ID) {
 			o = append(o, t.ID)
 		}
 	}
--- a/internal/keeper/answer.go
+++ b/internal/keeper/answer.go
@@ -65,6 +65,13 @@
 	})
 }
 
+// Rest takes that a target has asked an entry for rest.
+func (k *Keeper) Rest(now time.Time, w wire.Rest) {
+	k.at(now, w.Cell, func(h *home) {
+		h.granter.Rest(now, w.Target, time.Duration(w.ForMs)*time.Millisecond)
+	})
+}
+
 // Sync takes an entry's list of its grants in a cell.
 func (k *Keeper) Sync(now time.Time, entry uint64, w wire.Sync) {
 	l := make([]granter.Grant, len(w.Grants))
--- a/internal/keeper/handlers.go
+++ b/internal/keeper/handlers.go
@@ -21,6 +21,7 @@
 	r.Handle(wire.KindAsk, k.onAsk)
 	r.Handle(wire.KindRelease, oneWay(func(from uint64, w *wire.Release) { k.Release(time.Now(), from, *w) }))
 	r.Handle(wire.KindReport, oneWay(func(_ uint64, w *wire.Report) { k.Report(time.Now(), *w) }))
+	r.Handle(wire.KindRest, oneWay(func(_ uint64, w *wire.Rest) { k.Rest(time.Now(), *w) }))
 	r.Handle(wire.KindSync, oneWay(func(from uint64, w *wire.Sync) { k.Sync(time.Now(), from, *w) }))
 	r.Handle(wire.KindCellLoad, oneWay(func(_ uint64, w *wire.CellLoad) { k.Other(time.Now(), *w) }))
 	r.Handle(wire.KindHandOver, oneWay(func(from uint64, w *wire.HandOver) { k.HandOver(time.Now(), from, *w) }))
--- a/internal/keeper/probe.go
+++ b/internal/keeper/probe.go
@@ -24,6 +24,8 @@
 	// Requests is its load; negative when it reports none.
 	Requests int
 	State    tracker.State
+	// Rest is for how long it wants no requests; zero when it does not say.
+	Rest time.Duration
 }
 
 // prober asks a target for its health.
@@ -39,7 +41,7 @@
 // probe asks the cell's quiet targets for their health, each in the background.
 func (k *Keeper) probe(c context.Context, now time.Time, m *matcher.Matcher, h *home) {
 	h.mu.Lock()
-	l := h.granter.Idle(now.Add(-quietAfter))
+	l := h.granter.Idle(now, now.Add(-quietAfter))
 	h.mu.Unlock()
 
 	for _, id := range l {
--- a/internal/sparer/sparer.go
+++ b/internal/sparer/sparer.go
@@ -13,8 +13,6 @@
 
 import (
 	"time"
-
-	"github.com/auburntray/auburntray/internal/enroller"
 )
 
 const (
@@ -31,7 +29,7 @@
 	keptFor = time.Minute
 )
 
-// rest is one that a process has asked for.
+// rest is one that a target has asked for.
 type rest struct {
 	until time.Time
 	// sent are the calls that went after the end, the last of them at last, and answered the answers
@@ -40,19 +38,20 @@
 	last           time.Time
 }
 
-// Sparer keeps the rests that targets asked this instance for. It is not safe for concurrent use.
-type Sparer struct {
-	rests map[enroller.Key]*rest
+// Sparer keeps the rests that targets, which have keys of the type K, have asked for. It is not safe
+// for concurrent use.
+type Sparer[K comparable] struct {
+	rests map[K]*rest
 }
 
 // New returns a Sparer that knows of no rest.
-func New() *Sparer {
-	return &Sparer{rests: make(map[enroller.Key]*rest)}
+func New[K comparable]() *Sparer[K] {
+	return &Sparer[K]{rests: make(map[K]*rest)}
 }
 
-// Rest takes that a process wants no calls for a time. A shorter rest does not end a longer one: the
+// Rest takes that a target wants no calls for a time. A shorter rest does not end a longer one: the
 // answers to calls that were sent together may come in any order.
-func (s *Sparer) Rest(now time.Time, k enroller.Key, d time.Duration) {
+func (s *Sparer[K]) Rest(now time.Time, k K, d time.Duration) {
 	s.forget(now)
 
 	u := now.Add(min(d, longest))
@@ -65,15 +64,15 @@
 	s.rests[k] = &rest{until: u}
 }
 
-// Resting says that a process wants no calls now.
-func (s *Sparer) Resting(now time.Time, k enroller.Key) bool {
+// Resting says that a target wants no calls now.
+func (s *Sparer[K]) Resting(now time.Time, k K) bool {
 	r, ok := s.rests[k]
 
 	return ok && now.Before(r.until)
 }
 
-// Wait returns how long it takes until a call may go to a process; zero when it may now.
-func (s *Sparer) Wait(now time.Time, k enroller.Key) time.Duration {
+// Wait returns how long it takes until a call may go to a target; zero when it may now.
+func (s *Sparer[K]) Wait(now time.Time, k K) time.Duration {
 	r, ok := s.rests[k]
 
 	switch {
@@ -88,24 +87,24 @@
 	}
 }
 
-// Sent takes that a call goes to a process.
-func (s *Sparer) Sent(now time.Time, k enroller.Key) {
+// Sent takes that a call goes to a target.
+func (s *Sparer[K]) Sent(now time.Time, k K) {
 	if r, ok := s.rests[k]; ok {
 		r.sent++
 		r.last = now
 	}
 }
 
-// Withdraw takes back that a call goes to a process.
-func (s *Sparer) Withdraw(k enroller.Key) {
+// Withdraw takes back that a call goes to a target.
+func (s *Sparer[K]) Withdraw(k K) {
 	if r, ok := s.rests[k]; ok {
 		r.sent = max(r.sent-1, 0)
 	}
 }
 
-// Answered takes that a process begins to answer a call. The answer to one from before the end of a
+// Answered takes that a target begins to answer a call. The answer to one from before the end of a
 // rest shows nothing.
-func (s *Sparer) Answered(now time.Time, k enroller.Key) {
+func (s *Sparer[K]) Answered(now time.Time, k K) {
 	r, ok := s.rests[k]
 	if !ok || now.Before(r.until) || r.sent == r.answered {
 		return
@@ -118,10 +117,10 @@
 }
 
 // Len returns how many rests are remembered.
-func (s *Sparer) Len() int { return len(s.rests) }
+func (s *Sparer[K]) Len() int { return len(s.rests) }
 
 // forget drops the rests that ended long ago.
-func (s *Sparer) forget(now time.Time) {
+func (s *Sparer[K]) forget(now time.Time) {
 	for k, r := range s.rests {
 		if now.Sub(r.until) >= keptFor {
 			delete(s.rests, k)
--- a/internal/sparer/sparer_test.go
+++ b/internal/sparer/sparer_test.go
@@ -6,11 +6,10 @@
 
 	"github.com/matryer/is"
 
-	"github.com/auburntray/auburntray/internal/enroller"
 	"github.com/auburntray/auburntray/internal/sparer"
 )
 
-const target = enroller.Key(7)
+const target = uint64(7)
 
 // Guards against calls that come in a rest, and against a rest without an end.
 func TestRest(t *testing.T) {
@@ -30,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			s := sparer.New()
+			s := sparer.New[uint64]()
 
 			for n, d := range x.asked {
 				s.Rest(b.Add(time.Duration(n)*100*time.Millisecond), target, d)
@@ -54,7 +53,7 @@
 func TestEndOfARest(t *testing.T) {
 	i := is.New(t)
 	b := time.Unix(1000, 0)
-	s := sparer.New()
+	s := sparer.New[uint64]()
 	s.Rest(b, target, time.Second)
 
 	// An answer to a call from before says nothing.
@@ -89,17 +88,17 @@
 // was not sent.
 func TestCallAfterARestThatShowsNothing(t *testing.T) {
 	for name, x := range map[string]struct {
-		then func(s *sparer.Sparer)
+		then func(s *sparer.Sparer[uint64])
 		want time.Duration
 	}{
-		"no answer":             {then: func(*sparer.Sparer) {}, want: time.Second},
-		"it was not sent":       {then: func(s *sparer.Sparer) { s.Withdraw(target) }},
-		"it was not sent twice": {then: func(s *sparer.Sparer) { s.Withdraw(target); s.Withdraw(target) }},
+		"no answer":             {then: func(*sparer.Sparer[uint64]) {}, want: time.Second},
+		"it was not sent":       {then: func(s *sparer.Sparer[uint64]) { s.Withdraw(target) }},
+		"it was not sent twice": {then: func(s *sparer.Sparer[uint64]) { s.Withdraw(target); s.Withdraw(target) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
 			n := time.Unix(1000, 0)
-			s := sparer.New()
+			s := sparer.New[uint64]()
 			s.Rest(n, target, time.Second)
 
 			n = n.Add(time.Second)
@@ -119,9 +118,9 @@
 func TestOldRestsAreForgotten(t *testing.T) {
 	i := is.New(t)
 	n := time.Unix(1000, 0)
-	s := sparer.New()
+	s := sparer.New[uint64]()
 
-	for k := range enroller.Key(1000) {
+	for k := range uint64(1000) {
 		s.Rest(n, k, time.Second)
 		n = n.Add(time.Second)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest ShelvedSuspect Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation
+//msgp:tuple Hello Frame Member Beat Gossip Ask Verdict Release Report Rest Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Place HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords News Holder Load Gone Reserve Room Vacate Occupancy Suspects Suspect SuspectEnd SuspectsRequest ShelvedSuspect Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation
 
 // A list's length is believed before its elements are there: ten bytes of a peer that claim four
 // thousand million of them would end whoever reads them for want of memory, each time that they
@@ -67,6 +67,8 @@
 	KindEvacuations
 	// KindLeaving tells, as a Gone, of processes of targets that said that they leave.
 	KindLeaving
+	// KindRest tells the home of a cell that a target has asked for rest.
+	KindRest
 	// Kinds is how many kinds there are.
 	Kinds
 )
@@ -153,6 +155,13 @@
 	NeverSent bool
 }
 
+// Rest passes on that a target has asked for rest as it turned a request away.
+type Rest struct {
+	Cell   uint32
+	Target uint32
+	ForMs  uint32
+}
+
 // Report passes on what a target said of itself as its answer began. Requests is
 // negative when it reports no load, Incarnation zero when nothing is new.
 type Report struct {
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -3902,6 +3902,113 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Rest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Cell, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Cell")
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.ForMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "ForMs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Rest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Cell)
+	if err != nil {
+		err = msgp.WrapError(err, "Cell")
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint32(z.ForMs)
+	if err != nil {
+		err = msgp.WrapError(err, "ForMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Rest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint32(o, z.Cell)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint32(o, z.ForMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Rest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Cell, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cell")
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.ForMs, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ForMs")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Rest) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Room) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
