internal/warner: a long list of held calls is read while it arrives; internal/extender holds the times

Measured: warner.TestLongListOfHeldCallsIsRead, a list that takes two seconds: not read in three before (0 reads that ended), read at once now.

--- a/internal/extender/extender.go
+++ b/internal/extender/extender.go
@@ -10,6 +10,20 @@
 	"time"
 )
 
+const (
+	// SilentAfter is in how much time at least a piece of an answer arrives that is on its way.
+	SilentAfter = 300 * time.Millisecond
+	// LongMost bounds an answer that goes on arriving. A configuration of two megabytes takes a link of
+	// 10 Mbit/s that long when callers take two thirds of it.
+	LongMost = 5 * time.Second
+)
+
+// Arriving returns the settings of a context for an answer that begins within a time, and lasts while it
+// arrives.
+func Arriving(within time.Duration) Settings {
+	return Settings{First: within, Gap: SilentAfter, Most: LongMost}
+}
+
 // Settings say how long a context lasts.
 type Settings struct {
 	// First is how long it lasts when nothing arrives; zero sets no bound.
--- a/internal/repeater/others.go
+++ b/internal/repeater/others.go
@@ -19,7 +19,7 @@
 // something new, else that of the one that heard of the platform last.
 func (s *Stream) others(c context.Context, from int64) (*wire.StreamReply, error) {
 	// A time of its own: that for the platform may have run out.
-	x, stop := extender.New(context.WithoutCancel(c), extender.Settings{First: peerTimeout, Gap: carryGap, Most: carryMost})
+	x, stop := extender.New(context.WithoutCancel(c), extender.Arriving(peerTimeout))
 	defer stop()
 
 	l := s.some()
@@ -94,7 +94,10 @@
 		d = wait + peerSlack
 	}
 
-	x, stop := extender.New(c, extender.Settings{First: d, Gap: carryGap, Most: carryMost, Came: s.arrived})
+	u := extender.Arriving(d)
+	u.Came = s.arrived
+
+	x, stop := extender.New(c, u)
 	defer stop()
 
 	var p wire.StreamReply
@@ -108,7 +111,7 @@
 	y := time.Duration(p.ComingMs) * time.Millisecond
 	s.coming(time.Now().Add(-y))
 
-	if time.Duration(p.AgeMs)*time.Millisecond > stale && y >= carryGap {
+	if time.Duration(p.AgeMs)*time.Millisecond > stale && y >= extender.SilentAfter {
 		return nil, errors.Mark(errors.Newf("%v has not heard of the platform for %d ms", m.Address, p.AgeMs), errOld)
 	}
 
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -79,9 +79,6 @@
 	// settleIn is how long after its start an instance reads through a seed. By
 	// then gossip has told it of the others.
 	settleIn = 14 * time.Second
-	// carryMost bounds an answer that goes on arriving, and carryGap the time in which nothing of it does.
-	carryMost = 5 * time.Second
-	carryGap  = 300 * time.Millisecond
 	// sentOnMost bounds how often an instance is sent on to another that has the records: the levels that
 	// a data centre of some thousand instances has.
 	sentOnMost = 6
--- a/internal/warner/shelf.go
+++ b/internal/warner/shelf.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/digester"
+	"github.com/auburntray/auburntray/internal/extender"
 	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -27,7 +28,7 @@
 }
 
 const (
-	// shelfTimeout bounds a call to the shelf.
+	// shelfTimeout bounds a call to the shelf; a read lasts while its answer arrives.
 	shelfTimeout = time.Second
 	// shelfAgain is the pause after one that failed, and so much longer for each live instance
 	// with a lower ID, up to rankMost of them: one reads and tells the others, and a shelf
@@ -83,7 +84,7 @@
 }
 
 func (w *Warner) newest(c context.Context) ([]watcher.Record, error) {
-	x, stop := context.WithTimeout(c, shelfTimeout)
+	x, stop := extender.New(c, extender.Arriving(shelfTimeout))
 	defer stop()
 
 	l, _, err := w.shelf.Newest(x)
--- a/internal/warner/shelf_test.go
+++ b/internal/warner/shelf_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/auburntray/auburntray/internal/extender"
 	"github.com/auburntray/auburntray/internal/quarantiner"
 	"github.com/auburntray/auburntray/internal/warner"
 	"github.com/auburntray/auburntray/internal/watcher"
@@ -22,11 +23,22 @@
 	records map[string][]byte
 	away    bool
 	reads   int
+	// long is how long an answer to a read is on its way.
+	long time.Duration
 }
 
 func newShelf() *shelf { return &shelf{records: make(map[string][]byte)} }
 
-func (s *shelf) Newest(context.Context) ([]watcher.Record, int64, error) {
+func (s *shelf) Newest(c context.Context) ([]watcher.Record, int64, error) {
+	for d := time.Duration(0); d < s.long; d += 100 * time.Millisecond {
+		time.Sleep(100 * time.Millisecond)
+		extender.Extend(c)
+
+		if c.Err() != nil {
+			return nil, 0, c.Err()
+		}
+	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -73,6 +85,23 @@
 	return len(s.records)
 }
 
+// Guards against a list of held calls that is given up on its way over a thin link, and begun anew.
+func TestLongListOfHeldCallsIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		s := newShelf()
+		s.long = 2 * time.Second
+
+		startWith(t, 1, s)
+		time.Sleep(3 * time.Second)
+
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		i.Equal(s.reads, 1)
+	})
+}
+
 // All instances lose their power after a call has ended three targets, and start again. The
 // call comes on, at several of them at once. Without what was written it ended three targets
 // more, with each of its repeats at least one.
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -21,10 +21,9 @@
 const (
 	// waitPart is how long a read waits for a change, as a part of the time that waits may take. Each read
 	// has a price, but one that was under way when the network was cut is never answered, and nothing is
-	// heard until it is given up after silentAfter more. Others may read through this instance and are
+	// heard until it is given up after extender.SilentAfter more. Others may read through this instance and are
 	// blind for as long.
-	waitPart    = 0.35
-	silentAfter = 300 * time.Millisecond
+	waitPart = 0.35
 	// newestTimeout bounds a read of all keys. The source answers within a few
 	// milliseconds, a quarter of a second when it is slow; but three thousand targets are
 	// 1.2 MB, which takes a link of 10 Mbit/s a second when it carries nothing else. Given
@@ -38,9 +37,6 @@
 	// every instance asks, and each refusal has a price.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
-	// carryMost bounds a read whose answer goes on arriving. A configuration of two megabytes takes a
-	// link of 10 Mbit/s that long when callers take two thirds of it.
-	carryMost = 5 * time.Second
 	// maxDoublings bounds the exponent; by then retryMost is reached.
 	maxDoublings = 4
 )
@@ -140,12 +136,12 @@
 		return w.reset(c)
 	}
 
-	d, most := w.wait, w.wait+silentAfter
+	d, most := w.wait, w.wait+extender.SilentAfter
 	if !w.failed.IsZero() {
 		d, most = 0, shortTimeout
 	}
 
-	x, stop := extender.New(c, extender.Settings{First: most, Gap: silentAfter, Most: carryMost})
+	x, stop := extender.New(c, extender.Arriving(most))
 	defer stop()
 
 	l, n, err := w.source.Follow(x, w.next, d)
@@ -173,7 +169,7 @@
 // Reads may be answered from an older state than the one already seen. Such an
 // answer shows by its end, and taking it would bring back what was dropped.
 func (w *Watcher) reset(c context.Context) (int, error) {
-	x, stop := extender.New(c, extender.Settings{First: newestTimeout, Gap: silentAfter, Most: carryMost})
+	x, stop := extender.New(c, extender.Arriving(newestTimeout))
 	defer stop()
 
 	l, n, err := w.source.Newest(x)
