internal/messenger: a test that messages of a newer release are skipped

Two kinds of message are new in this change, and rolling updates have both releases side by side. That an older one skips them was read; the test shows it, on one connection with calls between. It passes on the code as it is.

--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"testing"
@@ -68,6 +69,26 @@
 	i.True(errors.Is(err, messenger.ErrUnreachable))
 }
 
+// Guards against a rolling update in which instances of the older release end the connections of newer
+// ones, or answer wrongly, at each message that they do not know.
+func TestMessagesOfANewerReleaseAreSkipped(t *testing.T) {
+	i := is.New(t)
+	a, b := newMessenger(t, 1), newMessenger(t, 2)
+
+	b.Handle(wire.KindAsk, func(context.Context, uint64, []byte) (msgp.Marshaler, error) { return &wire.Verdict{Target: 7}, nil })
+	b.Serve()
+
+	var v wire.Verdict
+
+	for _, k := range []wire.Kind{wire.KindLeaving, wire.KindRest, wire.Kinds, math.MaxUint8} {
+		i.NoErr(a.Send(t.Context(), b.Address(), k, &wire.Gone{Targets: []string{"t"}, StartsMs: []int64{1}}))
+
+		v = wire.Verdict{}
+		i.NoErr(a.Call(t.Context(), b.Address(), wire.KindAsk, &wire.Ask{}, &v))
+		i.Equal(v.Target, uint32(7))
+	}
+}
+
 // A home answers late, after the entry gave up and asked for the next request.
 // Taken for the answer to that one, it would send one caller's request to the
 // place of another's.
