--- a/internal/gatekeeper/facts.go
+++ b/internal/gatekeeper/facts.go
@@ -142,11 +142,9 @@
 
 // Leave is part of forwarder.Facts.
 func (f *facts) Leave(p enroller.Process) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	var o bool
 
-	o := f.enroller.Leave(time.Now(), p)
-	f.publish()
+	f.update(func(n time.Time, e *enroller.Enroller) { o = e.Leave(n, p) })
 
 	return o
 }
--- a/internal/sparer/sparer.go
+++ b/internal/sparer/sparer.go
@@ -116,9 +116,6 @@
 	}
 }
 
-// Len returns how many rests are remembered.
-func (s *Sparer[K]) Len() int { return len(s.rests) }
-
 // forget drops the rests that ended long ago.
 func (s *Sparer[K]) forget(now time.Time) {
 	for k, r := range s.rests {
