--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -204,7 +204,7 @@
 	defer s.mu.Unlock()
 
 	if next < s.cache.next || s.cache.newerThan(l) {
-		return errStaleList
+		return errors.Wrapf(errStaleList, "it ends at offset %d, already read up to %d", next, s.cache.next)
 	}
 
 	s.cache.reset(confirmed, l, next)
