--- a/internal/discoverer/discoverer.go
+++ b/internal/discoverer/discoverer.go
@@ -82,6 +82,11 @@
 	}
 }
 
+// BeginGrace begins a grace period: the list has come back from an older state, from which live targets may be missing.
+func (d *Discoverer) BeginGrace(now time.Time) {
+	d.restored = now
+}
+
 // Set adds a target or replaces its entry. It must be called in the order of the list's records: the
 // last record of an ID names the process that runs, even if the start of that process is earlier than
 // that of the previous one; see Process.
--- a/internal/discoverer/target.go
+++ b/internal/discoverer/target.go
@@ -27,7 +27,8 @@
 	// ColdTime is how long after its entry was read the process remains cold, that is, can serve only few
 	// calls at a time; ColdUnknown when the entry does not state it.
 	ColdTime time.Duration
-	// Offset is the offset of the entry's record.
+	// Era and Offset are the position of the entry's record.
+	Era    uint64
 	Offset int64
 
 	// coldUntil is when the process becomes warm according to its entry, and firstSeen is when an entry
@@ -51,7 +52,7 @@
 	if previous != nil && previous.Process() == t.Process() {
 		t.firstSeen, t.coldUntil = previous.firstSeen, previous.coldUntil
 
-		if previous.Offset == t.Offset {
+		if previous.Era == t.Era && previous.Offset == t.Offset {
 			return t
 		}
 	}
--- a/internal/gatekeeper/config_handler.go
+++ b/internal/gatekeeper/config_handler.go
@@ -16,14 +16,19 @@
 	key      string
 	decode   func([]byte) (cataloger.Document, error)
 	reporter *invalidRecordReporter
-	// afterInvalid is the offset after the last invalid record that was reported.
-	afterInvalid int64
+	// afterInvalid is the position after the last invalid record that was reported.
+	afterInvalid watcher.Position
+	// era is the era of the records.
+	era uint64
 }
 
 var _ watcher.Handler = (*configHandler)(nil)
 
-// Reset implements watcher.Handler. Older configurations are recognized by their version.
-func (h *configHandler) Reset(l []watcher.Record, _ int64) error {
+// Reset implements watcher.Handler. Older configurations are recognized by their version, in a new era too: the one
+// in force remains until its successor is written.
+func (h *configHandler) Reset(l []watcher.Record, end watcher.Position) error {
+	h.era = end.Era
+
 	for _, r := range l {
 		h.Change(r)
 	}
@@ -49,11 +54,12 @@
 	}
 
 	// Each full list contains the newest record of the key again; it is reported only once.
-	if r.Offset < h.afterInvalid {
+	p := watcher.Position{Era: h.era, Offset: r.Offset}
+	if p.Before(h.afterInvalid) {
 		return
 	}
 
-	h.afterInvalid = r.Offset + 1
+	h.afterInvalid = watcher.Position{Era: h.era, Offset: r.Offset + 1}
 	h.reporter.report(err, logrus.Fields{"event": "catalogRefused", "version": d.Version, "offset": r.Offset})
 }
 
--- a/internal/gatekeeper/config_handler_test.go
+++ b/internal/gatekeeper/config_handler_test.go
@@ -49,7 +49,7 @@
 
 			for range 3 {
 				s.Change(watcher.Record{Key: "config", Value: []byte(x.value), Offset: 2})
-				i.NoErr(s.Reset([]watcher.Record{{Key: "config", Value: []byte(x.value), Offset: 2}}, 3))
+				i.NoErr(s.Reset([]watcher.Record{{Key: "config", Value: []byte(x.value), Offset: 2}}, watcher.Position{Offset: 3}))
 			}
 
 			i.Equal(f.catalogVersion(), uint64(7))
--- a/internal/gatekeeper/evacuation_handler.go
+++ b/internal/gatekeeper/evacuation_handler.go
@@ -23,8 +23,8 @@
 var _ watcher.Handler = (*evacuationHandler)(nil)
 
 // Reset implements watcher.Handler. It fails with errStaleList: an older list would end evacuations
-// that are still in force.
-func (h *evacuationHandler) Reset(l []watcher.Record, end int64) error {
+// that are still in force. In a new era they remain until the operator has had time to request them again.
+func (h *evacuationHandler) Reset(l []watcher.Record, end watcher.Position) error {
 	var o []watcher.Record
 
 	for _, r := range l {
@@ -33,13 +33,27 @@
 		}
 	}
 
+	if end.Era != h.records.era {
+		for _, r := range h.records.beginEra(end.Era, newestRecords(o), time.Now().Add(evacuationRewriteTime)) {
+			h.apply(r)
+		}
+
+		return nil
+	}
+
 	n := newestOffsets(o)
-	if err := h.records.checkNotStale(n, end); err != nil {
+	if err := h.records.checkNotStale(n, end.Offset); err != nil {
 		return err
 	}
 
 	for k, m := range h.records.keys {
-		if _, ok := n[k]; !ok && m.outcome != deleted {
+		if _, ok := n[k]; ok || h.records.isHeldBack(k, m.offset) && m.outcome == applied {
+			continue
+		}
+
+		if m.outcome == deleted {
+			delete(h.records.heldBack, k)
+		} else {
 			h.remove(watcher.Record{Key: k, Offset: m.offset})
 		}
 	}
@@ -54,17 +68,23 @@
 // Change implements watcher.Handler. A record whose value can't be decoded still starts an
 // evacuation if its key names the data centre: calls that were sent there can't be recalled.
 func (h *evacuationHandler) Change(r watcher.Record) {
-	c, ok, err := h.decode(r.Key, r.Value)
-	if !ok || h.records.contains(r) {
+	if _, ok, _ := h.decode(r.Key, r.Value); !ok || h.records.contains(r) {
 		return
 	}
 
+	h.apply(r)
+}
+
+// apply applies a record of an evacuation.
+func (h *evacuationHandler) apply(r watcher.Record) {
 	if len(r.Value) == 0 {
 		h.remove(r)
 
 		return
 	}
 
+	c, _, err := h.decode(r.Key, r.Value)
+
 	if err != nil {
 		h.reporter.report(err, logrus.Fields{"event": "evacuationUnclear", "dataCentre": c, "offset": r.Offset})
 	}
@@ -98,7 +118,13 @@
 }
 
 // Read implements watcher.Handler.
-func (h *evacuationHandler) Read(time.Duration) { h.reporter.flush() }
+func (h *evacuationHandler) Read(time.Duration) {
+	for _, r := range h.records.release(time.Now()) {
+		h.apply(r)
+	}
+
+	h.reporter.flush()
+}
 
 // Failed implements watcher.Handler.
 func (h *evacuationHandler) Failed(error) {}
--- a/internal/gatekeeper/evacuation_handler_test.go
+++ b/internal/gatekeeper/evacuation_handler_test.go
@@ -141,7 +141,7 @@
 
 			for _, x := range steps {
 				if x.end > 0 {
-					i.True(errors.Is(s.Reset(x.list, x.end), x.err))
+					i.True(errors.Is(s.Reset(x.list, watcher.Position{Offset: x.end}), x.err))
 				} else {
 					s.Change(x.change)
 				}
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -67,13 +67,17 @@
 	return append([]watcher.Record(nil), s.records[from:]...), int64(len(s.records)), nil
 }
 
-func (s *stream) Newest(context.Context) ([]watcher.Record, int64, error) { return s.read(0) }
+func (s *stream) Newest(context.Context) ([]watcher.Record, watcher.Position, error) {
+	l, n, err := s.read(0)
 
-func (s *stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+	return l, watcher.Position{Offset: n}, err
+}
+
+func (s *stream) Follow(c context.Context, from watcher.Position, wait time.Duration) (watcher.Batch, error) {
 	for b := time.Now(); ; time.Sleep(2 * time.Millisecond) {
-		l, n, err := s.read(from)
+		l, n, err := s.read(from.Offset)
 		if err != nil || len(l) > 0 || time.Since(b) >= wait || c.Err() != nil {
-			return l, n, err
+			return watcher.Batch{Records: l, Next: watcher.Position{Offset: n}}, err
 		}
 	}
 }
--- a/internal/gatekeeper/handlers.go
+++ b/internal/gatekeeper/handlers.go
@@ -12,7 +12,7 @@
 var _ watcher.Handler = handlers(nil)
 
 // Reset implements watcher.Handler. It returns the first error, and skips the handlers after it.
-func (h handlers) Reset(l []watcher.Record, end int64) error {
+func (h handlers) Reset(l []watcher.Record, end watcher.Position) error {
 	for _, k := range h {
 		if err := k.Reset(l, end); err != nil {
 			return err
--- a/internal/gatekeeper/seen_records.go
+++ b/internal/gatekeeper/seen_records.go
@@ -1,11 +1,25 @@
 package gatekeeper
 
 import (
+	"maps"
+	"slices"
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
+const (
+	// evacuationRewriteTime, configRewriteTime and targetRewriteTime are how long after a new era was noticed records
+	// that the stream has lost may take to be written again. Operators write at once; a call to a data centre whose
+	// evacuation was lost can't be recalled, so evacuations have more time. Targets that are alive write with each
+	// heartbeat of 1.2 s; the entry of another one, which the stream lists again, expires after three of them.
+	evacuationRewriteTime = 30 * time.Second
+	configRewriteTime     = 6 * time.Second
+	targetRewriteTime     = 6 * time.Second
+)
+
 // errStaleList marks a full list that is older than a state that was already observed.
 var errStaleList = errors.New("list is older than a state already observed")
 
@@ -26,6 +40,7 @@
 
 // seenRecord is the newest observed record of a key.
 type seenRecord struct {
+	// offset is negative if the present era has no record of the key yet.
 	offset  int64
 	outcome outcome
 }
@@ -35,10 +50,17 @@
 type seenRecords struct {
 	keys      map[string]seenRecord
 	unapplied int
+	// era is the era of all offsets.
+	era uint64
+	// heldBack are the records of the present era that are older than the state in force, by key. They are not
+	// applied before their writers had the time to write again what was lost.
+	heldBack map[string]watcher.Record
+	// releaseAt is when the records that are held back are applied after all.
+	releaseAt time.Time
 }
 
 func newSeenRecords() *seenRecords {
-	return &seenRecords{keys: make(map[string]seenRecord)}
+	return &seenRecords{keys: make(map[string]seenRecord), heldBack: make(map[string]watcher.Record)}
 }
 
 // contains reports whether a record, or a newer one of its key, was observed.
@@ -48,8 +70,10 @@
 	return ok && r.Offset <= x.offset
 }
 
-// set stores the newest record of a key.
+// set stores the newest record of a key, which replaces one that is held back.
 func (s *seenRecords) set(key string, x seenRecord) {
+	delete(s.heldBack, key)
+
 	if o, ok := s.keys[key]; ok && o.outcome != applied {
 		s.unapplied--
 	}
@@ -79,7 +103,13 @@
 // markMissingDeleted marks the keys that are missing from a list as deleted.
 func (s *seenRecords) markMissingDeleted(newest map[string]int64) {
 	for k, x := range s.keys {
-		if _, ok := newest[k]; !ok && x.outcome != deleted {
+		if _, ok := newest[k]; ok {
+			continue
+		}
+
+		delete(s.heldBack, k)
+
+		if x.outcome != deleted {
 			s.set(k, seenRecord{offset: x.offset, outcome: deleted})
 		}
 	}
@@ -106,6 +136,78 @@
 	return nil
 }
 
+// beginEra begins an era whose list has the given newest records, and returns those that are not older than the state
+// in force. The others are held back until their key is written again, or else until releaseAt.
+//
+// The stream has come back from a copy, so a key may have an older record than the one already observed: a target
+// that has left is listed again, or an evacuation that is in force is missing. All offsets up to the end of the copy
+// are those of the era before, so a key with a lower offset than observed has lost records. One with a higher offset
+// was written since.
+func (s *seenRecords) beginEra(era uint64, newest map[string]watcher.Record, releaseAt time.Time) []watcher.Record {
+	s.era, s.releaseAt = era, releaseAt
+
+	var o []watcher.Record
+
+	for k, r := range newest {
+		x, ok := s.keys[k]
+		_, held := s.heldBack[k]
+
+		if ok && (r.Offset < x.offset || held && r.Offset == x.offset) {
+			s.heldBack[k] = r
+		} else {
+			o = append(o, r)
+			delete(s.heldBack, k)
+		}
+	}
+
+	for k, x := range s.keys {
+		r, listed := newest[k]
+		x.offset = -1
+
+		if _, held := s.heldBack[k]; held && listed {
+			x.offset = r.Offset
+		} else if !listed && x.outcome == applied {
+			s.heldBack[k] = watcher.Record{Key: k, Offset: -1}
+		}
+
+		s.keys[k] = x
+	}
+
+	return o
+}
+
+// isHeldBack reports whether a record of the present era, or a newer one of its key, is held back.
+func (s *seenRecords) isHeldBack(key string, offset int64) bool {
+	r, ok := s.heldBack[key]
+
+	return ok && offset <= r.Offset
+}
+
+// release returns the records that were held back until now.
+func (s *seenRecords) release(now time.Time) []watcher.Record {
+	if len(s.heldBack) == 0 || now.Before(s.releaseAt) {
+		return nil
+	}
+
+	o := slices.Collect(maps.Values(s.heldBack))
+	clear(s.heldBack)
+
+	return o
+}
+
+// newestRecords returns the newest record of each key.
+func newestRecords(l []watcher.Record) map[string]watcher.Record {
+	o := make(map[string]watcher.Record, len(l))
+
+	for _, r := range l {
+		if n, ok := o[r.Key]; !ok || r.Offset > n.Offset {
+			o[r.Key] = r
+		}
+	}
+
+	return o
+}
+
 // newestOffsets returns the newest offset of each key.
 func newestOffsets(l []watcher.Record) map[string]int64 {
 	o := make(map[string]int64, len(l))
--- a/internal/gatekeeper/state.go
+++ b/internal/gatekeeper/state.go
@@ -30,6 +30,8 @@
 	lastConfirmed func() time.Time
 	// applyWithin is the time within which changes are in force at all instances.
 	applyWithin time.Duration
+	// eraBegan is when a new era of the configuration's stream was noticed; nil if none was.
+	eraBegan atomic.Pointer[time.Time]
 
 	mu         sync.Mutex
 	discoverer *discoverer.Discoverer
@@ -83,8 +85,19 @@
 // that was added since does not have to be in force yet.
 const freshFraction = 0.95
 
-// Fresh implements forwarder.ClusterState.
+// beginEra records that the stream of the configuration has come back from a copy.
+func (s *state) beginEra() {
+	n := time.Now()
+	s.eraBegan.Store(&n)
+}
+
+// Fresh implements forwarder.ClusterState. The catalog is not fresh while changes that the platform has confirmed and
+// then lost may be written again: this instance may have missed them.
 func (s *state) Fresh() bool {
+	if b := s.eraBegan.Load(); b != nil && time.Since(*b) < configRewriteTime {
+		return false
+	}
+
 	return time.Since(s.lastConfirmed()) < time.Duration(freshFraction*float64(s.applyWithin))
 }
 
--- a/internal/gatekeeper/state_test.go
+++ b/internal/gatekeeper/state_test.go
@@ -40,7 +40,7 @@
 
 			if x.targets {
 				s, _ := newTestTargetHandler(f)
-				i.NoErr(s.Reset([]watcher.Record{{Key: "t", Value: []byte("g")}}, 1))
+				i.NoErr(s.Reset([]watcher.Record{{Key: "t", Value: []byte("g")}}, watcher.Position{Offset: 1}))
 			}
 
 			i.Equal(isClosed(f.Synced()), x.want)
@@ -56,7 +56,7 @@
 	f := newState()
 	f.onRegistryChange = func(*discoverer.Registry) {}
 	s, _ := newTestTargetHandler(f)
-	i.NoErr(s.Reset(nil, 0))
+	i.NoErr(s.Reset(nil, watcher.Position{}))
 
 	b := f.Registry()
 
@@ -82,7 +82,7 @@
 
 	f.onRegistryChange = func(r *discoverer.Registry) { last = r }
 	s, _ := newTestTargetHandler(f)
-	i.NoErr(s.Reset([]watcher.Record{{Key: "t", Value: []byte("g")}, {Key: "u", Value: []byte("other")}}, 2))
+	i.NoErr(s.Reset([]watcher.Record{{Key: "t", Value: []byte("g")}, {Key: "u", Value: []byte("other")}}, watcher.Position{Offset: 2}))
 
 	enforce := func(version uint64, groups ...string) {
 		d := cataloger.Document{Version: version}
--- a/internal/gatekeeper/target_handler.go
+++ b/internal/gatekeeper/target_handler.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,21 +23,67 @@
 var _ watcher.Handler = (*targetHandler)(nil)
 
 // Reset implements watcher.Handler. It fails with errStaleList.
-func (h *targetHandler) Reset(l []watcher.Record, end int64) error {
+func (h *targetHandler) Reset(l []watcher.Record, end watcher.Position) error {
+	if end.Era != h.records.era {
+		h.beginEra(l, end.Era)
+
+		return nil
+	}
+
 	n := newestOffsets(l)
-	if err := h.records.checkNotStale(n, end); err != nil {
+	if err := h.records.checkNotStale(n, end.Offset); err != nil {
 		return err
 	}
 
 	h.records.markMissingDeleted(n)
+	l = slices.DeleteFunc(slices.Clone(l), func(r watcher.Record) bool {
+		return n[r.Key] != r.Offset || h.records.isHeldBack(r.Key, r.Offset)
+	})
+	h.replace(l)
+
+	return nil
+}
+
+// beginEra applies the list of a new era. A target keeps its state while a record that is older than this is held back,
+// and a target that is not listed has the usual time to register again.
+func (h *targetHandler) beginEra(l []watcher.Record, era uint64) {
+	if len(h.records.keys) > 0 {
+		h.state.stageTargets(func(now time.Time, d *discoverer.Discoverer) { d.BeginGrace(now) })
+	}
+
+	n := newestRecords(l)
+	o := h.records.beginEra(era, n, time.Now().Add(targetRewriteTime))
+
+	for k := range h.records.heldBack {
+		if _, ok := n[k]; !ok {
+			delete(h.records.heldBack, k)
+		}
+	}
+
+	h.replace(o)
+}
+
+// retained returns the targets whose listed records are held back.
+func (h *targetHandler) retained() []discoverer.Target {
+	var o []discoverer.Target
+
+	for k := range h.records.heldBack {
+		if t, ok := h.state.target(k); ok && h.records.keys[k].outcome == applied {
+			o = append(o, *t)
+		}
+	}
+
+	return o
+}
 
-	var (
-		targets    []discoverer.Target
-		invalidIDs []string
-	)
+// replace replaces the list of targets by those of the given records, the newest of each key, and the retained ones.
+func (h *targetHandler) replace(l []watcher.Record) {
+	var invalidIDs []string
+
+	targets := h.retained()
 
 	for _, r := range l {
-		if n[r.Key] != r.Offset || len(r.Value) == 0 {
+		if len(r.Value) == 0 {
 			continue
 		}
 
@@ -53,16 +100,17 @@
 	}
 
 	h.state.resetTargets(targets, invalidIDs)
-
-	return nil
 }
 
 // Change implements watcher.Handler. The changes of one read are published together.
 func (h *targetHandler) Change(r watcher.Record) {
-	if h.records.contains(r) {
-		return
+	if !h.records.contains(r) {
+		h.applyRecord(r)
 	}
+}
 
+// applyRecord applies a record of the list.
+func (h *targetHandler) applyRecord(r watcher.Record) {
 	if len(r.Value) == 0 {
 		h.remove(r)
 
@@ -98,7 +146,7 @@
 
 // withReadTime returns a target with the values that depend on when its entry was read.
 func (h *targetHandler) withReadTime(t discoverer.Target, offset int64) discoverer.Target {
-	t.Offset = offset
+	t.Era, t.Offset = h.records.era, offset
 	o, _ := h.state.target(t.ID)
 
 	return t.WithReadTime(time.Now(), o)
@@ -145,6 +193,10 @@
 
 // Read implements watcher.Handler.
 func (h *targetHandler) Read(outage time.Duration) {
+	for _, r := range h.records.release(time.Now()) {
+		h.applyRecord(r)
+	}
+
 	h.state.updateTargets(func(n time.Time, d *discoverer.Discoverer) {
 		d.RecordOutage(n, outage)
 	})
--- a/internal/gatekeeper/target_handler_test.go
+++ b/internal/gatekeeper/target_handler_test.go
@@ -54,7 +54,7 @@
 		l = append(l, watcher.Record{Key: id, Value: []byte("g"), Offset: int64(n + 1)})
 	}
 
-	if err := s.Reset(l, int64(len(l)+1)); err != nil {
+	if err := s.Reset(l, watcher.Position{Offset: int64(len(l) + 1)}); err != nil {
 		t.Fatal(err)
 	}
 
@@ -74,7 +74,7 @@
 			return nil
 		},
 		"in a full list": func(s *targetHandler) error {
-			return s.Reset([]watcher.Record{{Key: "a", Value: []byte("bad"), Offset: 5}, {Key: "b", Value: []byte("g"), Offset: 2}}, 6)
+			return s.Reset([]watcher.Record{{Key: "a", Value: []byte("bad"), Offset: 5}, {Key: "b", Value: []byte("g"), Offset: 2}}, watcher.Position{Offset: 6})
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -107,7 +107,7 @@
 	_, s, c := newTestState(t)
 
 	for n := range 3 {
-		i.NoErr(s.Reset([]watcher.Record{{Key: "a", Value: []byte("bad"), Offset: 5}}, int64(6+n)))
+		i.NoErr(s.Reset([]watcher.Record{{Key: "a", Value: []byte("bad"), Offset: 5}}, watcher.Position{Offset: int64(6 + n)}))
 		s.Change(watcher.Record{Key: "a", Value: []byte("bad"), Offset: 5})
 	}
 
@@ -196,7 +196,7 @@
 			l = append(l, watcher.Record{Key: strconv.FormatInt(k, 10), Value: []byte("g"), Offset: k + 1})
 		}
 
-		i.NoErr(s.Reset(l, (n+1)*each+1))
+		i.NoErr(s.Reset(l, watcher.Position{Offset: (n+1)*each + 1}))
 	}
 
 	i.True(len(s.records.keys) <= maxUnapplied+each)
@@ -236,7 +236,7 @@
 			s.Read(0)
 			i.Equal(keys(f), []string{"a", "b", "c"})
 
-			i.Equal(s.Reset(x.list, x.end) != nil, x.old)
+			i.Equal(s.Reset(x.list, watcher.Position{Offset: x.end}) != nil, x.old)
 			s.Read(0)
 			i.Equal(keys(f), x.want)
 			i.Equal(len(f.Registry().Groups["g"]), len(x.want))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -40,6 +40,11 @@
 	return &Relayer{settings: s}
 }
 
+// Forget forgets which instances have the stream, because a new era of it has begun. The link remains occupied.
+func (r *Relayer) Forget() {
+	r.next, r.served, r.redirects = 0, nil, 0
+}
+
 // ServeOrRedirect reports whether the requester at address to is to be served here. The answer has the given
 // length in bytes and reaches up to the offset next. If the result is false, the returned address is that of
 // an instance that has the answer. If must is set, the requester is always served, since other instances wait
--- a/internal/repeater/answer.go
+++ b/internal/repeater/answer.go
@@ -11,47 +11,54 @@
 )
 
 // answer returns the reply to a requester as soon as there are records for it, at the latest after the requested
-// wait. It fails with ErrPeer when this instance has read nothing yet.
+// wait, and at once when the requester's records are of another era. It fails with ErrPeer when this instance has read nothing yet.
 func (s *Stream) answer(c context.Context, requester uint64, q wire.StreamRequest) (*wire.StreamReply, error) {
 	t := time.NewTimer(time.Duration(q.WaitMs) * time.Millisecond)
 	defer t.Stop()
 
+	from := watcher.Position{Era: q.Era, Offset: q.From}
+
 	for {
 		s.mu.Lock()
 		n, w := s.cache.next, s.changed
 		s.mu.Unlock()
 
-		if n < 0 {
+		if !n.IsRead() {
 			return nil, ErrPeer
 		}
 
-		if n > q.From || q.WaitMs == 0 {
-			return s.redirect(s.reply(q.From), requester, q.From), nil
+		if n.Era < from.Era {
+			// The requester ignores records of an earlier era.
+			return &wire.StreamReply{Era: n.Era, Next: n.Offset}, nil
+		}
+
+		if from.Before(n) || q.WaitMs == 0 {
+			return s.redirect(s.reply(from), requester, from), nil
 		}
 
 		select {
 		case <-w:
 		case <-t.C:
-			return s.reply(q.From), nil
+			return s.reply(from), nil
 		case <-c.Done():
 			return nil, c.Err()
 		}
 	}
 }
 
-// reply returns the records from an offset on.
-func (s *Stream) reply(from int64) *wire.StreamReply {
+// reply returns the records from a position on.
+func (s *Stream) reply(from watcher.Position) *wire.StreamReply {
 	s.mu.Lock()
 	l, w := s.cache.since(from)
 	p := &wire.StreamReply{
-		Next: s.cache.next, Snapshot: w, AgeMs: sinceMs(s.cache.confirmed), LastArrivalMs: sinceMs(s.lastArrival),
+		Next: s.cache.next.Offset, Era: s.cache.next.Era, Snapshot: w, AgeMs: sinceMs(s.cache.confirmed), LastArrivalMs: sinceMs(s.lastArrival),
 	}
 
 	s.mu.Unlock()
 
 	for _, r := range l {
 		x := wire.StreamRecord{Key: r.Key, Value: r.Value, Offset: r.Offset}
-		if v, ok := s.compressed(r); ok {
+		if v, ok := s.compressed(r, p.Era); ok {
 			x.Value, x.Packed = v, true
 		}
 
@@ -63,10 +70,10 @@
 	return p
 }
 
-// compressed returns a record's compressed value, and false when compression does not make the value shorter.
+// compressed returns the compressed value of a record of an era, and false when compression does not make the value shorter.
 // Compression takes milliseconds, so s.mu is not held meanwhile. All instances that wait for a record request it at
 // once, so its value is compressed once and cached.
-func (s *Stream) compressed(r watcher.Record) ([]byte, bool) {
+func (s *Stream) compressed(r watcher.Record, era uint64) ([]byte, bool) {
 	if len(r.Value) < compressMinBytes {
 		return nil, false
 	}
@@ -75,14 +82,14 @@
 	defer s.compressing.Unlock()
 
 	s.mu.Lock()
-	v, ok := s.cache.compressedValue(r)
+	v, ok := s.cache.compressedValue(r, era)
 	s.mu.Unlock()
 
 	if !ok {
 		v = compress(r.Value)
 
 		s.mu.Lock()
-		s.cache.putCompressed(r, v)
+		s.cache.putCompressed(r, era, v)
 		s.mu.Unlock()
 	}
 
@@ -91,9 +98,9 @@
 
 // redirect replaces a long reply for which the link has no capacity by the address of an instance that has the
 // records.
-func (s *Stream) redirect(p *wire.StreamReply, requester uint64, from int64) *wire.StreamReply {
+func (s *Stream) redirect(p *wire.StreamReply, requester uint64, from watcher.Position) *wire.StreamReply {
 	n := recordBytes(p)
-	if n < relayer.LongBytes || from < 0 {
+	if n < relayer.LongBytes || !from.IsRead() {
 		return p
 	}
 
@@ -107,7 +114,7 @@
 		return p
 	}
 
-	return &wire.StreamReply{Next: from, AgeMs: p.AgeMs, LastArrivalMs: p.LastArrivalMs, RedirectTo: e.String()}
+	return &wire.StreamReply{Next: from.Offset, Era: from.Era, AgeMs: p.AgeMs, LastArrivalMs: p.LastArrivalMs, RedirectTo: e.String()}
 }
 
 // sinceMs returns the time elapsed since t in milliseconds, at most one hour.
--- a/internal/repeater/cache.go
+++ b/internal/repeater/cache.go
@@ -14,8 +14,8 @@
 // ones. It is not safe for concurrent use.
 type cache struct {
 	records map[string]watcher.Record
-	// next is the offset after the last record; negative before the first read.
-	next int64
+	// next is the position after the last record. All records are of its era.
+	next watcher.Position
 	// completeFrom: of each key that changed at or after this offset, the newest record is cached, deletions
 	// included.
 	completeFrom int64
@@ -34,11 +34,11 @@
 }
 
 func newCache() *cache {
-	return &cache{records: make(map[string]watcher.Record), compressed: make(map[string]compressedValue), next: -1}
+	return &cache{records: make(map[string]watcher.Record), compressed: make(map[string]compressedValue), next: watcher.Unread()}
 }
 
 // reset replaces all records by the newest of each key.
-func (c *cache) reset(confirmed time.Time, l []watcher.Record, next int64) {
+func (c *cache) reset(confirmed time.Time, l []watcher.Record, next watcher.Position) {
 	clear(c.records)
 	clear(c.compressed)
 
@@ -46,11 +46,15 @@
 		c.records[r.Key] = r
 	}
 
-	c.next, c.completeFrom, c.deleted, c.confirmed = next, next, 0, confirmed
+	c.next, c.completeFrom, c.deleted, c.confirmed = next, next.Offset, 0, confirmed
 }
 
-// add adds records that follow the cached ones.
-func (c *cache) add(confirmed time.Time, l []watcher.Record, next int64) {
+// add adds records that follow the cached ones. Records of another era do not, and are not added.
+func (c *cache) add(confirmed time.Time, l []watcher.Record, next watcher.Position) {
+	if next.Era != c.next.Era {
+		return
+	}
+
 	for _, r := range l {
 		if o, ok := c.records[r.Key]; ok && o.Offset > r.Offset {
 			continue
@@ -63,7 +67,7 @@
 		}
 	}
 
-	c.next = max(c.next, next)
+	c.next.Offset = max(c.next.Offset, next.Offset)
 	c.confirmed = confirmed
 
 	if c.deleted > maxDeleted {
@@ -71,8 +75,8 @@
 	}
 }
 
-// newerThan reports whether the cache has a later record than a list for one of the list's keys. Offsets only
-// increase, so the list is then from an older state, regardless of the end offset that it reports.
+// newerThan reports whether the cache has a later record than a list of the same era for one of the list's keys.
+// Offsets of an era only increase, so the list is then from an older state, regardless of the end that it reports.
 func (c *cache) newerThan(l []watcher.Record) bool {
 	n := make(map[string]int64, len(l))
 	for _, r := range l {
@@ -96,30 +100,35 @@
 		}
 	}
 
-	c.completeFrom, c.deleted = c.next, 0
+	c.completeFrom, c.deleted = c.next.Offset, 0
 }
 
-// compressedValue returns a record's compressed value, and false when it is not cached.
-func (c *cache) compressedValue(r watcher.Record) ([]byte, bool) {
+// compressedValue returns the compressed value of a record of an era, and false when it is not cached.
+func (c *cache) compressedValue(r watcher.Record, era uint64) ([]byte, bool) {
 	p, ok := c.compressed[r.Key]
 
-	return p.value, ok && p.offset == r.Offset
+	return p.value, ok && p.offset == r.Offset && era == c.next.Era
 }
 
-// putCompressed caches a record's compressed value, unless that of a later record is cached.
-func (c *cache) putCompressed(r watcher.Record, v []byte) {
+// putCompressed caches the compressed value of a record of an era, unless that of a later record is cached or a later
+// era has begun.
+func (c *cache) putCompressed(r watcher.Record, era uint64, v []byte) {
+	if era != c.next.Era {
+		return
+	}
+
 	if p, ok := c.compressed[r.Key]; !ok || p.offset < r.Offset {
 		c.compressed[r.Key] = compressedValue{offset: r.Offset, value: v}
 	}
 }
 
-// since returns the records from an offset on, in order. When some of them are no longer cached, it returns the
-// newest record of each key that is not deleted, and true as the second result.
-func (c *cache) since(from int64) (l []watcher.Record, all bool) {
-	all = from < c.completeFrom
+// since returns the records from a position on, in order. When some of them are no longer cached, or the position is
+// of an earlier era, it returns the newest record of each key that is not deleted, and true as the second result.
+func (c *cache) since(from watcher.Position) (l []watcher.Record, all bool) {
+	all = from.Era != c.next.Era || from.Offset < c.completeFrom
 
 	for _, r := range c.records {
-		if all && len(r.Value) > 0 || !all && r.Offset >= from {
+		if all && len(r.Value) > 0 || !all && r.Offset >= from.Offset {
 			l = append(l, r)
 		}
 	}
--- a/internal/repeater/newest.go
+++ b/internal/repeater/newest.go
@@ -18,7 +18,7 @@
 // list is the result of a read of all keys.
 type list struct {
 	records []watcher.Record
-	next    int64
+	next    watcher.Position
 	err     error
 }
 
@@ -31,7 +31,7 @@
 // It reads from the platform, and also from other instances when the platform is slow or fails. The read from the
 // platform continues meanwhile. If it were restarted each time, a list that takes long over the link would never
 // arrive while no other instance has it either, for example after all instances have crashed.
-func (s *Stream) Newest(c context.Context) ([]watcher.Record, int64, error) {
+func (s *Stream) Newest(c context.Context) ([]watcher.Record, watcher.Position, error) {
 	x, stop := context.WithCancel(c)
 	defer stop()
 
@@ -54,14 +54,14 @@
 				return r.records, r.next, s.reset(time.Now(), r.records, r.next)
 			}
 
-			p, err := s.requestPeers(c, -1)
+			p, err := s.requestPeers(c, watcher.Unread())
 			if err != nil {
-				return nil, 0, errors.CombineErrors(r.err, err)
+				return nil, watcher.Unread(), errors.CombineErrors(r.err, err)
 			}
 
 			return s.applyList(p)
 		case <-t.C:
-			if p, err := s.requestPeers(c, -1); err == nil {
+			if p, err := s.requestPeers(c, watcher.Unread()); err == nil {
 				s.count(sourcePlatform, ErrPeer)
 
 				return s.applyList(p)
@@ -73,8 +73,8 @@
 }
 
 // applyList stores a list of all keys that another instance has sent.
-func (s *Stream) applyList(p *wire.StreamReply) ([]watcher.Record, int64, error) {
+func (s *Stream) applyList(p *wire.StreamReply) ([]watcher.Record, watcher.Position, error) {
 	l := records(p)
 
-	return l, p.Next, s.reset(s.confirmedAt(p), l, p.Next)
+	return l, position(p), s.reset(s.confirmedAt(p), l, position(p))
 }
--- a/internal/repeater/peers.go
+++ b/internal/repeater/peers.go
@@ -17,7 +17,7 @@
 
 // requestPeers calls a few random instances at once. It returns the first reply with new records, or, when there is
 // none, the one most recently confirmed by the platform. It fails with ErrPeer.
-func (s *Stream) requestPeers(c context.Context, from int64) (*wire.StreamReply, error) {
+func (s *Stream) requestPeers(c context.Context, from watcher.Position) (*wire.StreamReply, error) {
 	// These calls have a deadline of their own: a read from the platform may have used up that of c.
 	x, stop := extender.New(context.WithoutCancel(c), extender.DefaultSettings(peerTimeout))
 	defer stop()
@@ -38,7 +38,7 @@
 
 	for range l {
 		p := <-o
-		if p != nil && p.Next > from {
+		if p != nil && from.Before(position(p)) {
 			return p, nil
 		}
 
@@ -70,7 +70,7 @@
 
 // requestUpstream requests records from the upstream, and follows its redirects. It fails with ErrPeer or errStale;
 // errRedirect marks failures of an instance to which the read was redirected.
-func (s *Stream) requestUpstream(c context.Context, x upstream, from int64, wait time.Duration) (*wire.StreamReply, error) {
+func (s *Stream) requestUpstream(c context.Context, x upstream, from watcher.Position, wait time.Duration) (*wire.StreamReply, error) {
 	p, err := s.request(c, x.member, from, wait, x.stale)
 
 	for n := 0; err == nil && p.RedirectTo != "" && n < maxRedirects; n++ {
@@ -88,10 +88,10 @@
 	return p, err
 }
 
-// request requests the records from an offset on from one instance, which waits up to the given time for a record.
-// It fails with errStale when the platform last confirmed that instance's records longer than stale ago, unless a
-// part of an answer has just arrived there. On other failures it fails with ErrPeer.
-func (s *Stream) request(c context.Context, m gossiper.Member, from int64, wait, stale time.Duration) (*wire.StreamReply, error) {
+// request requests the records from a position on from one instance, which waits up to the given time for a record.
+// It fails with errStale when that instance's records are of an earlier era, or when the platform last confirmed them
+// longer than stale ago, unless a part of an answer has just arrived there. On other failures it fails with ErrPeer.
+func (s *Stream) request(c context.Context, m gossiper.Member, from watcher.Position, wait, stale time.Duration) (*wire.StreamReply, error) {
 	d := peerTimeout
 	if wait > 0 {
 		d = wait + peerSlack
@@ -106,7 +106,7 @@
 	var p wire.StreamReply
 
 	err := s.repeater.messenger.Call(x, m.Address, wire.KindStream,
-		&wire.StreamRequest{Stream: s.name, From: from, WaitMs: uint32(wait.Milliseconds())}, &p) //nolint:gosec // A few seconds.
+		&wire.StreamRequest{Stream: s.name, From: from.Offset, Era: from.Era, WaitMs: uint32(wait.Milliseconds())}, &p) //nolint:gosec // A few seconds.
 	if err != nil {
 		return nil, errors.Mark(err, ErrPeer)
 	}
@@ -114,6 +114,10 @@
 	y := time.Duration(p.LastArrivalMs) * time.Millisecond
 	s.setLastArrival(time.Now().Add(-y))
 
+	if p.Era < from.Era {
+		return nil, errors.Mark(errors.Newf("the records of %v are of era %d, before %d", m.Address, p.Era, from.Era), errStale)
+	}
+
 	if time.Duration(p.AgeMs)*time.Millisecond > stale && y >= extender.IdleTimeout {
 		return nil, errors.Mark(errors.Newf("the records of %v were last confirmed by the platform %d ms ago", m.Address, p.AgeMs), errStale)
 	}
@@ -141,6 +145,11 @@
 	return time.Now().Add(-time.Duration(p.AgeMs) * time.Millisecond)
 }
 
+// position returns the position after the last record of a reply.
+func position(p *wire.StreamReply) watcher.Position {
+	return watcher.Position{Era: p.Era, Offset: p.Next}
+}
+
 func records(p *wire.StreamReply) []watcher.Record {
 	o := make([]watcher.Record, 0, len(p.Records))
 	for _, r := range p.Records {
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -41,6 +41,7 @@
 	// listTimes holds, by instance, how long a list of all keys takes over the instance's link.
 	listTimes map[int]time.Duration
 	links     links
+	era       uint64
 	// excess is added to the correct end offset of a list of all keys.
 	excess int64
 }
@@ -91,9 +92,9 @@
 	return nil
 }
 
-func (v view) Newest(c context.Context) ([]watcher.Record, int64, error) {
+func (v view) Newest(c context.Context) ([]watcher.Record, watcher.Position, error) {
 	if err := v.check(c); err != nil {
-		return nil, 0, err
+		return nil, watcher.Unread(), err
 	}
 
 	v.mu.Lock()
@@ -103,7 +104,7 @@
 	l := v.since(0)
 
 	if err := wait(c, d); err != nil {
-		return nil, 0, err
+		return nil, watcher.Unread(), err
 	}
 
 	v.mu.Lock()
@@ -113,35 +114,41 @@
 		l = l[:v.maxListRecords]
 	}
 
-	return l, int64(len(l)) + v.excess, nil
+	return l, watcher.Position{Era: v.era, Offset: int64(len(l)) + v.excess}, nil
 }
 
-func (v view) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+func (v view) Follow(c context.Context, from watcher.Position, wait time.Duration) (watcher.Batch, error) {
 	if err := v.check(c); err != nil {
-		return nil, 0, err
+		return watcher.Batch{}, err
 	}
 
 	b := time.Now()
 
 	for {
 		v.mu.Lock()
-		x := v.changed
+		x, era := v.changed, v.era
 		v.mu.Unlock()
 
-		if l := v.since(from); len(l) > 0 || time.Since(b) >= wait {
+		if era != from.Era {
+			return watcher.Batch{}, watcher.ErrTruncated
+		}
+
+		if l := v.since(from.Offset); len(l) > 0 || time.Since(b) >= wait {
 			n := 0
 			for _, r := range l {
 				n += len(r.Value)
 			}
 
-			return l, from + int64(len(l)), v.transfer(c, v.instance, n)
+			next := watcher.Position{Era: era, Offset: from.Offset + int64(len(l))}
+
+			return watcher.Batch{Records: l, Next: next}, v.transfer(c, v.instance, n)
 		}
 
 		select {
 		case <-x:
 		case <-time.After(wait - time.Since(b)):
 		case <-c.Done():
-			return nil, 0, c.Err()
+			return watcher.Batch{}, c.Err()
 		}
 	}
 }
@@ -327,7 +334,7 @@
 	values map[string]string
 }
 
-func (h *handler) Reset(l []watcher.Record, _ int64) error {
+func (h *handler) Reset(l []watcher.Record, _ watcher.Position) error {
 	h.mu.Lock()
 	h.values = map[string]string{}
 	h.mu.Unlock()
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -64,7 +64,7 @@
 // Follow implements watcher.Source. It reads from the upstream. Without an upstream, or when that read fails, it
 // reads from the platform, and when that fails too, from random other instances. It fails with
 // watcher.ErrTruncated, or when neither the platform nor an instance answers.
-func (s *Stream) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+func (s *Stream) Follow(c context.Context, from watcher.Position, wait time.Duration) (watcher.Batch, error) {
 	x, ok := s.upstream()
 	s.logUpstream(x.member, ok)
 
@@ -95,18 +95,18 @@
 
 	defer stop()
 
-	l, n, err := s.source.Follow(y, from, wait)
+	l, err := s.source.Follow(y, from, wait)
 	s.count(sourcePlatform, err)
 	s.setPlatformFailed(err)
 
 	if err == nil {
-		s.add(confirmationTime(b, wait, l), l, n)
+		s.add(confirmationTime(b, wait, l.Records), l.Records, l.Next)
 
-		return l, n, nil
+		return l, nil
 	}
 
 	if errors.Is(err, watcher.ErrTruncated) {
-		return nil, 0, err
+		return watcher.Batch{}, err
 	}
 
 	logrus.WithFields(logrus.Fields{
@@ -133,19 +133,19 @@
 }
 
 // followPeers reads from random other instances when the platform was not called, or failed with the given error.
-func (s *Stream) followPeers(c context.Context, from int64, err error) ([]watcher.Record, int64, error) {
+func (s *Stream) followPeers(c context.Context, from watcher.Position, err error) (watcher.Batch, error) {
 	p, e := s.requestPeers(c, from)
 	if e != nil {
-		return nil, 0, errors.CombineErrors(err, e)
+		return watcher.Batch{}, errors.CombineErrors(err, e)
 	}
 
 	// The reply is applied before the pause, because the age that it contains is relative to its arrival.
-	l, n, err := s.applyReply(p, from)
-	if n <= from {
+	l, err := s.applyReply(p, from)
+	if !from.Before(l.Next) {
 		sleeper.Sleep(c, peerRoundPause)
 	}
 
-	return l, n, err
+	return l, err
 }
 
 // confirmationTime returns the time of the platform's answer to a read. A read without records was answered at the
@@ -159,18 +159,27 @@
 	return n
 }
 
-// applyReply stores the records of another instance's reply and returns those from an offset on.
-func (s *Stream) applyReply(p *wire.StreamReply, from int64) ([]watcher.Record, int64, error) {
-	l := records(p)
+// applyReply stores the records of another instance's reply and returns those from a position on, or all of them when
+// they are of a later era. It fails with errStaleList.
+func (s *Stream) applyReply(p *wire.StreamReply, from watcher.Position) (watcher.Batch, error) {
+	l, next := records(p), position(p)
+
+	if next.Era > from.Era {
+		return watcher.Batch{Records: l, Complete: true, Next: next}, s.reset(s.confirmedAt(p), l, next)
+	}
+
+	if next.Before(from) {
+		next = from
+	}
 
 	if !p.Snapshot {
-		s.add(s.confirmedAt(p), l, max(p.Next, from))
+		s.add(s.confirmedAt(p), l, next)
 
-		return l, max(p.Next, from), nil
+		return watcher.Batch{Records: l, Next: next}, nil
 	}
 
-	if p.Next < from {
-		return nil, from, nil
+	if p.Next < from.Offset {
+		return watcher.Batch{Next: from}, nil
 	}
 
 	// Keys that are missing from a snapshot were deleted. Each of them is returned as a record without a value.
@@ -188,23 +197,28 @@
 	}
 
 	s.mu.Unlock()
-	s.add(s.confirmedAt(p), l, p.Next)
+	s.add(s.confirmedAt(p), l, next)
 
-	return l, p.Next, nil
+	return watcher.Batch{Records: l, Next: next}, nil
 }
 
 // reset replaces the records by the newest of each key. It fails with errStaleList when they are from an older state
-// than the ones already read.
+// than the ones already read, of the same era or an earlier one.
 //
 // If such a list were stored, later records would be added after a gap. Instances that request records from an
 // offset within the gap would not receive the missing records. Instances that request from an offset before the gap
 // would receive all keys without the targets added within the gap, and delete these targets.
-func (s *Stream) reset(confirmed time.Time, l []watcher.Record, next int64) error {
+func (s *Stream) reset(confirmed time.Time, l []watcher.Record, next watcher.Position) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if next < s.cache.next || s.cache.newerThan(l) {
-		return errors.Wrapf(errStaleList, "it ends at offset %d, already read up to %d", next, s.cache.next)
+	o := s.cache.next
+	if next.Before(o) || next.Era == o.Era && s.cache.newerThan(l) {
+		return errors.Wrapf(errStaleList, "it ends at offset %d of era %d, already read up to %d of era %d", next.Offset, next.Era, o.Offset, o.Era)
+	}
+
+	if next.Era != o.Era {
+		s.relayer.Forget()
 	}
 
 	s.cache.reset(confirmed, l, next)
@@ -214,7 +228,7 @@
 }
 
 // add adds records that follow those already read.
-func (s *Stream) add(confirmed time.Time, l []watcher.Record, next int64) {
+func (s *Stream) add(confirmed time.Time, l []watcher.Record, next watcher.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
--- a/internal/repeater/upstream.go
+++ b/internal/repeater/upstream.go
@@ -12,18 +12,20 @@
 
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
 // reportFailure handles the failure of a read from the upstream. The reader of this data centre is suspected of
 // having crashed when it can't be reached. When its records are too old, it is only skipped for a while: the
-// platform may refuse it, and in an outage of the platform every instance would be suspected. The region's reader
-// is only skipped in both cases, because it may be unreachable only from this instance.
+// platform may refuse it, and in an outage of the platform every instance would be suspected. When it refuses the
+// request it is alive, and may be of another release. The region's reader is only skipped in all cases, because it
+// may be unreachable only from this instance.
 func (s *Stream) reportFailure(x upstream, took time.Duration, err error) {
 	switch {
 	case errors.Is(err, errRedirect):
 		// The upstream itself has answered.
-	case x.regional || errors.Is(err, errStale) || x.member.ID == 0:
+	case x.regional || errors.Is(err, errStale) || errors.Is(err, messenger.ErrRefused) || errors.Is(err, messenger.ErrFrame) || x.member.ID == 0:
 		s.mu.Lock()
 		s.skipped = x.member.ID
 		s.skippedAt = time.Now()
--- a/internal/replicator/store.go
+++ b/internal/replicator/store.go
@@ -21,7 +21,7 @@
 // then crash three targets again, or more when it arrives at several instances at once.
 type Store interface {
 	// Newest returns the newest record of each key.
-	Newest(c context.Context) ([]watcher.Record, int64, error)
+	Newest(c context.Context) ([]watcher.Record, watcher.Position, error)
 	// Put writes the record of a key. Without a value it deletes the key.
 	Put(c context.Context, key string, value []byte) error
 }
--- a/internal/replicator/store_test.go
+++ b/internal/replicator/store_test.go
@@ -29,13 +29,13 @@
 
 func newMemoryStore() *memoryStore { return &memoryStore{records: make(map[string][]byte)} }
 
-func (s *memoryStore) Newest(c context.Context) ([]watcher.Record, int64, error) {
+func (s *memoryStore) Newest(c context.Context) ([]watcher.Record, watcher.Position, error) {
 	for d := time.Duration(0); d < s.readTime; d += 100 * time.Millisecond {
 		time.Sleep(100 * time.Millisecond)
 		extender.Extend(c)
 
 		if c.Err() != nil {
-			return nil, 0, c.Err()
+			return nil, watcher.Unread(), c.Err()
 		}
 	}
 
@@ -45,7 +45,7 @@
 	s.reads++
 
 	if s.unavailable {
-		return nil, 0, errors.New("unavailable")
+		return nil, watcher.Unread(), errors.New("unavailable")
 	}
 
 	var o []watcher.Record
@@ -53,7 +53,7 @@
 		o = append(o, watcher.Record{Key: k, Value: v})
 	}
 
-	return o, 0, nil
+	return o, watcher.Position{}, nil
 }
 
 func (s *memoryStore) Put(_ context.Context, key string, value []byte) error {
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -14,8 +14,8 @@
 	"github.com/auburntray/auburntray/internal/sleeper"
 )
 
-// ErrTruncated is returned by a Source when the stream no longer retains the
-// records from an offset on.
+// ErrTruncated is returned by a Source when the stream no longer has the records from
+// a position on: it has dropped them, or a new era has begun.
 var ErrTruncated = errors.New("the stream no longer retains the records")
 
 const (
@@ -41,32 +41,42 @@
 )
 
 // Record is the newest value of a key. An empty value means that the key was
-// deleted.
+// deleted. The offset belongs to the era of the position that the record was returned with.
 type Record struct {
 	Key    string
 	Value  []byte
 	Offset int64
 }
 
+// Batch is the result of a read.
+type Batch struct {
+	// Records are changes in order or, if Complete is set, the newest record of each key.
+	Records  []Record
+	Complete bool
+	// Next is the position after the last record.
+	Next Position
+}
+
 // Source reads one stream. It calls extender.Extend while an answer arrives; otherwise the read times out
 // before a long answer is complete.
 type Source interface {
-	// Newest returns the newest record of each key, and an offset before which
+	// Newest returns the newest record of each key, and a position before which
 	// all records are included.
-	Newest(c context.Context) ([]Record, int64, error)
-	// Follow returns the records from an offset on, in order, and the offset after
-	// the last. When there are none, it waits up to the given time for one. It
-	// fails with ErrTruncated.
-	Follow(c context.Context, from int64, wait time.Duration) ([]Record, int64, error)
+	Newest(c context.Context) ([]Record, Position, error)
+	// Follow returns the records from a position on. When there are none, it waits up
+	// to the given time for one. The result is complete if it is of a later era than the
+	// position. Follow fails with ErrTruncated.
+	Follow(c context.Context, from Position, wait time.Duration) (Batch, error)
 }
 
 // Handler processes the records that a Watcher reads. Its methods are called one
 // at a time.
 type Handler interface {
 	// Reset replaces all records by the newest of each key. The list includes all
-	// changes before the offset end. Reset fails, and changes nothing, when the list is
-	// from an older state than the records received before; the list is then read again.
-	Reset(l []Record, end int64) error
+	// changes before the end, which is of the same era as the records received before, or
+	// of a later one. Reset fails, and changes nothing, when the list is from an older state
+	// of the same era; the list is then read again.
+	Reset(l []Record, end Position) error
 	// Change applies one record.
 	Change(r Record)
 	// Read is called after each successful read. The outage is how long reads had
@@ -87,8 +97,8 @@
 	// wait is how long a read waits for a change.
 	wait time.Duration
 
-	// next is the offset to read from; negative before the first read.
-	next int64
+	// next is the position to read from.
+	next Position
 	// failedSince is the time of the first of the consecutive failures; zero
 	// when the last read succeeded.
 	failedSince time.Time
@@ -99,7 +109,7 @@
 // New returns a Watcher. The name identifies the stream in log lines, the pause follows each read that returned
 // records, and the wait budget is that of WaitBudget.
 func New(name string, s Source, h Handler, pause, waitBudget time.Duration) *Watcher {
-	return &Watcher{name: name, source: s, handler: h, pause: pause, wait: time.Duration(waitFraction * float64(waitBudget)), next: -1}
+	return &Watcher{name: name, source: s, handler: h, pause: pause, wait: time.Duration(waitFraction * float64(waitBudget)), next: Unread()}
 }
 
 const (
@@ -139,7 +149,7 @@
 
 // read performs one read and returns the number of its records.
 func (w *Watcher) read(c context.Context) (int, error) {
-	if w.next < 0 {
+	if !w.next.IsRead() {
 		return w.reset(c)
 	}
 
@@ -151,9 +161,9 @@
 	x, stop := extender.New(c, extender.DefaultSettings(m))
 	defer stop()
 
-	l, n, err := w.source.Follow(x, w.next, d)
+	b, err := w.source.Follow(x, w.next, d)
 	if errors.Is(err, ErrTruncated) {
-		logrus.WithFields(logrus.Fields{"event": "historyForgotten", "stream": w.name, "offset": w.next}).Warn()
+		logrus.WithFields(logrus.Fields{"event": "historyForgotten", "stream": w.name, "offset": w.next.Offset, "era": w.next.Era}).Warn()
 
 		return w.reset(c)
 	}
@@ -162,19 +172,20 @@
 		return 0, err
 	}
 
-	for _, r := range l {
+	if b.Complete {
+		return len(b.Records), w.applyList(b.Records, b.Next)
+	}
+
+	for _, r := range b.Records {
 		w.handler.Change(r)
 	}
 
-	w.next = n
+	w.next = b.Next
 
-	return len(l), nil
+	return len(b.Records), nil
 }
 
 // reset reads the newest record of each key.
-//
-// The source may answer from an older state than the one already read, which is
-// detected by the offset of its end. Applying it would restore deleted records.
 func (w *Watcher) reset(c context.Context) (int, error) {
 	x, stop := extender.New(c, extender.DefaultSettings(newestTimeout))
 	defer stop()
@@ -184,17 +195,33 @@
 		return 0, err
 	}
 
-	if n < w.next {
-		return 0, errors.Newf("stale list of records: ends at offset %d, already read up to %d", n, w.next)
+	return len(l), w.applyList(l, n)
+}
+
+// applyList applies the newest record of each key.
+//
+// The source may answer from an older state than the one already read, which is
+// detected by the position of its end. Applying it would restore deleted records. In a later
+// era a lower offset is no older state: the source has lost the records from there on.
+func (w *Watcher) applyList(l []Record, end Position) error {
+	if end.Before(w.next) {
+		return errors.Newf("stale list of records: ends at offset %d of era %d, already read up to %d of era %d",
+			end.Offset, end.Era, w.next.Offset, w.next.Era)
 	}
 
-	if err := w.handler.Reset(l, n); err != nil {
-		return 0, err
+	if err := w.handler.Reset(l, end); err != nil {
+		return err
+	}
+
+	if w.next.IsRead() && w.next.Era != end.Era {
+		logrus.WithFields(logrus.Fields{
+			"event": "eraBegun", "stream": w.name, "era": end.Era, "offset": end.Offset, "earlierEra": w.next.Era, "earlierOffset": w.next.Offset,
+		}).Warn()
 	}
 
-	w.next = n
+	w.next = end
 
-	return len(l), nil
+	return nil
 }
 
 // backoff returns the pause after the consecutive failures so far.
@@ -209,7 +236,7 @@
 
 	if w.failedSince.IsZero() {
 		w.failedSince = time.Now()
-		logrus.WithFields(logrus.Fields{"event": "streamLost", "stream": w.name, "offset": w.next, "error": err}).Warn()
+		logrus.WithFields(logrus.Fields{"event": "streamLost", "stream": w.name, "offset": w.next.Offset, "era": w.next.Era, "error": err}).Warn()
 	}
 
 	w.handler.Failed(err)
@@ -223,7 +250,7 @@
 	if !w.failedSince.IsZero() {
 		d = time.Since(w.failedSince)
 		w.failedSince = time.Time{}
-		logrus.WithFields(logrus.Fields{"event": "streamRegained", "stream": w.name, "offset": w.next, "away": d}).Info()
+		logrus.WithFields(logrus.Fields{"event": "streamRegained", "stream": w.name, "offset": w.next.Offset, "era": w.next.Era, "away": d}).Info()
 	}
 
 	w.handler.Read(d)
--- a/internal/watcher/watcher_test.go
+++ b/internal/watcher/watcher_test.go
@@ -21,47 +21,57 @@
 	mu     sync.Mutex
 	newest []watcher.Record
 	end    int64
+	era    uint64
 	err    error
 	// silent makes reads block until they time out.
 	silent bool
 	reads  int
 }
 
-func (s *source) Newest(context.Context) ([]watcher.Record, int64, error) {
+func (s *source) Newest(context.Context) ([]watcher.Record, watcher.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
 
-	return s.newest, s.end, s.err
+	// A stream that has dropped records still has the newest of each key.
+	if s.err != nil && !errors.Is(s.err, watcher.ErrTruncated) {
+		return nil, watcher.Unread(), s.err
+	}
+
+	return s.newest, watcher.Position{Era: s.era, Offset: s.end}, nil
 }
 
-func (s *source) Follow(c context.Context, from int64, wait time.Duration) ([]watcher.Record, int64, error) {
+func (s *source) Follow(c context.Context, from watcher.Position, wait time.Duration) (watcher.Batch, error) {
 	s.mu.Lock()
 	s.reads++
-	silent, err := s.silent, s.err
+	silent, err, era := s.silent, s.err, s.era
 	s.mu.Unlock()
 
 	if silent {
 		<-c.Done()
 
-		return nil, 0, c.Err()
+		return watcher.Batch{}, c.Err()
 	}
 
 	if err != nil {
-		return nil, 0, err
+		return watcher.Batch{}, err
+	}
+
+	if from.Era != era {
+		return watcher.Batch{}, watcher.ErrTruncated
 	}
 
 	b := time.Now()
 
 	for time.Since(b) < wait && c.Err() == nil {
-		if l := s.since(from); len(l) > 0 {
-			return l, from + int64(len(l)), nil
+		if l := s.since(from.Offset); len(l) > 0 {
+			return watcher.Batch{Records: l, Next: watcher.Position{Era: era, Offset: from.Offset + int64(len(l))}}, nil
 		}
 
 		time.Sleep(time.Millisecond)
 	}
 
-	return nil, from, nil
+	return watcher.Batch{Next: from}, nil
 }
 
 func (s *source) since(from int64) []watcher.Record {
@@ -97,7 +107,7 @@
 	err error
 }
 
-func (h *handler) Reset(l []watcher.Record, _ int64) error {
+func (h *handler) Reset(l []watcher.Record, _ watcher.Position) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
@@ -280,3 +290,61 @@
 		is.True(h.outage > 2*time.Second && h.outage < 5*time.Second)
 	})
 }
+
+// Guards against a source that comes back from an older copy: its list ends lower than what was read, was refused as
+// late until the stream had grown past that, and the records below were never read.
+func TestNewEraReplacesAllRecords(t *testing.T) {
+	newEra := func(s *source, err error) {
+		s.era, s.err = s.era+1, err
+		s.newest = []watcher.Record{{Key: "k", Value: []byte("rewritten"), Offset: 2}}
+		s.end = 3
+	}
+
+	for name, x := range map[string]struct {
+		change func(s *source)
+		want   string
+	}{
+		"the history is missing":     {func(s *source) { newEra(s, nil) }, "rewritten"},
+		"reads fail with truncation": {func(s *source) { newEra(s, watcher.ErrTruncated) }, "rewritten"},
+		"two eras": {func(s *source) {
+			newEra(s, nil)
+			newEra(s, nil)
+		}, "rewritten"},
+		"an earlier era": {func(s *source) {
+			newEra(s, watcher.ErrTruncated)
+			s.era = 0
+		}, "new"},
+		"the same era": {func(s *source) {
+			newEra(s, watcher.ErrTruncated)
+			s.era = 1
+		}, "new"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &source{newest: []watcher.Record{{Key: "k", Value: []byte("new"), Offset: 7}}, end: 8, era: 1}
+				h, stop := run(t, s)
+
+				time.Sleep(time.Second)
+				s.update(func() { x.change(s) })
+				time.Sleep(3 * time.Second)
+				is.Equal(h.get("k"), x.want)
+
+				stop()
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// Guards against positions of two eras that are compared by their offsets.
+func TestPositionsAreOrderedByEra(t *testing.T) {
+	is := is.New(t)
+	l := []watcher.Position{watcher.Unread(), {}, {Offset: 9}, {Era: 1}, {Era: 1, Offset: 3}, {Era: 2}}
+
+	for a := range l {
+		for b := range l {
+			is.Equal(l[a].Before(l[b]), a < b)
+		}
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -281,11 +281,13 @@
 
 // StreamRequest requests the records of a stream that an instance has read, from an
 // offset on. The receiver waits up to WaitMs for a record. A negative From requests
-// the newest record of each key.
+// the newest record of each key. Era is the era of the offset: the number that the platform
+// raises each time that it comes back from an older copy.
 type StreamRequest struct {
 	Stream string
 	From   int64
 	WaitMs uint32
+	Era    uint64
 }
 
 // StreamReply carries records in order, and the offset after the last. Either they
@@ -299,7 +301,8 @@
 // the sender's link has no capacity left for them, and Records is empty. LastArrivalMs is
 // how long ago the sender last received a part of a reply that is still being transferred
 // to it or to its upstream instance: while that is short, the sender is about to have newer
-// records.
+// records. Era is the era of all offsets in the reply. If it is later than that of the request,
+// the records are a snapshot.
 type StreamReply struct {
 	Next     int64
 	Snapshot bool
@@ -309,6 +312,7 @@
 
 	RedirectTo    string
 	LastArrivalMs uint32
+	Era           uint64
 }
 
 // StreamRecords is a list of records in order.
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -4775,8 +4775,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Next, err = dc.ReadInt64()
@@ -4834,13 +4834,18 @@
 		err = msgp.WrapError(err, "LastArrivalMs")
 		return
 	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *StreamReply) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 7
-	err = en.Append(0x97)
+	// array header, size 8
+	err = en.Append(0x98)
 	if err != nil {
 		return
 	}
@@ -4886,14 +4891,19 @@
 		err = msgp.WrapError(err, "LastArrivalMs")
 		return
 	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *StreamReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendInt64(o, z.Next)
 	o = msgp.AppendBool(o, z.Snapshot)
 	o = msgp.AppendUint32(o, z.AgeMs)
@@ -4908,6 +4918,7 @@
 	o = msgp.AppendBytes(o, z.Packed)
 	o = msgp.AppendString(o, z.RedirectTo)
 	o = msgp.AppendUint32(o, z.LastArrivalMs)
+	o = msgp.AppendUint64(o, z.Era)
 	return
 }
 
@@ -4919,8 +4930,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Next, bts, err = msgp.ReadInt64Bytes(bts)
@@ -4991,6 +5002,11 @@
 		err = msgp.WrapError(err, "LastArrivalMs")
 		return
 	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	o = bts
 	return
 }
@@ -5001,7 +5017,7 @@
 	for za0001 := range z.Records {
 		s += z.Records[za0001].Msgsize()
 	}
-	s += msgp.BytesPrefixSize + len(z.Packed) + msgp.StringPrefixSize + len(z.RedirectTo) + msgp.Uint32Size
+	s += msgp.BytesPrefixSize + len(z.Packed) + msgp.StringPrefixSize + len(z.RedirectTo) + msgp.Uint32Size + msgp.Uint64Size
 	return
 }
 
@@ -5017,8 +5033,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Stream, err = dc.ReadString()
@@ -5036,13 +5052,18 @@
 		err = msgp.WrapError(err, "WaitMs")
 		return
 	}
+	z.Era, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z StreamRequest) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *StreamRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -5061,17 +5082,23 @@
 		err = msgp.WrapError(err, "WaitMs")
 		return
 	}
+	err = en.WriteUint64(z.Era)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StreamRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StreamRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Stream)
 	o = msgp.AppendInt64(o, z.From)
 	o = msgp.AppendUint32(o, z.WaitMs)
+	o = msgp.AppendUint64(o, z.Era)
 	return
 }
 
@@ -5083,8 +5110,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Stream, bts, err = msgp.ReadStringBytes(bts)
@@ -5102,13 +5129,18 @@
 		err = msgp.WrapError(err, "WaitMs")
 		return
 	}
+	z.Era, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StreamRequest) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Stream) + msgp.Int64Size + msgp.Uint32Size
+func (z *StreamRequest) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Stream) + msgp.Int64Size + msgp.Uint32Size + msgp.Uint64Size
 	return
 }
 
