internal/replicator: lost records of quarantined calls are written again

What callers would see: a call that has crashed three targets crashes targets again after all instances have been lost, since the store had come back from a copy without its record.

Change: when a new era is noticed, the instance with the lowest ID compares the stored records with its own and writes those that differ, also deletions; ten others follow, a second apart, and find nothing to write.

Measured: TestHeldCallsSurviveDrill (soak, real processes) and the five tests of verify_test.go pass.

--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -180,7 +180,10 @@
 		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, advertiser: i, replicator: p.Replicator, drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, handlers{
-				newEraHandler(f.beginEra),
+				newEraHandler(func() {
+					f.beginEra()
+					p.Replicator.VerifyStored()
+				}),
 				// Evacuations come first: a starting instance must know them before it has a catalog.
 				&evacuationHandler{
 					state: f, decode: w.DecodeEvacuation, records: newSeenRecords(), reporter: &invalidRecordReporter{stream: config, counter: p.Meter},
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -70,6 +70,8 @@
 	// are any.
 	unsaved  map[digester.Digest]bool
 	saveWake chan struct{}
+	// verifyWake has an element when the store may have lost records.
+	verifyWake chan struct{}
 	// synced reports whether the calls quarantined before the start of this instance are known.
 	synced bool
 	// counts are the crashes and cleared calls of this instance.
@@ -96,7 +98,7 @@
 	return &Replicator{
 		messenger: m, members: x, broadcaster: broadcaster.New(m, x), store: h, retention: s.Retention, quarantiner: quarantiner.New(s),
 		pending: make(map[digester.Digest]bool), wake: make(chan struct{}, 1),
-		unsaved: make(map[digester.Digest]bool), saveWake: make(chan struct{}, 1), synced: h == nil,
+		unsaved: make(map[digester.Digest]bool), saveWake: make(chan struct{}, 1), verifyWake: make(chan struct{}, 1), synced: h == nil,
 		onCrashes: func([]quarantiner.Crash) {},
 	}
 }
@@ -200,6 +202,7 @@
 	if r.store != nil {
 		g.Go(func() { r.restore(c) })
 		g.Go(func() { r.saveLoop(c) })
+		g.Go(func() { r.verifyLoop(c) })
 	}
 
 	g.Wait()
