gatekeeper: targets that lapsed in an outage are used when the copy lists them

What callers would see: no target for some four seconds, when the store comes back from a copy just after an outage in which the entries of live targets had lapsed: the copy lists them, so their targets write nothing new, while their removal was taken for a state in force and kept for 6 s.

Change: a target that is in use for its grace period counts as registered when the list of a new era has it.

Measured: the case of TestTargetsInNewEra failed before (the target was gone after 3 s) and passes.

--- a/internal/gatekeeper/era_test.go
+++ b/internal/gatekeeper/era_test.go
@@ -23,6 +23,8 @@
 	era  uint64
 	end  int64
 	wait time.Duration
+	// outage is how long reads had failed before the step.
+	outage time.Duration
 	// want is the state after the step.
 	want string
 }
@@ -62,7 +64,7 @@
 			h.Change(x.change)
 		}
 
-		h.Read(0)
+		h.Read(x.outage)
 
 		if got := state(); got != x.want {
 			t.Errorf("step %d: got %q, want %q", n, got, x.want)
@@ -118,6 +120,13 @@
 			{era: 2, list: []watcher.Record{a}, end: 3, want: "a c"},
 			{wait: 3 * time.Second, want: "a"},
 		},
+		"lapsed in an outage, and listed in the copy": {
+			{change: entry("b", "g", 2), outage: 4 * time.Second, want: "a b"},
+			{change: entry("b", "", 9), want: "a b"},
+			{era: 2, list: []watcher.Record{a, entry("b", "g", 2)}, end: 3, want: "a b"},
+			{wait: 3 * time.Second, want: "a b"},
+			{wait: time.Minute, want: "a b"},
+		},
 		"two eras in a row": {
 			{change: entry("b", "g", 2), want: "a b"},
 			{change: entry("b", "-g", 9), want: "a -b"},
--- a/internal/gatekeeper/target_handler.go
+++ b/internal/gatekeeper/target_handler.go
@@ -51,6 +51,14 @@
 		h.state.stageTargets(func(now time.Time, d *discoverer.Discoverer) { d.BeginGrace(now) })
 	}
 
+	// A target whose entry lapsed in an outage is in use for its grace period. That it is listed counts as registered:
+	// its entry is then as its process wants it, and is not written again.
+	for k, x := range h.records.keys {
+		if _, ok := h.state.target(k); ok && x.outcome == deleted {
+			h.records.keys[k] = seenRecord{offset: -1, outcome: deleted}
+		}
+	}
+
 	n := newestRecords(l)
 	o := h.records.beginEra(era, n, time.Now().Add(targetRewriteTime))
 
