gatekeeper: an evacuation that is missing in a new era is kept for 6 s, not 30

What callers saw: an instance that had been stopped refused all calls for up to 30 s, since both data centres were evacuated for it: one evacuation had ended in the new era before the instance read that, so its key was only missing, and was kept in case the operator would write it again.

Its log shows evacuationBegun of b without evacuationEnded of a at instance 2.

Change: one rewrite time of 6 s for all that is held back.

Measured: the new case of TestEvacuationsInNewEra failed with 30 s.

--- a/internal/gatekeeper/era_test.go
+++ b/internal/gatekeeper/era_test.go
@@ -93,7 +93,7 @@
 		"draining, and never written again": {
 			{change: entry("b", "-g", 9), want: "a -b"},
 			{era: 2, list: []watcher.Record{a, entry("b", "g", 2)}, end: 3, want: "a -b"},
-			{wait: targetRewriteTime - time.Second, want: "a -b"},
+			{wait: rewriteTime - time.Second, want: "a -b"},
 			{wait: 2 * time.Second, want: "a b"},
 		},
 		"left, and expires again": {
@@ -193,7 +193,12 @@
 			{change: put("e/a", 9), want: "b"},
 			{era: 2, list: []watcher.Record{config}, end: 3, want: "b"},
 			{era: 2, list: []watcher.Record{config}, end: 4, want: "b"},
-			{wait: evacuationRewriteTime + time.Second, want: "a b"},
+			{wait: rewriteTime + time.Second, want: "a b"},
+		},
+		"ended in the new era before that is read": {
+			{change: put("e/a", 9), want: "b"},
+			{era: 2, list: []watcher.Record{config, put("e/b", 3)}, end: 4, want: ""},
+			{wait: rewriteTime + time.Second, want: "a"},
 		},
 		"its end is lost and requested again": {
 			{change: put("e/a", 2), want: "b"},
@@ -255,7 +260,7 @@
 
 		i.NoErr(h.Reset(nil, watcher.Position{Era: 2, Offset: 3}))
 		i.True(!f.Fresh())
-		time.Sleep(configRewriteTime)
+		time.Sleep(rewriteTime)
 		i.True(f.Fresh())
 		i.NoErr(h.Reset(nil, watcher.Position{Era: 3, Offset: 3}))
 		i.True(!f.Fresh())
--- a/internal/gatekeeper/evacuation_handler.go
+++ b/internal/gatekeeper/evacuation_handler.go
@@ -34,7 +34,7 @@
 	}
 
 	if end.Era != h.records.era {
-		for _, r := range h.records.beginEra(end.Era, newestRecords(o), time.Now().Add(evacuationRewriteTime)) {
+		for _, r := range h.records.beginEra(end.Era, newestRecords(o), time.Now().Add(rewriteTime)) {
 			h.apply(r)
 		}
 
--- a/internal/gatekeeper/seen_records.go
+++ b/internal/gatekeeper/seen_records.go
@@ -10,15 +10,11 @@
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
-const (
-	// evacuationRewriteTime, configRewriteTime and targetRewriteTime are how long after a new era was noticed records
-	// that the stream has lost may take to be written again. Operators write at once; a call to a data centre whose
-	// evacuation was lost can't be recalled, so evacuations have more time. Targets that are alive write with each
-	// heartbeat of 1.2 s; the entry of another one, which the stream lists again, expires after three of them.
-	evacuationRewriteTime = 30 * time.Second
-	configRewriteTime     = 6 * time.Second
-	targetRewriteTime     = 6 * time.Second
-)
+// rewriteTime is how long after a new era was noticed records that the stream has lost may take to be written again.
+// Operators write at once, and targets that are alive with each heartbeat of 1.2 s; the entry of another target,
+// which the stream lists again, expires after three heartbeats. A longer time would keep what has ended since: a
+// key that is missing may also have been deleted in the new era before it was read.
+const rewriteTime = 6 * time.Second
 
 // errStaleList marks a full list that is older than a state that was already observed.
 var errStaleList = errors.New("list is older than a state already observed")
--- a/internal/gatekeeper/state.go
+++ b/internal/gatekeeper/state.go
@@ -94,7 +94,7 @@
 // Fresh implements forwarder.ClusterState. The catalog is not fresh while changes that the platform has confirmed and
 // then lost may be written again: this instance may have missed them.
 func (s *state) Fresh() bool {
-	if b := s.eraBegan.Load(); b != nil && time.Since(*b) < configRewriteTime {
+	if b := s.eraBegan.Load(); b != nil && time.Since(*b) < rewriteTime {
 		return false
 	}
 
--- a/internal/gatekeeper/target_handler.go
+++ b/internal/gatekeeper/target_handler.go
@@ -60,7 +60,7 @@
 	}
 
 	n := newestRecords(l)
-	o := h.records.beginEra(era, n, time.Now().Add(targetRewriteTime))
+	o := h.records.beginEra(era, n, time.Now().Add(rewriteTime))
 
 	for k := range h.records.heldBack {
 		if _, ok := n[k]; !ok {
