--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -114,3 +114,24 @@
 		})
 	}
 }
+
+// Guards against a redirect to an instance that has the records of an earlier era: it may be served at the same offset
+// in the later one, but has not these records.
+func TestForgetEndsRedirects(t *testing.T) {
+	i := is.New(t)
+	r := relayer.New(relayer.Settings{Rate: 1e6, MaxBacklog: 200 * time.Millisecond})
+	n := time.Unix(1000, 0)
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+
+	_, ok := r.ServeOrRedirect(n, 7, 1e6, a, false)
+	i.True(ok)
+
+	to, ok := r.ServeOrRedirect(n, 7, 1e6, b, false)
+	i.True(!ok)
+	i.Equal(to, a)
+
+	r.Forget()
+
+	_, ok = r.ServeOrRedirect(n, 7, 1e6, b, false)
+	i.True(ok)
+}
--- a/internal/repeater/era_test.go
+++ b/internal/repeater/era_test.go
@@ -247,3 +247,25 @@
 		stop()
 	})
 }
+
+// Guards against instances that suspect those of another release of having crashed, since these refuse their reads: the
+// membership would change all the time during a rolling update, and each change moves homes.
+func TestInstancesOfAnotherReleaseAreNotSuspected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		f, stop := start(t, repeatCentre(6, "a", "b")...)
+
+		f.set(f.otherRelease, true, 0, 3)
+		time.Sleep(3 * time.Second)
+		f.platform.restore(1)
+		f.platform.put("k", "new")
+		time.Sleep(2 * time.Second)
+
+		for _, j := range f.instances {
+			i.Equal(j.handler.get("k"), "new")
+			i.Equal(len(j.suspected), 0)
+		}
+
+		stop()
+	})
+}
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/auburntray/auburntray/internal/extender"
 	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/repeater"
 	"github.com/auburntray/auburntray/internal/watcher"
@@ -168,8 +169,10 @@
 	// partitioned are instances whose calls, in both directions, get no answer.
 	partitioned map[int]bool
 	// down are instances that refuse connections.
-	down  map[int]bool
-	seeds []netip.AddrPort
+	down map[int]bool
+	// otherRelease are instances of another release, which refuse all requests.
+	otherRelease map[int]bool
+	seeds        []netip.AddrPort
 	// perByte is the transfer time of a byte from an instance to others, and linkFreeAt when each instance's link
 	// is free again.
 	perByte    time.Duration
@@ -262,8 +265,13 @@
 
 	i.fleet.mu.Lock()
 	partitioned, down := i.fleet.partitioned[n] || i.fleet.partitioned[i.number], i.fleet.down[n]
+	refused := i.fleet.otherRelease[n] != i.fleet.otherRelease[i.number]
 	i.fleet.mu.Unlock()
 
+	if refused {
+		return messenger.ErrRefused
+	}
+
 	if down {
 		return errUnavailable
 	}
@@ -400,10 +408,10 @@
 	f := &fleet{
 		platform:    p,
 		partitioned: map[int]bool{},
-		down:        map[int]bool{},
-		seeds:       seeds,
-		linkFreeAt:  map[int]time.Time{},
-		wide:        p.links.wide,
+		down:        map[int]bool{}, otherRelease: map[int]bool{},
+		seeds:      seeds,
+		linkFreeAt: map[int]time.Time{},
+		wide:       p.links.wide,
 	}
 	f.platform.put("k", "0")
 
