internal/follower: a configuration is not taken back by a log without eras either

Cause: a state of the copy was recognized only by its era; a log that states none would have taken the configuration in force back to that of its copy.

Change: a state that was in force here before, at another revision than the present one, is not activated again. Within an era no such state can come, since revisions rise.

Measured: the tests of follower and router pass; no stand-in states no era, so that case has no test.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -101,7 +101,7 @@
 	p := f.current.Load().State
 	id, ok := f.applied[s.Revision]
 
-	return ok && s.Era != p.Era && id == s.ID && s.Revision != p.Revision
+	return ok && id == s.ID && s.Revision != p.Revision
 }
 
 // maxApplied is how many records of the log before the newest one the remembered configurations may be: a copy of the
