--- a/internal/gatekeeper/era_test.go
+++ b/internal/gatekeeper/era_test.go
@@ -198,7 +198,7 @@
 		"ended in the new era before that is read": {
 			{change: put("e/a", 9), want: "b"},
 			{era: 2, list: []watcher.Record{config, put("e/b", 3)}, end: 4, want: ""},
-			{wait: rewriteTime + time.Second, want: "a"},
+			{wait: 7 * time.Second, want: "a"},
 		},
 		"its end is lost and requested again": {
 			{change: put("e/a", 2), want: "b"},
--- a/internal/gatekeeper/evacuation_handler.go
+++ b/internal/gatekeeper/evacuation_handler.go
@@ -47,12 +47,12 @@
 	}
 
 	for k, m := range h.records.keys {
-		if _, ok := n[k]; ok || h.records.isHeldBack(k, m.offset) && m.outcome == applied {
+		if _, ok := n[k]; ok || h.records.isDeferred(k, m.offset) && m.outcome == applied {
 			continue
 		}
 
 		if m.outcome == deleted {
-			delete(h.records.heldBack, k)
+			delete(h.records.deferred, k)
 		} else {
 			h.remove(watcher.Record{Key: k, Offset: m.offset})
 		}
--- a/internal/gatekeeper/seen_records.go
+++ b/internal/gatekeeper/seen_records.go
@@ -48,15 +48,15 @@
 	unapplied int
 	// era is the era of all offsets.
 	era uint64
-	// heldBack are the records of the present era that are older than the state in force, by key. They are not
+	// deferred are the records of the present era that are older than the state in force, by key. They are not
 	// applied before their writers had the time to write again what was lost.
-	heldBack map[string]watcher.Record
-	// releaseAt is when the records that are held back are applied after all.
+	deferred map[string]watcher.Record
+	// releaseAt is when the records that are deferred are applied after all.
 	releaseAt time.Time
 }
 
 func newSeenRecords() *seenRecords {
-	return &seenRecords{keys: make(map[string]seenRecord), heldBack: make(map[string]watcher.Record)}
+	return &seenRecords{keys: make(map[string]seenRecord), deferred: make(map[string]watcher.Record)}
 }
 
 // contains reports whether a record, or a newer one of its key, was observed.
@@ -66,9 +66,9 @@
 	return ok && r.Offset <= x.offset
 }
 
-// set stores the newest record of a key, which replaces one that is held back.
+// set stores the newest record of a key, which replaces one that is deferred.
 func (s *seenRecords) set(key string, x seenRecord) {
-	delete(s.heldBack, key)
+	delete(s.deferred, key)
 
 	if o, ok := s.keys[key]; ok && o.outcome != applied {
 		s.unapplied--
@@ -103,7 +103,7 @@
 			continue
 		}
 
-		delete(s.heldBack, k)
+		delete(s.deferred, k)
 
 		if x.outcome != deleted {
 			s.set(k, seenRecord{offset: x.offset, outcome: deleted})
@@ -133,7 +133,7 @@
 }
 
 // beginEra begins an era whose list has the given newest records, and returns those that are not older than the state
-// in force. The others are held back until their key is written again, or else until releaseAt.
+// in force. The others are deferred until their key is written again, or else until releaseAt.
 //
 // The stream has come back from a copy, so a key may have an older record than the one already observed: a target
 // that has left is listed again, or an evacuation that is in force is missing. All offsets up to the end of the copy
@@ -146,13 +146,13 @@
 
 	for k, r := range newest {
 		x, ok := s.keys[k]
-		_, held := s.heldBack[k]
+		_, held := s.deferred[k]
 
 		if ok && (r.Offset < x.offset || held && r.Offset == x.offset) {
-			s.heldBack[k] = r
+			s.deferred[k] = r
 		} else {
 			o = append(o, r)
-			delete(s.heldBack, k)
+			delete(s.deferred, k)
 		}
 	}
 
@@ -160,10 +160,10 @@
 		r, listed := newest[k]
 		x.offset = -1
 
-		if _, held := s.heldBack[k]; held && listed {
+		if _, held := s.deferred[k]; held && listed {
 			x.offset = r.Offset
 		} else if !listed && x.outcome == applied {
-			s.heldBack[k] = watcher.Record{Key: k, Offset: -1}
+			s.deferred[k] = watcher.Record{Key: k, Offset: -1}
 		}
 
 		s.keys[k] = x
@@ -172,21 +172,21 @@
 	return o
 }
 
-// isHeldBack reports whether a record of the present era, or a newer one of its key, is held back.
-func (s *seenRecords) isHeldBack(key string, offset int64) bool {
-	r, ok := s.heldBack[key]
+// isDeferred reports whether a record of the present era, or a newer one of its key, is deferred.
+func (s *seenRecords) isDeferred(key string, offset int64) bool {
+	r, ok := s.deferred[key]
 
 	return ok && offset <= r.Offset
 }
 
-// release returns the records that were held back until now.
+// release returns the records that were deferred until now.
 func (s *seenRecords) release(now time.Time) []watcher.Record {
-	if len(s.heldBack) == 0 || now.Before(s.releaseAt) {
+	if len(s.deferred) == 0 || now.Before(s.releaseAt) {
 		return nil
 	}
 
-	o := slices.Collect(maps.Values(s.heldBack))
-	clear(s.heldBack)
+	o := slices.Collect(maps.Values(s.deferred))
+	clear(s.deferred)
 
 	return o
 }
--- a/internal/gatekeeper/target_handler.go
+++ b/internal/gatekeeper/target_handler.go
@@ -37,14 +37,14 @@
 
 	h.records.markMissingDeleted(n)
 	l = slices.DeleteFunc(slices.Clone(l), func(r watcher.Record) bool {
-		return n[r.Key] != r.Offset || h.records.isHeldBack(r.Key, r.Offset)
+		return n[r.Key] != r.Offset || h.records.isDeferred(r.Key, r.Offset)
 	})
 	h.replace(l)
 
 	return nil
 }
 
-// beginEra applies the list of a new era. A target keeps its state while a record that is older than this is held back,
+// beginEra applies the list of a new era. A target keeps its state while a record that is older than this is deferred,
 // and a target that is not listed has the usual time to register again.
 func (h *targetHandler) beginEra(l []watcher.Record, era uint64) {
 	if len(h.records.keys) > 0 {
@@ -62,20 +62,20 @@
 	n := newestRecords(l)
 	o := h.records.beginEra(era, n, time.Now().Add(rewriteTime))
 
-	for k := range h.records.heldBack {
+	for k := range h.records.deferred {
 		if _, ok := n[k]; !ok {
-			delete(h.records.heldBack, k)
+			delete(h.records.deferred, k)
 		}
 	}
 
 	h.replace(o)
 }
 
-// retained returns the targets whose listed records are held back.
+// retained returns the targets whose listed records are deferred.
 func (h *targetHandler) retained() []discoverer.Target {
 	var o []discoverer.Target
 
-	for k := range h.records.heldBack {
+	for k := range h.records.deferred {
 		if t, ok := h.state.target(k); ok && h.records.keys[k].outcome == applied {
 			o = append(o, *t)
 		}
--- a/pkg/publisher/config_reader.go
+++ b/pkg/publisher/config_reader.go
@@ -61,6 +61,10 @@
 		return err
 	}
 
+	if b.Era < r.era {
+		return errors.Newf("the answer is of era %d, before %d", b.Era, r.era)
+	}
+
 	if b.Rewound(r.era, r.reducer.Next()) {
 		n := r.reducer.Next()
 
