streamer: one read for all callers that wait for the same records

Callers saw: of a burst of claims for keys of one partition, many or all failed after 2 s; none of their calls was run.

Cause: appends were batched, reads were not. Each caller of CatchUp read the stream for itself, so 200 claims made 200 reads, 199 of them from the same offset, and the time-out of each read applied to the sum of all. The class is work that many callers need once and each of them does.

Change: a Streamer has one read in progress, which all callers share. No time-out, batch size or number of attempts changed.

--- a/internal/streamer/streamer.go
+++ b/internal/streamer/streamer.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/recorder"
@@ -54,6 +53,9 @@
 	// rewinds is how often the log has come back from a copy.
 	rewinds int
 	queue   []*pending
+	// reading is the read in progress, or nil. reads is the number of reads that have begun.
+	reading *sharedRead
+	reads   int
 	// lastAppend is when the last append started.
 	lastAppend time.Time
 	// logTime is the time of the log's clock when this router's clock showed localTime.
@@ -123,34 +125,6 @@
 	return x
 }
 
-// CatchUp reads and applies the records before the given offset or, if the offset is zero, all
-// records up to the present end of the stream. It returns the log's error if a read fails. If the
-// stream ends before the offset, the log has lost the records up to it.
-func (s *Streamer) CatchUp(c context.Context, until uint64) error {
-	for {
-		s.mu.Lock()
-		n, w := s.next, s.rewinds
-		s.mu.Unlock()
-
-		if until > 0 && n >= until {
-			return nil
-		}
-
-		e, err := s.readBatch(c, n, w)
-		if err != nil {
-			return err
-		}
-
-		s.mu.Lock()
-		lost := s.next < until
-		s.mu.Unlock()
-
-		if e && (until == 0 || lost) {
-			return nil
-		}
-	}
-}
-
 // View calls f with the present time of the log's clock. No records are applied meanwhile.
 func (s *Streamer) View(f func(now time.Time)) {
 	s.mu.Lock()
@@ -219,54 +193,3 @@
 	s.rewinds++
 	s.reducer.Rewind(b.Era)
 }
-
-// readBatch reads and applies one batch of records, and reports whether the end of the stream
-// was reached. The offset is that of the next record after the given number of rewinds.
-func (s *Streamer) readBatch(c context.Context, from uint64, rewinds int) (bool, error) {
-	x, stop := context.WithTimeout(c, readTimeout)
-	defer stop()
-
-	b, err := s.log.Read(x, s.stream, from, 0)
-	if err != nil {
-		return false, err
-	}
-
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	// A concurrent reader has detected that the log came back from a copy.
-	if s.rewinds != rewinds {
-		return false, nil
-	}
-
-	if b.Era < s.era {
-		return false, errors.Mark(errors.Newf("the answer is of era %d, before %d", b.Era, s.era), recorder.ErrDown)
-	}
-
-	s.logTime = b.Now
-	s.localTime = time.Now()
-
-	if b.Rewound(s.era, from) {
-		s.rewind(b, from)
-
-		// A batch from the first offset on is the beginning of the new era.
-		if from > 0 {
-			return false, nil
-		}
-	}
-
-	// No reducer needs records that are old enough for the log to have dropped them.
-	s.next = max(s.next, b.Oldest)
-
-	for _, r := range b.Records {
-		// A concurrent reader may have applied the record already.
-		if r.Offset < s.next {
-			continue
-		}
-
-		s.next = r.Offset + 1
-		s.reducer.ApplyRecord(r.Offset, r.Time, r.Data)
-	}
-
-	return s.next >= b.Next, nil
-}
