supervisor: a home keeps what it is told before it has the configuration

Callers saw: a target was called again during the backoff that it had requested, or after it had announced its shutdown.

Cause: backoffs and leaving states were kept in the state of a cell, so a home whose configuration was of an earlier revision dropped them as of an unknown cell or target. They are sent once. A moment later the home had the configuration and granted the target. Lists of grants and placements for such a cell were dropped too, and their sender took them for delivered; grants at a target that is listed later were never counted, and their releases made the count negative.

Change: a backoff and a leaving state belong to the target and are recorded whatever the configuration; they apply when the cell or the target appears. Grants are counted when their target is listed. A router still grants nothing in a cell that its configuration lacks. No message changed, and no wait or time-out.

--- a/internal/granter/choose.go
+++ b/internal/granter/choose.go
@@ -173,12 +173,14 @@
 	g.grants[x.ID] = x
 	g.allocator.Start(now, x.Customer, weight, 1)
 
-	t, ok := g.byID[x.Target]
-	if !ok {
-		return
+	if t, ok := g.byID[x.Target]; ok {
+		t.add(x.Work)
 	}
+}
 
-	t.work += x.Work
+// add counts a grant.
+func (t *target) add(work float64) {
+	t.work += work
 	t.requests++
 	t.peak = max(t.peak, t.requests)
 }
--- a/internal/granter/granter.go
+++ b/internal/granter/granter.go
@@ -97,12 +97,27 @@
 		}
 	}
 
+	g.countAdded(k)
 	g.byID = k
 	g.targets = n
 	g.settings.Picker.LoadFactor = l.LoadFactor
 	g.settings.Picker.Slack = l.Slack
 }
 
+// countAdded counts the present grants at the targets that are new in an update: entry routers with a newer
+// configuration may have sent lists of grants there already.
+func (g *Granter) countAdded(updated map[uint32]*target) {
+	for _, x := range g.grants {
+		if _, ok := g.byID[x.Target]; ok {
+			continue
+		}
+
+		if t, ok := updated[x.Target]; ok {
+			t.add(x.Work)
+		}
+	}
+}
+
 // Reserve decides on a request for a slot. A grant counts until Release, or until the grants of its
 // entry router are removed. A repeated request with the ID of a grant returns the target of that grant.
 func (g *Granter) Reserve(now time.Time, a Request) Verdict {
--- a/internal/granter/granter_test.go
+++ b/internal/granter/granter_test.go
@@ -395,3 +395,26 @@
 		})
 	}
 }
+
+// Guards against counts below the true load: a target is removed and listed again, or is listed after an entry router with a
+// newer configuration has sent its grants there. The releases would then be subtracted from zero.
+func TestGrantsAtTargetsListedLater(t *testing.T) {
+	i := is.New(t)
+	f := newFixture(1)
+	l := []granter.Target{{ID: 1, Capacity: capacity, Engine: true}}
+	kept, _ := f.reserve(1, 1, 1)
+
+	f.Update(nil, granter.Limits{})
+	f.Sync(f.now, 2, 100, []granter.Grant{{ID: granter.ID{Entry: 2, Seq: 5}, Target: 1, Work: 1}})
+	f.Update(l, granter.Limits{})
+
+	_, n := f.Load(1)
+	i.Equal(n, 2)
+
+	// An update that does not add the target changes no count.
+	f.Update(l, granter.Limits{})
+	f.Release(f.now, kept, granter.Outcome{OK: true})
+
+	_, n = f.Load(1)
+	i.Equal(n, 1)
+}
--- a/internal/supervisor/request.go
+++ b/internal/supervisor/request.go
@@ -61,16 +61,34 @@
 
 // Report applies a target's load and state as reported by an entry router.
 func (s *Supervisor) Report(now time.Time, w wire.Report) {
+	if w.Incarnation != 0 {
+		s.Observe(w.Target, tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving})
+	}
+
+	if w.Requests < 0 {
+		return
+	}
+
 	s.withCell(now, w.Cell, func(h *cellState) {
-		h.granter.Report(now, w.Target, int(w.Requests), tracker.State{Incarnation: w.Incarnation, Leaving: w.Leaving})
+		h.granter.Report(now, w.Target, int(w.Requests), tracker.State{})
 	})
 }
 
-// StartBackoff starts the backoff of a target that has requested one from an entry router.
+// StartBackoff starts the backoff of a target that has requested one from an entry router. The entry router may use
+// another revision of the configuration, so the backoff is recorded for the target in all cells and in later revisions.
 func (s *Supervisor) StartBackoff(now time.Time, w wire.Backoff) {
-	s.withCell(now, w.Cell, func(h *cellState) {
-		h.granter.StartBackoff(now, w.Target, time.Duration(w.DurationMs)*time.Millisecond)
-	})
+	d := time.Duration(w.DurationMs) * time.Millisecond
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.backoffs.start(now, w.Target, d)
+
+	for _, h := range s.cells {
+		h.mu.Lock()
+		h.granter.StartBackoff(now, w.Target, d)
+		h.mu.Unlock()
+	}
 }
 
 // Sync reconciles the grants of an entry router in a cell with the list that this entry router sent.
@@ -92,8 +110,7 @@
 	s.Observe(hasher.Name(i.Name), tracker.State{Incarnation: i.Incarnation, Leaving: i.Leaving || i.Gone})
 }
 
-// Observe applies a target's state to all cells. The state is from a source other than an answer of
-// the target.
+// Observe records a target's state and applies it to all cells.
 func (s *Supervisor) Observe(target uint32, x tracker.State) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -43,16 +43,17 @@
 
 	mu    sync.Mutex
 	cells map[uint32]*cellState
-	// states holds the target states from the platform's registry. They are applied to a cell when
-	// this router becomes its home.
-	states *tracker.Tracker
+	// states holds the target states from the platform's registry and from entry routers, and backoffs the backoffs of
+	// targets. They are applied to a cell when this router becomes its home or the cell's targets change.
+	states   *tracker.Tracker
+	backoffs backoffs
 }
 
 // New returns a supervisor without cells. Self is the identifier of this router, and config returns the
 // configuration in force.
 func New(s granter.Settings, self uint64, config func() *follower.Config, p prober, t notifier, x stallMonitor) *Supervisor {
 	return &Supervisor{
-		settings: s, self: self, config: config, prober: p, notifier: t, stallMonitor: x, cells: make(map[uint32]*cellState), states: tracker.New(),
+		settings: s, self: self, config: config, prober: p, notifier: t, stallMonitor: x, cells: make(map[uint32]*cellState), states: tracker.New(), backoffs: make(backoffs),
 	}
 }
 
