requester, supervisor: the next home of a cell knows the targets that accept no calls

Callers saw: after a cell had got another home, because a router joined, was killed or refused, a target was called during the backoff that it had requested or after it had announced its shutdown.

Cause: both were sent once, to the home of the moment. An entry router that then decided itself, the home's successor and a router that joined never received them, and the target could not repeat them, since it gets no calls while they hold.

Change: the entry router records what it hears and sends it to the home and its successor, and again to each new home before it requests a slot there and with each periodic list. The home repeats it to its successor with the placements each second; a former home hands it over. The messages are those that there were, so two releases understand each other.

TestNextHomeReceivesUnavailableTargets checks what a home sends. Both pass with -race, as do the packages around them.

--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -165,10 +165,7 @@
 // Home returns the home of a key (home node: the one router responsible for it) among the
 // routers of the given data centres. It returns false if no router is known to be live.
 func (j *Joiner) Home(key uint64, centres []string) (gossiper.Member, bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-
-	o := j.gossiper.Homes(time.Now(), key, centres, 1)
+	o := j.Homes(key, centres, 1)
 	if len(o) == 0 {
 		return gossiper.Member{}, false
 	}
@@ -176,13 +173,18 @@
 	return o[0], true
 }
 
-// Successor returns the router that would become the home of a key if this router left. It
-// returns false if this router is not the home, or if there is no other router.
-func (j *Joiner) Successor(key uint64, centres []string) (gossiper.Member, bool) {
+// Homes returns the home of a key and then the routers that would succeed it, see gossiper.Gossiper.Homes.
+func (j *Joiner) Homes(key uint64, centres []string, number int) []gossiper.Member {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 
-	o := j.gossiper.Homes(time.Now(), key, centres, 2)
+	return j.gossiper.Homes(time.Now(), key, centres, number)
+}
+
+// Successor returns the router that would become the home of a key if this router left. It
+// returns false if this router is not the home, or if there is no other router.
+func (j *Joiner) Successor(key uint64, centres []string) (gossiper.Member, bool) {
+	o := j.Homes(key, centres, 2)
 	if len(o) < 2 || o[0].ID != j.self.ID {
 		return gossiper.Member{}, false
 	}
--- a/internal/requester/report.go
+++ b/internal/requester/report.go
@@ -10,6 +10,7 @@
 	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/granter"
+	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -58,6 +59,11 @@
 		w.Leaving = s.Leaving
 	}
 
+	if n && s.Leaving {
+		r.supervisor.Observe(p.Target, s)
+		r.notifySuccessor(p.cell, wire.KindReport, &w)
+	}
+
 	h, ok := r.remoteHome(p.cell)
 	if !ok {
 		r.supervisor.Report(time.Now(), w)
@@ -68,18 +74,25 @@
 	r.send(h, wire.KindReport, &w)
 }
 
-// StartBackoff notifies the home that a target requested a backoff of the given duration.
+// StartBackoff notifies the home and its successor that a target requested a backoff of the given duration. This router
+// records it too, since it decides itself if no home can.
 func (r *Requester) StartBackoff(p Reservation, d time.Duration) {
 	w := wire.Backoff{Cell: p.cell.ID, Target: p.Target, DurationMs: uint32(min(d.Milliseconds(), math.MaxUint32))} //nolint:gosec // Bounded.
 
-	h, ok := r.remoteHome(p.cell)
-	if !ok {
-		r.supervisor.StartBackoff(time.Now(), w)
+	r.supervisor.StartBackoff(time.Now(), w)
+	r.notifySuccessor(p.cell, wire.KindBackoff, &w)
 
-		return
+	if h, ok := r.remoteHome(p.cell); ok {
+		r.send(h, wire.KindBackoff, &w)
 	}
+}
 
-	r.send(h, wire.KindBackoff, &w)
+// notifySuccessor sends a message in the background to the router that succeeds a cell's home.
+func (r *Requester) notifySuccessor(x *matcher.Cell, k wire.Kind, m msgp.Marshaler) {
+	l := r.members.Homes(uint64(x.ID), x.DataCentres, informedHomes)
+	if len(l) == informedHomes && l[1].ID != r.members.Self().ID {
+		go r.send(l[1], k, m)
+	}
 }
 
 // send sends a message to a home, and suspects the home on failure.
@@ -88,7 +101,6 @@
 	defer stop()
 
 	b := time.Now()
-
 	if err := r.peers.Send(c, h.Address, k, m); err != nil {
 		r.suspect(h, b, err)
 	}
--- a/internal/requester/requester.go
+++ b/internal/requester/requester.go
@@ -13,6 +13,7 @@
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/matcher"
+	"github.com/auburntray/auburntray/internal/tracker"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -21,6 +22,9 @@
 	// the interval between two reports of a target whose state is unchanged.
 	syncInterval = 5 * time.Second
 	sendTimeout  = time.Second
+	// informedHomes is the number of routers that are notified of a target that accepts no calls: the home of its cell
+	// and the one that succeeds it.
+	informedHomes = 2
 )
 
 // peers sends messages to other routers.
@@ -29,9 +33,10 @@
 	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
 }
 
-// members determines homes among the live routers.
+// members determines homes among the live routers. Homes returns the home and the routers that succeed it.
 type members interface {
 	Home(key uint64, centres []string) (gossiper.Member, bool)
+	Homes(key uint64, centres []string, number int) []gossiper.Member
 	Suspect(id uint64)
 	Self() gossiper.Member
 }
@@ -43,6 +48,8 @@
 	Report(now time.Time, w wire.Report)
 	StartBackoff(now time.Time, w wire.Backoff)
 	Sync(now time.Time, entry uint64, w wire.Sync)
+	Observe(target uint32, s tracker.State)
+	Unavailable(now time.Time, x *matcher.Cell) ([]wire.Backoff, []wire.Report)
 }
 
 // stallMonitor reports whether this process was stalled since a time.
--- a/internal/requester/requester_test.go
+++ b/internal/requester/requester_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +28,7 @@
 // network is a fake of the other routers and of this router's supervisor. Each grants a
 // slot at target 7 and records the messages that it receives.
 type network struct {
+	mu        sync.Mutex
 	home      uint64
 	suspected map[uint64]bool
 	syncs     map[uint64][]wire.Sync
@@ -34,6 +37,11 @@
 	// reports holds the reports that each home received. If reportDue is set, homes request a report.
 	reports   map[uint64][]wire.Report
 	reportDue bool
+	// successor succeeds the home unless it is zero. backoffs holds the backoffs that each router received.
+	successor uint64
+	backoffs  map[uint64][]wire.Backoff
+	// refuse makes homes refuse requests for slots.
+	refuse bool
 	// err is the error of messages to other routers. If stalled is set, this process counts as stalled.
 	err     error
 	stalled bool
@@ -43,6 +51,7 @@
 	return &network{
 		home: 2, suspected: make(map[uint64]bool), syncs: make(map[uint64][]wire.Sync),
 		requests: make(map[uint64]int), released: make(map[uint64][]wire.Release), reports: make(map[uint64][]wire.Report),
+		backoffs: make(map[uint64][]wire.Backoff),
 	}
 }
 
@@ -59,6 +68,15 @@
 	return gossiper.Member{ID: h, Address: address(h)}, true
 }
 
+func (n *network) Homes(key uint64, centres []string, number int) []gossiper.Member {
+	h, _ := n.Home(key, centres)
+	if n.successor == 0 || number == 1 {
+		return []gossiper.Member{h}
+	}
+
+	return []gossiper.Member{h, {ID: n.successor, Address: address(n.successor)}}
+}
+
 func (*network) Self() gossiper.Member  { return gossiper.Member{ID: self} }
 func (n *network) Suspect(id uint64)    { n.suspected[id] = true }
 func id(a netip.AddrPort) uint64        { return uint64(a.Addr().As4()[3]) }
@@ -71,6 +89,10 @@
 		return n.err
 	}
 
+	if n.refuse {
+		return messenger.ErrRefused
+	}
+
 	if n.fails(id(a)) {
 		return errors.New("connection refused")
 	}
@@ -88,6 +110,9 @@
 func (n *network) Stalled(time.Time) bool { return n.stalled }
 
 func (n *network) Send(_ context.Context, a netip.AddrPort, _ wire.Kind, m msgp.Marshaler) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
 	if n.err != nil {
 		return n.err
 	}
@@ -99,6 +124,8 @@
 		n.reports[id(a)] = append(n.reports[id(a)], *w)
 	case *wire.Release:
 		n.released[id(a)] = append(n.released[id(a)], *w)
+	case *wire.Backoff:
+		n.backoffs[id(a)] = append(n.backoffs[id(a)], *w)
 	}
 
 	return nil
@@ -114,7 +141,26 @@
 	n.released[self] = append(n.released[self], w)
 }
 
-func (n *network) StartBackoff(time.Time, wire.Backoff) {}
+func (n *network) StartBackoff(_ time.Time, w wire.Backoff) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.backoffs[self] = append(n.backoffs[self], w)
+}
+
+func (n *network) Observe(target uint32, s tracker.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.reports[self] = append(n.reports[self], wire.Report{Target: target, Requests: -1, Incarnation: s.Incarnation, Leaving: s.Leaving})
+}
+
+func (n *network) Unavailable(time.Time, *matcher.Cell) ([]wire.Backoff, []wire.Report) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return n.backoffs[self], n.reports[self]
+}
 
 func (n *network) Report(_ time.Time, w wire.Report) {
 	n.reports[self] = append(n.reports[self], w)
@@ -266,3 +312,46 @@
 	i.Equal(n.reports[2][2].Requests, int32(9))
 	i.Equal(n.reports[2][2].Incarnation, uint64(0))
 }
+
+// Guards against calls to a target in backoff or leaving after its cell has got another home: the target is reported to the
+// home of the time, and answers no further call that would report it again.
+func TestNewHomeLearnsOfUnavailableTargets(t *testing.T) {
+	const backoff = 30 * time.Second
+
+	for name, tc := range map[string]struct {
+		next   func(n *network)
+		learns uint64
+	}{
+		"the home changes":                       {next: func(n *network) { n.home = 4 }, learns: 4},
+		"the successor takes over at once":       {next: func(*network) {}, learns: 3},
+		"the home refuses":                       {next: func(n *network) { n.refuse = true }, learns: self},
+		"this router takes over without request": {next: func(n *network) { n.home = self }, learns: self},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				n := newNetwork()
+				n.successor = 3
+				a := newRequester(n)
+
+				p, err := a.Reserve(t.Context(), request())
+				i.NoErr(err)
+				a.Report(p, 1, tracker.State{Incarnation: 6, Leaving: true})
+				a.StartBackoff(p, backoff)
+				synctest.Wait()
+				i.Equal(len(n.backoffs[2]), 1) // The home knows at once.
+
+				tc.next(n)
+
+				_, err = a.Reserve(t.Context(), request())
+				i.NoErr(err)
+
+				synctest.Wait()
+				i.Equal(len(n.backoffs[tc.learns]), 1)
+				i.Equal(n.backoffs[tc.learns][0].Target, p.Target)
+				i.Equal(len(n.reports[tc.learns]), 1)
+				i.True(n.reports[tc.learns][0].Leaving)
+			})
+		})
+	}
+}
--- a/internal/requester/sync.go
+++ b/internal/requester/sync.go
@@ -5,13 +5,14 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
-// SyncAll sends the home of each cell the list of this router's grants there.
+// SyncAll sends the home of each cell the list of this router's grants there, and the targets that accept no calls.
 func (r *Requester) SyncAll(c context.Context) {
 	r.mu.Lock()
 	l := make([]*matcher.Cell, 0, len(r.cells))
@@ -29,8 +30,8 @@
 	}
 }
 
-// setHome records the home of a cell. If the home has changed, setHome sends it this router's
-// grants; without them the new home would consider the targets idle and overload them.
+// setHome records the home of a cell. If the home has changed, setHome sends it this router's grants and the targets that accept
+// no calls; without them the new home would consider the targets idle and available.
 func (r *Requester) setHome(c context.Context, x *matcher.Cell, h gossiper.Member) {
 	r.mu.Lock()
 	e := r.entry(x)
@@ -43,7 +44,7 @@
 	}
 }
 
-// sync sends a home the list of this router's grants in a cell.
+// sync sends a home the list of this router's grants in a cell, and the targets that accept no calls.
 func (r *Requester) sync(c context.Context, x *matcher.Cell, h gossiper.Member) {
 	w := r.grantList(x)
 
@@ -53,10 +54,29 @@
 		return
 	}
 
+	r.sendOne(c, h, wire.KindSync, &w)
+	r.sendUnavailable(c, x, h)
+}
+
+// sendUnavailable sends another router the targets of a cell that are in backoff or leaving, as far as this router knows.
+func (r *Requester) sendUnavailable(c context.Context, x *matcher.Cell, h gossiper.Member) {
+	b, l := r.supervisor.Unavailable(time.Now(), x)
+
+	for _, w := range b {
+		r.sendOne(c, h, wire.KindBackoff, &w)
+	}
+
+	for _, w := range l {
+		r.sendOne(c, h, wire.KindReport, &w)
+	}
+}
+
+// sendOne sends one message of a sync. If it is lost, the next sync repeats it.
+func (r *Requester) sendOne(c context.Context, h gossiper.Member, k wire.Kind, m msgp.Marshaler) {
 	t, stop := context.WithTimeout(c, sendTimeout)
 	defer stop()
 
-	if err := r.peers.Send(t, h.Address, wire.KindSync, &w); err != nil {
+	if err := r.peers.Send(t, h.Address, k, m); err != nil {
 		logrus.WithFields(logrus.Fields{"event": "syncFailed", "peer": h.Address, "error": err}).Debug()
 	}
 }
--- a/internal/router/notifier.go
+++ b/internal/router/notifier.go
@@ -15,7 +15,7 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
-// notifier sends the loads and placements of cells to the homes of cells. The home (home node) of a
+// notifier sends the loads, placements and unavailable targets of cells to the homes of cells. The home (home node) of a
 // cell is the one router responsible for it. It is safe for concurrent use.
 type notifier struct {
 	messenger  *messenger.Messenger
@@ -40,20 +40,18 @@
 	go n.send(h, wire.KindCellLoad, &w)
 }
 
-// HandOver sends placements to the cell's home in the background, unless this router is the
-// home.
-func (n notifier) HandOver(cell *matcher.Cell, w wire.HandOver) {
+// NotifyHome sends a message in the background to a cell's home, unless this router is the home.
+func (n notifier) NotifyHome(cell *matcher.Cell, k wire.Kind, m msgp.Marshaler) {
 	h, ok := n.joiner().Home(uint64(cell.ID), cell.DataCentres)
 	if ok && h.ID != n.joiner().Self().ID {
-		go n.send(h, wire.KindHandOver, &w)
+		go n.send(h, k, m)
 	}
 }
 
-// Replicate sends placements in the background to the router that becomes the cell's home
-// if this one fails.
-func (n notifier) Replicate(cell *matcher.Cell, w wire.HandOver) {
+// NotifySuccessor sends a message in the background to the router that becomes a cell's home if this one fails.
+func (n notifier) NotifySuccessor(cell *matcher.Cell, k wire.Kind, m msgp.Marshaler) {
 	if h, ok := n.joiner().Successor(uint64(cell.ID), cell.DataCentres); ok {
-		go n.send(h, wire.KindHandOver, &w)
+		go n.send(h, k, m)
 	}
 }
 
--- a/internal/supervisor/notifier.go
+++ b/internal/supervisor/notifier.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/placer"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -28,23 +30,37 @@
 type notifier interface {
 	// ReportCellLoad sends a cell's load to the home of another cell.
 	ReportCellLoad(to *matcher.Cell, w wire.CellLoad)
-	// HandOver sends placements of a cell to its home.
-	HandOver(cell *matcher.Cell, w wire.HandOver)
-	// Replicate sends placements of a cell to the router that becomes the cell's home if this router
-	// fails.
-	Replicate(cell *matcher.Cell, w wire.HandOver)
+	// NotifyHome sends a message to a cell's home, unless that is this router.
+	NotifyHome(cell *matcher.Cell, k wire.Kind, m msgp.Marshaler)
+	// NotifySuccessor sends a message to the router that becomes a cell's home if this router fails.
+	NotifySuccessor(cell *matcher.Cell, k wire.Kind, m msgp.Marshaler)
 }
 
-// replicate sends the cell's new placements to the router that becomes its home if this one fails.
-// Without this, chats would lose their prompt caches when this router is killed, unless their callers
-// return a placement token.
-func (s *Supervisor) replicate(x *matcher.Cell, h *cellState) {
+// replicate sends the cell's new placements, and its targets that accept no calls, to the router that becomes its home if this
+// one fails. Without this, chats would lose their prompt caches when this router is killed, unless their callers
+// return a placement token, and targets would get calls during their backoffs.
+func (s *Supervisor) replicate(now time.Time, x *matcher.Cell, h *cellState) {
+	s.notifyUnavailable(now, x, s.notifier.NotifySuccessor)
+
 	h.mu.Lock()
 	l := h.granter.ChangedPlacements(maxNewPlacements, maxRepeatedPlacements)
 	h.mu.Unlock()
 
 	if len(l) > 0 {
-		s.notifier.Replicate(x, wire.HandOver{Cell: x.ID, Placements: wirePlacements(l)})
+		s.notifier.NotifySuccessor(x, wire.KindHandOver, &wire.HandOver{Cell: x.ID, Placements: wirePlacements(l)})
+	}
+}
+
+// notifyUnavailable sends the targets of a cell that accept no calls, each in one message.
+func (s *Supervisor) notifyUnavailable(now time.Time, x *matcher.Cell, send func(*matcher.Cell, wire.Kind, msgp.Marshaler)) {
+	b, l := s.Unavailable(now, x)
+
+	for i := range b {
+		send(x, wire.KindBackoff, &b[i])
+	}
+
+	for i := range l {
+		send(x, wire.KindReport, &l[i])
 	}
 }
 
@@ -57,12 +73,13 @@
 	h.nextPosition = 0
 }
 
-// handOver sends the placements of a cell to the router that has become its home, a part per sweep.
+// handOver sends the placements of a cell to the router that has become its home, a part per sweep, and the targets that accept
+// no calls.
 // When a router joins, it becomes the home of some cells that had other homes; without the handover,
 // the chats of these cells would lose their prompt caches at each start of a router. A router also
 // hands over placements that were replicated to it, if the cell's home failed and another process
 // became the home.
-func (s *Supervisor) handOver(x *matcher.Cell, to uint64) {
+func (s *Supervisor) handOver(now time.Time, x *matcher.Cell, to uint64) {
 	s.mu.Lock()
 	h, ok := s.cells[x.ID]
 	s.mu.Unlock()
@@ -87,8 +104,10 @@
 
 	h.mu.Unlock()
 
+	s.notifyUnavailable(now, x, s.notifier.NotifyHome)
+
 	if len(l) > 0 {
-		s.notifier.HandOver(x, wire.HandOver{Cell: x.ID, Placements: wirePlacements(l)})
+		s.notifier.NotifyHome(x, wire.KindHandOver, &wire.HandOver{Cell: x.ID, Placements: wirePlacements(l)})
 	}
 }
 
--- a/internal/supervisor/request.go
+++ b/internal/supervisor/request.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"math"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/granter"
@@ -91,6 +92,25 @@
 	}
 }
 
+// Unavailable returns the targets of a cell that this router knows to accept no calls, as messages to another router: those in
+// backoff and those that are leaving.
+func (s *Supervisor) Unavailable(now time.Time, x *matcher.Cell) (b []wire.Backoff, l []wire.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, t := range x.Targets {
+		if d := s.backoffs.remaining(now, t.ID); d > 0 {
+			b = append(b, wire.Backoff{Cell: x.ID, Target: t.ID, DurationMs: uint32(min(d.Milliseconds(), math.MaxUint32))}) //nolint:gosec // Bounded.
+		}
+
+		if a := s.states.Get(t.ID); a.Leaving {
+			l = append(l, wire.Report{Cell: x.ID, Target: t.ID, Requests: -1, Incarnation: a.Incarnation, Leaving: true})
+		}
+	}
+
+	return b, l
+}
+
 // Sync reconciles the grants of an entry router in a cell with the list that this entry router sent.
 func (s *Supervisor) Sync(now time.Time, entry uint64, w wire.Sync) {
 	l := make([]granter.Grant, len(w.Grants))
--- a/internal/supervisor/revision_test.go
+++ b/internal/supervisor/revision_test.go
@@ -1,15 +1,19 @@
 package supervisor_test
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/follower"
 	"github.com/auburntray/auburntray/internal/granter"
 	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/matcher"
 	"github.com/auburntray/auburntray/internal/supervisor"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -102,3 +106,47 @@
 		i.True(v.Target != hasher.Name("e0"))
 	}
 }
+
+// Guards against calls to targets in backoff or leaving after a cell has got another home: a router that joins, or the successor
+// of one that is killed.
+func TestNextHomeReceivesUnavailableTargets(t *testing.T) {
+	for name, tc := range map[string]struct {
+		home    uint64
+		receive func(o *peersAndTargets) []msgp.Marshaler
+	}{
+		"successor of this router":        {home: self, receive: func(o *peersAndTargets) []msgp.Marshaler { return o.toSuccessor }},
+		"router that has become the home": {home: 2, receive: func(o *peersAndTargets) []msgp.Marshaler { return o.toHome }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				f, o := configuration(3), &peersAndTargets{}
+				k := newSupervisor(f, o)
+
+				_, err := k.Reserve(time.Now(), 1, request(f, 1))
+				i.NoErr(err)
+				k.StartBackoff(time.Now(), wire.Backoff{Target: hasher.Name("e0"), DurationMs: 60_000})
+				k.StartBackoff(time.Now(), wire.Backoff{Target: hasher.Name("e1"), DurationMs: 10})
+				k.Report(time.Now(), wire.Report{Target: hasher.Name("e2"), Requests: -1, Incarnation: 4, Leaving: true})
+
+				c, stop := context.WithCancel(t.Context())
+				go k.Run(c, func(*matcher.Cell) uint64 { return tc.home })
+
+				time.Sleep(1500 * time.Millisecond)
+				stop()
+				synctest.Wait()
+
+				l := tc.receive(o)
+				i.Equal(len(l), 2) // The other backoff has ended.
+
+				b, _ := l[0].(*wire.Backoff)
+				i.Equal(b.Target, hasher.Name("e0"))
+				i.True(b.DurationMs > 50_000)
+
+				r, _ := l[1].(*wire.Report)
+				i.Equal(r.Target, hasher.Name("e2"))
+				i.True(r.Leaving)
+			})
+		})
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -82,7 +82,7 @@
 
 	for _, x := range f.Matcher.Cells() {
 		if y := home(x); y != s.self {
-			s.handOver(x, y)
+			s.handOver(n, x, y)
 
 			continue
 		}
@@ -91,7 +91,7 @@
 			h.markOwned()
 			s.probe(c, n, f.Matcher, h)
 			s.reportLoad(n, f.Matcher, x, h)
-			s.replicate(x, h)
+			s.replicate(n, x, h)
 		}
 	}
 
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/tinylib/msgp/msgp"
 
 	"github.com/auburntray/auburntray/internal/follower"
 	"github.com/auburntray/auburntray/internal/granter"
@@ -35,6 +36,8 @@
 	probes     int
 	handed     int
 	replicated int
+	// toHome and toSuccessor are the other messages to the home and to the successor.
+	toHome, toSuccessor []msgp.Marshaler
 }
 
 func (o *peersAndTargets) Probe(context.Context, netip.AddrPort) (supervisor.Health, error) {
@@ -48,18 +51,26 @@
 
 func (*peersAndTargets) ReportCellLoad(*matcher.Cell, wire.CellLoad) {}
 
-func (o *peersAndTargets) HandOver(_ *matcher.Cell, w wire.HandOver) {
+func (o *peersAndTargets) NotifyHome(_ *matcher.Cell, _ wire.Kind, m msgp.Marshaler) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	o.handed += len(w.Placements)
+	if w, ok := m.(*wire.HandOver); ok {
+		o.handed += len(w.Placements)
+	} else {
+		o.toHome = append(o.toHome, m)
+	}
 }
 
-func (o *peersAndTargets) Replicate(_ *matcher.Cell, w wire.HandOver) {
+func (o *peersAndTargets) NotifySuccessor(_ *matcher.Cell, _ wire.Kind, m msgp.Marshaler) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	o.replicated += len(w.Placements)
+	if w, ok := m.(*wire.HandOver); ok {
+		o.replicated += len(w.Placements)
+	} else {
+		o.toSuccessor = append(o.toSuccessor, m)
+	}
 }
 
 // placementCounts returns the number of placements that were replicated and handed over.
