requester: a slot that an entry router granted itself is released there

Callers saw: after a home had refused, targets counted as busier than they were at the router that had decided instead, for up to 15 s, and calls went to others or were refused. A target that had failed such a call was not counted as failing.

Cause: the release went only to the cell's home, which did not know the slot. In the same way, a target's state counted as reported although its message could not be sent, and was not due again for 5 s.

Change: the release goes to this router too if it granted the slot or holds the list of grants; a router that does not know the slot ignores it. A state that could not be sent is due with the next answer.

--- a/internal/requester/report.go
+++ b/internal/requester/report.go
@@ -23,24 +23,31 @@
 
 // Release releases a slot, with the outcome of its attempt.
 func (r *Requester) Release(p Reservation, o granter.Outcome) {
+	self := r.members.Self().ID
+	local := p.local
+
 	r.mu.Lock()
 	if x, ok := r.cells[p.cell.ID]; ok {
 		delete(x.grants, p.seq)
+
+		local = local || x.home == self
 	}
 	r.mu.Unlock()
 
 	w := wire.Release{Seq: p.seq, Cell: p.cell.ID, OK: o.OK, NeverSent: o.NeverSent}
 
+	// The home does not know a slot that this router granted because the home could not, unless it has received the list
+	// of grants since.
 	h, ok := r.remoteHome(p.cell)
-	if !ok {
-		r.supervisor.Release(time.Now(), r.members.Self().ID, w)
-
-		return
+	if !ok || local {
+		r.supervisor.Release(time.Now(), self, w)
 	}
 
 	// If this message is lost, the home releases the slot when it receives the next list of grants,
 	// which does not contain this one.
-	r.send(h, wire.KindRelease, &w)
+	if ok {
+		r.send(h, wire.KindRelease, &w)
+	}
 }
 
 // Report forwards to the home the load and state that a target reported at the start of its
@@ -71,7 +78,9 @@
 		return
 	}
 
-	r.send(h, wire.KindReport, &w)
+	if !r.send(h, wire.KindReport, &w) && n {
+		r.forgetReported(p.Target)
+	}
 }
 
 // StartBackoff notifies the home and its successor that a target requested a backoff of the given duration. This router
@@ -95,15 +104,19 @@
 	}
 }
 
-// send sends a message to a home, and suspects the home on failure.
-func (r *Requester) send(h gossiper.Member, k wire.Kind, m msgp.Marshaler) {
+// send sends a message to a home and reports whether it was sent. It suspects the home on failure.
+func (r *Requester) send(h gossiper.Member, k wire.Kind, m msgp.Marshaler) bool {
 	c, stop := context.WithTimeout(context.Background(), sendTimeout)
 	defer stop()
 
 	b := time.Now()
-	if err := r.peers.Send(c, h.Address, k, m); err != nil {
+
+	err := r.peers.Send(c, h.Address, k, m)
+	if err != nil {
 		r.suspect(h, b, err)
 	}
+
+	return err == nil
 }
 
 // suspect excludes a home after a message to it failed, unless the message timed out
@@ -136,3 +149,11 @@
 
 	return true
 }
+
+// forgetReported makes a target's state due again, since its report was not sent.
+func (r *Requester) forgetReported(target uint32) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	delete(r.reported, target)
+}
--- a/internal/requester/requester_test.go
+++ b/internal/requester/requester_test.go
@@ -355,3 +355,41 @@
 		})
 	}
 }
+
+// Guards against slots that count for up to 15 s after their calls ended: this router granted them because the home refused to,
+// so the home does not know them.
+func TestLocallyGrantedSlotIsReleasedLocally(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork()
+	a := newRequester(n)
+	n.refuse = true
+
+	p, err := a.Reserve(t.Context(), request())
+	i.NoErr(err)
+
+	n.refuse = false
+
+	a.Release(p, granter.Outcome{OK: true})
+	i.Equal(len(n.released[self]), 1)
+}
+
+// Guards against a state that its home never learns: the message with it was not sent, and an unchanged state is not due again for
+// seconds.
+func TestUnsentStateIsDueAgain(t *testing.T) {
+	i := is.New(t)
+	n := newNetwork()
+	a := newRequester(n)
+
+	for _, err := range []error{errors.New("connection reset"), nil} {
+		p, e := a.Reserve(t.Context(), request())
+		i.NoErr(e)
+
+		n.err = err
+		a.Report(p, 1, tracker.State{Incarnation: 5})
+
+		n.err = nil
+		n.suspected = make(map[uint64]bool)
+	}
+
+	i.Equal(len(n.reports[2]), 1)
+}
--- a/internal/requester/reserve.go
+++ b/internal/requester/reserve.go
@@ -49,6 +49,8 @@
 
 	cell *matcher.Cell
 	seq  uint32
+	// local reports whether this router granted the slot.
+	local bool
 	// reportDue reports whether the home requested a load report.
 	reportDue bool
 }
@@ -106,7 +108,10 @@
 		return Reservation{}, errors.Mark(err, ErrNoSlot)
 	}
 
-	return r.record(q, w, v), nil
+	p := r.record(q, w, v)
+	p.local = true
+
+	return p, nil
 }
 
 // newRequest returns the message for a request, with the next sequence number. The request is pending
