sharder: several calls that crash targets at once are confined before all targets are down

Callers saw: ten different calls that crash targets arrived within a third of a second at 18 engines; all engines crashed, and 31 of 13,343 good calls that had been running at three crashes were quarantined, each for a minute at least.

Cause: sharding began only when a third of the targets had crashed at four moments half a second apart, since a rack that loses power is no reason for it. Several such calls at once crash everything within 0.4 s. Good calls are sent again to the targets that remain, where the bad ones are sent again too, and meet crash after crash.

Evidence: a trace of the replay: all 31 were held between 249 and 402 ms; at each of their crashes another call had crashed as many targets, and the last targets had 21 to 34 calls each, of which up to 20 had seen three crashes.

Change: a crash is repeated if a call was running there that had been running at an earlier one and is not known as a cause yet. Sharding begins at once when a fifth of the targets have crashed and three of the crashes are repeated. A single such call makes two; targets that lose power together make none, since a call that is sent again does not begin there.

New cases of TestSharded and TestCrashesStartShuffleSharding.

--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -91,7 +91,7 @@
 	v := f.quarantine.RecordCrash(x.digest, t.Key().Name())
 
 	f.mu.Lock()
-	f.sharder.RecordCrash(time.Now(), t)
+	f.sharder.RecordCrash(time.Now(), t, v.Repeated)
 	f.mu.Unlock()
 
 	logrus.WithFields(x.logFields()).WithFields(logrus.Fields{
@@ -103,7 +103,7 @@
 
 // RecordCrashes applies a notification from another instance that processes of targets crashed while
 // running calls.
-func (f *Forwarder) RecordCrashes(l []quarantiner.Crash) {
+func (f *Forwarder) RecordCrashes(l []quarantiner.Occurrence) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -111,7 +111,7 @@
 
 	for _, e := range l {
 		if t, ok := r.Names[e.Process]; ok {
-			f.sharder.RecordCrash(e.At, t)
+			f.sharder.RecordCrash(e.At, t, e.Repeated)
 		}
 	}
 }
--- a/internal/forwarder/sharding_test.go
+++ b/internal/forwarder/sharding_test.go
@@ -21,9 +21,12 @@
 		// receive calls.
 		crashInterval time.Duration
 		usedTargets   int
+		// repeated reports whether the calls that were running at the crashes were suspected.
+		repeated bool
 	}{
-		"crashes one after the other": {crashInterval: 600 * time.Millisecond, usedTargets: 3},
-		"crashes at the same time":    {usedTargets: 9},
+		"crashes one after the other":               {crashInterval: 600 * time.Millisecond, usedTargets: 3},
+		"crashes at the same time":                  {usedTargets: 9},
+		"crashes of suspected calls, all at a time": {usedTargets: 3, repeated: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
@@ -36,13 +39,13 @@
 			g := newGateway(t, l...)
 			now := time.Now()
 
-			var crashes []quarantiner.Crash
+			var crashes []quarantiner.Occurrence
 
 			for n, k := range g.state.Registry().Groups["g"] {
-				crashes = append(crashes, quarantiner.Crash{Process: k.Key().Name(), At: now.Add(time.Duration(n-9) * x.crashInterval)})
+				crashes = append(crashes, quarantiner.Occurrence{Process: k.Key().Name(), At: now.Add(time.Duration(n-9) * x.crashInterval), Repeated: x.repeated})
 			}
 
-			g.forwarder.RecordCrashes(append(crashes, quarantiner.Crash{Process: 1, At: now}))
+			g.forwarder.RecordCrashes(append(crashes, quarantiner.Occurrence{Process: 1, At: now}))
 
 			// Distinct prompts spread the calls over all targets that they may use.
 			for n := range 200 {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -261,5 +261,19 @@
 		v.Status = Suspected
 	}
 
+	v.Repeated = v.Crashes > 1 && v.Crashes <= q.settings.CrashThreshold
+
 	return v
 }
+
+// Occurrences returns the crashes of a record, each with what it suggests for the call at that time.
+func (q *Quarantiner) Occurrences(r Record) []Occurrence {
+	o := make([]Occurrence, 0, len(r.Crashes))
+
+	for n, e := range r.Crashes {
+		v := q.verdict(&Record{Call: r.Call, Crashes: r.Crashes[:n+1]})
+		o = append(o, Occurrence{Process: e.Process, At: e.At, Repeated: !e.Cleared && v.Repeated})
+	}
+
+	return o
+}
--- a/internal/quarantiner/record.go
+++ b/internal/quarantiner/record.go
@@ -21,6 +21,14 @@
 	ServedBefore bool
 }
 
+// Occurrence is the crash of a process while a call was in flight there, as reported for the decision on sharding. Repeated
+// is as in Verdict.
+type Occurrence struct {
+	Process  discoverer.Name
+	At       time.Time
+	Repeated bool
+}
+
 // Record holds the crashes of one call.
 type Record struct {
 	Call digester.Digest
--- a/internal/quarantiner/replay_test.go
+++ b/internal/quarantiner/replay_test.go
@@ -109,14 +109,17 @@
 		availableAt[i] = now.Add(4 * time.Second)
 		o.crashes++
 
+		repeated := false
+
 		for _, x := range l2 {
-			q.RecordCrash(now, x.digest, process[i])
+			v, _ := q.RecordCrash(now, x.digest, process[i])
+			repeated = repeated || v.Repeated
 		}
 
 		// After each crash the target has another process.
 		crashed := *listed[i]
 		crashed.Start = now
-		c.RecordCrash(now, newTarget(crashed))
+		c.RecordCrash(now, newTarget(crashed), repeated)
 
 		process[i] = next
 		next++
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -39,6 +39,10 @@
 	Crashes int
 	// LastCrash is the time of the last of these crashes.
 	LastCrash time.Time
+	// Repeated reports whether the last of these crashes suggests that this call or another one with it crashes targets: it
+	// is not the call's first, and the call was not quarantined yet. Further crashes of a call that is known as a cause
+	// suggest no other.
+	Repeated bool
 	// TrialDue reports whether a quarantined call is due for a trial.
 	TrialDue bool
 	// TrialIn is the time until the next trial; zero if there is none, or if it is due now.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -77,7 +77,7 @@
 	// counts are the crashes and cleared calls of this instance.
 	counts Counts
 	// onCrashes is called with the crashes reported by other instances.
-	onCrashes func(l []quarantiner.Crash)
+	onCrashes func(l []quarantiner.Occurrence)
 
 	// uncontacted holds the IDs of the instances still to be contacted in this round. It is accessed only by the
 	// goroutine of syncLoop.
@@ -99,13 +99,13 @@
 		messenger: m, members: x, broadcaster: broadcaster.New(m, x), store: h, retention: s.Retention, quarantiner: quarantiner.New(s),
 		pending: make(map[digester.Digest]bool), wake: make(chan struct{}, 1),
 		unsaved: make(map[digester.Digest]bool), saveWake: make(chan struct{}, 1), verifyWake: make(chan struct{}, 1), synced: h == nil,
-		onCrashes: func([]quarantiner.Crash) {},
+		onCrashes: func([]quarantiner.Occurrence) {},
 	}
 }
 
 // OnCrashes sets a function that is called with the crashes reported by other instances, once for each report.
 // It must be called before the first call is served.
-func (r *Replicator) OnCrashes(f func(l []quarantiner.Crash)) {
+func (r *Replicator) OnCrashes(f func(l []quarantiner.Occurrence)) {
 	r.onCrashes = f
 }
 
@@ -307,10 +307,16 @@
 	r.mu.Lock()
 	r.synced = r.synced || m.Synced
 	l, changed := r.quarantiner.Merge(time.Now(), p)
+	o := make([][]quarantiner.Occurrence, len(p))
+
+	for i, x := range p {
+		o[i] = r.quarantiner.Occurrences(x)
+	}
+
 	r.mu.Unlock()
 
-	for _, x := range p {
-		r.onCrashes(x.Crashes)
+	for _, x := range o {
+		r.onCrashes(x)
 	}
 
 	for _, d := range l {
--- a/internal/sharder/sharder.go
+++ b/internal/sharder/sharder.go
@@ -5,7 +5,8 @@
 // crashes, but that does not help against the next one: all targets crash again and again, and no
 // customer is served. While targets crash one after the other, the calls of each customer are therefore
 // sent to a subset of the targets only, its shard. A customer can then crash only its own shard, and
-// every other customer has targets outside it.
+// every other customer has targets outside it. The same applies to several such calls that arrive at once: each has to
+// crash three targets before it is quarantined, which may be all of them.
 package sharder
 
 import (
@@ -30,34 +31,50 @@
 	// after three crashes, is no reason for sharding.
 	minCrashTimes   = 4
 	minCrashSpacing = 500 * time.Millisecond
+	// minRepeatedCrashes is the number of repeated crashes at which sharding starts without minCrashTimes, if
+	// minRepeatedFraction of the targets have crashed. A single call has two of them before it is quarantined, and
+	// targets that lose power together have none.
+	minRepeatedCrashes  = 3
+	minRepeatedFraction = 1.0 / 5
 	// shardFraction is the fraction of a group's targets in a shard. Such a shard has sufficient capacity
 	// for a customer with half of all calls, and overlaps with another customer's by only a third.
 	shardFraction = 1.0 / 3
 )
 
+// crash is the crash of one process.
+type crash struct {
+	at time.Time
+	// repeated reports whether a call was running there that had been running at the crash of another process.
+	repeated bool
+}
+
 // Sharder records the crashes of targets. It is not safe for concurrent use.
 type Sharder struct {
-	// crashes are the times of crashes, by group and process.
-	crashes map[string]map[discoverer.Key]time.Time
+	// crashes are the crashes by group and process.
+	crashes map[string]map[discoverer.Key]crash
 }
 
 // New returns a Sharder without crashes.
 func New() *Sharder {
-	return &Sharder{crashes: make(map[string]map[discoverer.Key]time.Time)}
+	return &Sharder{crashes: make(map[string]map[discoverer.Key]crash)}
 }
 
-// RecordCrash records that the process of a target crashed while running a call. Repeated notifications of the
-// same process have no effect.
-func (s *Sharder) RecordCrash(now time.Time, t *discoverer.Target) {
+// RecordCrash records that the process of a target crashed while running a call, and whether that call was suspected
+// already, see quarantiner.Verdict.Repeated. Further notifications of the same process change only that.
+func (s *Sharder) RecordCrash(now time.Time, t *discoverer.Target, repeated bool) {
 	g, ok := s.crashes[t.Group]
 	if !ok {
-		g = make(map[discoverer.Key]time.Time)
+		g = make(map[discoverer.Key]crash)
 		s.crashes[t.Group] = g
 	}
 
-	if _, ok := g[t.Key()]; !ok {
-		g[t.Key()] = now
+	c, ok := g[t.Key()]
+	if !ok {
+		c.at = now
 	}
+
+	c.repeated = c.repeated || repeated
+	g[t.Key()] = c
 }
 
 // Sharded reports whether the customers of a group are sharded, given the group's number of targets.
@@ -68,18 +85,26 @@
 	}
 
 	l := make([]time.Time, 0, len(g))
+	repeated := 0
 
-	for k, at := range g {
-		if now.Sub(at) >= crashWindow {
+	for k, c := range g {
+		if now.Sub(c.at) >= crashWindow {
 			delete(g, k)
 
 			continue
 		}
 
-		l = append(l, at)
+		l = append(l, c.at)
+
+		if c.repeated {
+			repeated++
+		}
 	}
 
-	return float64(len(l)) >= minCrashedFraction*float64(targets) && countSpaced(l) >= minCrashTimes
+	crashed := float64(len(l)) / float64(targets)
+
+	return repeated >= minRepeatedCrashes && crashed >= minRepeatedFraction ||
+		crashed >= minCrashedFraction && countSpaced(l) >= minCrashTimes
 }
 
 // countSpaced returns the number of times in l that are at least minCrashSpacing after the one counted
--- a/internal/sharder/sharder_test.go
+++ b/internal/sharder/sharder_test.go
@@ -28,7 +28,9 @@
 		targets, crashed int
 		interval         time.Duration
 		after            time.Duration
-		want             bool
+		// repeated is the number of the crashes, from the last one back, that repeat an earlier one.
+		repeated int
+		want     bool
 	}{
 		"none":                {targets: 18},
 		"one after the other": {targets: 18, crashed: 8, interval: 500 * time.Millisecond, want: true},
@@ -39,6 +41,10 @@
 		"a quarantined call":  {targets: 6, crashed: 3, interval: time.Second},
 		"few of many":         {targets: 192, crashed: 20, interval: 400 * time.Millisecond},
 		"outside the window":  {targets: 18, crashed: 8, interval: 500 * time.Millisecond, after: 10 * time.Second},
+		"two calls at once":   {targets: 18, crashed: 4, interval: 20 * time.Millisecond, repeated: 3, want: true},
+		"one call at once":    {targets: 18, crashed: 4, interval: 20 * time.Millisecond, repeated: 2},
+		"two calls, many":     {targets: 192, crashed: 20, interval: 20 * time.Millisecond, repeated: 15},
+		"two calls, earlier":  {targets: 18, crashed: 4, interval: 20 * time.Millisecond, repeated: 3, after: 10 * time.Second},
 		"far apart":           {targets: 18, crashed: 18, interval: 5 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -47,9 +53,9 @@
 			l := targets(x.targets)
 			now := time.Unix(0, 0)
 
-			for _, k := range l[:x.crashed] {
-				c.RecordCrash(now, k)
-				c.RecordCrash(now.Add(time.Second), k) // Another instance reports the same crash.
+			for n, k := range l[:x.crashed] {
+				c.RecordCrash(now, k, false)
+				c.RecordCrash(now.Add(time.Second), k, n >= x.crashed-x.repeated) // Another instance reports the same crash.
 				now = now.Add(x.interval)
 			}
 
