--- a/internal/quarantiner/occurrence_test.go
+++ b/internal/quarantiner/occurrence_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against customers that are sharded too late or without need at instances that learn of crashes from others: only the
-// second and the third crash with a call are repeated, and none that it did not cause.
+// second and the third crash with a call are repeated, and none that was cleared since.
 func TestOccurrences(t *testing.T) {
 	for name, x := range map[string]struct {
 		crashes int
