--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -108,17 +108,26 @@
 
 func start(t *testing.T) *fixture {
 	t.Helper()
+
+	return startWith(t, func(*gatekeeper.Settings, *gatekeeper.Environment) {})
+}
+
+// startWith starts an instance whose settings and environment were changed by a function.
+func startWith(t *testing.T, change func(s *gatekeeper.Settings, w *gatekeeper.Environment)) *fixture {
+	t.Helper()
 	logrus.SetLevel(logrus.PanicLevel)
 
 	s := &fixture{config: &stream{}, targets: &stream{}}
 	a, b := porter.Free(t), porter.Free(t)
 	s.callers, s.ready = "http://"+a.String(), "http://"+b.String()
-	s.app = fx.New(gatekeeper.Options(gatekeeper.Settings{
+
+	x := gatekeeper.Settings{
 		Name: "front-1", DataCentre: "dc", Callers: a, Ready: b, Peers: porter.Free(t),
 		Tunables: gatekeeper.Tunables{
 			StopTimeout: 8 * time.Second, Retries: budgeter.Settings{Ratio: 0.2, Window: time.Second, Slack: 10},
 		},
-	}, gatekeeper.Environment{
+	}
+	w := gatekeeper.Environment{
 		Dialect: dialect{}, ReadyPath: "/ready", ConfigKey: "config", Config: s.config, Targets: s.targets,
 		DecodeConfig: func(b []byte) (cataloger.Document, error) {
 			var d cataloger.Document
@@ -138,7 +147,10 @@
 
 			return t, err
 		},
-	}))
+	}
+
+	change(&x, &w)
+	s.app = fx.New(gatekeeper.Options(x, w))
 
 	if err := s.app.Start(t.Context()); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/gatekeeper/lost_links_test.go
@@ -0,0 +1,305 @@
+package gatekeeper_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/gatekeeper"
+	"github.com/auburntray/auburntray/internal/standin/porter"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
+)
+
+// loss is how an instance loses its links to all targets.
+type loss int
+
+const (
+	// intact means that the links work.
+	intact loss = iota
+	// silent means that connections fall silent for good and new ones are not established.
+	silent
+	// reset means that connections are reset and new ones refused.
+	reset
+	// newRefused means that connections live on and new ones are refused.
+	newRefused
+)
+
+// links are the links of one instance to the targets.
+type links struct {
+	mu    sync.Mutex
+	loss  loss
+	conns map[*linkConn]bool
+}
+
+// lose changes how the links are lost.
+func (l *links) lose(x loss) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.loss = x
+
+	for n := range l.conns {
+		switch x {
+		case silent:
+			n.silent.Store(true)
+		case reset:
+			_ = n.Conn.Close() // The reader and the writer fail.
+		case intact, newRefused:
+		}
+	}
+}
+
+// DialContext implements forwarder.Dialer.
+func (l *links) DialContext(c context.Context, network, address string) (net.Conn, error) {
+	l.mu.Lock()
+	x := l.loss
+	l.mu.Unlock()
+
+	switch x {
+	case silent:
+		<-c.Done()
+
+		return nil, c.Err()
+	case reset, newRefused:
+		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	case intact:
+	}
+
+	n, err := (&net.Dialer{}).DialContext(c, network, address)
+	if err != nil {
+		return nil, err
+	}
+
+	o := &linkConn{Conn: n, links: l, closed: make(chan struct{})}
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.conns[o] = true
+
+	return o, nil
+}
+
+// linkConn is a connection over a link. Once silent, it delivers and sends nothing until it is closed.
+type linkConn struct {
+	net.Conn
+
+	links  *links
+	silent atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Read implements net.Conn.
+func (n *linkConn) Read(b []byte) (int, error) {
+	k, err := n.Conn.Read(b)
+	if n.silent.Load() {
+		<-n.closed
+
+		return 0, net.ErrClosed
+	}
+
+	return k, err
+}
+
+// Write implements net.Conn.
+func (n *linkConn) Write(b []byte) (int, error) {
+	if n.silent.Load() {
+		return len(b), nil
+	}
+
+	return n.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (n *linkConn) Close() error {
+	n.once.Do(func() { close(n.closed) })
+
+	n.links.mu.Lock()
+	delete(n.links.conns, n)
+	n.links.mu.Unlock()
+
+	return n.Conn.Close()
+}
+
+// linkedInstance is an instance with links of its own.
+type linkedInstance struct {
+	*fixture
+
+	links *links
+}
+
+// startLinked starts four instances in two data centres before six targets of two groups, and waits until they
+// serve and know each other.
+func startLinked(t *testing.T) []*linkedInstance {
+	t.Helper()
+
+	const instances = 4
+
+	config, targets := &stream{}, &stream{}
+	seed := porter.Free(t)
+
+	var o []*linkedInstance
+
+	for i := range instances {
+		l := &links{conns: make(map[*linkConn]bool)}
+		s := startWith(t, func(s *gatekeeper.Settings, w *gatekeeper.Environment) {
+			s.Name, s.DataCentre = "front-"+strconv.Itoa(i), "dc"+strconv.Itoa(i/2)
+			s.Seeds = []netip.AddrPort{seed}
+			w.Config, w.Targets, w.Dialer = config, targets, l
+
+			if i == 0 {
+				s.Peers = seed
+			}
+		})
+		o = append(o, &linkedInstance{fixture: s, links: l})
+	}
+
+	for i := range 6 {
+		x := target(t, serveEvents)
+		x.Group, x.DataCentre, x.Slots = []string{"g", "h"}[i%2], "dc"+strconv.Itoa(i/3), 64
+		targets.put(t, "t"+strconv.Itoa(i), x)
+	}
+
+	config.put(t, "config", linkedCatalog())
+
+	for _, x := range o {
+		waiter.Until(t, "status 200", status(t, x.callers+"/once/", http.StatusOK))
+		waiter.Until(t, "status 200", status(t, x.callers+"/stream/", http.StatusOK))
+	}
+
+	time.Sleep(2 * time.Second) // Two rounds of gossip, by which all know all.
+
+	return o
+}
+
+// serveEvents answers a call with one event.
+func serveEvents(w http.ResponseWriter) {
+	time.Sleep(2 * time.Millisecond)
+
+	_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+}
+
+// linkedCatalog returns a catalog with a rule of each kind: once and again for one group, stream for another.
+func linkedCatalog() cataloger.Document {
+	d := catalog(1, []string{"k"}, "/once/", "/again/", "/stream/")
+	d.Groups = append(d.Groups, cataloger.Group{Name: "h"})
+
+	for i := range d.Rules {
+		d.Rules[i].Latency, d.Rules[i].Attempts = 300*time.Millisecond, 2
+	}
+
+	d.Rules[1].Kind = cataloger.Idempotent
+	d.Rules[2].Kind, d.Rules[2].Resumable, d.Rules[2].MaxEventGap = cataloger.Stream, true, 100*time.Millisecond
+	d.Rules[2].Shares = []cataloger.Share{{Group: "h", Weight: 1}}
+
+	return d
+}
+
+// tally counts first tries.
+type tally struct{ sent, served int }
+
+// firstTries sends calls of all kinds to an instance, on connections that are kept and on new ones, for the given
+// time, and counts them. Calls follow each other at once, so that connections to targets are reused.
+func firstTries(t *testing.T, x *linkedInstance, d time.Duration) tally {
+	t.Helper()
+
+	kept := &http.Transport{}
+	defer kept.CloseIdleConnections()
+
+	var o tally
+
+	for e, n := time.Now().Add(d), 0; time.Now().Before(e); n++ {
+		r := kept
+		if n%2 == 0 {
+			r = &http.Transport{DisableKeepAlives: true}
+		}
+
+		k, _, _ := getBy(t, r, x.callers+[]string{"/once/", "/again/", "/stream/"}[n%3])
+		o.sent++
+
+		if k == http.StatusOK {
+			o.served++
+		}
+
+		time.Sleep(10 * time.Millisecond)
+	}
+
+	return o
+}
+
+// Guards against first tries that are refused at an instance which has lost its links to the targets, while other
+// instances, which it can reach, serve the same calls.
+func TestFirstTriesAtInstancesThatLostTheirLinks(t *testing.T) {
+	const (
+		// stable is the time from the loss of links from which first tries must be served.
+		stable = 3 * time.Second
+		// maxFailed is the largest fraction of them that may fail.
+		maxFailed = 0.02
+	)
+
+	for name, x := range map[string]struct {
+		loss loss
+		lost []int
+	}{
+		"silent, one instance":                  {silent, []int{0}},
+		"silent, all of a data centre":          {silent, []int{0, 1}},
+		"silent, all but one":                   {silent, []int{0, 1, 2}},
+		"reset, one instance":                   {reset, []int{1}},
+		"reset, all of a data centre":           {reset, []int{2, 3}},
+		"reset, all but one":                    {reset, []int{0, 2, 3}},
+		"new connections, one instance":         {newRefused, []int{3}},
+		"new connections, all of a data centre": {newRefused, []int{0, 1}},
+		"new connections, all but one":          {newRefused, []int{1, 2, 3}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			is := is.New(t)
+			l := startLinked(t)
+
+			for _, i := range x.lost {
+				l[i].links.lose(x.loss)
+			}
+
+			time.Sleep(stable)
+
+			tallies := make([]tally, len(l))
+
+			var g sync.WaitGroup
+			for i, y := range l {
+				g.Go(func() { tallies[i] = firstTries(t, y, time.Second) })
+			}
+
+			g.Wait()
+
+			for i, y := range tallies {
+				t.Logf("instance %d: %d of %d served", i, y.served, y.sent)
+				is.True(float64(y.sent-y.served) <= maxFailed*float64(y.sent))
+			}
+
+			for _, i := range x.lost {
+				l[i].links.lose(intact)
+			}
+
+			time.Sleep(stable)
+
+			for _, y := range l {
+				o := firstTries(t, y, time.Second/2)
+				is.True(float64(o.sent-o.served) <= maxFailed*float64(o.sent)) // Served again by links of its own.
+			}
+		})
+	}
+}
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -98,7 +97,7 @@
 ) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, DefaultTimeout: defaultTimeout, MaxBody: maxBodyBytes, Regions: s.Regions},
-		w.Dialect, f, t, m, &net.Dialer{}, newSelector(s, j), budgeter.New(s.Retries, time.Now()))
+		w.Dialect, f, t, m, w.dialer(), newSelector(s, j), budgeter.New(s.Retries, time.Now()))
 	x.SetReserver(h)
 	x.SetQuarantine(q)
 	q.OnCrashes(x.RecordCrashes)
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"net"
 	"net/netip"
 	"time"
 
@@ -100,4 +101,15 @@
 	Quarantine replicator.Store
 	// ReadyPath is the path of the readiness checks.
 	ReadyPath string
+	// Dialer connects to targets; nil means a net.Dialer.
+	Dialer forwarder.Dialer
+}
+
+// dialer returns the dialer of connections to targets.
+func (w Environment) dialer() forwarder.Dialer {
+	if w.Dialer == nil {
+		return &net.Dialer{}
+	}
+
+	return w.Dialer
 }
