gatekeeper, forwarder: calls at an instance without links to the targets are sent through another instance

The cause: a call can be sent only over links of the instance that accepted it, so an instance that reaches no target of a group refused, within a millisecond, although it reached instances which reach the targets.

Now such an instance sends the call through one of them, its delegate: by HTTP, on a port of its own, authorized by a token that the delegate grants over the connection between instances. The delegate sends by links of its own only, so there is one hop at most. All decisions and counts remain where the call was accepted (admission, quotas, bounds, retry budget, resumption); the delegate relays the answer part by part and says what it did, so that "not sent" remains certain. Who reaches what is asked on demand, by group, 24 requests a second at most; nothing is sent while links work.

--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -125,6 +125,7 @@
 		{"callers", a.Callers == b.Callers},
 		{"ready", a.Ready == b.Ready},
 		{"peers", a.Peers == b.Peers},
+		{"internalPorts", a.InternalPorts == b.InternalPorts},
 		{"mostLoad", a.MaxFactor == b.MaxFactor},
 		{"within", a.ApplyWithin == b.ApplyWithin},
 		{"link", a.LinkRate == b.LinkRate},
@@ -139,7 +140,7 @@
 
 func gatewaySettings(s platform.Settings) gatekeeper.Settings {
 	return gatekeeper.Settings{
-		Name: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, Region: s.Region,
+		Name: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, InternalPorts: s.InternalPorts, Region: s.Region,
 		Regions: s.Regions, MaxFactor: s.MaxFactor, ApplyWithin: s.ApplyWithin, LinkRate: s.LinkRate,
 		Tunables: gatekeeper.Tunables{
 			Seeds: s.Seeds, StopTimeout: s.StopTimeout,
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -80,7 +81,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.selector.Finish(time.Now(), t.Target, r.outcome)
+	if t.Route == selector.Delegated {
+		f.selector.FinishDelegated(time.Now(), t.Target, r.outcome)
+	} else {
+		f.selector.Finish(time.Now(), t.Target, r.outcome)
+	}
 
 	if r.err != nil && !relayed {
 		f.selector.RevertPlacements(t)
@@ -181,6 +186,7 @@
 
 	x.tried = append(x.tried, t.Target.ID)
 	x.choice = t
+	x.delegate = netip.AddrPort{}
 	x.reply = Reply{}
 	x.attemptStart = time.Now()
 
@@ -190,24 +196,30 @@
 		r = f.bufferedAttempt(c, stop, x, t)
 	}
 
-	if f.detectCrash(c, x, t.Target, r) {
+	if f.detectCrash(c, x, t, r) {
 		r.outcome = selector.Crashed
 	}
 
 	x.mayHaveRun = x.mayHaveRun || !r.notRun
 
+	if errors.Is(r.err, errNotSent) && t.Route != selector.Delegated {
+		x.dialFailures++
+	} else {
+		x.excluded = append(x.excluded, t.Target.ID)
+	}
+
 	if !errors.Is(r.err, errNotSent) {
 		x.sent++
 	}
 
-	if x.request.Context().Err() != nil || timedOut(c, r.err) && f.state.Stalled(x.attemptStart) {
+	if x.request.Context().Err() != nil || timedOut(c, r.err) && f.state.Stalled(x.attemptStart) || r.outcome == selector.Failed && f.linksLost(x, t, r.outcome) {
 		r.outcome = selector.Inconclusive
 	}
 
 	f.meter.Attempt(x.group, r.outcome.String())
 
 	f.reportHealth(f.finishAttempt(t, r, x.relayed), logrus.Fields{"id": x.call.ID, "error": r.err})
-	x.reservation.end(r.outcome)
+	x.reservation.end(f.evidence(x, t, r.outcome))
 
 	return r
 }
@@ -251,13 +263,13 @@
 
 	f.dialect.WriteAttempt(h, o)
 
-	a, err := f.client.send(c, x, t.Target, h)
-	if err != nil {
-		if errors.Is(err, errNotSent) {
-			return nil, Reply{}, result{err: err, notRun: true, outcome: f.dialOutcome(c, t.Target, err)}
-		}
+	w := outgoingCall{
+		method: x.request.Method, uri: x.request.RequestURI, host: x.request.Host, header: h, body: x.body, repeatable: x.rule.Repeatable(),
+	}
 
-		return nil, Reply{}, result{err: err, outcome: selector.Failed}
+	a, r := f.transmit(c, x, t, w)
+	if r.err != nil {
+		return nil, Reply{}, r
 	}
 
 	p := f.dialect.ReadReply(a.Header, a.StatusCode)
@@ -274,17 +286,35 @@
 	if p.NotRun {
 		_ = a.Body.Close()
 
-		w := selector.Shed
+		o := selector.Shed
 		if p.Misdirected {
-			w = selector.Gone
+			o = selector.Gone
 		}
 
-		return nil, p, result{err: errors.Newf("target refused the call with status %d", a.StatusCode), notRun: true, outcome: w}
+		return nil, p, result{err: errors.Newf("target refused the call with status %d", a.StatusCode), notRun: true, outcome: o}
 	}
 
 	return a, p, result{}
 }
 
+// transmit sends a call to a target, by the links of this instance or through another one.
+func (f *Forwarder) transmit(c context.Context, x *exchange, t selector.Choice, o outgoingCall) (*http.Response, result) {
+	if t.Route == selector.Delegated {
+		return f.sendDelegated(c, x, t.Target, o)
+	}
+
+	a, err := f.client.send(c, o, t.Target)
+
+	switch {
+	case err == nil:
+		return a, result{}
+	case errors.Is(err, errNotSent):
+		return nil, result{err: err, notRun: true, outcome: f.dialOutcome(c, t.Target, err)}
+	default:
+		return nil, result{err: err, outcome: selector.Failed}
+	}
+}
+
 // confirmPlacements records that a target has processed the call's prompt and now caches it.
 func (f *Forwarder) confirmPlacements(t selector.Choice) {
 	f.mu.Lock()
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"net/url"
 	"sync/atomic"
 	"time"
@@ -39,6 +40,8 @@
 	// pool reuses connections; singleUse makes a new connection for each call.
 	pool      *connPool
 	singleUse *http.Transport
+	// delegates reuses connections to other instances; singleUseDelegates makes a new one for each call.
+	delegates, singleUseDelegates *http.Transport
 	// prober finds out whether the process of a target has crashed.
 	prober *prober.Prober
 }
@@ -47,7 +50,35 @@
 type dial func(c context.Context, network, address string) (net.Conn, error)
 
 func newClient(d Dialer) *client {
-	f := func(c context.Context, network, address string) (net.Conn, error) {
+	f, p := newDial(d), newDial(&net.Dialer{})
+
+	return &client{
+		dial:   f,
+		prober: prober.New(prober.Dial(f)),
+		pool:   newConnPool(f),
+		// A target may close a pooled connection just as a call is sent on it, and it is then
+		// unknown whether the call ran. A call that must run at most once is therefore sent on a
+		// connection of its own.
+		singleUse: newSingleUse(f),
+		delegates: &http.Transport{
+			DialContext: p, DisableCompression: true, IdleConnTimeout: idleTimeout,
+			MaxIdleConnsPerHost: idlePerTarget, ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+		},
+		singleUseDelegates: newSingleUse(p),
+	}
+}
+
+// newSingleUse returns a transport that makes a new connection for each call.
+func newSingleUse(d dial) *http.Transport {
+	return &http.Transport{
+		DialContext: d, DisableCompression: true, DisableKeepAlives: true,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+	}
+}
+
+// newDial returns a dial with a dialer.
+func newDial(d Dialer) dial {
+	return func(c context.Context, network, address string) (net.Conn, error) {
 		x, stop := context.WithTimeout(c, dialTimeout)
 		defer stop()
 
@@ -58,42 +89,63 @@
 
 		return &countingConn{Conn: n}, nil
 	}
+}
 
-	return &client{
-		dial:   f,
-		prober: prober.New(prober.Dial(f)),
-		pool:   newConnPool(f),
-		// A target may close a pooled connection just as a call is sent on it, and it is then
-		// unknown whether the call ran. A call that must run at most once is therefore sent on a
-		// connection of its own.
-		singleUse: &http.Transport{
-			DialContext: f, DisableCompression: true, DisableKeepAlives: true,
-			ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
-		},
-	}
+// close closes the idle connections.
+func (k *client) close() {
+	k.pool.prune(&discoverer.Registry{})
+	k.delegates.CloseIdleConnections()
+}
+
+// outgoingCall is a call as it is sent to a target, or to another instance that sends it to the target.
+type outgoingCall struct {
+	method, uri, host string
+	header            http.Header
+	body              []byte
+	// repeatable is set when a call that may have run may be sent again.
+	repeatable bool
 }
 
 // send sends a call to a target and returns the answer with its body unread. It fails with
 // errNotSent if certainly nothing was sent, and otherwise with errBroken.
-func (k *client) send(c context.Context, x *exchange, t *discoverer.Target, h http.Header) (*http.Response, error) {
-	u, err := url.ParseRequestURI(x.request.RequestURI)
+func (k *client) send(c context.Context, o outgoingCall, t *discoverer.Target) (*http.Response, error) {
+	r := k.singleUse
+	if o.repeatable {
+		r = k.pool.transport(t)
+	}
+
+	return k.roundTrip(c, o, t.Address, r)
+}
+
+// sendToDelegate sends a call to another instance, and fails like send.
+func (k *client) sendToDelegate(c context.Context, o outgoingCall, a netip.AddrPort) (*http.Response, error) {
+	r := k.singleUseDelegates
+	if o.repeatable {
+		r = k.delegates
+	}
+
+	return k.roundTrip(c, o, a, r)
+}
+
+func (k *client) roundTrip(c context.Context, o outgoingCall, a netip.AddrPort, r http.RoundTripper) (*http.Response, error) {
+	u, err := url.ParseRequestURI(o.uri)
 	if err != nil {
 		return nil, errors.Mark(err, errNotSent)
 	}
 
 	u.Scheme = "http"
-	u.Host = t.Address.String()
+	u.Host = a.String()
 
 	var n *countingConn
 
 	var before int64
 
 	q := &http.Request{
-		Method: x.request.Method, URL: u, Host: x.request.Host, Header: h,
+		Method: o.method, URL: u, Host: o.host, Header: o.header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		// http.Transport resends a request by itself if the request has no body or its GetBody is
 		// set. http.Transport never resends a request whose body can be read only once.
-		Body: io.NopCloser(bytes.NewReader(x.body)), ContentLength: int64(len(x.body)),
+		Body: io.NopCloser(bytes.NewReader(o.body)), ContentLength: int64(len(o.body)),
 	}
 	q = q.WithContext(httptrace.WithClientTrace(c, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
@@ -104,14 +156,9 @@
 		},
 	}))
 
-	r := k.singleUse
-	if x.rule.Repeatable() {
-		r = k.pool.transport(t)
-	}
-
-	a, err := r.RoundTrip(q)
+	w, err := r.RoundTrip(q)
 	if err == nil {
-		return a, nil
+		return w, nil
 	}
 
 	if n == nil || n.written.Load() == before {
--- a/internal/forwarder/connectivity.go
+++ b/internal/forwarder/connectivity.go
@@ -21,8 +21,8 @@
 // targets there have been tried.
 const minCutOff = 200 * time.Millisecond
 
-// CutOff reports whether this instance reaches only the minority of the data centres, so that other
-// instances would serve its callers better. It still serves the calls that arrive. It is safe for
+// CutOff reports whether this instance reaches only the minority of the data centres, and no other instance sends
+// its calls to the targets, so that other instances would serve its callers better. It still serves the calls that arrive. It is safe for
 // concurrent use.
 func (f *Forwarder) CutOff() bool {
 	b := f.cutOffSince.Load()
@@ -33,7 +33,7 @@
 
 	d := time.Since(*b)
 
-	return d >= minCutOff && d < maxCutOff
+	return d >= minCutOff && d < maxCutOff && !f.helped()
 }
 
 // CheckConnectivity determines whether this instance is cut off and, while it is, connects to targets in the
@@ -52,6 +52,7 @@
 		g.Go(func() { f.probeTarget(c, t) })
 	}
 
+	g.Go(func() { f.checkLinks(c) })
 	g.Wait()
 }
 
@@ -71,8 +72,8 @@
 	}
 }
 
-// probeTarget connects to a target, records the outcome and closes the connection.
-func (f *Forwarder) probeTarget(c context.Context, t *discoverer.Target) {
+// probeTarget connects to a target, records the outcome, closes the connection and reports whether there was one.
+func (f *Forwarder) probeTarget(c context.Context, t *discoverer.Target) bool {
 	b := time.Now()
 
 	f.mu.Lock()
@@ -96,4 +97,6 @@
 	defer f.mu.Unlock()
 
 	f.selector.Finish(time.Now(), t, o)
+
+	return o == selector.Answered
 }
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -44,6 +45,15 @@
 	// the call was sent.
 	tried []string
 	sent  int
+	// excluded are those of tried that are not to be selected again. A target that this instance could not connect to
+	// may be selected for the call to be sent through another instance.
+	excluded []string
+	// dialFailures is how often this instance could not connect to a target.
+	dialFailures int
+	// delegate is the instance through which the call was last sent; invalid if it was sent directly. noDelegate
+	// is set when no instance reaches the group.
+	delegate   netip.AddrPort
+	noDelegate bool
 	// choice is the last target selected.
 	choice selector.Choice
 	// reservation is the slot reserved for the last choice at the target's home node.
@@ -119,12 +129,17 @@
 	return hasher.Key(x.call.ID)
 }
 
-func (x *exchange) query(s Settings) selector.Query {
+// query describes the call for the selection of a target.
+func (x *exchange) query(s Settings, r selector.Route) selector.Query {
 	q := selector.Query{
-		Prefixes: x.sharedPrefixes, DataCentre: s.DataCentre, Tried: x.tried, Draw: hasher.Key(x.call.ID),
+		Route: r, Prefixes: x.sharedPrefixes, DataCentre: s.DataCentre, Tried: x.tried, Draw: hasher.Key(x.call.ID),
 		Customer: hasher.Key(x.customer), Centres: x.allowedCentres(s.Regions),
 	}
 
+	if r == selector.Delegated {
+		q.Tried = x.excluded
+	}
+
 	if g, ok := x.catalog.Group(x.group); ok {
 		q.ColdFor, q.ColdRate = g.ColdFor, g.ColdRate
 	}
@@ -185,6 +200,10 @@
 		l["confined"] = true
 	}
 
+	if x.delegate.IsValid() {
+		l["delegate"] = x.delegate
+	}
+
 	if x.coldTargets > 0 {
 		l["cold"] = x.coldTargets
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -88,9 +88,15 @@
 	notifyLeaving func(p discoverer.Process)
 	// reserver reserves slots at the home nodes of targets; nil if slots are not reserved.
 	reserver SlotReserver
+	// delegates are the instances through which calls are sent to targets that this one does not reach; nil if there are
+	// none.
+	delegates Delegates
 	// quarantine records the calls that were running when targets crashed; nil disables it.
 	quarantine Quarantine
 
+	// unreached is the number of groups of which this instance reaches no target, as last logged.
+	unreached atomic.Int64
+
 	stopping chan struct{}
 	stopOnce sync.Once
 }
@@ -103,6 +109,7 @@
 	Refusal(reason string)
 	HealthChange(cause string, excluded bool)
 	Reservation(group, outcome string)
+	Delegated(result string)
 }
 
 // servedLogsPerSecond bounds the log lines about served calls. It is four times the usual load of
@@ -128,7 +135,7 @@
 		sharder: sharder.New(), sharded: make(map[string]bool),
 		meter: m, servedLogs: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 		rejectedLogs: rate.NewLimiter(rejectedLogsPerSecond, rejectedLogsPerSecond), stopping: make(chan struct{}),
-	}, func() { k.pool.prune(&discoverer.Registry{}) }
+	}, k.close
 }
 
 // Stop makes each answer from now on close its connection, so that callers continue at other
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -54,6 +54,19 @@
 	return r
 }
 
+// closeIdle closes the idle connections to targets. They may have fallen silent for good while new ones are
+// established.
+func (k *connPool) closeIdle(l []*discoverer.Target) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+
+	for _, t := range l {
+		if r, ok := k.transports[t.Key()]; ok {
+			r.CloseIdleConnections()
+		}
+	}
+}
+
 // prune closes the connections to processes that are not in the registry: idle ones now, those in
 // use once their calls are done.
 func (k *connPool) prune(r *discoverer.Registry) {
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -76,7 +76,7 @@
 // detectCrash determines from the result of an attempt whether the target's process crashed while
 // running the call, and records either the crash or that the target survived the call. It reports
 // whether the process crashed.
-func (f *Forwarder) detectCrash(c context.Context, x *exchange, t *discoverer.Target, r result) bool {
+func (f *Forwarder) detectCrash(c context.Context, x *exchange, t selector.Choice, r result) bool {
 	switch {
 	case f.quarantine == nil || r.notRun:
 		return false
@@ -84,18 +84,20 @@
 		f.quarantine.RecordServed(x.digest)
 
 		return false
-	case c.Err() != nil || !errors.Is(r.err, errBroken) || !f.client.prober.Crashed(c, t.Address, f.witnesses(t)):
+	case t.Route == selector.Delegated: // The delegate detects it.
+		return false
+	case c.Err() != nil || !errors.Is(r.err, errBroken) || !f.client.prober.Crashed(c, t.Target.Address, f.witnesses(t.Target)):
 		return false
 	}
 
-	v := f.quarantine.RecordCrash(x.digest, t.Key().Name())
+	v := f.quarantine.RecordCrash(x.digest, t.Target.Key().Name())
 
 	f.mu.Lock()
-	f.sharder.RecordCrash(time.Now(), t, v.Repeated)
+	f.sharder.RecordCrash(time.Now(), t.Target, v.Repeated)
 	f.mu.Unlock()
 
 	logrus.WithFields(x.logFields()).WithFields(logrus.Fields{
-		"event": "targetEnded", "target": t.ID, "address": t.Address, "ends": v.Crashes, "standing": v.Status,
+		"event": "targetEnded", "target": t.Target.ID, "address": t.Target.Address, "ends": v.Crashes, "standing": v.Status,
 	}).Warn()
 
 	return true
--- a/internal/forwarder/reply.go
+++ b/internal/forwarder/reply.go
@@ -55,7 +55,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	if d, ok := f.selector.GroupBackoff(time.Now(), r, x.group, x.query(f.settings)); ok {
+	if d, ok := f.selector.GroupBackoff(time.Now(), r, x.group, x.query(f.settings, selector.Direct)); ok {
 		return d
 	}
 
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -72,7 +72,7 @@
 	s := searcher.Searcher{Prompt: len(x.sharedPrefixes) > 0}
 
 	for {
-		t, ok := f.pick(x, s.FullCount())
+		t, ok := f.pick(c, x, s.FullCount())
 		if !ok {
 			return t, false
 		}
@@ -100,24 +100,28 @@
 	}
 }
 
-// pick selects a target by local state and counts the call there. The parameter declined is the number
+// pickOn selects a target on a route by local state and counts the call there. The parameter declined is the number
 // of targets so far whose home nodes reported them as full.
-func (f *Forwarder) pick(x *exchange, declined int) (selector.Choice, bool) {
+func (f *Forwarder) pickOn(r selector.Route, x *exchange, declined int) (selector.Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	n := time.Now()
 
-	r := f.state.Registry()
-	x.sharded = f.updateSharding(n, x.group, len(r.Groups[x.group]))
+	l := f.state.Registry()
+	x.sharded = f.updateSharding(n, x.group, len(l.Groups[x.group]))
 
-	q := x.query(f.settings)
+	q := x.query(f.settings, r)
 	q.Declined, q.Sharded = declined, x.sharded
 
-	t, ok := f.selector.Choose(n, r, x.group, q)
+	t, ok := f.selector.Choose(n, l, x.group, q)
 	x.coldTargets, x.backingOff = t.Cold, t.BackingOff
 
-	if ok {
+	switch {
+	case !ok:
+	case r == selector.Delegated:
+		f.selector.StartDelegated(n, t.Target)
+	default:
 		f.selector.Start(n, t.Target)
 	}
 
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -15,6 +15,7 @@
 	"github.com/auburntray/auburntray/internal/forwarder"
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
+	"github.com/auburntray/auburntray/internal/negotiator"
 	"github.com/auburntray/auburntray/internal/reaper"
 	"github.com/auburntray/auburntray/internal/replicator"
 	"github.com/auburntray/auburntray/internal/watcher"
@@ -35,13 +36,17 @@
 	joiner        *joiner.Joiner
 	advertiser    *advertiser.Advertiser
 	replicator    *replicator.Replicator
+	negotiator    *negotiator.Negotiator
 	watchers      []*watcher.Watcher
 	reaper        *reaper.Reaper
 	callerServer  *http.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
-	background    sync.WaitGroup
-	cancel        context.CancelFunc
+	// delegateServer serves calls of other instances, and delegated counts them.
+	delegateServer *http.Server
+	delegated      *drainer.Drainer
+	background     sync.WaitGroup
+	cancel         context.CancelFunc
 	// stopTimeout is the time limit of a planned stop, in nanoseconds.
 	stopTimeout atomic.Int64
 }
--- a/internal/gatekeeper/lost_links_test.go
+++ b/internal/gatekeeper/lost_links_test.go
@@ -173,6 +173,15 @@
 		targets.put(t, "t"+strconv.Itoa(i), x)
 	}
 
+	t.Cleanup(func() {
+		var g sync.WaitGroup
+		for _, x := range o {
+			g.Go(func() { _ = x.app.Stop(context.Background()) })
+		}
+
+		g.Wait()
+	})
+
 	config.put(t, "config", linkedCatalog())
 
 	for _, x := range o {
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -16,6 +16,7 @@
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/meter"
+	"github.com/auburntray/auburntray/internal/negotiator"
 	"github.com/auburntray/auburntray/internal/quarantiner"
 	"github.com/auburntray/auburntray/internal/repeater"
 	"github.com/auburntray/auburntray/internal/replicator"
@@ -31,6 +32,8 @@
 	// maxCalls is the largest number of calls in progress. At about 50 KB each they fit into the
 	// memory of the smallest instances.
 	maxCalls = 4096
+	// maxDelegated is the largest number of calls of other instances in progress.
+	maxDelegated = maxCalls / 4
 	// defaultTimeout is the time limit of calls whose callers give none.
 	defaultTimeout = 30 * time.Second
 	// drainNotice is how long a load balancer needs to stop sending calls if it checks readiness
@@ -52,7 +55,7 @@
 func Options(s Settings, w Environment) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newRepeater, newReserver, newReplicator, newForwarder, newGatekeeper),
+		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newRepeater, newReserver, newReplicator, newNegotiator, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		// A process that stalls during its start must not exit because of that.
 		fx.StartTimeout(lifecycleTimeout),
@@ -85,6 +88,13 @@
 	return r
 }
 
+func newNegotiator(m *messenger.Messenger, j *joiner.Joiner) *negotiator.Negotiator {
+	n := negotiator.New(m, j)
+	m.Handle(wire.KindDelegation, n.HandleDelegation)
+
+	return n
+}
+
 func newReplicator(w Environment, m *messenger.Messenger, j *joiner.Joiner) *replicator.Replicator {
 	x := replicator.New(m, j, w.Quarantine, quarantiner.DefaultSettings())
 	x.Register(m)
@@ -93,12 +103,13 @@
 }
 
 func newForwarder(
-	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator,
+	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator, n *negotiator.Negotiator,
 ) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, DefaultTimeout: defaultTimeout, MaxBody: maxBodyBytes, Regions: s.Regions},
 		w.Dialect, f, t, m, w.dialer(), newSelector(s, j), budgeter.New(s.Retries, time.Now()))
 	x.SetReserver(h)
+	x.SetDelegates(n)
 	x.SetQuarantine(q)
 	q.OnCrashes(x.RecordCrashes)
 	f.onRegistryChange = func(r *discoverer.Registry) {
@@ -152,6 +163,7 @@
 	Joiner      *joiner.Joiner
 	Repeater    *repeater.Repeater
 	Replicator  *replicator.Replicator
+	Negotiator  *negotiator.Negotiator
 	Meter       *meter.Meter
 }
 
@@ -176,7 +188,7 @@
 	x.OnLeaving(i.NotifyLeaving)
 
 	g := &Gatekeeper{
-		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, advertiser: i, replicator: p.Replicator, drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, advertiser: i, replicator: p.Replicator, negotiator: p.Negotiator, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, handlers{
 				newEraHandler(func() {
@@ -205,7 +217,7 @@
 		"news": wire.KindUpdate, "relay": wire.KindUpdateRelay, "gone": wire.KindGone, "leaving": wire.KindLeaving, "gossip": wire.KindGossip, "reply": wire.KindReply,
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
-		"trial": wire.KindTrial,
+		"trial": wire.KindTrial, "delegation": wire.KindDelegation,
 	} {
 		p.Meter.RegisterGauge("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -30,6 +30,8 @@
 		return err
 	}
 
+	g.acceptDelegated(c)
+
 	x, end := context.WithCancel(context.Background())
 	g.cancel = end
 
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -43,6 +43,14 @@
 	}
 	g.readyServer = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
 
+	d := gin.New()
+	d.Use(recoverer.New(func(c *gin.Context) { c.AbortWithStatus(http.StatusInternalServerError) }))
+	d.NoRoute(gin.WrapF(g.serveDelegated))
+	d.RemoveExtraSlash = false
+	d.RedirectTrailingSlash = false
+
+	g.delegateServer = &http.Server{Handler: d, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+
 	x := gin.New()
 	x.GET(metricsPath, gin.WrapH(m.Handler()))
 
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -23,8 +23,11 @@
 	Callers netip.AddrPort
 	Ready   netip.AddrPort
 	// Peers is the address for messages from other instances.
-	Peers  netip.AddrPort
-	Region string
+	Peers netip.AddrPort
+	// InternalPorts are the first and the last port that are free for other connections between instances, at the IP
+	// address of Peers; zero means any.
+	InternalPorts [2]uint16
+	Region        string
 	// Regions maps the names of data centres to their regions.
 	Regions map[string]string
 	// MaxFactor bounds the load of a target: it may be at most MaxFactor times the mean load of the
--- a/internal/gatekeeper/stop.go
+++ b/internal/gatekeeper/stop.go
@@ -69,6 +69,8 @@
 
 	_ = g.callerServer.Shutdown(c) // Remaining connections are closed next.
 	_ = g.callerServer.Close()
+	_ = g.delegateServer.Shutdown(c)
+	_ = g.delegateServer.Close()
 	_ = g.readyServer.Close()
 	_ = g.metricsServer.Close()
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -68,6 +68,11 @@
 	m.set.GetOrCreateCounter(`auburntray_reservations_total{group="` + escape(group) + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// Delegated records a call that this instance sent to a target for another one, with the result.
+func (m *Meter) Delegated(result string) {
+	m.set.GetOrCreateCounter(`auburntray_calls_delegated_total{result="` + result + `"}`).Inc()
+}
+
 // Refusal records a refusal by the gateway with its reason.
 func (m *Meter) Refusal(reason string) {
 	m.set.GetOrCreateCounter(`auburntray_refusals_total{reason="` + reason + `"}`).Inc()
--- a/internal/selector/call.go
+++ b/internal/selector/call.go
@@ -36,7 +36,12 @@
 }
 
 func (s *Selector) revert(now time.Time, x Choice) {
-	s.Finish(now, x.Target, Inconclusive)
+	if x.Route == Delegated {
+		s.FinishDelegated(now, x.Target, Inconclusive)
+	} else {
+		s.Finish(now, x.Target, Inconclusive)
+	}
+
 	s.suppressor.Withdraw(x.Target.Key())
 	s.RevertPlacements(x)
 }
@@ -94,9 +99,17 @@
 // Finish removes a call from the count of the process that it was sent to and records its outcome. The outcome
 // is ignored if the process is no longer listed or has since moved to another address or group.
 func (s *Selector) Finish(now time.Time, t *discoverer.Target, o Outcome) {
+	if _, ok := s.endCall(now, t, o); ok {
+		s.health.finish(now, t, o)
+	}
+}
+
+// endCall removes a call from the count of the process that it was sent to. It returns false if the outcome of the call is
+// to be ignored.
+func (s *Selector) endCall(now time.Time, t *discoverer.Target, o Outcome) (*processLoad, bool) {
 	p, ok := s.processes[t.Key()]
 	if !ok {
-		return
+		return nil, false
 	}
 
 	p.running = max(p.running-1, 0)
@@ -104,14 +117,14 @@
 	if !p.isCurrent(t) {
 		s.dropIfIdle(t.Key(), p)
 
-		return
+		return nil, false
 	}
 
 	if o == Shed {
 		p.shedAt = now
 	}
 
-	s.health.finish(now, t, o)
+	return p, true
 }
 
 // ApplyRegistry applies a registry that has changed: it drops the state of all processes that are no longer listed. A
@@ -130,7 +143,7 @@
 	for k, p := range s.processes {
 		t, ok := r.Processes[k]
 		if !ok {
-			if !p.unlisted && s.health.healthy(now, p.target) {
+			if !p.unlisted && s.health.healthy(now, p.target, Direct) {
 				s.departed.add(now, r, p.target, p.lastReport.At)
 			}
 
--- a/internal/selector/cold.go
+++ b/internal/selector/cold.go
@@ -35,8 +35,8 @@
 
 // loadBaseline returns the candidates that count for the mean load: all that are reachable, including cold
 // ones and those in a backoff. If none is reachable, it returns those that are tried as a last resort.
-func (s *Selector) loadBaseline(now time.Time, tried, all []candidate) []candidate {
-	if l := s.health.reachable(now, all); len(l) > 0 {
+func (s *Selector) loadBaseline(now time.Time, tried, all []candidate, q *Query) []candidate {
+	if l := s.health.reachable(now, all, q.Route); len(l) > 0 {
 		return l
 	}
 
--- a/internal/selector/health.go
+++ b/internal/selector/health.go
@@ -31,7 +31,13 @@
 	// failing tracks targets that are reachable and fail.
 	failing *ejector.Ejector[discoverer.Key]
 	// gone tracks targets whose address belongs to another process.
-	gone      *ejector.Ejector[discoverer.Key]
+	gone *ejector.Ejector[discoverer.Key]
+	// remote tracks the targets that other instances could not reach for calls of this one.
+	remote *ejector.Ejector[discoverer.Key]
+	// unreached holds the groups of which this instance reaches no target, and contacts when it last reached a target
+	// of a group.
+	unreached map[string]bool
+	contacts  map[string]time.Time
 	latencies *evaluator.Evaluator[discoverer.Key]
 	// reportedAt is when a target was last reported as unhealthy by its home.
 	reportedAt map[discoverer.Key]time.Time
@@ -55,6 +61,9 @@
 		// A replaced process does not return, and its entry expires seconds later. After goneExclusion it is tried
 		// again, in case the answer that showed its replacement was wrong.
 		gone:        ejector.New[discoverer.Key](ejector.Settings{Failures: 1, Base: goneExclusion, Max: goneExclusion, PanicThreshold: 1}),
+		remote:      ejector.New[discoverer.Key](ejector.Settings{Failures: 1, Base: 500 * time.Millisecond, Max: 2 * time.Second, PanicThreshold: 1}),
+		unreached:   make(map[string]bool),
+		contacts:    make(map[string]time.Time),
 		latencies:   evaluator.New[discoverer.Key](),
 		reportedAt:  make(map[discoverer.Key]time.Time),
 		lastResorts: make(map[string]time.Time),
@@ -65,9 +74,9 @@
 // usable returns the reachable candidates of a group and those of them that may be assigned a call; both are empty
 // if none is reachable, except when lastResort returns all. median is the median latency of the reachable
 // candidates that do not fail.
-func (h *health) usable(now time.Time, group string, l []candidate) (reached, usable []candidate, median float64) {
-	r := h.reachable(now, l)
-	if len(r) == 0 {
+func (h *health) usable(now time.Time, group string, l []candidate, route Route) (reached, usable []candidate, median float64) {
+	r := h.reachable(now, l, route)
+	if len(r) == 0 && route == Direct {
 		r = h.lastResort(now, group, l)
 	}
 
@@ -85,8 +94,10 @@
 	return reached, filterOrAll(r, func(x candidate) bool { return !h.slow(now, x.target, median) }), median
 }
 
-func (h *health) reachable(now time.Time, l []candidate) []candidate {
-	return filter(l, func(x candidate) bool { return h.isReachable(now, x.target) && !h.gone.Excluded(now, x.target.Key()) })
+func (h *health) reachable(now time.Time, l []candidate, route Route) []candidate {
+	return filter(l, func(x candidate) bool {
+		return h.isReachable(now, x.target, route) && !h.gone.Excluded(now, x.target.Key())
+	})
 }
 
 // reportedUnhealthy reports whether the home recently reported a target as unhealthy.
@@ -159,10 +170,10 @@
 }
 
 // healthy reports whether a target is reachable, does not fail and has not been replaced at its address.
-func (h *health) healthy(now time.Time, t *discoverer.Target) bool {
+func (h *health) healthy(now time.Time, t *discoverer.Target, route Route) bool {
 	n := t.Key()
 
-	return h.isReachable(now, t) && !h.failing.Excluded(now, n) && !h.gone.Excluded(now, n)
+	return h.isReachable(now, t, route) && !h.failing.Excluded(now, n) && !h.gone.Excluded(now, n)
 }
 
 // failureSigns counts the causes for which a target itself, not its data centre, is excluded: it is unreachable,
@@ -179,7 +190,11 @@
 	return o
 }
 
-func (h *health) isReachable(now time.Time, t *discoverer.Target) bool {
+func (h *health) isReachable(now time.Time, t *discoverer.Target, route Route) bool {
+	if route == Delegated {
+		return !h.remote.Excluded(now, t.Key())
+	}
+
 	return !h.targets.Excluded(now, t.Key()) && !h.centres.Excluded(now, t.Centre())
 }
 
@@ -193,6 +208,12 @@
 func (h *health) finish(now time.Time, t *discoverer.Target, o Outcome) {
 	n, c := t.Key(), t.Centre()
 
+	switch o {
+	case Answered, Shed, Gone:
+		h.contacts[t.Group] = now
+	default:
+	}
+
 	switch o {
 	case Unreachable:
 		h.targets.RecordResult(now, n, false)
@@ -247,6 +268,7 @@
 	}
 
 	h.targets.Forget(k)
+	h.remote.Forget(k)
 	h.failing.Forget(k)
 	h.gone.Forget(k)
 	h.latencies.Forget(k)
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -57,8 +57,24 @@
 	Tokens int
 }
 
+// Route is how a call gets to its target.
+type Route int
+
+const (
+	// Direct uses the links of this instance. Targets that may be reachable again get probe calls, and if none is
+	// reachable, one call at a time tries them.
+	Direct Route = iota
+	// Proven uses the links of this instance, unless they are known to be lost: the group then has no target until
+	// one is found to be reachable again.
+	Proven
+	// Delegated sends the call through another instance, whatever this instance reaches.
+	Delegated
+)
+
 // Query describes a call.
 type Query struct {
+	// Route is how the call gets to its target.
+	Route Route
 	// Prefixes are the prefixes of the prompt that other calls share, the longest first. It is empty for calls
 	// without a prompt.
 	Prefixes []Prefix
@@ -96,6 +112,8 @@
 // Choice is the target selected for a call.
 type Choice struct {
 	Target *discoverer.Target
+	// Route is that of the query.
+	Route Route
 	// FetchFrom is the target from which Target may fetch the prompt, or its longest prefix cached anywhere. FetchFrom
 	// is nil if Target has the prefix cached itself, or if there is no such target.
 	FetchFrom *discoverer.Target
@@ -111,6 +129,9 @@
 	Throttled bool
 	// BackingOff is the number of targets that were skipped because they are in a backoff.
 	BackingOff int
+	// Unreached reports, if there is no Target, that this instance reaches none of the group. The call may be served
+	// through another instance.
+	Unreached bool
 	// MedianLatency is the median latency of the targets of the group: the time until an answer begins, as a
 	// fraction of the latency objective (see evaluator.Evaluator). Zero if unknown.
 	MedianLatency float64
@@ -178,15 +199,19 @@
 	open := s.admissible(now, ready, &q)
 	backingOff, cold := len(all)-len(ready), len(ready)-len(open)
 
-	l, u, median := s.health.usable(now, group, open)
+	if q.Route == Proven && s.health.groupUnreached(now, group, r.Groups[group]) {
+		return Choice{Cold: cold, BackingOff: backingOff, Unreached: len(open) > 0}, false
+	}
+
+	l, u, median := s.health.usable(now, group, open, q.Route)
 	u = filterOrAll(u, func(x candidate) bool { return !x.shed })
 
 	if len(u) == 0 {
-		return Choice{Cold: cold, BackingOff: backingOff}, false
+		return Choice{Cold: cold, BackingOff: backingOff, Unreached: q.Route == Proven && len(open) > 0}, false
 	}
 
 	if len(open) < len(all) {
-		l = s.loadBaseline(now, l, all)
+		l = s.loadBaseline(now, l, all, &q)
 	}
 
 	if len(q.Prefixes) == 0 {
@@ -194,7 +219,7 @@
 		s.recordSent(now, x)
 
 		return Choice{
-			Target: x.target, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), MedianLatency: median,
+			Target: x.target, Route: q.Route, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), MedianLatency: median,
 			Cold: cold, Throttled: x.cold, BackingOff: backingOff,
 		}, true
 	}
@@ -206,7 +231,7 @@
 	s.recordSent(now, x)
 
 	o := Choice{
-		Target: x.target, FetchFrom: s.fetchSource(now, r, u, n, h, &q),
+		Target: x.target, Route: q.Route, FetchFrom: s.fetchSource(now, r, u, n, h, &q),
 		Load: x.load, Bound: bound, Usable: len(u), Cached: slices.Contains(h, n), MedianLatency: median, Cold: cold, Throttled: x.cold,
 		BackingOff: backingOff, prefixes: q.Prefixes,
 	}
@@ -258,7 +283,7 @@
 		}
 
 		for _, n := range h {
-			if t, ok := r.Processes[n]; ok && q.allows(t) && s.health.healthy(now, t) {
+			if t, ok := r.Processes[n]; ok && q.allows(t) && s.health.healthy(now, t, q.Route) {
 				return t
 			}
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation
+//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation DelegationRequest DelegationGrant Capacity
 
 // The decoder allocates a list from its declared length before it reads the elements. Without a
 // limit, a message of ten bytes that declares 2^32 elements would exhaust the receiver's memory.
@@ -69,6 +69,10 @@
 	KindLeaving
 	// KindBackoff reports to the home of a cell that a target requested a backoff.
 	KindBackoff
+	// KindDelegation requests permission to send calls through the receiver.
+	KindDelegation
+	// KindCapacity reports how many calls a target takes while it is brittle.
+	KindCapacity
 	// Kinds is the number of kinds.
 	Kinds
 )
@@ -487,3 +491,23 @@
 	OwnCalls   uint32
 	AllCalls   uint32
 }
+
+// DelegationRequest requests permission to send calls through the receiver, because the sender has no links to
+// targets.
+type DelegationRequest struct{}
+
+// DelegationGrant is the reply to a DelegationRequest: where the sender accepts calls, the token that
+// authorizes them, and the groups whose targets the sender does not reach itself.
+type DelegationGrant struct {
+	Address   string
+	Token     string
+	Unreached []string
+}
+
+// Capacity reports that a brittle target refused a call while it had the given number of calls, running and
+// waiting. Target is the ID of its process, and StartMs when that started.
+type Capacity struct {
+	Target  string
+	StartMs int64
+	Calls   uint32
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -118,6 +118,113 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *Capacity) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.StartMs, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "StartMs")
+		return
+	}
+	z.Calls, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Capacity) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteInt64(z.StartMs)
+	if err != nil {
+		err = msgp.WrapError(err, "StartMs")
+		return
+	}
+	err = en.WriteUint32(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Capacity) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendInt64(o, z.StartMs)
+	o = msgp.AppendUint32(o, z.Calls)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Capacity) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.StartMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartMs")
+		return
+	}
+	z.Calls, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Capacity) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Uint32Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *CellLoad) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -760,6 +867,219 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *DelegationGrant) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Token, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Unreached")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Unreached) >= int(zb0002) {
+		z.Unreached = (z.Unreached)[:zb0002]
+	} else {
+		z.Unreached = make([]string, zb0002)
+	}
+	for za0001 := range z.Unreached {
+		z.Unreached[za0001], err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Unreached", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *DelegationGrant) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteString(z.Token)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Unreached)))
+	if err != nil {
+		err = msgp.WrapError(err, "Unreached")
+		return
+	}
+	for za0001 := range z.Unreached {
+		err = en.WriteString(z.Unreached[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Unreached", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DelegationGrant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendString(o, z.Token)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unreached)))
+	for za0001 := range z.Unreached {
+		o = msgp.AppendString(o, z.Unreached[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DelegationGrant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Token, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unreached")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Unreached) >= int(zb0002) {
+		z.Unreached = (z.Unreached)[:zb0002]
+	} else {
+		z.Unreached = make([]string, zb0002)
+	}
+	for za0001 := range z.Unreached {
+		z.Unreached[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Unreached", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DelegationGrant) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Token) + msgp.ArrayHeaderSize
+	for za0001 := range z.Unreached {
+		s += msgp.StringPrefixSize + len(z.Unreached[za0001])
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *DelegationRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 0 {
+		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z DelegationRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 0
+	err = en.Append(0x90)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z DelegationRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 0
+	o = append(o, 0x90)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DelegationRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 0 {
+		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z DelegationRequest) Msgsize() (s int) {
+	s = 1
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Evacuation) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
