--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -391,17 +391,9 @@
 	}
 
 	f := &clusterState{catalog: c, registry: e.Registry()}
-	x, stop := forwarder.New(forwarder.Settings{
-		DataCentre: "dc0", DefaultTimeout: time.Second, MaxBody: 1000, Regions: map[string]string{"dc0": "r0", "dc1": "r1"},
-	}, dialect{}, f,
-		noop.NewTracerProvider().Tracer(""), meter.New(), d, selector.New(selector.DefaultSettings()),
-		budgeter.New(budgeter.Settings{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}, time.Now()))
+	x := newForwarder(t, f, d)
 	s := httptest.NewServer(x)
-
-	t.Cleanup(func() {
-		s.Close()
-		stop()
-	})
+	t.Cleanup(s.Close)
 
 	g := &gateway{Server: s, state: f, forwarder: x, discoverer: e}
 	f.markLeaving = g.markLeaving
@@ -409,6 +401,20 @@
 	return g
 }
 
+// newForwarder returns a forwarder with a dialer for the connections to targets.
+func newForwarder(t testing.TB, f *clusterState, d forwarder.Dialer) *forwarder.Forwarder { //nolint:thelper // One letter, as in all code here.
+	t.Helper()
+
+	x, stop := forwarder.New(forwarder.Settings{
+		DataCentre: "dc0", DefaultTimeout: time.Second, MaxBody: 1000, Regions: map[string]string{"dc0": "r0", "dc1": "r1"},
+	}, dialect{}, f,
+		noop.NewTracerProvider().Tracer(""), meter.New(), d, selector.New(selector.DefaultSettings()),
+		budgeter.New(budgeter.Settings{Ratio: 0.2, Window: 10 * time.Second, Slack: 100}, time.Now()))
+	t.Cleanup(stop)
+
+	return x
+}
+
 // answer is what the caller received.
 type answer struct {
 	status int
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -200,7 +200,7 @@
 	backingOff, cold := len(all)-len(ready), len(ready)-len(open)
 
 	if q.Route == Proven && s.health.groupUnreached(now, group, r.Groups[group]) {
-		return Choice{Cold: cold, BackingOff: backingOff, Unreached: len(open) > 0}, false
+		return Choice{Cold: cold, BackingOff: backingOff, Unreached: true}, false
 	}
 
 	l, u, median := s.health.usable(now, group, open, q.Route)
