limiter, selector, platform: calls to brittle targets stay within what they accept

Targets that say Server-Brittle: N fell over one after the other when their service had more calls than it can run: all instances saw the same target with space, and what arrived there together was refused. Each instance now has a share of the calls that a target accepts, which it computes without messages; beyond it a call is sent only if the home of the target counts it, or as an exploration, of which all instances together may cause N/2 refusals a second. A refusal teaches how many calls the target takes now and is told to all instances at once (KindCapacity); N/2 of them in a second stop the calls to the target.

--- a/internal/advertiser/advertiser.go
+++ b/internal/advertiser/advertiser.go
@@ -44,6 +44,8 @@
 	MarkGone(l []discoverer.Process)
 	// MarkLeaving records that processes announced that they leave.
 	MarkLeaving(l []discoverer.Process)
+	// ApplyRefusal records that a brittle target has refused a call.
+	ApplyRefusal(r selector.Refusal)
 }
 
 // Advertiser sends and receives updates on targets. It is safe for concurrent use.
@@ -113,6 +115,27 @@
 	i.notifyProcess(wire.KindLeaving, p)
 }
 
+// NotifyRefusal notifies the other instances immediately that a brittle target has refused a call.
+func (i *Advertiser) NotifyRefusal(r selector.Refusal) {
+	i.broadcaster.Direct(context.Background(), wire.KindCapacity, &wire.Capacity{
+		Target: r.Process.ID, StartMs: r.Process.Start.UnixMilli(), Calls: uint32(max(r.Calls, 0)), MaxRefusals: uint32(max(r.MaxRefusals, 0)), //nolint:gosec // Within uint32.
+	})
+}
+
+// HandleCapacity applies a notification that a brittle target has refused a call. It fails with ErrUpdate.
+func (i *Advertiser) HandleCapacity(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
+	var w wire.Capacity
+	if _, err := w.UnmarshalMsg(body); err != nil {
+		return nil, errors.Mark(err, ErrUpdate)
+	}
+
+	i.targets.ApplyRefusal(selector.Refusal{
+		Process: discoverer.Process{ID: w.Target, Start: time.UnixMilli(w.StartMs)}, Calls: int(w.Calls), MaxRefusals: int(w.MaxRefusals),
+	})
+
+	return nil, nil //nolint:nilnil // Notifications have no reply.
+}
+
 func (i *Advertiser) notifyProcess(k wire.Kind, p discoverer.Process) {
 	i.broadcaster.Direct(context.Background(), k, &wire.Gone{
 		Targets: []string{p.ID}, StartsMs: []int64{p.Start.UnixMilli()},
--- a/internal/advertiser/advertiser_test.go
+++ b/internal/advertiser/advertiser_test.go
@@ -33,6 +33,8 @@
 	repeat  bool
 	gone    []discoverer.Process
 	leaving []discoverer.Process
+	// refusals are the refusals that were applied.
+	refusals []selector.Refusal
 }
 
 func (k *targetState) Update() selector.Update {
@@ -52,6 +54,8 @@
 	k.applied.Loads = append(k.applied.Loads, n.Loads...)
 }
 
+func (k *targetState) ApplyRefusal(r selector.Refusal) { k.refusals = append(k.refusals, r) }
+
 func (k *targetState) MarkGone(l []discoverer.Process) { k.gone = append(k.gone, l...) }
 
 func (k *targetState) MarkLeaving(l []discoverer.Process) { k.leaving = append(k.leaving, l...) }
--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -21,7 +21,7 @@
 	"github.com/auburntray/auburntray/platform"
 )
 
-func newPlatform() *cobra.Command {
+func newPlatform(o options) *cobra.Command {
 	var metricsPort uint16
 
 	c := &cobra.Command{
@@ -32,7 +32,7 @@
 		Args:        cobra.NoArgs,
 		Annotations: longRunning(),
 		RunE: func(c *cobra.Command, _ []string) error {
-			return runPlatform(c.Context(), os.Getenv(platform.SettingsVariable), metricsPort)
+			return runPlatform(c.Context(), os.Getenv(platform.SettingsVariable), metricsPort, o)
 		},
 	}
 
@@ -42,7 +42,7 @@
 }
 
 // runPlatform runs a gateway with the settings file at the given path, until it receives a signal to stop.
-func runPlatform(c context.Context, path string, metricsPort uint16) error {
+func runPlatform(c context.Context, path string, metricsPort uint16, o options) error {
 	l, flush, err := setUpLogger("info", os.Stdout)
 	if err != nil {
 		return err
@@ -55,11 +55,13 @@
 	c, stop := context.WithCancel(c)
 	defer stop()
 
-	return serve(x.Stopping(), func() (*fx.App, error) { return newGateway(c, path, metricsPort, l, x) })
+	return serve(x.Stopping(), func() (*fx.App, error) { return newGateway(c, path, metricsPort, l, x, o) })
 }
 
 // newGateway builds a gateway. Its settings are reloaded until the context is done.
-func newGateway(c context.Context, path string, metricsPort uint16, l *logger.Logger, x *signaler.Signaler) (*fx.App, error) {
+func newGateway(
+	c context.Context, path string, metricsPort uint16, l *logger.Logger, x *signaler.Signaler, o options,
+) (*fx.App, error) {
 	s, b, err := platform.ReadSettings(path)
 	if err != nil {
 		return nil, err
@@ -76,6 +78,7 @@
 	)
 
 	w, t := platform.NewEnvironment(s)
+	w.Dialer = o.targetDialer
 	a := fx.New(gatekeeper.Options(y, w), fx.Populate(&g, &m))
 
 	if err := buildError(a); err != nil {
--- a/internal/commander/gateway_test.go
+++ b/internal/commander/gateway_test.go
@@ -54,7 +54,7 @@
 
 	done := make(chan error, 1)
 
-	go func() { done <- runPlatform(t.Context(), p, 0) }()
+	go func() { done <- runPlatform(t.Context(), p, 0, options{}) }()
 
 	waiter.Until(t, "a read of the first store", requestedFirst)
 
--- a/internal/commander/root.go
+++ b/internal/commander/root.go
@@ -17,7 +17,7 @@
 )
 
 // New returns the root command of auburntray.
-func New() *cobra.Command {
+func New(l ...Option) *cobra.Command {
 	c := &cobra.Command{
 		Use:           "auburntray",
 		Short:         "A fleet of routers for large numbers of returning chats",
@@ -30,7 +30,7 @@
 		},
 	}
 
-	c.AddCommand(newRouter(), newPublish(), newShow(), newHistory(), newWatch(), newDrain(), newLoad(), newBench(), newSettings(), newPlatform(), newExplain(), newQuarantine(), newEvacuations())
+	c.AddCommand(newRouter(), newPublish(), newShow(), newHistory(), newWatch(), newDrain(), newLoad(), newBench(), newSettings(), newPlatform(newOptions(l)), newExplain(), newQuarantine(), newEvacuations())
 
 	return c
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -155,6 +155,8 @@
 		return refuse(http.StatusServiceUnavailable, TargetsLeaving, leavingWait, "all targets leave")
 	case backoff > 0:
 		return refuse(http.StatusServiceUnavailable, TargetsBackingOff, withJitterMargin(backoff), "all targets have asked for rest")
+	case x.fullTargets > 0:
+		return refuse(http.StatusServiceUnavailable, Overload, noTargetWait, "%d targets are brittle and have no room", x.fullTargets)
 	case x.coldTargets > 0:
 		return refuse(http.StatusServiceUnavailable, TargetsCold, noTargetWait, "%d targets are cold and bear no more calls now", x.coldTargets)
 	default:
@@ -274,6 +276,7 @@
 
 	p := f.dialect.ReadReply(a.Header, a.StatusCode)
 	f.handleReply(x, t.Target, p)
+	f.handleBrittle(x, t, p)
 
 	// A delayed answer to an earlier call may arrive in place of the answer to this one. The
 	// ID of a delayed answer differs; relaying it would give the caller another caller's answer.
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -83,6 +83,10 @@
 	// Backoff is how long this instance should send no calls to the target, which states this when
 	// it refuses a call; zero if not stated.
 	Backoff time.Duration
+	// Brittle is set when the target crashes if it refuses more than MaxRefusals calls in a second for want of space, from
+	// all instances together.
+	Brittle     bool
+	MaxRefusals int
 	// Running and Waiting are the numbers of calls that the target runs and has queued; Slots is
 	// how many it runs at most. All are zero if not stated.
 	Running, Waiting, Slots int
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -58,6 +58,8 @@
 	choice selector.Choice
 	// reservation is the slot reserved for the last choice at the target's home node.
 	reservation reservation
+	// uncounted is set when no home has answered a request for a slot at a brittle target.
+	uncounted bool
 	// sharded is set when the call may use only its customer's shard of the targets.
 	sharded bool
 	// targetsFull is set when no target from which a slot was requested had a free slot or space in
@@ -65,6 +67,8 @@
 	targetsFull bool
 	// coldTargets is how many targets the last selection skipped because they are cold.
 	coldTargets int
+	// fullTargets is how many targets the last selection skipped because they are brittle and have no room.
+	fullTargets int
 	// backingOff is how many targets the last selection skipped because they requested a backoff.
 	backingOff int
 	// reply is the reply of the last target.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -86,6 +86,8 @@
 	notifyGone func(p discoverer.Process)
 	// notifyLeaving notifies other instances that a process announced its shutdown.
 	notifyLeaving func(p discoverer.Process)
+	// notifyRefusal notifies other instances that a brittle target has refused a call.
+	notifyRefusal func(r selector.Refusal)
 	// reserver reserves slots at the home nodes of targets; nil if slots are not reserved.
 	reserver SlotReserver
 	// delegates are the instances through which calls are sent to targets that this one does not reach; nil if there are
@@ -131,7 +133,7 @@
 	k := newClient(x)
 
 	return &Forwarder{
-		settings: s, dialect: d, state: f, tracer: t, client: k, selector: c, budgeter: b, admitter: admitter.New(), notifyGone: func(discoverer.Process) {}, notifyLeaving: func(discoverer.Process) {},
+		settings: s, dialect: d, state: f, tracer: t, client: k, selector: c, budgeter: b, admitter: admitter.New(), notifyGone: func(discoverer.Process) {}, notifyLeaving: func(discoverer.Process) {}, notifyRefusal: func(selector.Refusal) {},
 		sharder: sharder.New(), sharded: make(map[string]bool),
 		meter: m, servedLogs: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 		rejectedLogs: rate.NewLimiter(rejectedLogsPerSecond, rejectedLogsPerSecond), stopping: make(chan struct{}),
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -77,9 +77,15 @@
 			return t, false
 		}
 
+		// A brittle target must not get more calls than it accepts, also if it has the prompt cached.
+		s.Prompt = s.Prompt && t.MaxCalls == 0
+
 		f.reserve(c, x, t, &s)
 
-		if !f.accepts(t.Target) {
+		uncounted := t.NeedsCount && x.reservation.verdict.Outcome == aggregator.Unanswered
+		x.uncounted = x.uncounted || uncounted
+
+		if uncounted || !f.accepts(t.Target) {
 			f.withdraw(x, t)
 
 			continue
@@ -112,10 +118,10 @@
 	x.sharded = f.updateSharding(n, x.group, len(l.Groups[x.group]))
 
 	q := x.query(f.settings, r)
-	q.Declined, q.Sharded = declined, x.sharded
+	q.Declined, q.Sharded, q.Uncounted = declined, x.sharded, x.uncounted
 
 	t, ok := f.selector.Choose(n, l, x.group, q)
-	x.coldTargets, x.backingOff = t.Cold, t.BackingOff
+	x.coldTargets, x.backingOff, x.fullTargets = t.Cold, t.BackingOff, t.Full
 
 	switch {
 	case !ok:
@@ -137,8 +143,13 @@
 		return
 	}
 
+	n := s.MaxCalls(t.Bound)
+	if t.MaxCalls > 0 {
+		n = min(n, t.MaxCalls)
+	}
+
 	x.reservation.verdict, x.reservation.release = f.reserver.Reserve(c, t.Target, aggregator.Request{
-		MaxCalls: s.MaxCalls(t.Bound), Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(),
+		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(),
 	})
 	f.meter.Reservation(x.group, x.reservation.verdict.Outcome.String())
 
--- a/internal/gatekeeper/lost_links_test.go
+++ b/internal/gatekeeper/lost_links_test.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -18,127 +14,16 @@
 
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/gatekeeper"
+	"github.com/auburntray/auburntray/internal/standin/disconnector"
 	"github.com/auburntray/auburntray/internal/standin/porter"
 	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
-// loss is how an instance loses its links to all targets.
-type loss int
-
-const (
-	// intact means that the links work.
-	intact loss = iota
-	// silent means that connections fall silent for good and new ones are not established.
-	silent
-	// reset means that connections are reset and new ones refused.
-	reset
-	// newRefused means that connections live on and new ones are refused.
-	newRefused
-)
-
-// links are the links of one instance to the targets.
-type links struct {
-	mu    sync.Mutex
-	loss  loss
-	conns map[*linkConn]bool
-}
-
-// lose changes how the links are lost.
-func (l *links) lose(x loss) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	l.loss = x
-
-	for n := range l.conns {
-		switch x {
-		case silent:
-			n.silent.Store(true)
-		case reset:
-			_ = n.Conn.Close() // The reader and the writer fail.
-		case intact, newRefused:
-		}
-	}
-}
-
-// DialContext implements forwarder.Dialer.
-func (l *links) DialContext(c context.Context, network, address string) (net.Conn, error) {
-	l.mu.Lock()
-	x := l.loss
-	l.mu.Unlock()
-
-	switch x {
-	case silent:
-		<-c.Done()
-
-		return nil, c.Err()
-	case reset, newRefused:
-		return nil, &net.OpError{Op: "dial", Net: network, Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-	case intact:
-	}
-
-	n, err := (&net.Dialer{}).DialContext(c, network, address)
-	if err != nil {
-		return nil, err
-	}
-
-	o := &linkConn{Conn: n, links: l, closed: make(chan struct{})}
-
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	l.conns[o] = true
-
-	return o, nil
-}
-
-// linkConn is a connection over a link. Once silent, it delivers and sends nothing until it is closed.
-type linkConn struct {
-	net.Conn
-
-	links  *links
-	silent atomic.Bool
-	closed chan struct{}
-	once   sync.Once
-}
-
-// Read implements net.Conn.
-func (n *linkConn) Read(b []byte) (int, error) {
-	k, err := n.Conn.Read(b)
-	if n.silent.Load() {
-		<-n.closed
-
-		return 0, net.ErrClosed
-	}
-
-	return k, err
-}
-
-// Write implements net.Conn.
-func (n *linkConn) Write(b []byte) (int, error) {
-	if n.silent.Load() {
-		return len(b), nil
-	}
-
-	return n.Conn.Write(b)
-}
-
-// Close implements net.Conn.
-func (n *linkConn) Close() error {
-	n.once.Do(func() { close(n.closed) })
-
-	n.links.mu.Lock()
-	delete(n.links.conns, n)
-	n.links.mu.Unlock()
-
-	return n.Conn.Close()
-}
-
 // linkedInstance is an instance with links of its own.
 type linkedInstance struct {
 	*fixture
 
-	links *links
+	links *disconnector.Links
 }
 
 // startLinked starts four instances in two data centres before six targets of two groups, and waits until they
@@ -154,7 +39,7 @@
 	var o []*linkedInstance
 
 	for i := range instances {
-		l := &links{conns: make(map[*linkConn]bool)}
+		l := disconnector.New()
 		s := startWith(t, func(s *gatekeeper.Settings, w *gatekeeper.Environment) {
 			s.Name, s.DataCentre = "front-"+strconv.Itoa(i), "dc"+strconv.Itoa(i/2)
 			s.Seeds = []netip.AddrPort{seed}
@@ -260,18 +145,18 @@
 	)
 
 	for name, x := range map[string]struct {
-		loss loss
+		loss disconnector.Loss
 		lost []int
 	}{
-		"silent, one instance":                  {silent, []int{0}},
-		"silent, all of a data centre":          {silent, []int{0, 1}},
-		"silent, all but one":                   {silent, []int{0, 1, 2}},
-		"reset, one instance":                   {reset, []int{1}},
-		"reset, all of a data centre":           {reset, []int{2, 3}},
-		"reset, all but one":                    {reset, []int{0, 2, 3}},
-		"new connections, one instance":         {newRefused, []int{3}},
-		"new connections, all of a data centre": {newRefused, []int{0, 1}},
-		"new connections, all but one":          {newRefused, []int{1, 2, 3}},
+		"silent, one instance":                  {disconnector.Silent, []int{0}},
+		"silent, all of a data centre":          {disconnector.Silent, []int{0, 1}},
+		"silent, all but one":                   {disconnector.Silent, []int{0, 1, 2}},
+		"reset, one instance":                   {disconnector.Reset, []int{1}},
+		"reset, all of a data centre":           {disconnector.Reset, []int{2, 3}},
+		"reset, all but one":                    {disconnector.Reset, []int{0, 2, 3}},
+		"new connections, one instance":         {disconnector.NewRefused, []int{3}},
+		"new connections, all of a data centre": {disconnector.NewRefused, []int{0, 1}},
+		"new connections, all but one":          {disconnector.NewRefused, []int{1, 2, 3}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -280,7 +165,7 @@
 			l := startLinked(t)
 
 			for _, i := range x.lost {
-				l[i].links.lose(x.loss)
+				l[i].links.Lose(x.loss)
 			}
 
 			time.Sleep(stable)
@@ -300,7 +185,7 @@
 			}
 
 			for _, i := range x.lost {
-				l[i].links.lose(intact)
+				l[i].links.Lose(disconnector.None)
 			}
 
 			time.Sleep(stable)
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -186,6 +186,8 @@
 	x.OnGone(i.NotifyGone)
 	m.Handle(wire.KindLeaving, i.HandleLeaving)
 	x.OnLeaving(i.NotifyLeaving)
+	m.Handle(wire.KindCapacity, i.HandleCapacity)
+	x.OnRefusal(i.NotifyRefusal)
 
 	g := &Gatekeeper{
 		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, advertiser: i, replicator: p.Replicator, negotiator: p.Negotiator, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
@@ -217,7 +219,7 @@
 		"news": wire.KindUpdate, "relay": wire.KindUpdateRelay, "gone": wire.KindGone, "leaving": wire.KindLeaving, "gossip": wire.KindGossip, "reply": wire.KindReply,
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
-		"trial": wire.KindTrial, "delegation": wire.KindDelegation,
+		"trial": wire.KindTrial, "capacity": wire.KindCapacity, "delegation": wire.KindDelegation,
 	} {
 		p.Meter.RegisterGauge("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/selector/call.go
+++ b/internal/selector/call.go
@@ -149,6 +149,7 @@
 
 			s.health.forget(k)
 			s.throttler.Forget(k)
+			s.limiter.Forget(k)
 			p.markUnlisted()
 			s.dropIfIdle(k, p)
 
--- a/internal/selector/candidate.go
+++ b/internal/selector/candidate.go
@@ -17,6 +17,9 @@
 	shed bool
 	// cold reports whether the target can only serve a low rate of calls.
 	cold bool
+	// maxCalls, explores and needsCount are those of Choice.
+	maxCalls             int
+	explores, needsCount bool
 }
 
 // candidates returns the targets of a list that the call may be sent to and was not sent to before.
--- a/internal/selector/cold.go
+++ b/internal/selector/cold.go
@@ -50,5 +50,9 @@
 		s.throttler.RecordSent(now, x.target.Key())
 	}
 
+	if x.explores {
+		s.limiter.RecordExplored(now, x.target.Key())
+	}
+
 	s.suppressor.RecordSent(now, x.target.Key())
 }
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/limiter"
 	"github.com/auburntray/auburntray/internal/sharder"
 	"github.com/auburntray/auburntray/internal/suppressor"
 	"github.com/auburntray/auburntray/internal/throttler"
@@ -88,6 +89,8 @@
 	Draw uint64
 	// Customer is the hash of the call's customer.
 	Customer uint64
+	// Uncounted is set when no home has answered a request for a slot, so that nobody counts the calls of all instances.
+	Uncounted bool
 	// Sharded applies shuffle sharding: the call is only sent to targets in the customer's shard.
 	Sharded bool
 	// Centres are the data centres that the call may be sent to; nil permits all.
@@ -132,6 +135,15 @@
 	// Unreached reports, if there is no Target, that this instance reaches none of the group. The call may be served
 	// through another instance.
 	Unreached bool
+	// Full is the number of brittle targets without room for the call, if there is no Target.
+	Full int
+	// MaxCalls is how many calls Target may have, including this one, if it is brittle; zero otherwise. Explores reports
+	// that Target is not known to accept that many.
+	MaxCalls int
+	Explores bool
+	// NeedsCount reports that Target accepts the call only if its home, which counts the calls of all instances, finds that
+	// it has room.
+	NeedsCount bool
 	// MedianLatency is the median latency of the targets of the group: the time until an answer begins, as a
 	// fraction of the latency objective (see evaluator.Evaluator). Zero if unknown.
 	MedianLatency float64
@@ -167,12 +179,14 @@
 	// throttler bounds the calls to cold targets. fleet returns the state of all instances.
 	throttler *throttler.Throttler
 	fleet     func() throttler.Fleet
+	// limiter bounds the calls to brittle targets.
+	limiter *limiter.Limiter
 }
 
 // New returns a selector without calls. Until the source of the state of all instances is set, it assumes that this
 // instance is the only one.
 func New(s Settings) *Selector {
-	o := &Selector{settings: s, processes: make(map[discoverer.Key]*processLoad), departed: make(departures), health: newHealth(), placements: newPlacements(), suppressor: suppressor.New[discoverer.Key]()}
+	o := &Selector{settings: s, processes: make(map[discoverer.Key]*processLoad), departed: make(departures), health: newHealth(), placements: newPlacements(), suppressor: suppressor.New[discoverer.Key](), limiter: limiter.New()}
 	o.ConfigureThrottling(throttler.DefaultSettings(), func() throttler.Fleet {
 		return throttler.Fleet{Live: []uint64{0}, MaxInstances: 1, Settled: true}
 	})
@@ -210,6 +224,11 @@
 		return Choice{Cold: cold, BackingOff: backingOff, Unreached: q.Route == Proven && len(open) > 0}, false
 	}
 
+	full := len(u)
+	if u = s.withRoom(now, group, u, &q); len(u) == 0 {
+		return Choice{Cold: cold, BackingOff: backingOff, Full: full}, false
+	}
+
 	if len(open) < len(all) {
 		l = s.loadBaseline(now, l, all, &q)
 	}
@@ -220,7 +239,7 @@
 
 		return Choice{
 			Target: x.target, Route: q.Route, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), MedianLatency: median,
-			Cold: cold, Throttled: x.cold, BackingOff: backingOff,
+			Cold: cold, Throttled: x.cold, BackingOff: backingOff, MaxCalls: x.maxCalls, Explores: x.explores, NeedsCount: x.needsCount,
 		}, true
 	}
 
@@ -233,7 +252,7 @@
 	o := Choice{
 		Target: x.target, Route: q.Route, FetchFrom: s.fetchSource(now, r, u, n, h, &q),
 		Load: x.load, Bound: bound, Usable: len(u), Cached: slices.Contains(h, n), MedianLatency: median, Cold: cold, Throttled: x.cold,
-		BackingOff: backingOff, prefixes: q.Prefixes,
+		BackingOff: backingOff, MaxCalls: x.maxCalls, Explores: x.explores, NeedsCount: x.needsCount, prefixes: q.Prefixes,
 	}
 
 	for _, p := range q.Prefixes {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -505,9 +505,11 @@
 }
 
 // Capacity reports that a brittle target refused a call while it had the given number of calls, running and
-// waiting. Target is the ID of its process, and StartMs when that started.
+// waiting. Target is the ID of its process, and StartMs when that started. The target crashes when it refuses more than
+// MaxRefusals calls in a second.
 type Capacity struct {
-	Target  string
-	StartMs int64
-	Calls   uint32
+	Target      string
+	StartMs     int64
+	Calls       uint32
+	MaxRefusals uint32
 }
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -130,8 +130,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Target, err = dc.ReadString()
@@ -149,13 +149,18 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	z.MaxRefusals, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "MaxRefusals")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Capacity) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *Capacity) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
@@ -174,17 +179,23 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	err = en.WriteUint32(z.MaxRefusals)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxRefusals")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Capacity) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Capacity) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendString(o, z.Target)
 	o = msgp.AppendInt64(o, z.StartMs)
 	o = msgp.AppendUint32(o, z.Calls)
+	o = msgp.AppendUint32(o, z.MaxRefusals)
 	return
 }
 
@@ -196,8 +207,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Target, bts, err = msgp.ReadStringBytes(bts)
@@ -215,13 +226,18 @@
 		err = msgp.WrapError(err, "Calls")
 		return
 	}
+	z.MaxRefusals, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "MaxRefusals")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Capacity) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Uint32Size
+func (z *Capacity) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
