--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -14,8 +14,9 @@
 )
 
 // pauseFactor is the multiple of the rule's MaxEventGap that a resumable stream waits for its next
-// event before it is resumed at another target.
-const pauseFactor = 4
+// event before it is resumed at another target. A sound target may fall silent for about four times the gap; callers
+// abandon a stream after eight times.
+const pauseFactor = 6
 
 // streamAttempt makes an attempt whose answer is relayed event by event.
 func (f *Forwarder) streamAttempt(c context.Context, stop context.CancelCauseFunc, x *exchange, t selector.Choice) result {
