selector, negotiator: a delegated call avoids targets that crashed; a stopping instance grants nothing

A call that could not connect to two targets is sent through another instance. Its target was selected regardless of what this instance knows, so it went to targets that had crashed, which look idle: TestDelegatedCallAvoidsCrashedTargets failed. While the group is not known to be unreached, targets that this instance can't connect to come last now.

A stopping instance went on granting permission to others, whose calls it then refused.

--- a/internal/gatekeeper/stop.go
+++ b/internal/gatekeeper/stop.go
@@ -32,6 +32,7 @@
 	g.forwarder.Stop()
 	logrus.WithFields(logrus.Fields{"event": "stopping", "name": g.settings.Name, "running": g.drainer.Running()}).Info()
 
+	g.negotiator.Decline()
 	g.joiner.Leave(c)
 
 	t := time.NewTicker(advanceInterval)
--- a/internal/negotiator/negotiator.go
+++ b/internal/negotiator/negotiator.go
@@ -79,6 +79,11 @@
 	n.address, n.unreached = a, unreached
 }
 
+// Decline grants no permission from now on. Calls for which it was granted are still accepted.
+func (n *Negotiator) Decline() {
+	n.Accept(netip.AddrPort{}, nil)
+}
+
 // Authorized reports whether a token is that of this instance.
 func (n *Negotiator) Authorized(token string) bool {
 	return subtle.ConstantTimeCompare([]byte(token), []byte(n.token)) == 1
--- a/internal/selector/health.go
+++ b/internal/selector/health.go
@@ -76,8 +76,13 @@
 // candidates that do not fail.
 func (h *health) usable(now time.Time, group string, l []candidate, route Route) (reached, usable []candidate, median float64) {
 	r := h.reachable(now, l, route)
-	if len(r) == 0 && route == Direct {
+
+	switch {
+	case len(r) == 0 && route == Direct:
 		r = h.lastResort(now, group, l)
+	case route == Delegated && !h.unreached[group]:
+		// The links of this instance are not known to be lost, so a target that it can't reach has rather crashed.
+		r = filterOrAll(r, func(x candidate) bool { return !h.targets.Excluded(now, x.target.Key()) })
 	}
 
 	reached = r
