delegator: an instance that did not respond gets calls only once it has granted permission again

It was avoided for a second and used again with its old grant, so that one that stalls for longer held further calls until their deadlines. The case "silent 2 s ago" of TestChoice failed before.

--- a/internal/delegator/delegator.go
+++ b/internal/delegator/delegator.go
@@ -192,9 +192,11 @@
 	}
 }
 
-// RecordSilent records that an instance did not respond, or refused to be a delegate.
+// RecordSilent records that an instance did not respond, or refused to be a delegate. It gets no calls until it has granted
+// permission again: one that has stalled would hold them until their deadlines.
 func (d *Delegator) RecordSilent(now time.Time, id uint64) {
-	d.instance(id).avoidUntil = now.Add(silentBackoff)
+	x := d.instance(id)
+	x.avoidUntil, x.grantedAt = now.Add(silentBackoff), time.Time{}
 }
 
 // RecordTimeout records that no answer came through an instance in time. The instance is asked again soon: if the cause is
--- a/internal/delegator/delegator_test.go
+++ b/internal/delegator/delegator_test.go
@@ -50,8 +50,16 @@
 		"full":                 {prepare: func(d *delegator.Delegator) { d.RecordGrant(now, 3, grant()); d.RecordFull(now, 3) }},
 		"full a second ago":    {prepare: func(d *delegator.Delegator) { d.RecordGrant(now, 3, grant()); d.RecordFull(now.Add(-time.Second), 3) }, want: 3},
 		"silent":               {prepare: func(d *delegator.Delegator) { d.RecordGrant(now, 3, grant()); d.RecordSilent(now, 3) }},
-		"no longer live":       {prepare: func(d *delegator.Delegator) { d.RecordGrant(now, 30, grant()) }},
-		"tried":                {prepare: func(d *delegator.Delegator) { d.RecordGrant(now, 3, grant()) }, query: delegator.Query{Tried: []uint64{3}}},
+		"silent 2 s ago": {prepare: func(d *delegator.Delegator) {
+			d.RecordGrant(now, 3, grant())
+			d.RecordSilent(now.Add(-2*time.Second), 3)
+		}},
+		"granted again": {prepare: func(d *delegator.Delegator) {
+			d.RecordSilent(now.Add(-2*time.Second), 3)
+			d.RecordGrant(now, 3, grant())
+		}, want: 3},
+		"no longer live": {prepare: func(d *delegator.Delegator) { d.RecordGrant(now, 30, grant()) }},
+		"tried":          {prepare: func(d *delegator.Delegator) { d.RecordGrant(now, 3, grant()) }, query: delegator.Query{Tried: []uint64{3}}},
 		"fewest calls": {prepare: func(d *delegator.Delegator) {
 			d.RecordGrant(now, 3, grant())
 			d.RecordGrant(now, 4, grant())
