--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -81,11 +81,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	if t.Route == selector.Delegated {
-		f.selector.FinishDelegated(time.Now(), t.Target, r.outcome)
-	} else {
-		f.selector.Finish(time.Now(), t.Target, r.outcome)
-	}
+	f.selector.FinishChoice(time.Now(), t, r.outcome)
 
 	if r.err != nil && !relayed {
 		f.selector.RevertPlacements(t)
--- a/internal/forwarder/connectivity.go
+++ b/internal/forwarder/connectivity.go
@@ -22,8 +22,8 @@
 const minCutOff = 200 * time.Millisecond
 
 // CutOff reports whether this instance reaches only the minority of the data centres, and no other instance sends
-// its calls to the targets, so that other instances would serve its callers better. It still serves the calls that arrive. It is safe for
-// concurrent use.
+// its calls to the targets, so that other instances would serve its callers better. It still serves the calls that
+// arrive. It is safe for concurrent use.
 func (f *Forwarder) CutOff() bool {
 	b := f.cutOffSince.Load()
 
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -123,12 +123,8 @@
 	t, ok := f.selector.Choose(n, l, x.group, q)
 	x.coldTargets, x.backingOff, x.fullTargets = t.Cold, t.BackingOff, t.Full
 
-	switch {
-	case !ok:
-	case r == selector.Delegated:
-		f.selector.StartDelegated(n, t.Target)
-	default:
-		f.selector.Start(n, t.Target)
+	if ok {
+		f.selector.StartChoice(n, t)
 	}
 
 	return t, ok
--- a/internal/selector/call.go
+++ b/internal/selector/call.go
@@ -36,12 +36,7 @@
 }
 
 func (s *Selector) revert(now time.Time, x Choice) {
-	if x.Route == Delegated {
-		s.FinishDelegated(now, x.Target, Inconclusive)
-	} else {
-		s.Finish(now, x.Target, Inconclusive)
-	}
-
+	s.FinishChoice(now, x, Inconclusive)
 	s.suppressor.Withdraw(x.Target.Key())
 	s.RevertPlacements(x)
 }
--- a/internal/selector/links.go
+++ b/internal/selector/links.go
@@ -34,6 +34,24 @@
 	return !s.health.unreached[group] && now.Sub(s.health.contacts[group]) < contactLifetime
 }
 
+// StartChoice counts a call that is sent to a target on the route for which the target was selected.
+func (s *Selector) StartChoice(now time.Time, x Choice) {
+	if x.Route == Delegated {
+		s.StartDelegated(now, x.Target)
+	} else {
+		s.Start(now, x.Target)
+	}
+}
+
+// FinishChoice removes a call that was counted with StartChoice and records its outcome.
+func (s *Selector) FinishChoice(now time.Time, x Choice, o Outcome) {
+	if x.Route == Delegated {
+		s.FinishDelegated(now, x.Target, o)
+	} else {
+		s.Finish(now, x.Target, o)
+	}
+}
+
 // StartDelegated counts a call that another instance sends to a target for this one.
 func (s *Selector) StartDelegated(now time.Time, t *discoverer.Target) {
 	p := s.process(t)
