forwarder, gatekeeper: two tests of lost links no longer depend on timing and free ports

The listener is closed first. TestFirstTriesAtInstancesThatLostTheirLinks: "address already in use", since a connection had taken the free port of 127.0.0.1 that an instance was to listen on.

--- a/internal/forwarder/delegation_test.go
+++ b/internal/forwarder/delegation_test.go
@@ -388,6 +388,9 @@
 				}
 
 				time.Sleep(30 * time.Millisecond)
+
+				_ = first.Listener.Close() // It is closed again by Close.
+
 				first.CloseClientConnections()
 				first.Close()
 			}}
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -119,8 +119,6 @@
 
 	s := &fixture{config: &stream{}, targets: &stream{}}
 	a, b := porter.Free(t), porter.Free(t)
-	s.callers, s.ready = "http://"+a.String(), "http://"+b.String()
-
 	x := gatekeeper.Settings{
 		Name: "front-1", DataCentre: "dc", Callers: a, Ready: b, Peers: porter.Free(t),
 		Tunables: gatekeeper.Tunables{
@@ -150,6 +148,8 @@
 	}
 
 	change(&x, &w)
+
+	s.callers, s.ready = "http://"+x.Callers.String(), "http://"+x.Ready.String()
 	s.app = fx.New(gatekeeper.Options(x, w))
 
 	if err := s.app.Start(t.Context()); err != nil {
--- a/internal/gatekeeper/lost_links_test.go
+++ b/internal/gatekeeper/lost_links_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +17,6 @@
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/gatekeeper"
 	"github.com/auburntray/auburntray/internal/standin/disconnector"
-	"github.com/auburntray/auburntray/internal/standin/porter"
 	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
@@ -26,6 +27,17 @@
 	links *disconnector.Links
 }
 
+// addresses counts the addresses that ownAddress has returned.
+var addresses atomic.Uint32
+
+// ownAddress returns a loopback address that nothing else uses, unlike a free port of 127.0.0.1, which a connection may
+// take before an instance listens on it.
+func ownAddress(port uint16) netip.AddrPort {
+	n := addresses.Add(1)
+
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + os.Getpid()%128), byte(os.Getpid() / 128), byte(n)}), port)
+}
+
 // startLinked starts four instances in two data centres before six targets of two groups, and waits until they
 // serve and know each other.
 func startLinked(t *testing.T) []*linkedInstance {
@@ -34,7 +46,7 @@
 	const instances = 4
 
 	config, targets := &stream{}, &stream{}
-	seed := porter.Free(t)
+	seed := ownAddress(7203)
 
 	var o []*linkedInstance
 
@@ -43,6 +55,7 @@
 		s := startWith(t, func(s *gatekeeper.Settings, w *gatekeeper.Environment) {
 			s.Name, s.DataCentre = "front-"+strconv.Itoa(i), "dc"+strconv.Itoa(i/2)
 			s.Seeds = []netip.AddrPort{seed}
+			s.Callers, s.Ready, s.Peers = ownAddress(7201), ownAddress(7202), ownAddress(7203)
 			w.Config, w.Targets, w.Dialer = config, targets, l
 
 			if i == 0 {
