forwarder: a delegate that does not say what it did may have sent the call

Found by reading the change once more. An answer of a delegate without its result header, such as the 500 after a panic, counted as "nothing sent", so that a call that must run once was sent through the next delegate and ran twice, or was refused as not run. Only a delegate that says so has sent nothing now; the refusal of a token says so too.

--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -46,6 +46,8 @@
 	full delegateResult = "full"
 	// stopping means that nothing was sent, since the delegate is stopping.
 	stopping delegateResult = "stopping"
+	// unauthorized means that nothing was sent, since the token is not that of the delegate.
+	unauthorized delegateResult = "unauthorized"
 )
 
 // hangUpMargin is how long after the call's deadline a delegate ends the call by itself. The instance that has delegated the
@@ -113,6 +115,7 @@
 // sends the call by links of its own only, so that a call passes through one delegate at most.
 func (f *Forwarder) ServeDelegated(w http.ResponseWriter, r *http.Request) {
 	if f.delegates == nil || !f.delegates.Authorized(r.Header.Get(headerToken)) {
+		w.Header().Set(headerResult, string(unauthorized))
 		w.WriteHeader(http.StatusForbidden)
 
 		return
--- a/internal/forwarder/delegation.go
+++ b/internal/forwarder/delegation.go
@@ -181,8 +181,10 @@
 		return nil, negotiator.Full, result{err: errors.Mark(err, errNotSent), notRun: true, outcome: selector.Inconclusive}
 	case broken:
 		return nil, negotiator.Sent, result{err: errors.Mark(err, errBroken), outcome: selector.Failed}
-	default: // The token was refused, or the instance is stopping; either way it has sent nothing.
+	case stopping, unauthorized:
 		return nil, negotiator.Silent, result{err: errors.Mark(err, errNotSent), notRun: true, outcome: selector.Inconclusive}
+	default: // The instance may have sent the call, for example before a panic.
+		return nil, negotiator.Silent, result{err: errors.Mark(err, errBroken), outcome: selector.Inconclusive}
 	}
 }
 
--- a/internal/forwarder/delegation_test.go
+++ b/internal/forwarder/delegation_test.go
@@ -454,3 +454,28 @@
 
 	is.Equal(a.count(), 1)
 }
+
+// Guards against a call that runs twice, or is refused as not run, after its delegate has sent it and then answered without
+// saying what it did, as after a panic.
+func TestDelegateAnswersWithoutResult(t *testing.T) {
+	is := is.New(t)
+	a := &target{answer: answerOK}
+	g := newGatewayWithDialer(t, refusingDialer{}, a)
+	d := &delegates{token: token}
+
+	x, _ := newDelegate(t, g.state, &net.Dialer{})
+	first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x.ServeDelegated(httptest.NewRecorder(), r)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	t.Cleanup(first.Close)
+
+	_, second := newDelegate(t, g.state, &net.Dialer{})
+
+	d.add(first)
+	d.add(second)
+	g.forwarder.SetDelegates(d)
+
+	is.Equal(g.call(t, http.MethodPost, "/once/", "x").status, http.StatusBadGateway)
+	is.Equal(a.count(), 1)
+}
