--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -86,6 +86,11 @@
 	return float64(r+1) <= n
 }
 
+// Usage returns how many calls and repeats of this instance count towards the budget of a group.
+func (b *Budgeter) Usage(now time.Time, group string) (calls, repeats int) {
+	return b.sum(now, group)
+}
+
 func (b *Budgeter) index(now time.Time) int64 {
 	return int64(now.Sub(b.start) / max(b.settings.Window/bucketCount, 1))
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -57,11 +57,14 @@
 			return nil
 		}
 
-		logrus.WithFields(x.logFields()).WithFields(logrus.Fields{
+		retry := c.Err() == nil && f.mayRetry(x, last)
+
+		logrus.WithFields(x.logFields()).WithFields(f.budgetFields(x.group)).WithFields(logrus.Fields{
 			"event": "attemptFailed", "target": t.Target.ID, "address": t.Target.Address, "notRun": last.notRun, "error": last.err,
+			"retry": retry,
 		}).Info()
 
-		if c.Err() != nil || !f.mayRetry(x, last) {
+		if !retry {
 			return f.finalAnswer(c, x, last)
 		}
 	}
@@ -116,6 +119,16 @@
 	return f.budgeter.TryRepeat(time.Now(), x.group, f.state.Instances())
 }
 
+// budgetFields returns log fields that show from what the share of this instance in the retry budget was computed.
+func (f *Forwarder) budgetFields(group string) logrus.Fields {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	c, r := f.budgeter.Usage(time.Now(), group)
+
+	return logrus.Fields{"budgetCalls": c, "budgetRepeats": r, "budgetSharedBy": f.state.Instances()}
+}
+
 // finalAnswer returns the final answer to a call that no target has answered.
 func (f *Forwarder) finalAnswer(c context.Context, x *exchange, r result) error {
 	switch {
