--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -113,10 +114,17 @@
 		return false
 	}
 
+	return x.repeatTaken.Swap(false) || f.takeRepeat(x.group)
+}
+
+// takeRepeat reports whether the retry budget allows a repeat, and consumes it if so.
+func (f *Forwarder) takeRepeat(group string) bool {
+	n := f.state.Instances()
+
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return f.budgeter.TryRepeat(time.Now(), x.group, f.state.Instances())
+	return f.budgeter.TryRepeat(time.Now(), group, n)
 }
 
 // budgetFields returns log fields that show from what the share of this instance in the retry budget was computed.
@@ -124,9 +132,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	c, r := f.budgeter.Usage(time.Now(), group)
+	n := f.state.Instances()
+	c, o := f.budgeter.Usage(time.Now(), group, n)
 
-	return logrus.Fields{"budgetCalls": c, "budgetRepeats": r, "budgetSharedBy": f.state.Instances()}
+	return logrus.Fields{"budgetCalls": c, "budgetBalance": math.Floor(o), "budgetSharedBy": n}
 }
 
 // finalAnswer returns the final answer to a call that no target has answered.
--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -49,9 +49,7 @@
 // so that the call can be sent again if the answer is incomplete.
 func (f *Forwarder) bufferedAttempt(c context.Context, stop context.CancelCauseFunc, x *exchange, t selector.Choice) result {
 	if d := f.firstPartTimeout(x); d > 0 {
-		group := x.group
-
-		w := time.AfterFunc(d, func() { f.abandonSlow(t, group, stop) })
+		w := time.AfterFunc(d, f.slowAttempt(x, t, stop))
 		defer w.Stop()
 	}
 
@@ -106,15 +104,17 @@
 	return time.Duration(w * float64(x.rule.Latency))
 }
 
-// abandonSlow cancels an attempt that takes too long, if the call can be sent to another target.
-// Otherwise it lets the attempt continue, since a late answer is better than none. It is called by
-// a timer.
-func (f *Forwarder) abandonSlow(t selector.Choice, group string, stop context.CancelCauseFunc) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+// slowAttempt returns the function to call when the current attempt takes too long. It cancels the attempt if the call
+// can be sent to another target, and then consumes the retry budget for that. Otherwise it lets the attempt continue, since
+// a late answer is better than none. It may be called in another goroutine than the call's.
+func (f *Forwarder) slowAttempt(x *exchange, t selector.Choice, stop context.CancelCauseFunc) func() {
+	group, taken := x.group, &x.repeatTaken
 
-	if t.Usable > 1 && f.budgeter.CanRepeat(time.Now(), group, f.state.Instances()) {
-		stop(errSlow)
+	return func() {
+		if t.Usable > 1 && f.takeRepeat(group) {
+			taken.Store(true)
+			stop(errSlow)
+		}
 	}
 }
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -45,6 +46,8 @@
 	// the call was sent.
 	tried []string
 	sent  int
+	// repeatTaken is set when the retry budget for the next attempt has been consumed.
+	repeatTaken atomic.Bool
 	// excluded are those of tried that are not to be selected again. A target that this instance could not connect to
 	// may be selected for the call to be sent through another instance.
 	excluded []string
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -41,7 +41,7 @@
 	MarkLeaving(p discoverer.Process) bool
 	// Stalled reports whether this process was stalled at any time after since.
 	Stalled(since time.Time) bool
-	// Instances returns how many instances share the retry budget.
+	// Instances returns how many instances share the retry budget; zero means that this is not known yet.
 	Instances() int
 }
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -20,9 +20,7 @@
 
 // streamAttempt makes an attempt whose answer is relayed event by event.
 func (f *Forwarder) streamAttempt(c context.Context, stop context.CancelCauseFunc, x *exchange, t selector.Choice) result {
-	group := x.group
-
-	g := newStepTimer(func() { f.abandonSlow(t, group, stop) })
+	g := newStepTimer(f.slowAttempt(x, t, stop))
 	defer g.stop()
 
 	g.set(f.firstPartTimeout(x))
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	mathrand "math/rand/v2"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -107,7 +108,7 @@
 ) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, DefaultTimeout: defaultTimeout, MaxBody: maxBodyBytes, Regions: s.Regions},
-		w.Dialect, f, t, m, w.dialer(), newSelector(s, j), budgeter.New(s.Retries, time.Now()))
+		w.Dialect, f, t, m, w.dialer(), newSelector(s, j), newBudgeter(s, j))
 	x.SetReserver(h)
 	x.SetDelegates(n)
 	x.SetQuarantine(q)
@@ -126,6 +127,12 @@
 	return x
 }
 
+func newBudgeter(s Settings, j *joiner.Joiner) *budgeter.Budgeter {
+	r := mathrand.New(mathrand.NewPCG(j.Self().ID, 2)) //nolint:gosec // Draws shares of less than one repeat.
+
+	return budgeter.New(s.Retries, time.Now(), r)
+}
+
 // settledAfter is how long after its start an instance knows the other instances: by then it has
 // received several gossip messages.
 const settledAfter = 3 * time.Second
