--- a/internal/budgeter/replay_test.go
+++ b/internal/budgeter/replay_test.go
@@ -1,13 +1,16 @@
 package budgeter_test
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/budgeter"
+	"github.com/auburntray/auburntray/internal/estimator"
 )
 
 const (
@@ -20,6 +23,10 @@
 	joinTime = 500 * time.Millisecond
 	// centreCount is the number of data centres; instance i is in data centre i modulo that number.
 	centreCount = 3
+	// seedCount is the number of other instances that each instance is configured with.
+	seedCount = 3
+	// observeInterval is the interval at which an instance observes the others.
+	observeInterval = 300 * time.Millisecond
 )
 
 // fleet is a fleet of instances that is replayed.
@@ -37,44 +44,60 @@
 
 // process is an instance since its last start.
 type process struct {
-	budgeter *budgeter.Budgeter
-	started  time.Duration
-	highest  int
+	budgeter  *budgeter.Budgeter
+	estimator *estimator.Estimator
+	started   time.Duration
 }
 
-// known returns how many instances a process takes to share the budget.
-func (f *fleet) known(l []process, i int, at time.Duration) int {
-	n := 0
+// observe has process i observe the instances that it knows. The number of started instances of each data centre is live.
+func (f *fleet) observe(p *process, i int, live [centreCount]int, at time.Duration) {
+	known := map[string]int{centre(i): 1}
 
-	for k, p := range l {
-		if p.started <= at && (!f.cut || at < failAt || k%centreCount == i%centreCount) {
-			n++
+	if p.started == 0 || at-p.started >= joinTime {
+		for k, n := range live {
+			if !f.cut || at < failAt || k == i%centreCount {
+				known[centre(k)] = n
+			}
 		}
 	}
 
-	if l[i].started > 0 && at-l[i].started < joinTime {
-		n = 1
-	}
+	p.estimator.Observe(time.Unix(0, 0).Add(at), known, seedCount)
+}
 
-	l[i].highest = max(l[i].highest, n)
+// countLive returns the number of started processes of each data centre.
+func countLive(l []process, at time.Duration) [centreCount]int {
+	var o [centreCount]int
 
-	return l[i].highest
+	for i, p := range l {
+		if p.started <= at {
+			o[i%centreCount]++
+		}
+	}
+
+	return o
 }
 
+// centre returns the data centre of an instance.
+func centre(i int) string { return fmt.Sprint(i % centreCount) }
+
 // replay returns the times of the calls and of the repeats.
 func (f *fleet) replay(seed uint64) (calls, repeats []time.Duration) {
 	b := time.Unix(0, 0)
 	r := rand.New(rand.NewPCG(seed, 1))
-	start := func(at time.Duration) process {
-		return process{budgeter: budgeter.New(f.settings, b.Add(at), r), started: at}
+	start := func(i int, at time.Duration) process {
+		return process{
+			budgeter: budgeter.New(f.settings, b.Add(at), r), started: at,
+			estimator: estimator.New(b.Add(at), centre(i), []string{centre(0), centre(1), centre(2)}),
+		}
 	}
 
 	l := make([]process, f.instances)
 	for i := range l {
-		l[i] = start(0)
+		l[i] = start(i, 0)
 	}
 
 	kills := f.kills
+	observeAt := time.Duration(0)
 
 	for at := time.Duration(0); at < replayLength; at += time.Duration(r.ExpFloat64() / f.rate * float64(time.Second)) {
 		for len(kills) > 0 && at >= kills[0] {
@@ -82,7 +105,18 @@
 
 			for i := range l {
 				if r.Float64() < f.fraction {
-					l[i] = start(at + downTime)
+					l[i] = start(i, at+downTime)
+				}
+			}
+		}
+
+		if at >= observeAt {
+			observeAt = at + observeInterval
+			live := countLive(l, at)
+
+			for i := range l {
+				if l[i].started <= at {
+					f.observe(&l[i], i, live, at)
 				}
 			}
 		}
@@ -100,7 +134,7 @@
 		}
 
 		for range 2 {
-			if !l[i].budgeter.TryRepeat(b.Add(at), "g", f.known(l, i, at)) {
+			if !l[i].budgeter.TryRepeat(b.Add(at), "g", l[i].estimator.Instances(b.Add(at))) {
 				break
 			}
 
@@ -111,17 +145,12 @@
 	return calls, repeats
 }
 
-// count returns how many of the times are in a window that begins at from.
+// count returns how many of the times, which are in ascending order, are in a window that begins at from.
 func count(l []time.Duration, from, window time.Duration) float64 {
-	n := 0
-
-	for _, at := range l {
-		if at >= from && at < from+window {
-			n++
-		}
-	}
+	b, _ := slices.BinarySearch(l, from)
+	e, _ := slices.BinarySearch(l, from+window)
 
-	return float64(n)
+	return float64(e - b)
 }
 
 // worstShare returns the largest number of repeats in a window as a fraction of the allowed one, which counts the calls of
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -34,6 +34,7 @@
 	drainer       *drainer.Drainer
 	messenger     *messenger.Messenger
 	joiner        *joiner.Joiner
+	fleet         *fleet
 	advertiser    *advertiser.Advertiser
 	replicator    *replicator.Replicator
 	negotiator    *negotiator.Negotiator
--- a/internal/gatekeeper/members.go
+++ b/internal/gatekeeper/members.go
@@ -5,8 +5,6 @@
 	mathrand "math/rand/v2"
 	"net"
 	"net/netip"
-	"sync"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/fx"
@@ -56,42 +54,9 @@
 		OnNewerRevision: func(netip.AddrPort, uint64) {},
 		OnTargetChange:  func(recorder.Instance) {},
 	})
-	f.instances = (&peak{count: func() int { return len(j.Live()) }, window: instancePeakWindow}).value
-
 	return j
 }
 
 func newRepeater(s Settings, m *messenger.Messenger, j *joiner.Joiner, c *meter.Meter) *repeater.Repeater {
 	return repeater.New(m, j, c, s.linkRate())
 }
-
-// instancePeakWindow is how long the largest observed number of instances is retained. The
-// retry budget is divided among that many instances. Instances that this one can't reach may still be
-// running and use their parts of the budget, so the instances in a partitioned data centre must not
-// use these parts as well.
-const instancePeakWindow = time.Minute
-
-// peak tracks the largest number of instances observed within a window. It is safe for concurrent
-// use.
-type peak struct {
-	count  func() int
-	window time.Duration
-
-	mu      sync.Mutex
-	highest int
-	// at is when highest was last set.
-	at time.Time
-}
-
-func (p *peak) value() int {
-	n := p.count()
-
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	if n >= p.highest || time.Since(p.at) > p.window {
-		p.highest, p.at = n, time.Now()
-	}
-
-	return p.highest
-}
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -23,7 +23,6 @@
 	"github.com/auburntray/auburntray/internal/replicator"
 	"github.com/auburntray/auburntray/internal/reserver"
 	"github.com/auburntray/auburntray/internal/selector"
-	"github.com/auburntray/auburntray/internal/throttler"
 	"github.com/auburntray/auburntray/internal/tracer"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -56,7 +55,7 @@
 func Options(s Settings, w Environment) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newRepeater, newReserver, newReplicator, newNegotiator, newForwarder, newGatekeeper),
+		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newFleet, newRepeater, newReserver, newReplicator, newNegotiator, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		// A process that stalls during its start must not exit because of that.
 		fx.StartTimeout(lifecycleTimeout),
@@ -104,11 +103,11 @@
 }
 
 func newForwarder(
-	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator, n *negotiator.Negotiator,
+	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator, n *negotiator.Negotiator, k *fleet,
 ) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, DefaultTimeout: defaultTimeout, MaxBody: maxBodyBytes, Regions: s.Regions},
-		w.Dialect, f, t, m, w.dialer(), newSelector(s, j), newBudgeter(s, j))
+		w.Dialect, f, t, m, w.dialer(), newSelector(s, k), newBudgeter(s, j))
 	x.SetReserver(h)
 	x.SetDelegates(n)
 	x.SetQuarantine(q)
@@ -133,27 +132,9 @@
 	return budgeter.New(s.Retries, time.Now(), r)
 }
 
-// settledAfter is how long after its start an instance knows the other instances: by then it has
-// received several gossip messages.
-const settledAfter = 3 * time.Second
-
-// shareRetention is how long instances that have disappeared retain their shares of the calls at cold
-// targets, since they may be on the other side of a network partition and use the shares there. It is
-// longer than most network partitions last.
-const shareRetention = time.Hour
-
-func newSelector(s Settings, j *joiner.Joiner) *selector.Selector {
-	b := time.Now()
-	p := &peak{count: func() int { return max(len(j.Live()), len(j.Seeds())) }, window: shareRetention}
+func newSelector(s Settings, f *fleet) *selector.Selector {
 	c := selector.New(selector.DefaultSettings().WithMaxFactor(s.MaxFactor))
-	c.ConfigureThrottling(s.Cold, func() throttler.Fleet {
-		o := throttler.Fleet{Self: j.Self().ID, MaxInstances: p.value(), Settled: time.Since(b) >= settledAfter}
-		for _, m := range j.Live() {
-			o.Live = append(o.Live, m.ID)
-		}
-
-		return o
-	})
+	c.ConfigureThrottling(s.Cold, f.throttled)
 
 	return c
 }
@@ -168,6 +149,7 @@
 	Forwarder   *forwarder.Forwarder
 	Messenger   *messenger.Messenger
 	Joiner      *joiner.Joiner
+	Fleet       *fleet
 	Repeater    *repeater.Repeater
 	Replicator  *replicator.Replicator
 	Negotiator  *negotiator.Negotiator
@@ -197,7 +179,7 @@
 	x.OnRefusal(i.NotifyRefusal)
 
 	g := &Gatekeeper{
-		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, advertiser: i, replicator: p.Replicator, negotiator: p.Negotiator, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, negotiator: p.Negotiator, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, handlers{
 				newEraHandler(func() {
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -40,6 +40,7 @@
 	g.runInBackground(func() { runEvery(x, partitionCheckInterval, func() { g.forwarder.CheckConnectivity(x) }) })
 	g.runInBackground(func() { runEvery(x, detector.TickInterval, g.state.recordTick) })
 	g.runInBackground(func() { runEvery(x, idleSweepInterval, func() { g.reaper.Sweep() }) })
+	g.runInBackground(func() { runEvery(x, fleetInterval, g.fleet.observe) })
 	g.messenger.Serve()
 	g.runInBackground(func() { g.joiner.Run(x) })
 	g.runInBackground(func() { g.advertiser.Run(x) })
