--- a/internal/discoverer/target.go
+++ b/internal/discoverer/target.go
@@ -16,6 +16,8 @@
 	DataCentre string
 	// Slots is the number of calls that the target can run at a time, as its entry states; may be zero.
 	Slots int
+	// Version is the version of the target's software, as its entry states it; empty if that is unknown.
+	Version string
 	// Draining is set when the entry states that the target is leaving and accepts no new calls.
 	Draining bool
 	// Leaving is set when the process announced in an answer that it is leaving, whatever its
--- a/internal/forwarder/dialect.go
+++ b/internal/forwarder/dialect.go
@@ -33,6 +33,8 @@
 	// LastEvent is the ID of the event after which a stream resumes; empty for a stream from its
 	// start.
 	LastEvent string
+	// Resumes is the ID of the call that brought the first event of the stream that is resumed; empty if not stated.
+	Resumes string
 }
 
 // Prompt describes the prompt of a call as a sequence of parts.
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -87,6 +87,9 @@
 	mayHaveRun bool
 	// relayed is set when a part of the answer has been sent to the caller.
 	relayed bool
+	// firstVersion is the software version of the target that began the stream; empty if there is none yet or it is
+	// unknown.
+	firstVersion string
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// firstPart is the time from the start of the call to the first part of the answer; longestGap
@@ -224,10 +227,20 @@
 		l["bound"] = int(x.choice.Bound)
 		l["usable"] = x.choice.Usable
 		l["held"] = x.choice.Cached
+		l["targetVersion"] = x.choice.Target.Version
 		l["room"] = x.reservation.verdict.Outcome
 		l["counted"] = x.reservation.verdict.Calls
 	}
 
+	if x.call.LastEvent != "" {
+		l["resumes"] = x.call.Resumes
+		l["resumesAfter"] = x.call.LastEvent
+	}
+
+	if x.firstVersion != "" {
+		l["firstVersion"] = x.firstVersion
+	}
+
 	if x.reply.Leaving {
 		l["saysLeaving"] = true
 	}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -67,6 +67,10 @@
 			return result{err: errors.Mark(err, errCallerLeft), outcome: selector.Inconclusive}
 		}
 
+		if x.lastEvent == "" {
+			x.firstVersion = t.Target.Version
+		}
+
 		x.lastEvent = id
 
 		if !s.Ready() {
--- a/internal/gatekeeper/target_handler.go
+++ b/internal/gatekeeper/target_handler.go
@@ -168,7 +168,7 @@
 		if (!ok || o.Draining != t.Draining) && (!wasInvalid || h.reporter.allowLine()) {
 			logrus.WithFields(logrus.Fields{
 				"event": "targetListed", "target": t.ID, "group": t.Group, "address": t.Address,
-				"draining": t.Draining, "offset": offset,
+				"draining": t.Draining, "version": t.Version, "offset": offset,
 			}).Info()
 		}
 
