--- a/internal/discoverer/registry.go
+++ b/internal/discoverer/registry.go
@@ -79,6 +79,11 @@
 	return ok && !x.Moved(t) && slices.Contains(r.Groups[x.Group], x)
 }
 
+// HasVersion reports whether a target of a group with a software version accepts new calls.
+func (r *Registry) HasVersion(group string, v Version) bool {
+	return slices.ContainsFunc(r.Groups[group], func(t *Target) bool { return t.SoftwareVersion() == v })
+}
+
 // HasLeaving reports whether any target of a group is leaving.
 func (r *Registry) HasLeaving(group string) bool {
 	for _, t := range r.Known {
--- a/internal/discoverer/target.go
+++ b/internal/discoverer/target.go
@@ -38,9 +38,22 @@
 	coldUntil, firstSeen time.Time
 	// key, rank and centre are hashes, computed when the target is entered, since each selection
 	// uses them for each target.
-	key    Key
-	rank   uint64
-	centre uint32
+	key             Key
+	rank            uint64
+	centre          uint32
+	softwareVersion Version
+}
+
+// Version identifies a version of the software of targets. Zero is unknown.
+type Version uint64
+
+// VersionOf returns the Version with a name, and zero for the empty name.
+func VersionOf(name string) Version {
+	if name == "" {
+		return 0
+	}
+
+	return Version(hasher.Key(name))
 }
 
 // ColdUnknown is the cold time of a target whose entry does not state it.
@@ -92,6 +105,9 @@
 // Centre returns the hash of the target's data centre. It is zero for a target that is in no registry.
 func (t *Target) Centre() uint32 { return t.centre }
 
+// SoftwareVersion returns the version of the target's software. It is zero for a target that is in no registry.
+func (t *Target) SoftwareVersion() Version { return t.softwareVersion }
+
 // IsLeaving reports whether the target is leaving, by its entry or by its own announcement.
 func (t *Target) IsLeaving() bool { return t.Draining || t.Leaving }
 
@@ -106,6 +122,7 @@
 	t.key = t.Process().Key()
 	t.rank = uint64(hasher.Name(t.ID))
 	t.centre = hasher.Name(t.DataCentre)
+	t.softwareVersion = VersionOf(t.Version)
 
 	return &t
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -40,6 +40,10 @@
 
 	f.countCall(x.group)
 
+	if err := f.findVersion(c, x); err != nil {
+		return err
+	}
+
 	if err := f.admit(x); err != nil {
 		return err
 	}
@@ -106,7 +110,7 @@
 		return false
 	}
 
-	if x.relayed && x.lastEvent == "" {
+	if x.relayed && x.lastEvent == "" || !x.mayGoOn() {
 		return false
 	}
 
@@ -167,6 +171,8 @@
 	backoff := f.remainingBackoff(x, r)
 
 	switch {
+	case x.version != 0 && !r.HasVersion(x.group, x.version):
+		return refuse(http.StatusServiceUnavailable, VersionGone, noTargetWait, "no target of the software version that began the stream accepts calls")
 	case len(r.Groups[x.group]) == 0 && len(r.Evacuated[x.group]) > 0:
 		return refuse(http.StatusServiceUnavailable, Evacuated, evacuatedWait, "all data centres with targets are evacuated")
 	case len(r.Groups[x.group]) == 0 && r.HasLeaving(x.group):
@@ -211,6 +217,7 @@
 	x.attemptStart = time.Now()
 
 	if x.rule.Kind == cataloger.Stream {
+		f.bindStream(x, t)
 		r = f.streamAttempt(c, stop, x, t)
 	} else {
 		r = f.bufferedAttempt(c, stop, x, t)
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -13,7 +13,9 @@
 	"github.com/auburntray/auburntray/internal/admitter"
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/digester"
+	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/pinner"
 	"github.com/auburntray/auburntray/internal/selector"
 )
 
@@ -87,9 +89,12 @@
 	mayHaveRun bool
 	// relayed is set when a part of the answer has been sent to the caller.
 	relayed bool
-	// firstVersion is the software version of the target that began the stream; empty if there is none yet or it is
-	// unknown.
-	firstVersion string
+	// stream identifies the stream, whichever calls bring its events; zero if the call is none or does not state which one
+	// it resumes.
+	stream pinner.Stream
+	// version is the software version of the target that began the stream; zero if there is no event yet or the version
+	// is unknown. Only targets of that version may go on with the stream.
+	version discoverer.Version
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// firstPart is the time from the start of the call to the first part of the answer; longestGap
@@ -143,7 +148,7 @@
 func (x *exchange) query(s Settings, r selector.Route) selector.Query {
 	q := selector.Query{
 		Route: r, Prefixes: x.sharedPrefixes, DataCentre: s.DataCentre, Tried: x.tried, Draw: hasher.Key(x.call.ID),
-		Customer: hasher.Key(x.customer), Centres: x.allowedCentres(s.Regions),
+		Customer: hasher.Key(x.customer), Centres: x.allowedCentres(s.Regions), Version: x.version,
 	}
 
 	if r == selector.Delegated {
@@ -232,14 +237,7 @@
 		l["counted"] = x.reservation.verdict.Calls
 	}
 
-	if x.call.LastEvent != "" {
-		l["resumes"] = x.call.Resumes
-		l["resumesAfter"] = x.call.LastEvent
-	}
-
-	if x.firstVersion != "" {
-		l["firstVersion"] = x.firstVersion
-	}
+	x.addStreamFields(l)
 
 	if x.reply.Leaving {
 		l["saysLeaving"] = true
@@ -260,3 +258,15 @@
 
 	return l
 }
+
+// addStreamFields adds the log fields about the software version that began a stream.
+func (x *exchange) addStreamFields(l logrus.Fields) {
+	if x.call.LastEvent != "" {
+		l["resumes"] = x.call.Resumes
+		l["resumesAfter"] = x.call.LastEvent
+	}
+
+	if x.version != 0 {
+		l["streamVersion"] = uint64(x.version)
+	}
+}
--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -387,7 +387,7 @@
 		x.id = "t" + strconv.Itoa(i)
 		// Only the first target is in the gateway's data centre, so it is selected first.
 		e.Set(discoverer.Target{
-			ID: x.id, Group: "g", Address: x.listen(t), DataCentre: "dc" + strconv.Itoa(i), Slots: 8, Start: time.UnixMilli(1_700_000_000_000),
+			ID: x.id, Group: "g", Address: x.listen(t), DataCentre: "dc" + strconv.Itoa(i), Slots: 8, Version: "v1", Start: time.UnixMilli(1_700_000_000_000),
 		})
 	}
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -93,6 +93,8 @@
 	// delegates are the instances through which calls are sent to targets that this one does not reach; nil if there are
 	// none.
 	delegates Delegates
+	// binder keeps the software versions that began streams; nil if streams may go on at any version.
+	binder StreamBinder
 	// quarantine records the calls that were running when targets crashed; nil disables it.
 	quarantine Quarantine
 
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -60,6 +60,8 @@
 	TargetsCold       Reason = "targetsCold"
 	TargetsLeaving    Reason = "targetsLeaving"
 	TargetsBackingOff Reason = "targetsResting"
+	UnknownVersion    Reason = "unknownVersion"
+	VersionGone       Reason = "versionGone"
 )
 
 // Refusal is the gateway's own answer to a call that it does not forward, or stops trying to. A refusal
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -68,7 +68,7 @@
 		}
 
 		if x.lastEvent == "" {
-			x.firstVersion = t.Target.Version
+			x.version = t.Target.SoftwareVersion()
 		}
 
 		x.lastEvent = id
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	mathrand "math/rand/v2"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/trace"
@@ -10,6 +12,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/auburntray/auburntray/internal/advertiser"
+	"github.com/auburntray/auburntray/internal/binder"
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/drainer"
@@ -55,7 +58,7 @@
 func Options(s Settings, w Environment) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newFleet, newRepeater, newReserver, newReplicator, newNegotiator, newForwarder, newGatekeeper),
+		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newFleet, newRepeater, newReserver, newReplicator, newNegotiator, newBinder, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		// A process that stalls during its start must not exit because of that.
 		fx.StartTimeout(lifecycleTimeout),
@@ -95,6 +98,14 @@
 	return n
 }
 
+func newBinder(s Settings, f *state, m *messenger.Messenger, j *joiner.Joiner) *binder.Binder {
+	b := binder.New(m, j, slices.Collect(maps.Keys(s.Regions)), f.targetsFresh)
+	m.Handle(wire.KindStreamVersions, b.HandleVersions)
+	m.Handle(wire.KindVersion, b.HandleRequest)
+
+	return b
+}
+
 func newReplicator(w Environment, m *messenger.Messenger, j *joiner.Joiner) *replicator.Replicator {
 	x := replicator.New(m, j, w.Quarantine, quarantiner.DefaultSettings())
 	x.Register(m)
@@ -103,18 +114,20 @@
 }
 
 func newForwarder(
-	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator, n *negotiator.Negotiator, k *fleet,
+	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator, n *negotiator.Negotiator, k *fleet, v *binder.Binder,
 ) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, DefaultTimeout: defaultTimeout, MaxBody: maxBodyBytes, Regions: s.Regions},
 		w.Dialect, f, t, m, w.dialer(), newSelector(s, k), newBudgeter(s, j))
 	x.SetReserver(h)
 	x.SetDelegates(n)
+	x.SetBinder(v)
 	x.SetQuarantine(q)
 	q.OnCrashes(x.RecordCrashes)
 	f.onRegistryChange = func(r *discoverer.Registry) {
 		x.Prune(r)
 		h.Prune(r)
+		v.Observe(r)
 	}
 
 	l.Append(fx.Hook{OnStop: func(context.Context) error {
@@ -153,6 +166,7 @@
 	Repeater    *repeater.Repeater
 	Replicator  *replicator.Replicator
 	Negotiator  *negotiator.Negotiator
+	Binder      *binder.Binder
 	Meter       *meter.Meter
 }
 
@@ -164,7 +178,7 @@
 	// Target entries are short, so transmitting them to all instances takes negligible time.
 	d, e := watcher.WaitBudget(s.applyWithin()), s.applyWithin()
 	c, t := r.AddStream(config, w.Config, d), r.AddStream(targets, w.Targets, e)
-	f.lastConfirmed = c.ConfirmedAt
+	f.lastConfirmed, f.targetsConfirmed = c.ConfirmedAt, t.ConfirmedAt
 	m.Handle(wire.KindStream, r.Answer)
 	m.Handle(wire.KindGossip, j.HandleGossip)
 
@@ -203,12 +217,14 @@
 	g.stopTimeout.Store(int64(s.StopTimeout))
 	g.createServers(w.ReadyPath, p.Meter)
 	g.registerMetrics(p.Meter)
+	p.Meter.RegisterGauge("streams_bound", func() float64 { return float64(p.Binder.Len()) })
 
 	for name, k := range map[string]wire.Kind{
 		"news": wire.KindUpdate, "relay": wire.KindUpdateRelay, "gone": wire.KindGone, "leaving": wire.KindLeaving, "gossip": wire.KindGossip, "reply": wire.KindReply,
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
 		"trial": wire.KindTrial, "capacity": wire.KindCapacity, "delegation": wire.KindDelegation,
+		"stream_versions": wire.KindStreamVersions, "version": wire.KindVersion,
 	} {
 		p.Meter.RegisterGauge("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/gatekeeper/state.go
+++ b/internal/gatekeeper/state.go
@@ -28,6 +28,8 @@
 	detector *detector.Detector
 	// lastConfirmed returns when the platform last confirmed the catalog.
 	lastConfirmed func() time.Time
+	// targetsConfirmed returns when the platform last confirmed the list of targets.
+	targetsConfirmed func() time.Time
 	// applyWithin is the time within which changes are in force at all instances.
 	applyWithin time.Duration
 	// eraBegan is when a new era of the configuration's stream was noticed; nil if none was.
@@ -101,6 +103,11 @@
 	return time.Since(s.lastConfirmed()) < time.Duration(freshFraction*float64(s.applyWithin))
 }
 
+// targetsFresh reports whether the list of targets is up to date.
+func (s *state) targetsFresh() bool {
+	return time.Since(s.targetsConfirmed()) < s.applyWithin
+}
+
 // Stalled implements forwarder.ClusterState.
 func (s *state) Stalled(since time.Time) bool { return s.detector.Stalled(time.Now(), since) }
 
--- /dev/null
+++ b/internal/pinner/pinner.go
@@ -0,0 +1,277 @@
+// Package pinner decides at which software version a stream may go on: only at the version of the target that began it.
+// What two versions write does not fit together, and targets do not check it.
+//
+// Load pattern: two versions serve side by side, instances are killed with their streams, and the callers resume these at
+// other instances, all at once. An instance that is asked knows the version from a note that the first instance has sent
+// before the stream began, or because the group has had one version alone for longer than any stream lasts.
+package pinner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/discoverer"
+)
+
+const (
+	// retention is how long the version of a stream is kept, and how long a version counts as in use after its last
+	// target has disappeared. It is longer than callers go on with a stream.
+	retention = time.Minute
+	// recentTime is how old the notes are that are sent when a second version appears: older streams have ended.
+	recentTime = 20 * time.Second
+	// maxNotes bounds the memory of the notes to a few megabytes. Above it the oldest are dropped.
+	maxNotes = 1 << 16
+)
+
+// Stream identifies a stream, whichever calls bring its events. Zero is no stream.
+type Stream uint64
+
+// Note is the software version that began a stream.
+type Note struct {
+	Stream  Stream
+	Version discoverer.Version
+	// Attempt counts the targets at which the stream was begun; of two notes the one with more attempts is valid.
+	Attempt int
+}
+
+// record is a note with the time of its arrival.
+type record struct {
+	Note
+
+	group string
+	own   bool
+	at    time.Time
+}
+
+// use holds the versions of a group.
+type use struct {
+	listed map[discoverer.Version]bool
+	// gone holds when the last targets of other versions disappeared.
+	gone map[discoverer.Version]time.Time
+}
+
+// Pinner holds the notes and the versions that are in use. It is not safe for concurrent use.
+type Pinner struct {
+	notes map[Stream]record
+	// order holds the streams by the time of their first note.
+	order []record
+	// since is when the targets were first observed.
+	since  time.Time
+	groups map[string]*use
+}
+
+// New returns a Pinner without notes.
+func New() *Pinner {
+	return &Pinner{notes: make(map[Stream]record), groups: make(map[string]*use)}
+}
+
+// Record records a note of another instance, unless a later one is known.
+func (p *Pinner) Record(now time.Time, n Note) {
+	p.record(record{Note: n, at: now})
+}
+
+// RecordOwn records that this instance begins a stream of a group.
+func (p *Pinner) RecordOwn(now time.Time, group string, n Note) {
+	p.record(record{Note: n, group: group, own: true, at: now})
+}
+
+func (p *Pinner) record(r record) {
+	p.expire(r.at)
+
+	o, ok := p.notes[r.Stream]
+	if ok && o.Attempt > r.Attempt {
+		return
+	}
+
+	if !ok {
+		p.order = append(p.order, r)
+	}
+
+	p.notes[r.Stream] = r
+}
+
+// expire drops the notes that are older than retention, and the oldest if there are too many.
+func (p *Pinner) expire(now time.Time) {
+	i := 0
+	for i < len(p.order) && (now.Sub(p.order[i].at) >= retention || len(p.order)-i >= maxNotes) {
+		delete(p.notes, p.order[i].Stream)
+		i++
+	}
+
+	p.order = p.order[i:]
+}
+
+// Find returns the note of a stream.
+func (p *Pinner) Find(now time.Time, s Stream) (Note, bool) {
+	r, ok := p.notes[s]
+
+	return r.Note, ok && now.Sub(r.at) < retention
+}
+
+// Len returns the number of notes.
+func (p *Pinner) Len() int { return len(p.notes) }
+
+// Recent returns the notes of the streams of a group that this instance began not long ago.
+func (p *Pinner) Recent(now time.Time, group string) []Note {
+	var o []Note
+
+	for _, x := range p.order {
+		if r := p.notes[x.Stream]; r.own && r.group == group && now.Sub(r.at) < recentTime {
+			o = append(o, r.Note)
+		}
+	}
+
+	return o
+}
+
+// Observe records the versions in a registry, and returns the groups that have more than one version since.
+func (p *Pinner) Observe(now time.Time, r *discoverer.Registry) []string {
+	if p.since.IsZero() {
+		p.since = now
+	}
+
+	mixed := p.mixedGroups(now)
+	listed := make(map[string]map[discoverer.Version]bool)
+
+	for _, t := range r.Known {
+		if listed[t.Group] == nil {
+			listed[t.Group] = make(map[discoverer.Version]bool)
+		}
+
+		listed[t.Group][t.SoftwareVersion()] = true
+	}
+
+	for g := range listed {
+		if p.groups[g] == nil {
+			p.groups[g] = &use{gone: make(map[discoverer.Version]time.Time)}
+		}
+	}
+
+	for g, u := range p.groups {
+		u.replace(now, listed[g])
+	}
+
+	var o []string
+
+	for g := range p.mixedGroups(now) {
+		if !mixed[g] {
+			o = append(o, g)
+		}
+	}
+
+	return o
+}
+
+func (u *use) replace(now time.Time, listed map[discoverer.Version]bool) {
+	for v := range u.listed {
+		if !listed[v] {
+			u.gone[v] = now
+		}
+	}
+
+	for v := range listed {
+		delete(u.gone, v)
+	}
+
+	u.listed = listed
+}
+
+func (p *Pinner) mixedGroups(now time.Time) map[string]bool {
+	o := make(map[string]bool)
+
+	for g := range p.groups {
+		if p.Mixed(now, g) {
+			o[g] = true
+		}
+	}
+
+	return o
+}
+
+// Mixed reports whether several versions of a group are in use, so that others must be told at which of them a stream
+// begins.
+func (p *Pinner) Mixed(now time.Time, group string) bool {
+	return len(p.Versions(now, group)) > 1
+}
+
+// Versions returns the versions of a group that are in use, in ascending order.
+func (p *Pinner) Versions(now time.Time, group string) []discoverer.Version {
+	u := p.groups[group]
+	if u == nil {
+		return nil
+	}
+
+	o := slices.Collect(maps.Keys(u.listed))
+
+	for v, at := range u.gone {
+		if now.Sub(at) < retention {
+			o = append(o, v)
+		} else {
+			delete(u.gone, v)
+		}
+	}
+
+	slices.Sort(o)
+
+	return o
+}
+
+// Sole returns the version of a group if it is the only one in use and known. The result complete reports that this instance
+// has observed the targets for longer than any stream lasts.
+func (p *Pinner) Sole(now time.Time, group string) (v discoverer.Version, complete bool) {
+	if l := p.Versions(now, group); len(l) == 1 {
+		v = l[0]
+	}
+
+	return v, v != 0 && now.Sub(p.since) >= retention
+}
+
+// View is what an instance knows of a stream and of the versions of its group.
+type View struct {
+	DataCentre string
+	Note       Note
+	// Found reports that there is a note.
+	Found bool
+	// Versions are those in use.
+	Versions []discoverer.Version
+}
+
+// Decide returns the version at which a stream goes on, by what this instance and others know, and false if it is not
+// certain. The parameter fresh reports that the list of targets of this instance is up to date, and centres are the data
+// centres of all instances.
+//
+// Without a note, the stream goes on if the group has one version, of which nobody who answers knows another. An instance
+// whose list may be old needs an answer from each data centre: another version may have appeared there.
+func Decide(own View, others []View, centres []string, fresh bool) (discoverer.Version, bool) {
+	best := own
+	answered := map[string]bool{own.DataCentre: true}
+
+	for _, v := range others {
+		answered[v.DataCentre] = true
+
+		if v.Found && (!best.Found || v.Note.Attempt > best.Note.Attempt) {
+			best = v
+		}
+	}
+
+	if best.Found {
+		return best.Note.Version, best.Note.Version != 0
+	}
+
+	if len(own.Versions) != 1 || own.Versions[0] == 0 {
+		return 0, false
+	}
+
+	for _, v := range others {
+		if slices.ContainsFunc(v.Versions, func(x discoverer.Version) bool { return x != own.Versions[0] }) {
+			return 0, false
+		}
+	}
+
+	if !fresh && slices.ContainsFunc(centres, func(c string) bool { return !answered[c] }) {
+		return 0, false
+	}
+
+	return own.Versions[0], true
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -95,6 +95,8 @@
 	Sharded bool
 	// Centres are the data centres that the call may be sent to; nil permits all.
 	Centres map[string]bool
+	// Version is the software version of the targets that the call may be sent to; zero permits all.
+	Version discoverer.Version
 	// ColdRate is how many calls a second a cold target of the group can serve; zero means no bound. ColdFor
 	// is how long a target is cold after its start.
 	ColdRate float64
@@ -112,6 +114,15 @@
 	return q.Centres == nil || q.Centres[t.DataCentre]
 }
 
+// ofVersion returns the targets of the software version that the call requires.
+func (q *Query) ofVersion(l []*discoverer.Target) []*discoverer.Target {
+	if q.Version == 0 {
+		return l
+	}
+
+	return slices.DeleteFunc(slices.Clone(l), func(t *discoverer.Target) bool { return t.SoftwareVersion() != q.Version })
+}
+
 // Choice is the target selected for a call.
 type Choice struct {
 	Target *discoverer.Target
@@ -203,7 +214,7 @@
 // Choose selects a target of a group for a call and counts the call at throttled or recovering targets. It
 // returns false if the group has no target that may be used.
 func (s *Selector) Choose(now time.Time, r *discoverer.Registry, group string, q Query) (Choice, bool) {
-	g := r.Groups[group]
+	g := q.ofVersion(r.Groups[group])
 	if q.Sharded {
 		g = sharder.Shard(q.Customer, g)
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation DelegationRequest DelegationGrant Capacity
+//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation DelegationRequest DelegationGrant Capacity StreamVersions StreamVersion VersionRequest VersionReply
 
 // The decoder allocates a list from its declared length before it reads the elements. Without a
 // limit, a message of ten bytes that declares 2^32 elements would exhaust the receiver's memory.
@@ -73,6 +73,10 @@
 	KindDelegation
 	// KindCapacity reports how many calls a target takes while it is brittle.
 	KindCapacity
+	// KindStreamVersions reports the software versions that began streams.
+	KindStreamVersions
+	// KindVersion requests the software version that began a stream.
+	KindVersion
 	// Kinds is the number of kinds.
 	Kinds
 )
@@ -513,3 +517,31 @@
 	Calls       uint32
 	MaxRefusals uint32
 }
+
+// StreamVersions reports the software versions of the targets that began streams.
+type StreamVersions struct {
+	Streams []StreamVersion
+}
+
+// StreamVersion is the software version of the target that began a stream, both as hashes. Of two reports on a stream the
+// one with the higher Attempt is valid.
+type StreamVersion struct {
+	Stream  uint64
+	Version uint64
+	Attempt uint32
+}
+
+// VersionRequest requests what the receiver knows of a stream and of the software versions of its group.
+type VersionRequest struct {
+	Stream uint64
+	Group  string
+}
+
+// VersionReply is the reply to a VersionRequest. Found reports that Version and Attempt are those of the stream. Versions
+// are those of the group that are in use.
+type VersionReply struct {
+	Found    bool
+	Version  uint64
+	Attempt  uint32
+	Versions []uint64
+}
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -5480,6 +5480,295 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StreamVersion) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stream, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.Version, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z StreamVersion) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Stream)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteUint32(z.Attempt)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z StreamVersion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Stream)
+	o = msgp.AppendUint64(o, z.Version)
+	o = msgp.AppendUint32(o, z.Attempt)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamVersion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Stream, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z StreamVersion) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamVersions) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Streams) >= int(zb0002) {
+		z.Streams = (z.Streams)[:zb0002]
+	} else {
+		z.Streams = make([]StreamVersion, zb0002)
+	}
+	for za0001 := range z.Streams {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
+		if zb0003 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Streams[za0001].Stream, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Stream")
+			return
+		}
+		z.Streams[za0001].Version, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Version")
+			return
+		}
+		z.Streams[za0001].Attempt, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Attempt")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamVersions) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Streams)))
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	for za0001 := range z.Streams {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Streams[za0001].Stream)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Stream")
+			return
+		}
+		err = en.WriteUint64(z.Streams[za0001].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Version")
+			return
+		}
+		err = en.WriteUint32(z.Streams[za0001].Attempt)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Attempt")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamVersions) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
+	for za0001 := range z.Streams {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Streams[za0001].Stream)
+		o = msgp.AppendUint64(o, z.Streams[za0001].Version)
+		o = msgp.AppendUint32(o, z.Streams[za0001].Attempt)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamVersions) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Streams) >= int(zb0002) {
+		z.Streams = (z.Streams)[:zb0002]
+	} else {
+		z.Streams = make([]StreamVersion, zb0002)
+	}
+	for za0001 := range z.Streams {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Streams[za0001].Stream, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Stream")
+			return
+		}
+		z.Streams[za0001].Version, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Version")
+			return
+		}
+		z.Streams[za0001].Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Attempt")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamVersions) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Streams) * (24 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint32Size))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Suspect) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -6826,3 +7115,261 @@
 	s = 1 + msgp.Uint32Size + msgp.Uint64Size + msgp.Uint8Size + msgp.Uint32Size
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *VersionReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Found, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Found")
+		return
+	}
+	z.Version, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
+	} else {
+		z.Versions = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Versions {
+		z.Versions[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *VersionReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Found)
+	if err != nil {
+		err = msgp.WrapError(err, "Found")
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteUint32(z.Attempt)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Versions)))
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	for za0001 := range z.Versions {
+		err = en.WriteUint64(z.Versions[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *VersionReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendBool(o, z.Found)
+	o = msgp.AppendUint64(o, z.Version)
+	o = msgp.AppendUint32(o, z.Attempt)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0001 := range z.Versions {
+		o = msgp.AppendUint64(o, z.Versions[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VersionReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Found, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Found")
+		return
+	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
+	} else {
+		z.Versions = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Versions {
+		z.Versions[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *VersionReply) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.Uint64Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Uint64Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *VersionRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Stream, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.Group, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z VersionRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Stream)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	err = en.WriteString(z.Group)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z VersionRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Stream)
+	o = msgp.AppendString(o, z.Group)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VersionRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Stream, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stream")
+		return
+	}
+	z.Group, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z VersionRequest) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Group)
+	return
+}
