--- /dev/null
+++ b/internal/binder/replay_test.go
@@ -0,0 +1,328 @@
+package binder_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/binder"
+	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/pinner"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const (
+	centreCount = 4
+	// delay is the time of a message between two instances.
+	delay = time.Millisecond
+)
+
+// fleet connects instances without a network.
+type fleet struct {
+	members   []gossiper.Member
+	instances []*binder.Binder
+	// fresh reports, by instance, whether its list of targets is up to date.
+	fresh []bool
+	// cut cuts the data centres off from each other, and stopped are instances that do not reply.
+	cut     bool
+	stopped map[int]bool
+	// messages and bytes are those of all instances.
+	messages, bytes int
+}
+
+func newFleet(number int) *fleet {
+	f := &fleet{stopped: make(map[int]bool)}
+
+	for n := range number {
+		f.members = append(f.members, gossiper.Member{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n / 256), byte(n)}), 80), DataCentre: fmt.Sprint(n % centreCount),
+		})
+		f.instances = append(f.instances, nil)
+		f.fresh = append(f.fresh, true)
+		f.start(n)
+	}
+
+	return f
+}
+
+// start starts an instance, again if it was running. Its process then has another ID and knows nothing.
+func (f *fleet) start(n int) {
+	var l []string
+	for c := range centreCount {
+		l = append(l, fmt.Sprint(c))
+	}
+
+	f.members[n].ID = rand.Uint64()
+	f.instances[n] = binder.New(view{f, n}, view{f, n}, l, func() bool { return f.fresh[n] })
+}
+
+// observe has all instances observe targets of the given versions.
+func (f *fleet) observe(versions ...string) {
+	for _, b := range f.instances {
+		b.Observe(registry(versions...))
+	}
+}
+
+func registry(versions ...string) *discoverer.Registry {
+	d := discoverer.New(discoverer.DefaultSettings())
+	for i, v := range versions {
+		d.Set(discoverer.Target{ID: fmt.Sprint(i), Group: "g", Version: v})
+	}
+
+	return d.Registry()
+}
+
+// view is the fleet as seen by one instance.
+type view struct {
+	*fleet
+
+	number int
+}
+
+func (v view) Live() []gossiper.Member { return v.members }
+func (v view) Self() gossiper.Member   { return v.members[v.number] }
+
+// receiver returns the instance at an address, and false if this one does not reach it.
+func (v view) receiver(a netip.AddrPort) (int, bool) {
+	for n, m := range v.members {
+		if m.Address == a {
+			return n, !v.stopped[n] && (!v.cut || m.DataCentre == v.members[v.number].DataCentre)
+		}
+	}
+
+	return 0, false
+}
+
+func (v view) deliver(c context.Context, a netip.AddrPort, m msgp.Marshaler) (int, []byte, error) {
+	b, err := m.MarshalMsg(nil)
+	if err != nil {
+		return 0, nil, err
+	}
+
+	v.messages++
+	v.bytes += len(b)
+
+	n, ok := v.receiver(a)
+	if !ok {
+		<-c.Done()
+
+		return 0, nil, c.Err()
+	}
+
+	time.Sleep(delay)
+
+	return n, b, nil
+}
+
+func (v view) Send(c context.Context, a netip.AddrPort, _ wire.Kind, m msgp.Marshaler) error {
+	n, b, err := v.deliver(c, a, m)
+	if err != nil {
+		return err
+	}
+
+	_, err = v.instances[n].HandleVersions(c, v.members[v.number].ID, b)
+
+	return err
+}
+
+func (v view) Call(c context.Context, a netip.AddrPort, _ wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error {
+	n, b, err := v.deliver(c, a, q)
+	if err != nil {
+		return err
+	}
+
+	o, err := v.instances[n].HandleRequest(c, v.members[v.number].ID, b)
+	if err != nil {
+		return err
+	}
+
+	b, err = o.MarshalMsg(nil)
+	if err != nil {
+		return err
+	}
+
+	v.bytes += len(b)
+
+	if _, err := r.UnmarshalMsg(b); err != nil {
+		return errors.Wrap(err, "reply")
+	}
+
+	return nil
+}
+
+// Guards against resumed streams that go on at another version or are refused, after a part of the instances was killed with
+// the streams that they had begun, in a fleet in touch and in one whose data centres are cut off from each other.
+func TestReplayOfStreamsOfKilledInstances(t *testing.T) {
+	const (
+		streams = 2000
+		// minFound is the least part of the streams that must go on. Callers are not owed more than half.
+		minFound = 0.5
+	)
+
+	logrus.SetLevel(logrus.FatalLevel)
+
+	for name, x := range map[string]struct {
+		killed   float64
+		cut      bool
+		minFound float64
+	}{
+		"one instance":              {0, false, 0.99},
+		"half of them":              {0.5, false, 0.9},
+		"four of five":              {0.8, false, minFound},
+		"one instance beside a cut": {0, true, 0},
+		"half of them beside a cut": {0.5, true, 0},
+	} {
+		for _, size := range []int{6, 80, 380} {
+			t.Run(fmt.Sprintf("%s of %d", name, size), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					r := rand.New(rand.NewPCG(1, uint64(size)))
+					f := newFleet(size)
+					f.observe("v1", "v2")
+
+					type stream struct {
+						id      pinner.Stream
+						origin  int
+						version discoverer.Version
+					}
+
+					var l []stream
+
+					for i := range streams {
+						s := stream{pinner.Stream(i + 1), r.IntN(size), discoverer.VersionOf([]string{"v1", "v2"}[r.IntN(2)])}
+						l = append(l, s)
+						f.instances[s.origin].Bind("g", pinner.Note{Stream: s.id, Version: s.version, Attempt: 1})
+					}
+
+					time.Sleep(time.Second)
+
+					perStream := float64(f.bytes) / streams
+					killed := make(map[int]bool)
+
+					for _, n := range r.Perm(size)[:max(int(x.killed*float64(size)), 1)] {
+						killed[n] = true
+						f.start(n)
+						f.instances[n].Observe(registry("v1", "v2"))
+					}
+
+					f.cut = x.cut
+					resumed, found, wrong := 0, 0, 0
+
+					for _, s := range l {
+						n := r.IntN(size)
+						if !killed[s.origin] || killed[n] && x.killed < 0.8 {
+							continue
+						}
+
+						resumed++
+
+						if v, ok := f.instances[n].Find(t.Context(), "g", s.id); ok {
+							found++
+
+							if v != s.version {
+								wrong++
+							}
+						}
+					}
+
+					t.Logf("%d of %d found, %d wrong; %.0f bytes a stream", found, resumed, wrong, perStream)
+					is.Equal(wrong, 0)
+					is.True(resumed > 0)
+					is.True(float64(found) >= x.minFound*float64(resumed))
+				})
+			})
+		}
+	}
+}
+
+// Guards against streams that began before the second version appeared and that nobody knows then.
+func TestStreamsFromBeforeSecondVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(6)
+		f.observe("v1")
+
+		f.instances[0].Bind("g", pinner.Note{Stream: 1, Version: discoverer.VersionOf("v1"), Attempt: 1})
+		synctest.Wait()
+		is.Equal(f.messages, 0) // Nobody needs to know yet.
+
+		f.observe("v1", "v2")
+		time.Sleep(time.Second)
+		f.start(0)
+
+		v, ok := f.instances[3].Find(t.Context(), "g", 1)
+		is.True(ok)
+		is.Equal(v, discoverer.VersionOf("v1"))
+
+		// A caller that does not state which stream it resumes can't be helped.
+		_, ok = f.instances[3].Find(t.Context(), "g", 0)
+		is.True(!ok)
+	})
+}
+
+// Guards against resumed streams that wait for instances that do not reply.
+func TestSilentHomesDelayNobodyForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(6)
+		f.observe("v1", "v2")
+
+		for n := range 5 {
+			f.stopped[n] = true
+		}
+
+		b := time.Now()
+		_, ok := f.instances[5].Find(t.Context(), "g", 1)
+		is.True(!ok)
+		is.True(time.Since(b) <= 40*time.Millisecond)
+	})
+}
+
+// Guards against a stream that goes on at the only version that an instance knows, while another one appeared behind a
+// cut, and against messages and refusals where one version has served for long.
+func TestOneVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(6)
+		f.observe("v1")
+
+		v, ok := f.instances[0].Find(t.Context(), "g", 1)
+		is.True(ok)
+		is.Equal(v, discoverer.VersionOf("v1"))
+		is.True(f.messages > 0) // It has not observed the targets for long, and asks.
+
+		f.cut, f.fresh[0] = true, false
+
+		_, ok = f.instances[0].Find(t.Context(), "g", 1)
+		is.True(!ok)
+
+		f.cut, f.fresh[0], f.messages = false, true, 0
+
+		time.Sleep(time.Minute)
+
+		_, ok = f.instances[0].Find(t.Context(), "g", 1)
+		is.True(ok)
+		is.Equal(f.messages, 0)
+	})
+}
+
+func TestInvalidMessages(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1)
+
+	_, err := f.instances[0].HandleVersions(t.Context(), 1, []byte{1})
+	is.True(errors.Is(err, binder.ErrBinding))
+
+	_, err = f.instances[0].HandleRequest(t.Context(), 1, []byte{1})
+	is.True(errors.Is(err, binder.ErrBinding))
+}
--- /dev/null
+++ b/internal/pinner/pinner_test.go
@@ -0,0 +1,159 @@
+package pinner_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/pinner"
+)
+
+var start = time.Unix(0, 0) //nolint:gochecknoglobals // A constant.
+
+// registry returns a registry of group g with a target of each version.
+func registry(versions ...string) *discoverer.Registry {
+	d := discoverer.New(discoverer.DefaultSettings())
+	for i, v := range versions {
+		d.Set(discoverer.Target{ID: string(rune('a' + i)), Group: "g", Version: v})
+	}
+
+	return d.Registry()
+}
+
+func versions(names ...string) []discoverer.Version {
+	var o []discoverer.Version
+	for _, n := range names {
+		o = append(o, discoverer.VersionOf(n))
+	}
+
+	slices.Sort(o)
+
+	return o
+}
+
+func TestVersionsInUse(t *testing.T) {
+	for name, x := range map[string]struct {
+		// registries follow each other every 10 s.
+		registries [][]string
+		at         time.Duration
+		want       []string
+		complete   bool
+	}{
+		"one version":                            {[][]string{{"v1", "v1"}}, 0, []string{"v1"}, false},
+		"one version for a minute":               {[][]string{{"v1", "v1"}}, time.Minute, []string{"v1"}, true},
+		"two versions":                           {[][]string{{"v1", "v2"}}, time.Minute, []string{"v1", "v2"}, false},
+		"the old one has just gone":              {[][]string{{"v1", "v2"}, {"v2"}}, 69 * time.Second, []string{"v1", "v2"}, false},
+		"the old one has been gone for a minute": {[][]string{{"v1", "v2"}, {"v2"}}, 70 * time.Second, []string{"v2"}, true},
+		"a version comes and goes and comes":     {[][]string{{"v1"}, {"v1", "v2"}, {"v1"}, {"v1", "v2"}}, 5 * time.Minute, []string{"v1", "v2"}, false},
+		"one version and one unknown":            {[][]string{{"v1", ""}}, time.Minute, []string{"", "v1"}, false},
+		"only unknown versions":                  {[][]string{{"", ""}}, time.Minute, []string{""}, false},
+		"no target":                              {[][]string{{}}, time.Minute, nil, false},
+		"all targets have just gone":             {[][]string{{"v1"}, {}}, 10 * time.Second, []string{"v1"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := pinner.New()
+
+			for i, l := range x.registries {
+				p.Observe(start.Add(time.Duration(i)*10*time.Second), registry(l...))
+			}
+
+			n := start.Add(x.at)
+			is.Equal(p.Versions(n, "g"), versions(x.want...))
+			is.Equal(p.Mixed(n, "g"), len(x.want) > 1)
+
+			_, complete := p.Sole(n, "g")
+			is.Equal(complete, x.complete)
+		})
+	}
+}
+
+// Guards against streams that other instances know nothing of, because they began before the second version appeared.
+func TestRecentStreamsAreToldOnce(t *testing.T) {
+	is := is.New(t)
+	p := pinner.New()
+	v := discoverer.VersionOf("v1")
+
+	is.Equal(len(p.Observe(start, registry("v1"))), 0)
+	p.RecordOwn(start, "g", pinner.Note{Stream: 1, Version: v, Attempt: 1})
+	p.RecordOwn(start.Add(20*time.Second), "g", pinner.Note{Stream: 2, Version: v, Attempt: 1})
+	p.RecordOwn(start.Add(20*time.Second), "h", pinner.Note{Stream: 3, Version: v, Attempt: 1})
+	p.Record(start.Add(20*time.Second), pinner.Note{Stream: 4, Version: v, Attempt: 1})
+
+	n := start.Add(25 * time.Second)
+	is.Equal(p.Observe(n, registry("v1", "v2")), []string{"g"})
+	is.Equal(p.Recent(n, "g"), []pinner.Note{{Stream: 2, Version: v, Attempt: 1}})
+	is.Equal(len(p.Observe(n, registry("v1", "v2", "v2"))), 0)
+}
+
+func TestNotes(t *testing.T) {
+	is := is.New(t)
+	p := pinner.New()
+	a, b := discoverer.VersionOf("v1"), discoverer.VersionOf("v2")
+
+	p.Record(start, pinner.Note{Stream: 1, Version: b, Attempt: 2})
+	p.Record(start, pinner.Note{Stream: 1, Version: a, Attempt: 1}) // It was sent earlier and arrives later.
+
+	n, ok := p.Find(start.Add(59*time.Second), 1)
+	is.True(ok)
+	is.Equal(n.Version, b)
+
+	_, ok = p.Find(start.Add(time.Minute), 1)
+	is.True(!ok)
+
+	for i := range 1 << 17 {
+		p.Record(start.Add(time.Minute), pinner.Note{Stream: pinner.Stream(i + 2), Version: a})
+	}
+
+	is.True(p.Len() <= 1<<16)
+}
+
+// Guards against a stream that goes on at another version, and against one that is refused though its version is certain.
+func TestDecide(t *testing.T) {
+	v1, v2 := discoverer.VersionOf("v1"), discoverer.VersionOf("v2")
+	view := func(centre string, l ...discoverer.Version) pinner.View {
+		return pinner.View{DataCentre: centre, Versions: l}
+	}
+	note := func(v pinner.View, version discoverer.Version, attempt int) pinner.View {
+		v.Found, v.Note = true, pinner.Note{Version: version, Attempt: attempt}
+
+		return v
+	}
+
+	for name, x := range map[string]struct {
+		own    pinner.View
+		others []pinner.View
+		stale  bool
+		want   discoverer.Version
+	}{
+		"a home knows":                                    {own: view("a", v1, v2), others: []pinner.View{view("b", v1, v2), note(view("b", v1, v2), v2, 1)}, want: v2},
+		"the later of two notes":                          {own: view("a", v1, v2), others: []pinner.View{note(view("a"), v1, 1), note(view("b"), v2, 2)}, want: v2},
+		"two versions, nobody knows":                      {own: view("a", v1, v2), others: []pinner.View{view("b", v1, v2)}},
+		"it began at an unknown version":                  {own: view("a", v1), others: []pinner.View{note(view("b", v1), 0, 1)}},
+		"one version, nobody knows another":               {own: view("a", v1), others: []pinner.View{view("b", v1)}, want: v1},
+		"one version, a starting instance knows no":       {own: view("a", v1), others: []pinner.View{view("b")}, want: v1},
+		"one version, another instance knows a second":    {own: view("a", v1), others: []pinner.View{view("b", v1, v2)}},
+		"one version, another instance knows another":     {own: view("a", v1), others: []pinner.View{view("b", v2)}},
+		"one unknown version":                             {own: view("a", 0), others: []pinner.View{view("b", 0)}},
+		"no target known":                                 {own: view("a"), others: []pinner.View{view("b", v1)}},
+		"one version, nobody answers":                     {own: view("a", v1), want: v1},
+		"the list may be old, nobody answers":             {own: view("a", v1), stale: true},
+		"the list may be old, one data centre is silent":  {own: view("a", v1), others: []pinner.View{view("b", v1)}, stale: true},
+		"the list may be old, all data centres agree":     {own: view("a", v1), others: []pinner.View{view("b", v1), view("c", v1)}, stale: true, want: v1},
+		"the list may be old, a home knows":               {own: view("a", v1), others: []pinner.View{note(view("b", v1), v2, 1)}, stale: true, want: v2},
+		"the list may be old, another knows a second one": {own: view("a", v1), others: []pinner.View{view("b", v1, v2), view("c", v1)}, stale: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			v, ok := pinner.Decide(x.own, x.others, []string{"a", "b", "c"}, !x.stale)
+			is.Equal(ok, x.want != 0)
+
+			if ok {
+				is.Equal(v, x.want)
+			}
+		})
+	}
+}
