--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -29,6 +29,9 @@
 	// askTimeout bounds a request. Within a region a reply takes one or two milliseconds, and a caller that waits should be
 	// refused at once.
 	askTimeout = 40 * time.Millisecond
+	// maxAsking is the largest number of streams about which others are asked at a time. Beyond it a caller that
+	// resumes streams at random would multiply its calls.
+	maxAsking = 64
 	// sendTimeout bounds the sending of a note.
 	sendTimeout = 300 * time.Millisecond
 )
@@ -53,6 +56,8 @@
 	centres []string
 	// fresh reports whether the list of targets is up to date.
 	fresh func() bool
+	// asking has an element for each stream about which others are being asked.
+	asking chan struct{}
 
 	mu     sync.Mutex
 	pinner *pinner.Pinner
@@ -61,7 +66,7 @@
 // New returns a Binder that knows no streams. The function fresh reports whether the list of targets is up to date, and
 // centres are the data centres of all instances.
 func New(m Messenger, x Members, centres []string, fresh func() bool) *Binder {
-	return &Binder{messenger: m, members: x, centres: centres, fresh: fresh, pinner: pinner.New()}
+	return &Binder{messenger: m, members: x, centres: centres, fresh: fresh, asking: make(chan struct{}, maxAsking), pinner: pinner.New()}
 }
 
 // Observe applies a registry that has changed.
@@ -212,8 +217,15 @@
 }
 
 // ask asks the homes of a stream. It returns the replies that arrive in time, and those so far as soon as one has the
-// stream's version.
+// stream's version. It asks nobody while it asks about many streams.
 func (b *Binder) ask(c context.Context, group string, s pinner.Stream) []pinner.View {
+	select {
+	case b.asking <- struct{}{}:
+		defer func() { <-b.asking }()
+	default:
+		return nil
+	}
+
 	x, stop := context.WithTimeout(c, askTimeout)
 	defer stop()
 
--- a/internal/binder/replay_test.go
+++ b/internal/binder/replay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,7 +38,7 @@
 	cut     bool
 	stopped map[int]bool
 	// messages and bytes are those of all instances.
-	messages, bytes int
+	messages, bytes atomic.Int64
 }
 
 func newFleet(number int) *fleet {
@@ -109,8 +110,8 @@
 		return 0, nil, err
 	}
 
-	v.messages++
-	v.bytes += len(b)
+	v.messages.Add(1)
+	v.bytes.Add(int64(len(b)))
 
 	n, ok := v.receiver(a)
 	if !ok {
@@ -151,7 +152,7 @@
 		return err
 	}
 
-	v.bytes += len(b)
+	v.bytes.Add(int64(len(b)))
 
 	if _, err := r.UnmarshalMsg(b); err != nil {
 		return errors.Wrap(err, "reply")
@@ -205,8 +206,9 @@
 					}
 
 					time.Sleep(time.Second)
+					synctest.Wait()
 
-					perStream := float64(f.bytes) / streams
+					perStream := float64(f.bytes.Load()) / streams
 					killed := make(map[int]bool)
 
 					for _, n := range r.Perm(size)[:max(int(x.killed*float64(size)), 1)] {
@@ -254,10 +256,11 @@
 
 		f.instances[0].Bind("g", pinner.Note{Stream: 1, Version: discoverer.VersionOf("v1"), Attempt: 1})
 		synctest.Wait()
-		is.Equal(f.messages, 0) // Nobody needs to know yet.
+		is.Equal(f.messages.Load(), int64(0)) // Nobody needs to know yet.
 
 		f.observe("v1", "v2")
 		time.Sleep(time.Second)
+		synctest.Wait()
 		f.start(0)
 
 		v, ok := f.instances[3].Find(t.Context(), "g", 1)
@@ -299,20 +302,40 @@
 		v, ok := f.instances[0].Find(t.Context(), "g", 1)
 		is.True(ok)
 		is.Equal(v, discoverer.VersionOf("v1"))
-		is.True(f.messages > 0) // It has not observed the targets for long, and asks.
+		is.True(f.messages.Load() > 0) // It has not observed the targets for long, and asks.
 
 		f.cut, f.fresh[0] = true, false
 
 		_, ok = f.instances[0].Find(t.Context(), "g", 1)
 		is.True(!ok)
 
-		f.cut, f.fresh[0], f.messages = false, true, 0
+		synctest.Wait()
+
+		f.cut, f.fresh[0] = false, true
+
+		f.messages.Store(0)
 
 		time.Sleep(time.Minute)
 
 		_, ok = f.instances[0].Find(t.Context(), "g", 1)
 		is.True(ok)
-		is.Equal(f.messages, 0)
+		is.Equal(f.messages.Load(), int64(0))
+	})
+}
+
+// Guards against callers that multiply their calls by resuming streams that nobody knows.
+func TestRequestsAtATimeAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(6)
+		f.observe("v1", "v2")
+
+		for i := range 1000 {
+			go f.instances[0].Find(t.Context(), "g", pinner.Stream(i+1))
+		}
+
+		time.Sleep(time.Second)
+		is.True(f.messages.Load() <= 64*5)
 	})
 }
 
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -54,7 +54,7 @@
 // Pinner holds the notes and the versions that are in use. It is not safe for concurrent use.
 type Pinner struct {
 	notes map[Stream]record
-	// order holds the streams by the time of their first note.
+	// order holds the streams approximately by the time of their notes.
 	order []record
 	// since is when the targets were first observed.
 	since  time.Time
@@ -93,13 +93,17 @@
 
 // expire drops the notes that are older than retention, and the oldest if there are too many.
 func (p *Pinner) expire(now time.Time) {
-	i := 0
-	for i < len(p.order) && (now.Sub(p.order[i].at) >= retention || len(p.order)-i >= maxNotes) {
-		delete(p.notes, p.order[i].Stream)
-		i++
-	}
+	for len(p.order) > 0 && (now.Sub(p.order[0].at) >= retention || len(p.order) >= maxNotes) {
+		x := p.order[0]
+		p.order = p.order[1:]
 
-	p.order = p.order[i:]
+		// The stream has gone on since.
+		if r := p.notes[x.Stream]; r.at.After(x.at) && len(p.order) < maxNotes {
+			p.order = append(p.order, r)
+		} else {
+			delete(p.notes, x.Stream)
+		}
+	}
 }
 
 // Find returns the note of a stream.
--- a/internal/pinner/pinner_test.go
+++ b/internal/pinner/pinner_test.go
@@ -11,7 +11,7 @@
 	"github.com/auburntray/auburntray/internal/pinner"
 )
 
-var start = time.Unix(0, 0) //nolint:gochecknoglobals // A constant.
+var start = time.Unix(0, 0)
 
 // registry returns a registry of group g with a target of each version.
 func registry(versions ...string) *discoverer.Registry {
@@ -104,8 +104,18 @@
 	_, ok = p.Find(start.Add(time.Minute), 1)
 	is.True(!ok)
 
+	// A stream that goes on is kept for longer.
+	p.Record(start.Add(50*time.Second), pinner.Note{Stream: 1, Version: b, Attempt: 3})
+	p.Record(start.Add(70*time.Second), pinner.Note{Stream: 2, Version: b})
+
+	_, ok = p.Find(start.Add(70*time.Second), 1)
+	is.True(ok)
+
+	p.Record(start.Add(110*time.Second), pinner.Note{Stream: 2, Version: b})
+	is.Equal(p.Len(), 1)
+
 	for i := range 1 << 17 {
-		p.Record(start.Add(time.Minute), pinner.Note{Stream: pinner.Stream(i + 2), Version: a})
+		p.Record(start.Add(2*time.Minute), pinner.Note{Stream: pinner.Stream(i + 3), Version: a})
 	}
 
 	is.True(p.Len() <= 1<<16)
