--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -35,7 +35,7 @@
 	n, _ := strconv.Atoi(h.Get("Patience-Ms"))
 
 	c := forwarder.Call{
-		ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Resumes"),
+		ID: h.Get("Id"), Key: h.Get("Key"), LastEvent: h.Get("Last"), Resumes: h.Get("Begun-By"),
 		Timeout: time.Duration(n) * time.Millisecond,
 	}
 
--- a/internal/forwarder/version_test.go
+++ b/internal/forwarder/version_test.go
@@ -137,7 +137,7 @@
 			g.setVersions("v1", "v2")
 			g.forwarder.SetBinder(s)
 
-			o := g.call(t, http.MethodPost, "/resumable/", "x", "Last", "2", "Resumes", x.resumes)
+			o := g.call(t, http.MethodPost, "/resumable/", "x", "Last", "2", "Begun-By", x.resumes)
 			is.Equal(o.status, x.status)
 			is.Equal(a.count(), 0)
 			is.Equal(b.count(), x.calls)
@@ -184,7 +184,7 @@
 
 	// Whoever resumes it states its ID and is bound to the version of its first event, also further on.
 	s.version = s.bound[1].Version
-	is.Equal(g.call(t, http.MethodPost, "/resumable/", "x", "Id", "call-2", "Last", "2", "Resumes", "call-1").body, events(3, 5))
+	is.Equal(g.call(t, http.MethodPost, "/resumable/", "x", "Id", "call-2", "Last", "2", "Begun-By", "call-1").body, events(3, 5))
 	is.Equal(s.asked[0], s.bound[0].Stream)
 	is.Equal(s.bound[2].Stream, s.bound[0].Stream)
 	is.Equal(s.bound[2].Version, s.version)
