reserver: calls at brittle targets are counted at the targets' homes in small fleets too

First tries were refused at an instance that got nearly all new connections, while brittle targets had room. Cause: without a home an instance has its share of the calls that a target accepts, one of six here; homes counted calls in fleets of 16 instances and more only, since smaller ones learn of each other's calls fast enough for bounds that may be exceeded a little. Class: a share of a limit that is divided by the number of instances serves nobody when the calls are not divided alike.

Change: a request for a slot at a brittle target is exact: it goes to the target's home in a fleet of any size.

The same share at cold targets and the slack of the retry budget are left as they are.

--- a/internal/aggregator/aggregator.go
+++ b/internal/aggregator/aggregator.go
@@ -39,6 +39,9 @@
 	MedianLatency float64
 	// AllowExcluded requests a slot even if the target is excluded, for a call without another target.
 	AllowExcluded bool
+	// Exact requests a slot also in a fleet so small that load reports are recent enough for most bounds: the target crashes
+	// when it gets more calls than MaxCalls.
+	Exact bool
 }
 
 // Outcome is the result of a Request.
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -145,7 +145,7 @@
 	}
 
 	x.reservation.verdict, x.reservation.release = f.reserver.Reserve(c, t.Target, aggregator.Request{
-		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(),
+		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(), Exact: t.MaxCalls > 0,
 	})
 	f.meter.Reservation(x.group, x.reservation.verdict.Outcome.String())
 
--- a/internal/limiter/replay_test.go
+++ b/internal/limiter/replay_test.go
@@ -26,6 +26,8 @@
 	homes bool
 	// unlimited sends calls as if the targets were not brittle.
 	unlimited bool
+	// busy is the fraction of calls that one instance gets.
+	busy float64
 }
 
 const (
@@ -144,6 +146,9 @@
 			o.sent++
 
 			i := instances[x.IntN(len(instances))]
+			if r.busy > 0 && x.Float64() < r.busy {
+				i = instances[0]
+			}
 
 			k, explores, ok := r.choose(now, x, i, targets)
 			if !ok {
@@ -306,3 +311,29 @@
 		})
 	}
 }
+
+// Guards against calls that are refused at an instance which gets nearly all of them, while brittle targets have room: its share
+// of the calls that a target accepts is that of one instance among all.
+func TestBrittleTargetsBehindOneBusyInstance(t *testing.T) {
+	// minRatio is the least fraction of calls that must be served, relative to calls that come through all instances alike.
+	const minRatio, busy = 0.75, 0.95
+
+	for name, r := range map[string]replay{
+		"6 instances, 6 targets":     {instances: 6, targets: 6, slots: 8, queue: 8, limit: 8, overload: 0.7, homes: true},
+		"80 instances, 12 targets":   {instances: 80, targets: 12, slots: 8, queue: 2, limit: 8, overload: 0.7, homes: true},
+		"380 instances, 24 targets":  {instances: 380, targets: 24, slots: 8, limit: 10, overload: 0.7, homes: true},
+		"380 instances, overloaded":  {instances: 380, targets: 24, slots: 8, limit: 10, overload: 1.3, homes: true},
+		"6 instances, none may wait": {instances: 6, targets: 4, slots: 6, limit: 6, overload: 1.3, homes: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			even := r.run(1)
+			r.busy = busy
+			o := r.run(1)
+
+			t.Logf("%d of %d served, %d falls; %d of %d served, %d falls with calls at all instances alike", o.served, o.sent, o.falls, even.served, even.sent, even.falls)
+			i.True(float64(o.served)/float64(o.sent) >= minRatio*float64(even.served)/float64(even.sent))
+			i.True(float64(o.falls) <= 2+0.1*float64(r.targets))
+		})
+	}
+}
--- a/internal/reserver/reserver.go
+++ b/internal/reserver/reserver.go
@@ -30,8 +30,8 @@
 var ErrReservation = errors.New("invalid reservation message")
 
 const (
-	// minInstances is the minimum number of live instances for slots to be reserved. With fewer
-	// instances, the load updates between them are recent enough: each instance sends one every 16 ms
+	// minInstances is the minimum number of live instances for slots to be reserved, unless a request is for an exact
+	// count. With fewer instances, the load updates between them are recent enough: each instance sends one every 16 ms
 	// times the number of instances, which is less than the duration of a call.
 	minInstances = 16
 	// reserveTimeout bounds a request to a home. Within a region a reply takes one or two
@@ -85,7 +85,7 @@
 // Reserve requests a slot for a call at a target. It sets the ID and the Target of the request. The
 // outcome is Unanswered if the target has no home or its home does not reply.
 func (r *Reserver) Reserve(c context.Context, t *discoverer.Target, q aggregator.Request) (aggregator.Verdict, Release) {
-	h, ok := r.home(t)
+	h, ok := r.home(t, q.Exact)
 	if !ok {
 		return aggregator.Verdict{}, func(aggregator.Result, float64) {}
 	}
@@ -108,9 +108,9 @@
 	}
 }
 
-// Report sends the number of calls that a target reported to the target's home.
+// Report sends the number of calls that a target reported to the target's home, which has granted a slot there.
 func (r *Reserver) Report(t *discoverer.Target, calls int) {
-	h, ok := r.home(t)
+	h, ok := r.home(t, true)
 	if !ok {
 		return
 	}
@@ -173,9 +173,10 @@
 	return nil, nil //nolint:nilnil // It has no reply.
 }
 
-// home returns the instance that counts a target's calls, and false if there is none or it is in backoff.
-func (r *Reserver) home(t *discoverer.Target) (gossiper.Member, bool) {
-	if len(r.members.Live()) < minInstances {
+// home returns the instance that counts a target's calls, and false if there is none or it is in backoff. A small fleet has homes
+// for exact counts only.
+func (r *Reserver) home(t *discoverer.Target, exact bool) (gossiper.Member, bool) {
+	if !exact && len(r.members.Live()) < minInstances {
 		return gossiper.Member{}, false
 	}
 
--- a/internal/reserver/reserver_test.go
+++ b/internal/reserver/reserver_test.go
@@ -281,6 +281,19 @@
 	i.Equal(f.requests, 0)
 }
 
+// Guards against calls that nobody counts at a target which crashes when it gets too many, in a small fleet.
+func TestSmallFleetCountsExactly(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(6)
+	x, q := registry().Known["t"], request(2)
+	q.Exact = true
+
+	for n, want := range []aggregator.Outcome{aggregator.Granted, aggregator.Granted, aggregator.Full} {
+		v, _ := f.instances[n+1].Reserve(t.Context(), x, q)
+		i.Equal(v.Outcome, want)
+	}
+}
+
 // Guards against invalid or truncated messages that are accepted.
 func TestInvalidMessages(t *testing.T) {
 	i := is.New(t)
