shedder, gatekeeper: connections of callers are bounded by the descriptors, those beyond are closed unread

An instance that got most new connections read calls and refused them. Cause: it accepted connections until no descriptor was left for those to targets; each call failed as never sent, and the instance took itself for cut off. Class: a bound of the process that was met by what it had accepted already.

Change: callers have at most half of the descriptors less those reserved for other instances, files and the platform (1,700 of 4,100).

--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -132,6 +132,7 @@
 		{"mostLoad", a.MaxFactor == b.MaxFactor},
 		{"within", a.ApplyWithin == b.ApplyWithin},
 		{"link", a.LinkRate == b.LinkRate},
+		{"descriptors", a.MaxDescriptors == b.MaxDescriptors},
 	} {
 		if !f.same {
 			o = append(o, f.name)
@@ -144,7 +145,7 @@
 func gatewaySettings(s platform.Settings) gatekeeper.Settings {
 	return gatekeeper.Settings{
 		Name: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, InternalPorts: s.InternalPorts, Region: s.Region,
-		Regions: s.Regions, MaxFactor: s.MaxFactor, ApplyWithin: s.ApplyWithin, LinkRate: s.LinkRate,
+		Regions: s.Regions, MaxFactor: s.MaxFactor, ApplyWithin: s.ApplyWithin, LinkRate: s.LinkRate, MaxDescriptors: s.MaxDescriptors,
 		Tunables: gatekeeper.Tunables{
 			Seeds: s.Seeds, StopTimeout: s.StopTimeout,
 			Retries: budgeter.Settings{Ratio: s.RetryRatio, Window: s.RetryWindow, Slack: s.RetrySlack},
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -40,6 +40,7 @@
 	negotiator    *negotiator.Negotiator
 	watchers      []*watcher.Watcher
 	reaper        *reaper.Reaper
+	overload      *overload
 	callerServer  *http.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
--- a/internal/gatekeeper/metrics.go
+++ b/internal/gatekeeper/metrics.go
@@ -23,6 +23,7 @@
 	m.RegisterGauge("instances", func() float64 { return float64(g.state.Instances()) })
 	m.RegisterGauge("groups_unreached", func() float64 { return float64(len(g.forwarder.Unreached())) })
 	m.RegisterGauge("calls_running", func() float64 { return float64(g.drainer.Running()) })
+	m.RegisterGauge("connections_shed", func() float64 { return float64(g.overload.count()) })
 	m.RegisterGauge("control_bytes_sent", func() float64 { s, _ := g.messenger.Traffic().Bytes(); return float64(s) })
 	m.SetLoads(func() []meter.Load {
 		var o []meter.Load
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/detector"
+	"github.com/auburntray/auburntray/internal/shedder"
 )
 
 const (
@@ -82,6 +83,10 @@
 		listeners[s.server] = l
 	}
 
+	if l, ok := listeners[g.callerServer]; ok {
+		listeners[g.callerServer] = shedder.New(l, shedder.Bound(g.settings.descriptors()), g.overload.closeIdle, g.overload.recordShed)
+	}
+
 	for s, l := range listeners {
 		g.runInBackground(func() {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -37,6 +37,7 @@
 	r.GET(readyPath, g.answerReady)
 
 	g.reaper = reaper.New(g.connectionLimits)
+	g.overload = newOverload(g.reaper)
 	g.callerServer = &http.Server{
 		Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: g.reaper.Track, ConnContext: g.reaper.Context,
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -1,8 +1,10 @@
 package gatekeeper
 
 import (
+	"math"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/budgeter"
@@ -38,6 +40,8 @@
 	ApplyWithin time.Duration
 	// LinkRate is the bandwidth of the instance's link, in bytes per second; zero means DefaultLinkRate.
 	LinkRate float64
+	// MaxDescriptors is the number of descriptors that the process may have open; zero means the limit of the process.
+	MaxDescriptors int
 	// Metrics is the address at which metrics are served; zero disables them.
 	Metrics netip.AddrPort
 
@@ -64,6 +68,25 @@
 	return s.LinkRate
 }
 
+// defaultDescriptors applies if the limit of the process can't be read.
+const defaultDescriptors = 1024
+
+// descriptors returns the number of descriptors that the process may have open.
+func (s Settings) descriptors() int {
+	n := defaultDescriptors
+
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err == nil {
+		n = int(min(l.Cur, math.MaxInt32))
+	}
+
+	if s.MaxDescriptors > 0 {
+		n = min(n, s.MaxDescriptors)
+	}
+
+	return n
+}
+
 func (s Settings) applyWithin() time.Duration {
 	if s.ApplyWithin == 0 {
 		return DefaultApplyWithin
--- a/internal/reaper/reaper.go
+++ b/internal/reaper/reaper.go
@@ -66,6 +66,15 @@
 	}
 }
 
+// Expire expires the connections that have had no call for longer than a duration, and returns how many are newly expired, as
+// Sweep does. It makes room for connections with calls.
+func (i *Reaper) Expire(idle time.Duration) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	return i.expire(func(p phase) bool { return !p.header && time.Since(p.since) >= idle })
+}
+
 type connKey struct{}
 
 // Context is the ConnContext of an http.Server. It stores the connection in the contexts
@@ -104,15 +113,22 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 
-	n := 0
-
-	for c, p := range i.waiting {
+	return i.expire(func(p phase) bool {
 		d := l.IdleTimeout
 		if p.header {
 			d = l.HeaderTimeout
 		}
 
-		if d <= 0 || time.Since(p.since) < d {
+		return d > 0 && time.Since(p.since) >= d
+	})
+}
+
+// expire expires the connections for whose phase a function returns true. Requires mu to be held.
+func (i *Reaper) expire(over func(p phase) bool) int {
+	n := 0
+
+	for c, p := range i.waiting {
+		if !over(p) {
 			continue
 		}
 
--- /dev/null
+++ b/internal/shedder/shedder.go
@@ -0,0 +1,95 @@
+// Package shedder closes new connections of callers while a server has as many as it can serve (load shedding).
+//
+// Load pattern: for some seconds a load balancer hands most new connections to one instance. If it accepted all of
+// them, it would run out of descriptors: it could connect to no target, and would refuse calls that it has read. A
+// connection that is closed unread costs the caller only the time until it tries another instance.
+package shedder
+
+import (
+	"net"
+	"sync"
+)
+
+// Bound returns how many connections of callers a process may have open, given the number of descriptors that it may have
+// open in all. Each call may need a second connection, to its target; some descriptors are reserved for connections to other
+// instances, files and the platform.
+func Bound(descriptors int) int {
+	// maxReserved suffices for the connections to hundreds of instances, and reservedDivisor for a small number of
+	// descriptors.
+	const maxReserved, reservedDivisor = 700, 3
+
+	return max((descriptors-min(maxReserved, descriptors/reservedDivisor))/2, 1)
+}
+
+// Listener is a net.Listener that has a bounded number of connections open.
+type Listener struct {
+	net.Listener
+
+	max  int
+	free func()
+	shed func()
+
+	mu   sync.Mutex
+	open int
+}
+
+// New returns a Listener that accepts at most max open connections from l. It calls free when it has that many, to have idle
+// ones closed, and shed for each connection that it closes.
+func New(l net.Listener, max int, free, shed func()) *Listener { //nolint:predeclared // The bound.
+	return &Listener{Listener: l, max: max, free: free, shed: shed}
+}
+
+// Accept returns the next connection within the bound, and closes those beyond it unread. It fails as the Listener that it uses does.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+
+		if l.enter() {
+			return &conn{Conn: c, leave: sync.OnceFunc(l.leave)}, nil
+		}
+
+		_ = c.Close() // Nothing was read or written.
+
+		l.free()
+		l.shed()
+	}
+}
+
+// enter counts a connection and reports whether it is within the bound.
+func (l *Listener) enter() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.open >= l.max {
+		return false
+	}
+
+	l.open++
+
+	return true
+}
+
+// leave counts the end of a connection.
+func (l *Listener) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.open--
+}
+
+// conn is a connection that is counted as open until it is closed.
+type conn struct {
+	net.Conn
+
+	leave func()
+}
+
+// Close closes the connection. It fails as net.Conn does.
+func (c *conn) Close() error {
+	c.leave()
+
+	return c.Conn.Close()
+}
