forwarder: an unframed answer that ends with the process of its target is not taken for complete

An answer with neither a length nor chunks ends with its connection. If the target crashed in the middle of it and the connection was closed regularly, a caller got a part of an answer as the whole, or a stream ended as complete, and the call that crashed the target was cleared.

Change: at the end of such an answer the target is dialled as after a broken one. If its process is gone (and another target of its data centre is reached), the answer counts as broken and the crash is recorded; a resumable stream goes on elsewhere. The delegate of a call does the same. What can't be known: a target that ends as planned within the time of that dial looks the same.

--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -65,6 +65,10 @@
 		err = errTooLong
 	}
 
+	if err == nil {
+		err = f.checkUnframed(c, a, t.Target)
+	}
+
 	if err != nil {
 		return result{err: errors.Mark(err, errBroken), outcome: selector.Failed}
 	}
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -267,7 +267,12 @@
 		r.answer = &bufferedAnswer{status: a.StatusCode}
 	}
 
-	if err := relayDelegated(x, a); err != nil {
+	err = relayDelegated(x, a)
+	if err == nil {
+		err = f.checkUnframed(c, a, t)
+	}
+
+	if err != nil {
 		r.err, r.answer = errors.Mark(err, errBroken), nil
 		r.outcome = selector.Failed
 	}
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -168,6 +169,8 @@
 		"connection closed by a crash": {fault: "closed", crashed: true, crashes: 1},
 		"answer cut short by a crash":  {fault: "short", crashed: true, crashes: 1},
 		"answered before a crash":      {fault: "ok", crashed: true, served: 1},
+		"unframed answer":              {fault: "unframed", served: 1},
+		"unframed answer and a crash":  {fault: "unframed", crashed: true, crashes: 1},
 		"refused before a crash":       {fault: "notRun", crashed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -324,3 +327,50 @@
 
 	is.Equal(q.q.Check(time.Now(), p).Status, quarantiner.Suspected)
 }
+
+// Guards against an answer that has neither a length nor chunks and looks complete because the process of the target ended in
+// the middle of it. Its caller would take a part for the whole, and the call that crashed the target would be cleared.
+func TestUnframedAnswerEndedByCrash(t *testing.T) {
+	for name, x := range map[string]struct {
+		path, body string
+		crashed    bool
+		// want is the body that the caller has, and complete whether the answer looks complete to it.
+		want     string
+		complete bool
+	}{
+		"answer":                {path: "/once/x", body: "whole", want: "whole", complete: true},
+		"answer, crash":         {path: "/once/x", body: "who", crashed: true, complete: true},
+		"stream":                {path: "/stream/x", body: event(1) + event(2), want: event(1) + event(2), complete: true},
+		"stream, crash":         {path: "/stream/x", body: event(1) + event(2), crashed: true, want: event(1) + event(2)},
+		"stream, in an event":   {path: "/stream/x", body: event(1) + "id: 2", want: event(1)},
+		"resumable, crash":      {path: "/resumable/x", body: event(1), crashed: true, want: event(1)},
+		"stream without events": {path: "/stream/x", crashed: true, complete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			y := &target{}
+			y.answer = func(n net.Conn, s received) {
+				if x.crashed {
+					y.refuseConnections()
+				}
+
+				_, _ = fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: %s\r\n\r\n%s", s.header.Get("Id"), s.target, x.body)
+				_ = n.Close()
+			}
+
+			g := newGateway(t, y)
+			q := newQuarantine(3)
+			g.forwarder.SetQuarantine(q)
+			a := g.call(t, http.MethodPost, x.path, "x")
+
+			if x.want == "" {
+				i.Equal(a.status, http.StatusBadGateway)
+			} else {
+				i.Equal(a.body, x.want)
+			}
+
+			i.Equal(a.err == nil, x.complete)
+			i.Equal(len(q.crashed) > 0, x.crashed)
+		})
+	}
+}
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -45,7 +45,9 @@
 	for first := true; ; first = false {
 		e, id, err := s.Next()
 		if errors.Is(err, io.EOF) {
-			return f.completeStream(x, a)
+			if err = f.checkUnframed(c, a, t.Target); err == nil {
+				return f.completeStream(x, a)
+			}
 		}
 
 		if err != nil {
