--- a/internal/quarantiner/causes_test.go
+++ b/internal/quarantiner/causes_test.go
@@ -72,6 +72,18 @@
 			join(crashesWith(1, 2, bad, good), crashesWith(3, 4, bad), crashesWith(5, 5, good)),
 			map[digester.Digest]quarantiner.Status{bad: quarantiner.Quarantined, good: quarantiner.Suspected},
 		},
+		"a popular part, at the crashes of a call and of a part": {
+			join(crashesWith(1, 2, call, good), crashesWith(3, 3, call), crashesWith(4, 5, bad, good), crashesWith(6, 6, bad)),
+			map[digester.Digest]quarantiner.Status{call: quarantiner.Quarantined, bad: quarantiner.Quarantined, good: quarantiner.Free},
+		},
+		"a popular part, at all crashes of a call and one of a part": {
+			join(crashesWith(1, 3, call, good), crashesWith(4, 4, bad, good), crashesWith(5, 6, bad)),
+			map[digester.Digest]quarantiner.Status{call: quarantiner.Quarantined, bad: quarantiner.Quarantined, good: quarantiner.Suspected},
+		},
+		"two calls at the same crashes": {
+			crashesWith(1, 3, call, call+1),
+			map[digester.Digest]quarantiner.Status{call: quarantiner.Quarantined, call + 1: quarantiner.Quarantined},
+		},
 		"the cause is served after all": {
 			join(crashesWith(1, 4, bad), crashesWith(5, 6, bad, call), []event{{subjects: []digester.Digest{bad}}}),
 			map[digester.Digest]quarantiner.Status{bad: quarantiner.Free, call: quarantiner.Suspected},
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -33,6 +33,9 @@
 	// by the number of its failed trials. After the last one there are no more trials: each trial of
 	// a subject that does crash targets costs a target, and the loss of three targets is acceptable.
 	TrialDelays []time.Duration
+	// PartTrialDelays are the same for parts. The first is shorter, as many sound calls may hold a part that is quarantined
+	// by mistake.
+	PartTrialDelays []time.Duration
 	// Retention is how long a subject is remembered after it was last seen.
 	Retention time.Duration
 	// MaxSubjects is the largest number of remembered subjects.
@@ -50,7 +53,8 @@
 		MinSeparation: time.Second,
 		// A target restarts within seconds; a model or service is repaired within minutes at best,
 		// and mostly within one to two hours.
-		TrialDelays: []time.Duration{time.Minute, 10 * time.Minute, 100 * time.Minute},
+		TrialDelays:     []time.Duration{time.Minute, 10 * time.Minute, 100 * time.Minute},
+		PartTrialDelays: []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute},
 		// Longer than any time after which a refused caller should retry.
 		Retention: 4 * time.Hour,
 		// Enough for all calls in flight at a third of 600 targets with 20 calls each, with a part of its own for each.
@@ -93,8 +97,13 @@
 
 	v := q.verdict(r)
 
-	if n := v.Crashes - q.settings.CrashThreshold; n >= 0 && n < len(q.settings.TrialDelays) {
-		v.TrialIn = max(v.LastCrash.Add(q.settings.TrialDelays[n]).Sub(now), 0)
+	l := q.settings.TrialDelays
+	if d.IsPart() {
+		l = q.settings.PartTrialDelays
+	}
+
+	if n := v.Crashes - q.settings.CrashThreshold; n >= 0 && n < len(l) {
+		v.TrialIn = max(v.LastCrash.Add(l[n]).Sub(now), 0)
 		v.TrialDue = v.TrialIn == 0
 	}
 
@@ -269,8 +278,7 @@
 
 // verdict evaluates a subject by the crashes that no other subject explains.
 func (q *Quarantiner) verdict(r *Record) Verdict {
-	n := q.count(r, nil).Crashes
-	v := q.count(r, func(p discoverer.Name) bool { return q.causes.explains(p, r.Subject, n) })
+	v := q.count(r, func(p discoverer.Name) bool { return q.causes.explains(p, r.Subject) })
 
 	if v.Status == Quarantined && r.Subject.IsPart() && q.causes.sameCall(r) {
 		v.Status = Suspected
