replicator: an instance vouches for a part though the crash is reported to it again; trials end at the home that granted them

An instance that had served a suspected part cancelled its message to the others when the same crash came once more, which a request for a trial brings to the part's home. The part then needed a trial at all others until its next answer. TestInstancesVouchForPartsThatTheyServed failed for the home, one of five cases. Only a message to all that says the same cancels it now.

Trials end at the home that granted them, also if another instance has become the home; the first one would have kept the trial for five seconds. shedder: the bound has a name that needs no exception of the linter.

--- a/internal/replicator/message.go
+++ b/internal/replicator/message.go
@@ -48,6 +48,7 @@
 	}
 
 	r.merge(&m)
+	r.cancelVouches(&m)
 
 	return nil, nil //nolint:nilnil // Without reply.
 }
--- a/internal/replicator/parts_test.go
+++ b/internal/replicator/parts_test.go
@@ -22,6 +22,8 @@
 	// maxPartCrashes is how many targets a part may crash, and maxLateArrivals how often it may reach one later than bound
 	// after that.
 	maxPartCrashes, maxLateArrivals = 5, 3
+	// vouchTime is the time within which an instance has told all others what it has served before.
+	vouchTime = 200 * time.Millisecond
 	// maxControlBytes is how many bytes of control traffic an instance may send in a second.
 	maxControlBytes = 9 << 10
 	// minSoundServed is the least fraction of sound calls that are served at the first try from twice the bound after the
@@ -395,3 +397,37 @@
 		}
 	}
 }
+
+// Guards against a popular part that is held up at all instances: the one that has served it before does not say so, since the
+// crash is reported to it once more meanwhile, with a request for a trial.
+func TestInstancesVouchForPartsThatTheyServed(t *testing.T) {
+	const instances = 6
+
+	for served := 1; served < instances; served++ { // One of them is the home.
+		t.Run(fmt.Sprint("instance ", served), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := start(t, instances)
+				l := []digester.Digest{digester.OfPart("popular")}
+
+				time.Sleep(time.Second)
+				f.instances[served].RecordServed(l)
+				f.instances[0].RecordCrash(l, 1)
+
+				for range 9 {
+					time.Sleep(10 * time.Millisecond)
+
+					_, _, end := f.instances[0].Admit(t.Context(), l, time.Now())
+					end()
+				}
+
+				time.Sleep(vouchTime)
+
+				for i, w := range f.instances {
+					if w.Check(l[0]).NeedsTrial() {
+						t.Errorf("the part needs a trial at instance %d", i)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -367,12 +367,10 @@
 	return changed
 }
 
-// vouch schedules the message that this instance has served a subject before crashes that others have reported, and cancels it
-// when another instance has sent it. The caller holds the lock.
+// vouch schedules the message that this instance has served a subject before crashes that another one has reported. The caller
+// holds the lock.
 func (r *Replicator) vouch(d digester.Digest) {
 	if !r.quarantiner.Vouch(d) {
-		delete(r.vouched, d)
-
 		return
 	}
 
@@ -388,3 +386,16 @@
 		}
 	})
 }
+
+// cancelVouches cancels the messages that this instance has served subjects before, for those of which another instance has told
+// all.
+func (r *Replicator) cancelVouches(m *wire.Suspects) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for _, s := range m.Calls {
+		if slices.ContainsFunc(s.Crashes, func(e wire.SuspectCrash) bool { return e.ServedBefore }) {
+			delete(r.vouched, digester.Digest(s.Call))
+		}
+	}
+}
--- a/internal/replicator/trial.go
+++ b/internal/replicator/trial.go
@@ -83,11 +83,14 @@
 // requestTrials requests a trial for each verdict from the home of its subject. It returns the verdict whose trial was denied, or
 // else a zero one and the function that ends the trials.
 func (r *Replicator) requestTrials(c context.Context, l []quarantiner.Verdict) (quarantiner.Verdict, func()) {
-	granted := make([]bool, len(l))
+	homes, granted := make([]gossiper.Member, len(l)), make([]bool, len(l))
 
 	var g sync.WaitGroup
+
 	for i, v := range l {
-		g.Go(func() { granted[i] = r.requestTrial(c, r.home(v.Subject), v) })
+		homes[i] = r.home(v.Subject)
+
+		g.Go(func() { granted[i] = r.requestTrial(c, homes[i], v) })
 	}
 
 	g.Wait()
@@ -95,7 +98,7 @@
 	end := func() {
 		for i, v := range l {
 			if granted[i] {
-				r.reportTrialEnd(r.home(v.Subject), v.Subject)
+				r.reportTrialEnd(homes[i], v.Subject)
 			}
 		}
 	}
--- a/internal/shedder/shedder.go
+++ b/internal/shedder/shedder.go
@@ -25,18 +25,18 @@
 type Listener struct {
 	net.Listener
 
-	max  int
-	free func()
-	shed func()
+	limit int
+	free  func()
+	shed  func()
 
 	mu   sync.Mutex
 	open int
 }
 
-// New returns a Listener that accepts at most max open connections from l. It calls free when it has that many, to have idle
+// New returns a Listener that accepts at most limit open connections from l. It calls free when it has that many, to have idle
 // ones closed, and shed for each connection that it closes.
-func New(l net.Listener, max int, free, shed func()) *Listener { //nolint:predeclared // The bound.
-	return &Listener{Listener: l, max: max, free: free, shed: shed}
+func New(l net.Listener, limit int, free, shed func()) *Listener {
+	return &Listener{Listener: l, limit: limit, free: free, shed: shed}
 }
 
 // Accept returns the next connection within the bound, and closes those beyond it unread. It fails as the Listener that it uses does.
@@ -63,7 +63,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.open >= l.max {
+	if l.open >= l.limit {
 		return false
 	}
 
