quarantiner, replicator: parts at the same crashes are tried apart, and sooner

A part that a third of the sound streams hold was in all calls with the part that crashes targets, and had not been served before as all instances had just been killed and the engines were cold. Nothing told the two apart, both were quarantined, and the trial after 10 s was a call with both.

Change: a call with two quarantined subjects is no trial of either, and parts with the same evidence at the same crashes are tried after 2 s in place of 10. A sound call then frees the innocent one. TestCallWithTwoQuarantinedPartsIsNoTrial and TestTiedPartsAreTriedSooner failed before.

--- a/internal/quarantiner/causes.go
+++ b/internal/quarantiner/causes.go
@@ -77,6 +77,8 @@
 	weighed map[digester.Digest]cause
 	// byProcess is the cause of the crash of a process: the first by order. partByProcess is the first that is a part.
 	byProcess, partByProcess map[discoverer.Name]cause
+	// tied are the quarantined parts with the same evidence as another one at the same crash.
+	tied map[digester.Digest]bool
 }
 
 // newCauses returns causes without candidates.
@@ -84,6 +86,7 @@
 	return causes{
 		processes: make(map[digester.Digest][]discoverer.Name), at: make(map[discoverer.Name]map[digester.Digest]bool), partsAt: make(map[discoverer.Name]int),
 		weighed: make(map[digester.Digest]cause), byProcess: make(map[discoverer.Name]cause), partByProcess: make(map[discoverer.Name]cause),
+		tied: make(map[digester.Digest]bool),
 	}
 }
 
@@ -145,6 +148,7 @@
 
 	delete(c.processes, d)
 	delete(c.weighed, d)
+	delete(c.tied, d)
 
 	if len(l) == 0 {
 		return
@@ -189,6 +193,9 @@
 		for d := range c.at[p] {
 			if !known[d] {
 				known[d] = true
+
+				delete(c.tied, d)
+
 				o = append(o, d)
 				l = append(l, c.processes[d]...)
 			}
@@ -280,6 +287,17 @@
 			}
 		}
 	}
+
+	q.causes.tie(x)
+}
+
+// tie marks a quarantined part and those with the same evidence as tied.
+func (c *causes) tie(x cause) {
+	for _, p := range c.processes[x.subject] {
+		if o, ok := c.partByProcess[p]; ok && x.subject.IsPart() && o.subject != x.subject && o.compare(x) == 0 {
+			c.tied[o.subject], c.tied[x.subject] = true, true
+		}
+	}
 }
 
 // CauseOf returns the quarantined part that explains the crash of a process, or zero.
--- a/internal/quarantiner/causes_test.go
+++ b/internal/quarantiner/causes_test.go
@@ -142,6 +142,33 @@
 	i.True(!a.Vouch(good)) // This instance has not served it.
 }
 
+// Guards against sound calls that are refused for long because a part of theirs was at the same crashes as the one that caused them:
+// it is tried sooner.
+func TestTiedPartsAreTriedSooner(t *testing.T) {
+	for name, x := range map[string]struct {
+		events []event
+		want   time.Duration
+	}{
+		"one part":                    {crashesWith(1, 3, bad), 10 * time.Second},
+		"two at the same crashes":     {crashesWith(1, 3, bad, good), 2 * time.Second},
+		"one of them at further ones": {append(crashesWith(1, 3, bad, good), crashesWith(4, 4, bad)...), time.Minute},
+		"two at different crashes":    {append(crashesWith(1, 3, good), crashesWith(4, 6, bad)...), 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			q := quarantiner.New(quarantiner.DefaultSettings())
+
+			for _, e := range x.events {
+				for _, d := range e.subjects {
+					q.RecordCrash(start(), d, e.crashed)
+				}
+			}
+
+			i.Equal(q.Peek(start(), bad).TrialIn, x.want)
+		})
+	}
+}
+
 // Guards against customers confined to their shards for crashes that a quarantined part explains.
 func TestCauseOf(t *testing.T) {
 	i := is.New(t)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -36,6 +36,9 @@
 	// PartTrialDelays are the same for parts. The first is shorter, as many sound calls may hold a part that is quarantined
 	// by mistake.
 	PartTrialDelays []time.Duration
+	// TiedTrialDelay is the first of them for parts that were in flight at the same crashes, so that all but one of them
+	// are innocent.
+	TiedTrialDelay time.Duration
 	// Retention is how long a subject is remembered after it was last seen.
 	Retention time.Duration
 	// MaxSubjects is the largest number of remembered subjects.
@@ -55,6 +58,7 @@
 		// and mostly within one to two hours.
 		TrialDelays:     []time.Duration{time.Minute, 10 * time.Minute, 100 * time.Minute},
 		PartTrialDelays: []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute},
+		TiedTrialDelay:  2 * time.Second,
 		// Longer than any time after which a refused caller should retry.
 		Retention: 4 * time.Hour,
 		// Enough for all calls in flight at a third of 600 targets with 20 calls each, with a part of its own for each.
@@ -103,7 +107,12 @@
 	}
 
 	if n := v.Crashes - q.settings.CrashThreshold; n >= 0 && n < len(l) {
-		v.TrialIn = max(v.LastCrash.Add(l[n]).Sub(now), 0)
+		w := l[n]
+		if q.causes.tied[d] {
+			w = min(w, q.settings.TiedTrialDelay)
+		}
+
+		v.TrialIn = max(v.LastCrash.Add(w).Sub(now), 0)
 		v.TrialDue = v.TrialIn == 0
 	}
 
--- a/internal/replicator/parts_test.go
+++ b/internal/replicator/parts_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/auburntray/auburntray/internal/digester"
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/quarantiner"
@@ -431,3 +433,34 @@
 		})
 	}
 }
+
+// Guards against an innocent part that stays quarantined, since each of its trials is a call that holds the part which crashes
+// targets as well.
+func TestCallWithTwoQuarantinedPartsIsNoTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := is.New(t)
+		f := start(t, 6)
+		bad, good := digester.OfPart("bad"), digester.OfPart("good")
+
+		for p := range discoverer.Name(3) {
+			f.instances[0].RecordCrash([]digester.Digest{digester.Digest(p + 1), bad, good}, p)
+		}
+
+		time.Sleep(time.Minute)
+
+		_, ok, _ := f.instances[1].Admit(t.Context(), []digester.Digest{11, bad, good}, time.Now().Add(timeout))
+		i.True(!ok)
+
+		_, ok, end := f.instances[2].Admit(t.Context(), []digester.Digest{12, good}, time.Now().Add(timeout))
+		i.True(ok)
+		f.instances[2].RecordServed([]digester.Digest{12, good})
+		end()
+		time.Sleep(broadcastTime)
+
+		_, ok, _ = f.instances[3].Admit(t.Context(), []digester.Digest{13, good}, time.Now().Add(timeout))
+		i.True(ok)
+
+		_, ok, _ = f.instances[3].Admit(t.Context(), []digester.Digest{14, bad, good}, time.Now().Add(timeout))
+		i.True(ok) // The trial of the other one.
+	})
+}
--- a/internal/replicator/trial.go
+++ b/internal/replicator/trial.go
@@ -59,11 +59,13 @@
 }
 
 // checkAll returns the verdict on a call with the given subjects, which is that on the most suspicious one, and the verdicts on
-// those that need a trial.
+// those that need a trial. A call with two quarantined subjects is no trial of either: if it crashed a target, that would show
+// nothing about the one that is innocent.
 func (r *Replicator) checkAll(subjects []digester.Digest) (quarantiner.Verdict, []quarantiner.Verdict) {
 	var (
-		o quarantiner.Verdict
-		l []quarantiner.Verdict
+		o           quarantiner.Verdict
+		l           []quarantiner.Verdict
+		quarantined int
 	)
 
 	for _, d := range subjects {
@@ -72,11 +74,19 @@
 			o = v
 		}
 
+		if v.Status == quarantiner.Quarantined {
+			quarantined++
+		}
+
 		if v.NeedsTrial() {
 			l = append(l, v)
 		}
 	}
 
+	if quarantined > 1 {
+		o.TrialDue = false
+	}
+
 	return o, l
 }
 
