--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// crashCount returns the number of crashes that were recorded.
+func (x *fakeQuarantine) crashCount() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	return len(x.crashed)
+}
+
 func (x *fakeQuarantine) CauseOf(p discoverer.Name) digester.Digest {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -307,10 +315,12 @@
 		is.Equal(g.call(t, http.MethodPost, "/once/"+n, "sound "+n, "Id", "sound-"+n, "Prompt", "a,b,"+n).status, http.StatusOK)
 	}
 
-	is.Equal(len(q.crashed), 3)
-	is.Equal(q.trials, 0)
+	is.Equal(q.crashCount(), 3)
 	is.Equal(g.call(t, http.MethodPost, "/once/x", "x", "Prompt", "fatal,y").status, http.StatusServiceUnavailable)
 	is.Equal(g.call(t, http.MethodPost, "/once/x", "x", "Prompt", "a,fatal").status, http.StatusOK)
+
+	g.Close() // Waits until the calls have ended.
+	is.Equal(q.trials, 0)
 }
 
 // Guards against a part that is taken for harmless because a target has refused a call with it for another reason, with an error
@@ -325,6 +335,7 @@
 	q.RecordCrash([]digester.Digest{p, d}, 1)
 	g.call(t, http.MethodPost, "/once/x", "x", "Prompt", "a,b")
 
+	g.Close() // Waits until the call has ended.
 	is.Equal(q.q.Check(time.Now(), p).Status, quarantiner.Suspected)
 }
 
@@ -370,7 +381,7 @@
 			}
 
 			i.Equal(a.err == nil, x.complete)
-			i.Equal(len(q.crashed) > 0, x.crashed)
+			i.Equal(q.crashCount() > 0, x.crashed)
 		})
 	}
 }
--- a/internal/replicator/parts_test.go
+++ b/internal/replicator/parts_test.go
@@ -93,13 +93,13 @@
 		load: l, fleet: start(t, l.instances), context: t.Context(), random: rand.New(rand.NewPCG(1, uint64(l.instances))), next: 1,
 		crashes: make(map[digester.Digest][]time.Time), arrivals: make(map[digester.Digest][]time.Time),
 	}
-	r.fleet.delay = func(from, to int) time.Duration {
+	r.fleet.setDelay(func(from, to int) time.Duration {
 		if (from%4)/2 != (to%4)/2 { // The data centres a and b are one region, c and d the other.
 			return 40 * time.Millisecond
 		}
 
 		return time.Millisecond
-	}
+	})
 
 	for range l.targets {
 		r.processes = append(r.processes, r.newProcess(time.Time{}))
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -183,6 +183,14 @@
 	return f.bytes
 }
 
+// setDelay sets how long messages take.
+func (f *fleet) setDelay(delay func(from, to int) time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.delay = delay
+}
+
 // setCut partitions instances from each other, or none if the function is nil.
 func (f *fleet) setCut(cut func(from, to int) bool) {
 	f.mu.Lock()
--- a/internal/replicator/store_test.go
+++ b/internal/replicator/store_test.go
@@ -57,6 +57,14 @@
 	return o, watcher.Position{}, nil
 }
 
+// readCount returns how often the records were read.
+func (s *memoryStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.reads
+}
+
 func (s *memoryStore) Put(_ context.Context, key string, value []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,7 +108,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 
-		i.Equal(s.reads, 1)
+		i.Equal(s.readCount(), 1)
 	})
 }
 
@@ -157,12 +165,12 @@
 		time.Sleep(bound)
 
 		// The eleven instances with the lowest IDs have retried several times, the others once more.
-		is.True(s.reads <= 2*300+50)
+		is.True(s.readCount() <= 2*300+50)
 
-		b := s.reads
+		b := s.readCount()
 
 		time.Sleep(time.Minute)
-		is.Equal(s.reads, b)
+		is.Equal(s.readCount(), b)
 	})
 }
 
