--- a/internal/replicator/store_test.go
+++ b/internal/replicator/store_test.go
@@ -105,9 +105,6 @@
 		startWith(t, 1, s)
 		time.Sleep(3 * time.Second)
 
-		s.mu.Lock()
-		defer s.mu.Unlock()
-
 		i.Equal(s.readCount(), 1)
 	})
 }
