--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -23,7 +23,7 @@
 	// and the parts of its prompt. The returned function must be called when the target has answered or crashed.
 	Admit(c context.Context, subjects []digester.Digest, deadline time.Time) (quarantiner.Verdict, bool, func())
 	// RecordCrash records that a process crashed while a call with the given subjects was running there, and returns the new
-	// verdict on the call.
+	// verdict on the most suspicious of them.
 	RecordCrash(subjects []digester.Digest, p discoverer.Name) quarantiner.Verdict
 	// RecordServed records that a call with the given subjects was answered in full.
 	RecordServed(subjects []digester.Digest)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -6,7 +6,7 @@
 // subjects of the same evidence. When a target crashes, any of the subjects in flight there may be the
 // cause: of 32 calls in flight, 31 are innocent. A subject that was in flight at the crashes of several
 // targets, and was not served since, is almost certainly the cause, and is quarantined. It explains its
-// crashes: they no longer count against subjects with fewer crashes.
+// crashes: they no longer count against subjects with less evidence, see cause.
 //
 // The state is a set of crashes, each of one process while one subject was in flight there, some of which
 // are cleared because the subject was served since. Merging states is a set union, so instances may
