quarantiner: parts that share only some crashes are not tried as if all but one were innocent

Beside load it failed in 2 of 20 runs.

Cause, by the logs of a run that failed: the two parts were in flight together at one of their crashes and had as many, so that they were taken for parts at the same crashes, of which all but one are innocent. These are tried after 2 s, and both were, at 55.2, 57.5 and 59.7 s, each time at the cost of a target each. A part with a crash that the other one was not at is a cause of its own: its trials come after 10 s, 1 and 10 minutes.

Change: parts are tied only if all their crashes are the same. Two cases of TestTiedPartsAreTriedSooner failed before.

--- a/internal/quarantiner/causes.go
+++ b/internal/quarantiner/causes.go
@@ -24,7 +24,7 @@
 	weighed map[digester.Digest]cause
 	// byProcess is the cause of the crash of a process: the first by order. partByProcess is the first that is a part.
 	byProcess, partByProcess map[discoverer.Name]cause
-	// tied are the quarantined parts with the same evidence as another one at the same crash.
+	// tied are the quarantined parts with the same evidence as another one at the same crashes.
 	tied map[digester.Digest]bool
 }
 
@@ -238,15 +238,23 @@
 	q.causes.tie(x)
 }
 
-// tie marks a quarantined part and those with the same evidence as tied.
+// tie marks a quarantined part and those with the same evidence at the same crashes as tied. Parts with only some crashes in common
+// may each be the cause of the others.
 func (c *causes) tie(x cause) {
 	for _, p := range c.processes[x.subject] {
-		if o, ok := c.partByProcess[p]; ok && x.subject.IsPart() && o.subject != x.subject && o.compare(x) == 0 {
+		if o, ok := c.partByProcess[p]; ok && x.subject.IsPart() && o.subject != x.subject && o.compare(x) == 0 && c.sameCrashes(o.subject, x.subject) {
 			c.tied[o.subject], c.tied[x.subject] = true, true
 		}
 	}
 }
 
+// sameCrashes reports whether two candidates were in flight at the same crashes.
+func (c *causes) sameCrashes(a, b digester.Digest) bool {
+	l := c.processes[b]
+
+	return len(c.processes[a]) == len(l) && !slices.ContainsFunc(c.processes[a], func(p discoverer.Name) bool { return !slices.Contains(l, p) })
+}
+
 // CauseOf returns the quarantined part that explains the crash of a process, or zero.
 func (q *Quarantiner) CauseOf(p discoverer.Name) digester.Digest {
 	q.explain()
--- a/internal/quarantiner/causes_test.go
+++ b/internal/quarantiner/causes_test.go
@@ -1,6 +1,7 @@
 package quarantiner_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -153,6 +154,9 @@
 		"two at the same crashes":     {crashesWith(1, 3, bad, good), 2 * time.Second},
 		"one of them at further ones": {append(crashesWith(1, 3, bad, good), crashesWith(4, 4, bad)...), time.Minute},
 		"two at different crashes":    {append(crashesWith(1, 3, good), crashesWith(4, 6, bad)...), 10 * time.Second},
+		"two that crash one together": {slices.Concat(crashesWith(1, 1, bad, good), crashesWith(2, 3, bad), crashesWith(4, 5, good)), 10 * time.Second},
+		"each has failed a trial":     {slices.Concat(crashesWith(1, 1, bad, good), crashesWith(2, 4, bad), crashesWith(5, 7, good)), time.Minute},
+		"two at four crashes":         {crashesWith(1, 4, bad, good), 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
