selector, prober: a crash is detected though targets that would confirm it have crashed as well

Whatever crashes one target after the other hides its own crashes so.

Change: up to six others are dialled in turn until one accepts, and at most two that do not answer are waited for, as before. A refusal that no other target confirms is logged (crashUnconfirmed). TestWitnesses asked for exactly two targets; it now asks for the healthy ones first and all others after them, and has a case with more targets than are dialled.

--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -207,6 +207,41 @@
 	}
 }
 
+// Guards against a crash that is not detected because the targets that show whether its data centre is reachable have crashed as
+// well, a moment before: what crashes one target after the other crashes more than it should.
+func TestCrashBesideOtherCrashes(t *testing.T) {
+	const (
+		rounds  = 30
+		targets = 12
+		crashed = 4
+	)
+
+	is := is.New(t)
+
+	for range rounds {
+		l := make([]*target, targets)
+		for n := range l {
+			l[n] = &target{answer: answerOK}
+		}
+
+		l[0].answer = func(n net.Conn, _ received) {
+			for _, y := range l[:crashed+1] {
+				y.refuseConnections()
+			}
+
+			reset(n)
+		}
+
+		g := newGateway(t, l...)
+		q := newQuarantine(3)
+		g.forwarder.SetQuarantine(q)
+		g.call(t, http.MethodPost, "/once/", "x")
+
+		is.Equal(l[0].count(), 1)
+		is.Equal(q.crashCount(), 1)
+	}
+}
+
 // Guards against taking a network partition, which resets open connections and refuses new ones, for
 // crashes. Seen from the data centre that is cut off, all other targets seem to have crashed, and the
 // calls in flight at them would be quarantined.
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -5,10 +5,10 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
 )
 
@@ -36,12 +36,40 @@
 // elsewhere would have crashed under the calls in flight. If others is empty, the refusal of the target alone
 // decides. Concurrent requests for one address share one dial.
 func (p *Prober) Crashed(c context.Context, a netip.AddrPort, others []netip.AddrPort) bool {
-	return p.connect(c, a) == refused && (len(others) == 0 || p.Reachable(c, others))
+	if p.connect(c, a) != refused {
+		return false
+	}
+
+	if len(others) == 0 || p.Reachable(c, others) {
+		return true
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "crashUnconfirmed", "address": a, "others": others}).Info()
+
+	return false
 }
 
+// maxUnanswered is the number of addresses that give no answer after which Reachable gives up: each takes a whole dial time-out,
+// for which a caller waits.
+const maxUnanswered = 2
+
 // Reachable reports whether at least one of the addresses accepts connections.
 func (p *Prober) Reachable(c context.Context, l []netip.AddrPort) bool {
-	return slices.ContainsFunc(l, func(a netip.AddrPort) bool { return p.connect(c, a) == accepted })
+	unanswered := 0
+
+	for _, a := range l {
+		switch p.connect(c, a) {
+		case accepted:
+			return true
+		case noAnswer:
+			if unanswered++; unanswered == maxUnanswered {
+				return false
+			}
+		case refused:
+		}
+	}
+
+	return false
 }
 
 // Refused reports whether an attempt to connect failed because no process listens at the address.
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -61,6 +61,41 @@
 	}
 }
 
+// Guards against a caller that waits for many dial time-outs while none of the other targets responds, and against one that
+// responds and is not asked since others have crashed.
+func TestReachableGivesUp(t *testing.T) {
+	_, near := listen(t)
+	gone, silent := porter.Refusing(t), netip.MustParseAddrPort("192.0.2.1:1")
+
+	for name, x := range map[string]struct {
+		others []netip.AddrPort
+		dials  int
+		want   bool
+	}{
+		"the first accepts":   {[]netip.AddrPort{near, gone}, 1, true},
+		"all but one refuse":  {[]netip.AddrPort{gone, gone, gone, gone, gone, near}, 6, true},
+		"one does not answer": {[]netip.AddrPort{silent, gone, near}, 3, true},
+		"two do not answer":   {[]netip.AddrPort{silent, gone, silent, near}, 3, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			dials := 0
+			p := prober.New(func(c context.Context, network, address string) (net.Conn, error) {
+				dials++
+
+				if address == silent.String() {
+					return nil, context.DeadlineExceeded
+				}
+
+				return (&net.Dialer{}).DialContext(c, network, address)
+			})
+
+			is.Equal(p.Reachable(t.Context(), x.others), x.want)
+			is.Equal(dials, x.dials)
+		})
+	}
+}
+
 // Guards against a dial for each broken call: a target crashes with thirty calls in flight. One dial serves
 // all of them, and it goes on when the caller that made it disconnects.
 func TestConcurrentCallsShareOneDial(t *testing.T) {
--- a/internal/selector/selector_test.go
+++ b/internal/selector/selector_test.go
@@ -714,30 +714,22 @@
 // Other targets of its data centre, the healthy ones first, show whether a target crashed or is partitioned.
 // Targets of other data centres only count if its own has no other target.
 func TestWitnesses(t *testing.T) {
-	ids := func(l []*discoverer.Target) []string {
-		o := []string{}
-		for _, x := range l {
-			o = append(o, x.ID)
-		}
-
-		slices.Sort(o)
-
-		return o
-	}
-
 	for name, x := range map[string]struct {
+		targets int
 		centres []string
 		crashed []string
-		want    []string
+		// want are the healthy witnesses, which come first in any order, and wantCrashed those after them.
+		want, wantCrashed []string
 	}{
-		"others of its data centre": {[]string{"a", "b"}, nil, []string{"t2", "t4"}},
-		"another crashed too":       {[]string{"a", "b", "a"}, []string{"t2"}, []string{"t3", "t5"}},
-		"all others crashed":        {[]string{"a", "b"}, []string{"t2", "t4"}, []string{"t2", "t4"}},
-		"the only one there":        {[]string{"a", "b", "c", "d", "e", "f"}, []string{"t1", "t2", "t3"}, []string{"t4", "t5"}},
+		"others of its data centre": {6, []string{"a", "b"}, nil, []string{"t2", "t4"}, nil},
+		"another crashed too":       {6, []string{"a", "b", "a"}, []string{"t2"}, []string{"t3", "t5"}, []string{"t2"}},
+		"all others crashed":        {6, []string{"a", "b"}, []string{"t2", "t4"}, nil, []string{"t2", "t4"}},
+		"the only one there":        {6, []string{"a", "b", "c", "d", "e", "f"}, []string{"t1", "t2", "t3"}, []string{"t4", "t5"}, []string{"t1", "t2", "t3"}},
+		"more than are probed":      {10, []string{"a"}, []string{"t1", "t2", "t3"}, []string{"t4", "t5", "t6", "t7", "t8", "t9"}, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			r := registry(6, x.centres...)
+			r := registry(x.targets, x.centres...)
 			s := selector.New(selector.DefaultSettings())
 			now := time.Unix(0, 0)
 
@@ -746,7 +738,15 @@
 				s.Finish(now, r.Known[id], selector.Crashed)
 			}
 
-			i.Equal(ids(s.Witnesses(now, r, r.Known["t0"])), x.want)
+			var o []string
+			for _, y := range s.Witnesses(now, r, r.Known["t0"]) {
+				o = append(o, y.ID)
+			}
+
+			i.Equal(len(o), len(x.want)+len(x.wantCrashed))
+			slices.Sort(o[:len(x.want)])
+			slices.Sort(o[len(x.want):])
+			i.Equal(o, slices.Concat(x.want, x.wantCrashed))
 		})
 	}
 }
--- a/internal/selector/view.go
+++ b/internal/selector/view.go
@@ -59,8 +59,10 @@
 	return s.health.partitionProbes(r)
 }
 
-// maxWitnesses is the number of targets that are probed to find out whether a data centre is reachable.
-const maxWitnesses = 2
+// maxWitnesses is the number of targets that are probed to find out whether a data centre is reachable, one after the other until
+// one accepts a connection. While targets crash one after the other, several of them are down, and this instance
+// does not know of each.
+const maxWitnesses = 6
 
 // Witnesses returns the targets to probe to distinguish a crash of t from a network partition: if the probes
 // succeed, t's data centre is reachable. The witnesses are other targets of t's data centre, or of any data centre
