quarantiner: a part needs a fourth crash while targets crash for other reasons

Ruled out: parts that many calls hold, and parts that were in calls with the bad one.

TestPartBesideOtherCrashes failed before.

--- a/internal/quarantiner/causes_test.go
+++ b/internal/quarantiner/causes_test.go
@@ -173,6 +173,46 @@
 	}
 }
 
+// Guards against a part that few calls hold and that is quarantined since targets crash for other reasons: it is in flight at
+// three of many crashes by chance.
+func TestPartBesideOtherCrashes(t *testing.T) {
+	for name, x := range map[string]struct {
+		// others are the crashes without the part between any two of its own.
+		others int
+		// want are the verdicts after each of its crashes.
+		want []quarantiner.Status
+	}{
+		"none":          {0, []quarantiner.Status{quarantiner.Suspected, quarantiner.Suspected, quarantiner.Quarantined}},
+		"some":          {3, []quarantiner.Status{quarantiner.Suspected, quarantiner.Suspected, quarantiner.Quarantined}},
+		"more than six": {4, []quarantiner.Status{quarantiner.Suspected, quarantiner.Suspected, quarantiner.Suspected, quarantiner.Quarantined}},
+		"many":          {600, []quarantiner.Status{quarantiner.Suspected, quarantiner.Suspected, quarantiner.Suspected, quarantiner.Quarantined}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			q := quarantiner.New(quarantiner.DefaultSettings())
+			now, process := start(), discoverer.Name(1)
+
+			for _, s := range x.want {
+				q.RecordCrash(now, bad, process)
+				i.Equal(q.Peek(now, bad).Status, s)
+
+				if s == quarantiner.Quarantined {
+					i.Equal(q.Peek(now, bad).TrialIn, 10*time.Second)
+				}
+
+				for range x.others {
+					process++
+					now = now.Add(time.Millisecond)
+					q.RecordCrash(now, digester.Digest(process), process)
+				}
+
+				process++
+				now = now.Add(time.Millisecond)
+			}
+		})
+	}
+}
+
 // Guards against customers confined to their shards for crashes that a quarantined part explains.
 func TestCauseOf(t *testing.T) {
 	i := is.New(t)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -25,6 +25,10 @@
 type Settings struct {
 	// CrashThreshold is the number of crashes at which a subject is quarantined.
 	CrashThreshold int
+	// MaxOtherCrashes is the number of crashes without a part, from the first of its crashes to that at the threshold, beyond which
+	// one more is needed to quarantine it. While targets crash for other reasons, a part that few calls hold is in flight at
+	// several crashes by chance.
+	MaxOtherCrashes int
 	// MinSeparation is the smallest time between two crashes that count as two, for a subject that was served
 	// before. Targets that lose power together crash together, and calls with the same digest, such
 	// as a page that one customer requests constantly, or with the same part may be in flight at all of them.
@@ -51,6 +55,8 @@
 		// An innocent call is occasionally in flight at two crashes, when its retry reaches the same
 		// target as a retry of the cause. Each further crash costs a target with all its calls.
 		CrashThreshold: 3,
+		// Two more parts that crash targets have as many crashes until they are quarantined.
+		MaxOtherCrashes: 6,
 		// When targets lose power together, their crashes are detected within this time: the calls
 		// there fail as the connections break, or at the next write.
 		MinSeparation: time.Second,
@@ -72,6 +78,7 @@
 	settings Settings
 	subjects map[digester.Digest]*Record
 	served   served
+	history  history
 	causes   causes
 }
 
@@ -106,8 +113,8 @@
 		l = q.settings.PartTrialDelays
 	}
 
-	if n := v.Crashes - q.settings.CrashThreshold; n >= 0 && n < len(l) {
-		w := l[n]
+	if v.Status == Quarantined && v.failedTrials < len(l) {
+		w := l[v.failedTrials]
 		if q.causes.tied[d] {
 			w = min(w, q.settings.TiedTrialDelay)
 		}
@@ -128,6 +135,7 @@
 	}
 
 	r.LastSeen = now
+	q.history.add(p, now)
 	added := r.add(Crash{Process: p, At: now, ServedBefore: q.served.contains(d)})
 	q.update(r)
 
@@ -169,6 +177,10 @@
 			r = q.insert(x.LastSeen, x.Subject)
 		}
 
+		for _, e := range x.Crashes {
+			q.history.add(e.Process, e.At)
+		}
+
 		b := q.verdict(r).Status
 		changed = r.merge(x) || changed
 		q.update(r)
@@ -304,6 +316,8 @@
 	var (
 		v          = Verdict{Subject: r.Subject}
 		separation time.Duration
+		first      time.Time
+		threshold  = q.settings.CrashThreshold
 	)
 
 	if slices.ContainsFunc(r.Crashes, func(e Crash) bool { return e.ServedBefore }) {
@@ -318,11 +332,19 @@
 
 		v.Crashes++
 		v.LastCrash = e.At
+
+		switch {
+		case v.Crashes == 1:
+			first = e.At
+		case v.Crashes == q.settings.CrashThreshold && r.Subject.IsPart() && q.history.exceeds(q.settings.MaxOtherCrashes, r, first, e.At):
+			threshold++
+		}
 	}
 
 	switch {
-	case v.Crashes >= q.settings.CrashThreshold:
+	case v.Crashes >= threshold:
 		v.Status = Quarantined
+		v.failedTrials = v.Crashes - threshold
 	case v.Crashes > 0:
 		v.Status = Suspected
 	}
