forwarder: the slot of a call that a brittle target refused is released once all instances know of the refusal

A refused call released its slot at the target's home at once; the home granted it to the next request, whose bound was that of before, as the news of the refusal was still on its way. So one slot too many made refusal after refusal within some milliseconds. Ruled out: shares without a count (all calls had a grant), and reports of loads.

Change: the slot of such a call stays reserved for 200 ms. TestSlotOfRefusedCallIsHeld failed before.

--- a/internal/forwarder/brittle.go
+++ b/internal/forwarder/brittle.go
@@ -46,6 +46,7 @@
 			calls = int(t.Load)
 		}
 
+		x.reservation.hold = refusedHold
 		r := selector.Refusal{Process: t.Target.Process(), Calls: calls, MaxRefusals: p.MaxRefusals}
 
 		f.mu.Lock()
--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -69,6 +69,10 @@
 		o.Backoff = time.Duration(n) * time.Millisecond
 	}
 
+	if n, err := strconv.Atoi(h.Get("Brittle")); err == nil {
+		o.Brittle, o.MaxRefusals = true, n
+	}
+
 	if n, err := strconv.Atoi(h.Get("Running")); err == nil {
 		o.Running, o.Slots = n, 8
 	}
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -16,6 +16,11 @@
 // call begins.
 const maxCountDrift = 2
 
+// refusedHold is how long the slot of a call that a brittle target refused stays reserved: the time until all instances know of
+// the refusal, also while they are busy. Until then the others request slots up to a bound that the target no longer accepts, and the home
+// would grant the slot again at once, for another refusal.
+const refusedHold = 200 * time.Millisecond
+
 // SlotReserver reserves slots for calls at targets. The home node of a target, the one instance
 // responsible for it, counts the calls of all instances. It is implemented by reserver.Reserver.
 type SlotReserver interface {
@@ -37,13 +42,21 @@
 	// latency is the time until the answer began, as a fraction of the latency objective; zero until
 	// it has begun.
 	latency float64
+	// hold is how long the slot stays reserved after the end of the call.
+	hold time.Duration
 }
 
-// end releases the slot with the outcome of the call. Further calls do nothing.
+// end releases the slot with the outcome of the call, after the hold if there is one. Further calls do nothing.
 func (r *reservation) end(o selector.Outcome) {
-	if r.release != nil {
-		r.release(resultOf(o), r.latency)
-		r.release = nil
+	f, l := r.release, r.latency
+	r.release = nil
+
+	switch {
+	case f == nil:
+	case r.hold > 0:
+		time.AfterFunc(r.hold, func() { f(resultOf(o), l) })
+	default:
+		f(resultOf(o), l)
 	}
 }
 
--- a/internal/forwarder/reservation_test.go
+++ b/internal/forwarder/reservation_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -69,6 +70,14 @@
 	}
 }
 
+// unreleased returns the number of reservations that are not released.
+func (h *fakeReserver) unreleased() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.open
+}
+
 func (h *fakeReserver) Report(t *discoverer.Target, calls int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -120,6 +129,43 @@
 	}
 }
 
+// Guards against a brittle target that is sent one call after the other as it refuses them: the home grants the slot of a refused
+// call again before the instances know that the target accepts fewer calls.
+func TestSlotOfRefusedCallIsHeld(t *testing.T) {
+	for name, x := range map[string]struct {
+		brittle []string
+		held    int
+	}{
+		"brittle": {[]string{"Brittle: 3"}, 1},
+		"sound":   {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			y := &target{answer: func(n net.Conn, s received) {
+				reply(n, s, "503 Service Unavailable", "", append([]string{"Not-Run: full"}, x.brittle...)...)
+			}}
+			h := &fakeReserver{verdicts: map[string]aggregator.Verdict{"t0": {Outcome: aggregator.Granted, Calls: 1}}, reports: make(map[string]int)}
+			g := newGateway(t, y)
+			g.forwarder.SetReserver(h)
+
+			i.Equal(g.call(t, http.MethodPost, "/once/", "x").status, http.StatusServiceUnavailable)
+			i.Equal(y.count(), 1)
+			i.Equal(h.unreleased(), x.held)
+
+			for range 100 {
+				if h.unreleased() == 0 {
+					break
+				}
+
+				time.Sleep(10 * time.Millisecond)
+			}
+
+			i.Equal(h.unreleased(), 0)
+			i.Equal(h.releasedAgain, 0)
+		})
+	}
+}
+
 // Guards against long queues when all targets are full. A call without a prompt would be late and
 // delay others, so it is refused at once, as not run and with a time to retry, unless a queue is
 // short. A call with a prompt is sent, since engines order their queues by priority.
