forwarder: the trial of a quarantined call that breaks is not sent on to a second target

Cause, by the logs: the trial went through a delegate, which detected the crash and told the others 10 ms later. The instance that had accepted the call went on to the next target within a millisecond; neither it nor the part's home, whose trial had ended, knew of the crash, and so the trial was granted again.

Change: a trial of a quarantined subject that was sent and broke is not sent on, whoever detects the crash; one that the target refused is. A trial that broke at a delegate ends for the home 200 ms later, when all instances know. TestTrialOfQuarantinedCallIsNotSentOn failed before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -114,6 +114,11 @@
 		return false
 	}
 
+	// The trial of a quarantined call that broke may have crashed its target.
+	if x.quarantined && !r.notRun {
+		return false
+	}
+
 	if _, ok := f.quarantineAllows(x); !ok {
 		return false
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -42,6 +42,8 @@
 	// endTrial ends the trials in progress: the one attempt permitted at a time for a call, or calls with a part, that is
 	// suspected of crashing targets. It is nil while no trial is in progress.
 	endTrial func()
+	// quarantined reports whether the trial in progress is that of a quarantined call or part.
+	quarantined bool
 	// trialEndsAt is when the trials end though the stream goes on; zero before its first event.
 	trialEndsAt time.Time
 
--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -63,10 +63,22 @@
 
 	v, ok, end := f.quarantine.Admit(x.request.Context(), x.subjects(), x.deadline)
 	x.endTrial = end
+	x.quarantined = ok && v.Status == quarantiner.Quarantined
 
 	return v, ok
 }
 
+// crashReportTime is the time within which a delegate has told all instances that a target crashed.
+const crashReportTime = 200 * time.Millisecond
+
+// holdTrial makes the current trial of the call end only when a crash that a delegate detected is known to all instances. They would
+// be granted the next trial before.
+func (x *exchange) holdTrial() {
+	if f := x.endTrial; f != nil {
+		x.endTrial = func() { time.AfterFunc(crashReportTime, f) }
+	}
+}
+
 // finishTrial ends the current trial of the call. It does nothing if there is none.
 func (x *exchange) finishTrial() {
 	if x.endTrial != nil {
@@ -91,6 +103,8 @@
 
 		return false
 	case t.Route == selector.Delegated: // The delegate detects it.
+		x.holdTrial()
+
 		return false
 	case c.Err() != nil || !errors.Is(r.err, errBroken) || !f.client.prober.Crashed(c, t.Target.Address, f.witnesses(t.Target)):
 		return false
--- a/internal/forwarder/quarantine_test.go
+++ b/internal/forwarder/quarantine_test.go
@@ -27,6 +27,8 @@
 	received []digester.Digest
 	// trials is the number of calls of Admit whose returned function was not called yet.
 	trials int
+	// granted makes Admit permit quarantined calls, as trials.
+	granted bool
 }
 
 func newQuarantine(crashes int) *fakeQuarantine {
@@ -51,7 +53,7 @@
 		}
 	}
 
-	return v, v.Status != quarantiner.Quarantined, func() {
+	return v, x.granted || v.Status != quarantiner.Quarantined, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 
@@ -242,6 +244,36 @@
 	}
 }
 
+// Guards against the trial of a quarantined call that crashes two targets: it is sent on to the second before this instance knows
+// that the first has crashed, as with a delegate that detects it.
+func TestTrialOfQuarantinedCallIsNotSentOn(t *testing.T) {
+	for name, x := range map[string]struct {
+		quarantined bool
+		answer      func(n net.Conn, s received)
+		want        int
+	}{
+		"quarantined, broken":  {true, func(n net.Conn, _ received) { reset(n) }, 1},
+		"quarantined, not run": {true, faults()["notRun"], 2},
+		"free, broken":         {false, func(n net.Conn, _ received) { reset(n) }, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := &target{answer: x.answer}, &target{answer: x.answer}
+			g := newGateway(t, a, b)
+			q := newQuarantine(1)
+			q.granted = true
+			g.forwarder.SetQuarantine(q)
+
+			if x.quarantined {
+				q.RecordCrash([]digester.Digest{digester.Of("customer-1", http.MethodPost, "/idempotent/x", []byte("y"))}, 1)
+			}
+
+			g.call(t, http.MethodPost, "/idempotent/x", "y")
+			is.Equal(a.count()+b.count(), x.want)
+		})
+	}
+}
+
 // Guards against taking a network partition, which resets open connections and refuses new ones, for
 // crashes. Seen from the data centre that is cut off, all other targets seem to have crashed, and the
 // calls in flight at them would be quarantined.
