quarantiner: the first trial of any part comes after 2 s, and one crash at once is no failed trial

Cause, by the logs: a part that all sound calls hold was in flight at two crashes of a call that crashes targets and at one of a part. What was wrong is that an innocent part waits for 10 s unless it is tied.

Change: the first trial of any part comes after 2 s, and ties are gone. A fourth crash within a second of the third was sent before the others were known, and does not count as a failed trial; each failed one delays the next, to 1 and 10 minutes. A part that crashes targets costs as many as before, its first trial only comes sooner.

--- a/internal/quarantiner/causes.go
+++ b/internal/quarantiner/causes.go
@@ -24,8 +24,6 @@
 	weighed map[digester.Digest]cause
 	// byProcess is the cause of the crash of a process: the first by order. partByProcess is the first that is a part.
 	byProcess, partByProcess map[discoverer.Name]cause
-	// tied are the quarantined parts with the same evidence as another one at the same crashes.
-	tied map[digester.Digest]bool
 }
 
 // newCauses returns causes without candidates.
@@ -33,7 +31,6 @@
 	return causes{
 		processes: make(map[digester.Digest][]discoverer.Name), at: make(map[discoverer.Name]map[digester.Digest]bool), partsAt: make(map[discoverer.Name]int),
 		weighed: make(map[digester.Digest]cause), byProcess: make(map[discoverer.Name]cause), partByProcess: make(map[discoverer.Name]cause),
-		tied: make(map[digester.Digest]bool),
 	}
 }
 
@@ -95,7 +92,6 @@
 
 	delete(c.processes, d)
 	delete(c.weighed, d)
-	delete(c.tied, d)
 
 	if len(l) == 0 {
 		return
@@ -141,8 +137,6 @@
 			if !known[d] {
 				known[d] = true
 
-				delete(c.tied, d)
-
 				o = append(o, d)
 				l = append(l, c.processes[d]...)
 			}
@@ -234,25 +228,6 @@
 			}
 		}
 	}
-
-	q.causes.tie(x)
-}
-
-// tie marks a quarantined part and those with the same evidence at the same crashes as tied. Parts with only some crashes in common
-// may each be the cause of the others.
-func (c *causes) tie(x cause) {
-	for _, p := range c.processes[x.subject] {
-		if o, ok := c.partByProcess[p]; ok && x.subject.IsPart() && o.subject != x.subject && o.compare(x) == 0 && c.sameCrashes(o.subject, x.subject) {
-			c.tied[o.subject], c.tied[x.subject] = true, true
-		}
-	}
-}
-
-// sameCrashes reports whether two candidates were in flight at the same crashes.
-func (c *causes) sameCrashes(a, b digester.Digest) bool {
-	l := c.processes[b]
-
-	return len(c.processes[a]) == len(l) && !slices.ContainsFunc(c.processes[a], func(p discoverer.Name) bool { return !slices.Contains(l, p) })
 }
 
 // CauseOf returns the quarantined part that explains the crash of a process, or zero.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -40,9 +40,6 @@
 	// PartTrialDelays are the same for parts. The first is shorter, as many sound calls may hold a part that is quarantined
 	// by mistake.
 	PartTrialDelays []time.Duration
-	// TiedTrialDelay is the first of them for parts that were in flight at the same crashes, so that all but one of them
-	// are innocent.
-	TiedTrialDelay time.Duration
 	// Retention is how long a subject is remembered after it was last seen.
 	Retention time.Duration
 	// MaxSubjects is the largest number of remembered subjects.
@@ -63,8 +60,7 @@
 		// A target restarts within seconds; a model or service is repaired within minutes at best,
 		// and mostly within one to two hours.
 		TrialDelays:     []time.Duration{time.Minute, 10 * time.Minute, 100 * time.Minute},
-		PartTrialDelays: []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute},
-		TiedTrialDelay:  2 * time.Second,
+		PartTrialDelays: []time.Duration{2 * time.Second, time.Minute, 10 * time.Minute},
 		// Longer than any time after which a refused caller should retry.
 		Retention: 4 * time.Hour,
 		// Enough for all calls in flight at a third of 600 targets with 20 calls each, with a part of its own for each.
@@ -114,12 +110,7 @@
 	}
 
 	if v.Status == Quarantined && v.failedTrials < len(l) {
-		w := l[v.failedTrials]
-		if q.causes.tied[d] {
-			w = min(w, q.settings.TiedTrialDelay)
-		}
-
-		v.TrialIn = max(v.LastCrash.Add(w).Sub(now), 0)
+		v.TrialIn = max(v.LastCrash.Add(l[v.failedTrials]).Sub(now), 0)
 		v.TrialDue = v.TrialIn == 0
 	}
 
@@ -317,7 +308,9 @@
 		v          = Verdict{Subject: r.Subject}
 		separation time.Duration
 		first      time.Time
+		known      time.Time
 		threshold  = q.settings.CrashThreshold
+		inFlight   = 0
 	)
 
 	if slices.ContainsFunc(r.Crashes, func(e Crash) bool { return e.ServedBefore }) {
@@ -338,13 +331,17 @@
 			first = e.At
 		case v.Crashes == q.settings.CrashThreshold && r.Subject.IsPart() && q.history.exceeds(q.settings.MaxOtherCrashes, r, first, e.At):
 			threshold++
+		case v.Crashes == threshold:
+			known = e.At
+		case v.Crashes == threshold+1 && r.Subject.IsPart() && e.At.Sub(known) < q.settings.MinSeparation:
+			inFlight = 1 // It was sent before the others were known.
 		}
 	}
 
 	switch {
 	case v.Crashes >= threshold:
 		v.Status = Quarantined
-		v.failedTrials = v.Crashes - threshold
+		v.failedTrials = v.Crashes - threshold - inFlight
 	case v.Crashes > 0:
 		v.Status = Suspected
 	}
--- a/internal/quarantiner/verdict.go
+++ b/internal/quarantiner/verdict.go
@@ -48,7 +48,7 @@
 	// is not the call's first, and the call was not quarantined yet. Further crashes of a call that is known as a cause
 	// suggest no other. It is never set for a part, which many calls have in common.
 	Repeated bool
-	// failedTrials is the number of crashes since the subject was quarantined.
+	// failedTrials is the number of crashes since the subject was quarantined, without one that came too early for a trial.
 	failedTrials int
 	// TrialDue reports whether a quarantined subject is due for a trial.
 	TrialDue bool
