--- a/internal/replicator/parts_test.go
+++ b/internal/replicator/parts_test.go
@@ -39,8 +39,8 @@
 	instances, targets int
 	// sound and bad are the calls of each kind in a second.
 	sound, bad int
-	// parts is the number of parts that crash targets.
-	parts int
+	// parts is the number of parts that crash targets, and harmless the percentage of calls with them that do not.
+	parts, harmless int
 	// lifetime is the mean time until a target crashes by itself; zero means never.
 	lifetime time.Duration
 	// cut partitions a data centre from the others, and restart starts an instance, both in the middle.
@@ -123,15 +123,23 @@
 	return r.random.IntN(n)
 }
 
-// choose returns a process that takes calls.
+// choose returns a process that takes calls, and waits until there is one.
 func (r *partReplay) choose() (int, partProcess) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	const interval = 10 * time.Millisecond
 
 	for {
+		r.mu.Lock()
+
 		i := r.random.IntN(len(r.processes))
-		if p := r.processes[i]; !p.since.After(time.Now()) {
+		p := r.processes[i]
+		none := !slices.ContainsFunc(r.processes, func(x partProcess) bool { return !x.since.After(time.Now()) })
+		r.mu.Unlock()
+
+		switch {
+		case !p.since.After(time.Now()):
 			return i, p
+		case none:
+			time.Sleep(interval)
 		}
 	}
 }
@@ -169,7 +177,7 @@
 	select {
 	case <-p.crashed:
 	case <-time.After(takes):
-		if c.bad == 0 {
+		if c.bad == 0 || r.load.harmless > 0 && r.draw(100) < r.load.harmless { //nolint:mnd // A percentage.
 			w.RecordServed(c.subjects)
 
 			return true
@@ -400,6 +408,18 @@
 	}
 }
 
+// Guards against a part that crashes only some of the targets which begin to answer a call with it: each answer clears all crashes
+// before it, and the part is never quarantined.
+func TestPartsThatCrashTargetsNowAndThen(t *testing.T) {
+	for _, n := range []int{25, 50, 75} {
+		t.Run(fmt.Sprint(n, " of 100 calls are harmless"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				newPartReplay(t, partLoad{instances: 6, targets: 18, sound: 50, bad: 4, parts: 1, harmless: n}).play(t)
+			})
+		})
+	}
+}
+
 // Guards against a popular part that is held up at all instances: the one that has served it before does not say so, since the
 // crash is reported to it once more meanwhile, with a request for a trial.
 func TestInstancesVouchForPartsThatTheyServed(t *testing.T) {
