--- a/internal/replicator/parts_test.go
+++ b/internal/replicator/parts_test.go
@@ -177,7 +177,7 @@
 	select {
 	case <-p.crashed:
 	case <-time.After(takes):
-		if c.bad == 0 || r.load.harmless > 0 && r.draw(100) < r.load.harmless { //nolint:mnd // A percentage.
+		if c.bad == 0 || r.load.harmless > 0 && r.draw(100) < r.load.harmless {
 			w.RecordServed(c.subjects)
 
 			return true
