replicator: calls wait for the first exchange of an instance that has just started

Cause, by a trace of the times (trial on a scratch copy): three crashes, the trial after 2 s, and one or two more within 0.1 s of the start of an instance, which did not know yet what the others had quarantined. Before the first trial came after 2 s these were the fourth and the fifth.

An instance that has no other or reaches none serves 300 ms after its start.

--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -40,6 +40,8 @@
 	fullSyncInterval = 5 * time.Second
 	// initialSyncInterval is the interval between two attempts until the first exchange has succeeded.
 	initialSyncInterval = 50 * time.Millisecond
+	// firstSyncTimeout is how long after the start calls wait for the first exchange at most.
+	firstSyncTimeout = 300 * time.Millisecond
 	// maxRecords bounds the records in a message, and so its size to a few kilobytes. Quarantined calls come
 	// first.
 	maxRecords = 64
@@ -80,6 +82,9 @@
 	verifyWake chan struct{}
 	// synced reports whether the subjects quarantined before the start of this instance are known.
 	synced bool
+	// started is when this instance has started, and exchanged is closed after the first exchange with another.
+	started   time.Time
+	exchanged chan struct{}
 	// counts are the crashes and cleared subjects of this instance.
 	counts Counts
 	// onCrashes is called with the crashes reported by other instances.
@@ -105,7 +110,7 @@
 		messenger: m, members: x, broadcaster: broadcaster.New(m, x), store: h, retention: s.Retention, quarantiner: quarantiner.New(s),
 		pending: make(map[digester.Digest]bool), wake: make(chan struct{}, 1), vouched: make(map[digester.Digest]bool),
 		unsaved: make(map[digester.Digest]bool), saveWake: make(chan struct{}, 1), verifyWake: make(chan struct{}, 1), synced: h == nil,
-		onCrashes: func([]quarantiner.Occurrence) {},
+		started: time.Now(), exchanged: make(chan struct{}), onCrashes: func([]quarantiner.Occurrence) {},
 	}
 }
 
@@ -289,11 +294,14 @@
 // syncLoop exchanges records with the other instances, one at a time.
 func (r *Replicator) syncLoop(c context.Context) {
 	d := initialSyncInterval
+	exchanged := sync.OnceFunc(func() { close(r.exchanged) })
 
 	for c.Err() == nil {
 		if m, ok := r.nextPeer(); ok {
 			if next, answered := r.syncWith(c, m); answered {
 				d = next
+
+				exchanged()
 			}
 		}
 
--- a/internal/replicator/trial.go
+++ b/internal/replicator/trial.go
@@ -36,6 +36,8 @@
 // A call with a suspected subject waits while another trial of the subject is running. The returned function must be called when
 // the target has answered or crashed.
 func (r *Replicator) Admit(c context.Context, subjects []digester.Digest, deadline time.Time) (quarantiner.Verdict, bool, func()) {
+	r.awaitExchange(c)
+
 	b := time.Now()
 	until := b.Add(min(maxTrialWait, deadline.Sub(b)/trialWaitDivisor))
 
@@ -58,6 +60,23 @@
 	}
 }
 
+// awaitExchange waits until an instance that has just started knows what the others have quarantined. It would send such calls before.
+func (r *Replicator) awaitExchange(c context.Context) {
+	d := firstSyncTimeout - time.Since(r.started)
+	if d <= 0 {
+		return
+	}
+
+	t := time.NewTimer(d)
+	defer t.Stop()
+
+	select {
+	case <-r.exchanged:
+	case <-t.C:
+	case <-c.Done():
+	}
+}
+
 // checkAll returns the verdict on a call with the given subjects, which is that on the most suspicious one, and the verdicts on
 // those that need a trial. A call with two quarantined subjects is no trial of either: if it crashed a target, that would show
 // nothing about the one that is innocent.
