quarantiner: the threshold and the failed trials have functions of their own

Read as a newcomer: count decided in one loop which crashes count, how many are needed and which of them were trials. Code is moved, no behaviour changes.

--- a/internal/forwarder/quarantine.go
+++ b/internal/forwarder/quarantine.go
@@ -71,8 +71,8 @@
 // crashReportTime is the time within which a delegate has told all instances that a target crashed.
 const crashReportTime = 200 * time.Millisecond
 
-// holdTrial makes the current trial of the call end only when a crash that a delegate detected is known to all instances. They would
-// be granted the next trial before.
+// holdTrial delays the end of the current trial until all instances know of a crash that a delegate has detected. Otherwise the home
+// would grant the next trial before it knows that this one has failed.
 func (x *exchange) holdTrial() {
 	if f := x.endTrial; f != nil {
 		x.endTrial = func() { time.AfterFunc(crashReportTime, f) }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -307,12 +307,10 @@
 	var (
 		v          = Verdict{Subject: r.Subject}
 		separation time.Duration
-		first      time.Time
-		known      time.Time
-		threshold  = q.settings.CrashThreshold
-		inFlight   = 0
 	)
 
+	times := make([]time.Time, 0, maxCrashesPerRecord)
+
 	if slices.ContainsFunc(r.Crashes, func(e Crash) bool { return e.ServedBefore }) {
 		v.ServedBefore = true
 		separation = q.settings.MinSeparation
@@ -325,23 +323,13 @@
 
 		v.Crashes++
 		v.LastCrash = e.At
-
-		switch {
-		case v.Crashes == 1:
-			first = e.At
-		case v.Crashes == q.settings.CrashThreshold && r.Subject.IsPart() && q.history.exceeds(q.settings.MaxOtherCrashes, r, first, e.At):
-			threshold++
-		case v.Crashes == threshold:
-			known = e.At
-		case v.Crashes == threshold+1 && r.Subject.IsPart() && e.At.Sub(known) < q.settings.MinSeparation:
-			inFlight = 1 // It was sent before the others were known.
-		}
+		times = append(times, e.At)
 	}
 
-	switch {
-	case v.Crashes >= threshold:
+	switch n := q.threshold(r, times); {
+	case v.Crashes >= n:
 		v.Status = Quarantined
-		v.failedTrials = v.Crashes - threshold - inFlight
+		v.failedTrials = q.failedTrials(r, times[n-1:])
 	case v.Crashes > 0:
 		v.Status = Suspected
 	}
@@ -351,6 +339,27 @@
 	return v
 }
 
+// threshold returns the number of crashes at which a subject is quarantined, given the times of those that count.
+func (q *Quarantiner) threshold(r *Record, times []time.Time) int {
+	n := q.settings.CrashThreshold
+	if r.Subject.IsPart() && len(times) >= n && q.history.exceeds(q.settings.MaxOtherCrashes, r, times[0], times[n-1]) {
+		n++
+	}
+
+	return n
+}
+
+// failedTrials returns how many of a subject's crashes were trials, given the times of those from the one at the threshold on. One
+// that follows a part's threshold within MinSeparation was none: the call was sent before all instances knew.
+func (q *Quarantiner) failedTrials(r *Record, times []time.Time) int {
+	n := len(times) - 1
+	if n > 0 && r.Subject.IsPart() && times[1].Sub(times[0]) < q.settings.MinSeparation {
+		n--
+	}
+
+	return n
+}
+
 // Occurrences returns the crashes of a record, each with what it suggests for the call at that time.
 func (q *Quarantiner) Occurrences(r Record) []Occurrence {
 	o := make([]Occurrence, 0, len(r.Crashes))
