--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -180,7 +180,7 @@
 	c, t := r.AddStream(config, w.Config, d), r.AddStream(targets, w.Targets, e)
 	f.lastConfirmed, f.targetsConfirmed = c.ConfirmedAt, t.ConfirmedAt
 	m.Handle(wire.KindStream, r.Answer)
-	m.Handle(wire.KindGossip, j.HandleGossip)
+	j.Register(m)
 
 	i := advertiser.New(m, j, x)
 	m.Handle(wire.KindUpdate, i.HandleUpdate)
@@ -220,7 +220,7 @@
 	p.Meter.RegisterGauge("streams_bound", func() float64 { return float64(p.Binder.Len()) })
 
 	for name, k := range map[string]wire.Kind{
-		"news": wire.KindUpdate, "relay": wire.KindUpdateRelay, "gone": wire.KindGone, "leaving": wire.KindLeaving, "gossip": wire.KindGossip, "reply": wire.KindReply,
+		"news": wire.KindUpdate, "relay": wire.KindUpdateRelay, "gone": wire.KindGone, "leaving": wire.KindLeaving, "gossip": wire.KindGossip, "members": wire.KindMembers, "members_request": wire.KindMembersRequest, "probe": wire.KindProbe, "reply": wire.KindReply,
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
 		"trial": wire.KindTrial, "capacity": wire.KindCapacity, "delegation": wire.KindDelegation,
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -1,13 +1,16 @@
-// Package gossiper determines which routers are live from the heartbeats ("beats" for
-// short) that they relay to each other.
+// Package gossiper determines which routers are live.
+//
+// Each router probes a few others and declares one of its data centre dead when it has not answered for a while.
+// Only changes of the membership are sent to all. What a router sends does therefore not depend on the size of the
+// fleet.
 package gossiper
 
 import (
 	"math/rand/v2"
 	"net/netip"
-	"sort"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -24,145 +27,215 @@
 	DataCentre string
 }
 
+// Introduction returns the message with which routers introduce this member to others.
+func (m Member) Introduction() wire.Member {
+	return wire.Member{ID: m.ID, Address: m.Address.String(), Region: m.Region, DataCentre: m.DataCentre}
+}
+
+// state is what is known of a member. Of two states with the same count, the higher one is in force.
+type state uint8
+
+const (
+	alive state = iota
+	// aliveEarlier is the state of a live member of an earlier release, which needs beats to consider others live.
+	aliveEarlier
+	dead
+	// leaving is final for a process; its successor at the address has another ID.
+	leaving
+)
+
 // entry is what a Gossiper knows about one router.
 type entry struct {
 	Member
 
-	// beatCount is the number in the router's latest beat, which arrived at lastBeat.
-	beatCount uint32
-	leaving   bool
-	lastBeat  time.Time
-	// suspected is when a call to the router last failed; zero if there was a beat since.
+	state state
+	// count increases when a router that was declared dead proves to be alive.
+	count uint32
+	// position determines the neighbours of a router.
+	position uint64
+	// diedAt is when the router was last alive as far as this one knows.
+	diedAt time.Time
+	// heard is when the router last sent something to this one or answered it; zero if it never did.
+	heard time.Time
+	// failures is the number of consecutive probes that the router has not answered.
+	failures int
+	// suspected is when a call to the router last failed; zero if it was heard of since.
 	suspected time.Time
-	// sent is how often this router has sent the beat of the entry's router.
-	sent int
-	// introducedNear and introducedFar are the numbers of messages in which the entry's
-	// router was introduced to routers of its own data centre and of others.
-	introducedNear, introducedFar int
+	// introduced reports that the router knows this one.
+	introduced bool
+}
+
+func (e *entry) isAlive() bool { return e.state == alive || e.state == aliveEarlier }
+
+// centre is what a Gossiper knows about a data centre.
+type centre struct {
+	// beat is the highest beat, which arrived at heard.
+	beat  uint64
+	heard time.Time
 }
 
 // Gossiper holds one router's knowledge of the others. It is not safe for concurrent use.
 type Gossiper struct {
-	settings Settings
-	random   *rand.Rand
-	self     *entry
-	entries  map[uint64]*entry
-	// unknown contains the IDs in received beats for which there is no entry yet.
-	unknown map[uint64]bool
-	ticks   int
-	keys    []Key
-	view    view
+	settings  Settings
+	random    *rand.Rand
+	self      *entry
+	entries   map[uint64]*entry
+	addresses map[netip.AddrPort]*entry
+	centres   map[string]*centre
+	// digests are the digests of the parts of the live members.
+	digests [parts]uint64
+	// gone and earlier contain the dead or leaving members, and the live ones of earlier releases.
+	gone, earlier map[uint64]*entry
+	// changes contains the members whose changes are to be sent to the neighbours.
+	changes map[uint64]bool
+	// sources are the routers to request members from.
+	sources []Source
+	ticks   uint64
+	// lastTick is the time of the last tick, and stalledAt when a tick last came late.
+	lastTick, stalledAt time.Time
+	// heard and heardNear are when any router, and one of this data centre, last sent something to this one or
+	// answered it.
+	heard, heardNear time.Time
+	keys             []Key
+	// version increases when the live members change. ring is that of ringVersion.
+	version, ringVersion uint64
+	ring                 ring
+	view                 view
 }
 
 // New returns a Gossiper that knows only self, the router that it runs on.
 func New(s Settings, r *rand.Rand, self Member) *Gossiper {
-	e := &entry{Member: self, beatCount: 1}
-
-	return &Gossiper{
-		settings: s,
-		random:   r,
-		self:     e,
-		entries:  map[uint64]*entry{self.ID: e},
-		unknown:  make(map[uint64]bool),
+	g := &Gossiper{
+		settings:  s,
+		random:    r,
+		entries:   make(map[uint64]*entry),
+		addresses: make(map[netip.AddrPort]*entry),
+		centres:   make(map[string]*centre),
+		gone:      make(map[uint64]*entry),
+		earlier:   make(map[uint64]*entry),
+		changes:   make(map[uint64]bool),
 	}
+	g.self = g.add(time.Time{}, self, alive, 0)
+
+	return g
 }
 
-// Introduce adds a router, which counts as live from now until its timeout. It does
+// Introduce adds a router, which counts as live until it is declared dead. It does
 // nothing if the router is known already, or if its address is that of this router or of
 // a live router with a higher ID.
 func (g *Gossiper) Introduce(now time.Time, m Member) {
-	if _, ok := g.entries[m.ID]; ok {
+	if _, ok := g.entries[m.ID]; ok || !g.accepts(now, m) {
 		return
 	}
 
-	for id, e := range g.entries {
-		if e.Address != m.Address {
-			continue
-		}
-
-		// A lower ID is usually from delayed gossip about an earlier process at the address,
-		// and is ignored. But a process that starts while its clock is behind also has a
-		// lower ID than its predecessor; it is accepted once the predecessor counts as dead.
-		if e.ID > m.ID && g.live(now, e) || e == g.self {
-			return
-		}
+	g.add(now, m, alive, 0)
+	g.changes[m.ID] = true
+}
 
-		delete(g.entries, id)
+// accepts reports whether an unknown router can be added. It removes an earlier process at the router's address.
+//
+// A lower ID is usually from delayed gossip about an earlier process at the address, and is ignored. But a process
+// that starts while its clock is behind also has a lower ID than its predecessor; it is accepted once the predecessor
+// counts as dead.
+func (g *Gossiper) accepts(now time.Time, m Member) bool {
+	e, ok := g.addresses[m.Address]
+	if !ok {
+		return true
 	}
 
-	delete(g.unknown, m.ID)
-	g.invalidateView()
-	g.entries[m.ID] = &entry{Member: m, lastBeat: now}
-}
+	if e == g.self || e.ID > m.ID && e.isAlive() && g.reachable(now, e) {
+		return false
+	}
 
-// Leave marks this router as shutting down. The gossip of the next ticks notifies the
-// others.
-func (g *Gossiper) Leave() {
-	g.self.leaving = true
-	g.invalidateView()
-}
+	g.remove(e)
 
-// Suspect excludes a router from the live ones for SuspectFor or until its next beat,
-// because a call to it failed. A failed call reveals a dead router within milliseconds,
-// missing beats only within seconds. A call with the ID of this router has no effect.
-func (g *Gossiper) Suspect(now time.Time, id uint64) {
-	if e, ok := g.entries[id]; ok && e != g.self {
-		e.suspected = now
-		g.invalidateView()
-	}
+	return true
 }
 
-// Tick increments this router's beat count and returns the gossip to send. The revision
-// is that of this router's configuration.
-func (g *Gossiper) Tick(now time.Time, revision uint64) []Message {
-	g.self.beatCount++
-	g.self.lastBeat = now
-	g.ticks++
-	g.prune(now)
+// add adds a router with a state.
+func (g *Gossiper) add(now time.Time, m Member, s state, count uint32) *entry {
+	e := &entry{Member: m, count: count, state: s, position: hasher.Mix(m.ID, 0), diedAt: now}
+	g.entries[m.ID] = e
+	g.addresses[m.Address] = e
 
-	var o []Message
+	if g.centres[m.DataCentre] == nil {
+		g.centres[m.DataCentre] = &centre{heard: now}
+	}
 
-	for _, e := range g.partners(now) {
-		o = append(o, Message{To: e.Address, Gossip: g.newGossip(revision, e.Member)})
+	if g.self != nil && m.DataCentre == g.self.DataCentre && g.heardNear.IsZero() {
+		g.heardNear = now
 	}
 
-	return o
+	g.toggle(e)
+	g.file(e)
+
+	return e
 }
 
-// IntroductionsFor returns the introductions to send to a new router: this router, and if
-// the new one is known, routers of its data centre and a few others.
-func (g *Gossiper) IntroductionsFor(id uint64) []wire.Member {
-	o := []wire.Member{g.self.Introduction()}
-	if e, ok := g.entries[id]; ok {
-		o = append(o, g.introductions(e.Member)...)
+// remove forgets a router.
+func (g *Gossiper) remove(e *entry) {
+	g.toggle(e)
+	delete(g.entries, e.ID)
+	delete(g.gone, e.ID)
+	delete(g.earlier, e.ID)
+
+	if g.addresses[e.Address] == e {
+		delete(g.addresses, e.Address)
 	}
+}
 
-	return o
+// toggle adds a router to the digests or removes it from them, if it is alive.
+func (g *Gossiper) toggle(e *entry) {
+	if e.isAlive() {
+		g.digests[part(e.ID)] ^= hasher.Mix(hasher.Mix(e.ID, uint64(e.count)), uint64(e.state))
+		g.version++
+	}
 }
 
-// Receive applies gossip and returns the introductions that its sender requested.
-// Members with an invalid address are ignored.
-func (g *Gossiper) Receive(now time.Time, w wire.Gossip) []wire.Member {
-	for _, m := range w.Members {
-		a, err := netip.ParseAddrPort(m.Address)
-		if err == nil {
-			g.Introduce(now, Member{ID: m.ID, Address: a, Region: m.Region, DataCentre: m.DataCentre})
-		}
+// file adds a router to the lists of its state.
+func (g *Gossiper) file(e *entry) {
+	delete(g.gone, e.ID)
+	delete(g.earlier, e.ID)
+
+	switch e.state {
+	case aliveEarlier:
+		g.earlier[e.ID] = e
+	case dead, leaving:
+		g.gone[e.ID] = e
+	default:
 	}
+}
 
-	for _, b := range w.Heartbeats {
-		g.applyBeat(now, b)
+// set changes the state of a router. The change is sent to the neighbours if spread is set.
+func (g *Gossiper) set(now time.Time, e *entry, s state, count uint32, spread bool) {
+	g.toggle(e)
+
+	if e.isAlive() {
+		e.diedAt = now
 	}
 
-	var o []wire.Member
+	e.state, e.count = s, count
+	g.toggle(e)
+	g.file(e)
 
-	for _, id := range w.Unknown {
-		if e, ok := g.entries[id]; ok {
-			o = append(o, e.Introduction())
-		}
+	if spread {
+		g.changes[e.ID] = true
 	}
+}
+
+// Leave marks this router as shutting down. The next changes notify the others.
+func (g *Gossiper) Leave(now time.Time) {
+	g.set(now, g.self, leaving, g.self.count, true)
+}
 
-	return o
+// Suspect excludes a router from the live ones for SuspectFor or until it is heard of,
+// because a call to it failed. A failed call reveals a dead router within milliseconds,
+// missing answers only within seconds. A call with the ID of this router has no effect.
+func (g *Gossiper) Suspect(now time.Time, id uint64) {
+	if e, ok := g.entries[id]; ok && e != g.self {
+		e.suspected = now
+		g.version++
+	}
 }
 
 // Live returns the routers that are live, neither leaving nor suspected, in the order of
@@ -172,21 +245,6 @@
 	return g.viewAt(now).live
 }
 
-// listLive computes the result of Live.
-func (g *Gossiper) listLive(now time.Time) []Member {
-	o := make([]Member, 0, len(g.entries))
-
-	for _, e := range g.entries {
-		if !e.leaving && g.live(now, e) && now.Sub(e.suspected) >= g.settings.SuspectFor {
-			o = append(o, e.Member)
-		}
-	}
-
-	sort.Slice(o, func(a, b int) bool { return o[a].ID < o[b].ID })
-
-	return o
-}
-
 // Address returns the address of a router, or false if it is not known.
 func (g *Gossiper) Address(id uint64) (netip.AddrPort, bool) {
 	e, ok := g.entries[id]
@@ -212,61 +270,44 @@
 	g.view = view{}
 }
 
-func (g *Gossiper) live(now time.Time, e *entry) bool {
+// reachable reports whether a live router can be reached as far as this one knows. Routers that are cut off from this
+// one are not declared dead: those of other data centres are unreachable while the beats of their data centre do not
+// arrive, and those of this data centre while none of them is heard of.
+func (g *Gossiper) reachable(now time.Time, e *entry) bool {
 	if e == g.self {
 		return true
 	}
 
 	if e.DataCentre == g.self.DataCentre {
-		return now.Sub(e.lastBeat) < g.settings.NearTimeout
+		return now.Sub(g.heardNear) < g.settings.NearTimeout
 	}
 
-	return now.Sub(e.lastBeat) < g.settings.FarTimeout
+	return now.Sub(g.centres[e.DataCentre].heard) < g.settings.FarTimeout
 }
 
-// applyBeat records a router's beat. Only a higher count proves that the router is alive,
-// since delayed gossip contains counts that were received before.
-func (g *Gossiper) applyBeat(now time.Time, b wire.Heartbeat) {
-	e, ok := g.entries[b.ID]
-	if !ok {
-		g.unknown[b.ID] = true
-
-		return
-	}
-
-	if e == g.self || b.Count <= e.beatCount {
-		return
-	}
-
-	e.beatCount = b.Count
-	e.lastBeat = now
-
-	if !e.suspected.IsZero() || b.Leaving {
-		g.invalidateView()
+// prune deletes dead and leaving routers after deadRetention, and those of data centres that have been unreachable
+// for as long.
+func (g *Gossiper) prune(now time.Time) {
+	for _, e := range g.gone {
+		if e != g.self && now.Sub(e.diedAt) > deadRetention {
+			g.remove(e)
+		}
 	}
 
-	e.suspected = time.Time{}
-	// Leaving is final for a process; its successor at the address has another ID.
-	e.leaving = e.leaving || b.Leaving
-}
-
-// prune deletes routers without a new beat for more than deadRetention.
-func (g *Gossiper) prune(now time.Time) {
-	for id, e := range g.entries {
-		if e != g.self && now.Sub(e.lastBeat) > deadRetention {
-			delete(g.entries, id)
+	for n, c := range g.centres {
+		if n != g.self.DataCentre && now.Sub(c.heard) > deadRetention {
+			g.removeCentre(n)
 		}
 	}
 }
 
-// sorted returns all entries in the order of their IDs.
-func (g *Gossiper) sorted() []*entry {
-	o := make([]*entry, 0, len(g.entries))
+// removeCentre forgets a data centre and its routers.
+func (g *Gossiper) removeCentre(name string) {
 	for _, e := range g.entries {
-		o = append(o, e)
+		if e.DataCentre == name {
+			g.remove(e)
+		}
 	}
 
-	sort.Slice(o, func(a, b int) bool { return o[a].ID < o[b].ID })
-
-	return o
+	delete(g.centres, name)
 }
--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"slices"
 	"strconv"
 	"testing"
@@ -11,208 +10,282 @@
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/gossiper"
-	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
-var start = time.Unix(1_800_000_000, 0)
-
-func member(id uint64, centre string) gossiper.Member {
-	return gossiper.Member{
-		ID: id, Region: "r", DataCentre: centre,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(id >> 8), byte(id)}), 80),
-	}
-}
+// Guards against routers that keep requesting slots from one that was killed: all others must consider it dead
+// within the time-out and two seconds, also in other data centres and with lost messages.
+func TestKilledRouterIsDetected(t *testing.T) {
+	for name, tc := range map[string]struct {
+		members, centres, killed int
+		loss                     float64
+		within                   int
+	}{
+		"one of 12":              {12, 2, 1, 0, 8},
+		"one of 301":             {301, 6, 1, 0.05, 8},
+		"16 in 100 of 301":       {301, 6, 48, 0, 12},
+		"16 in 100 of 301, loss": {301, 6, 48, 0.05, 12},
+		"55 in 100 of 301":       {301, 6, 165, 0, 16},
+		"one of 2":               {2, 1, 1, 0, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			f := newFleet(tc.members, tc.centres)
+			f.loss = tc.loss
+			f.run(5)
 
-// fleet delivers gossip between Gossipers, except to dead ones and across a network
-// partition between the data centre partitioned and the others.
-type fleet struct {
-	members           map[netip.AddrPort]*gossiper.Gossiper
-	order             []gossiper.Member
-	now               time.Time
-	dead              map[uint64]bool
-	partitionedCentre string
-	bytes             int
-}
+			for _, k := range f.random.Perm(tc.members)[:tc.killed] {
+				f.nodes[k].dead = true
+			}
 
-func newFleet(n, centres int) *fleet {
-	f := &fleet{members: make(map[netip.AddrPort]*gossiper.Gossiper), now: start, dead: make(map[uint64]bool)}
+			f.run(tc.within)
 
-	for k := range n {
-		m := member(uint64(k+1), "dc-"+strconv.Itoa(k%centres))
-		m.ID |= 1 << 62 // The ID is encoded in as many bytes as a real one.
-		f.order = append(f.order, m)
-		f.members[m.Address] = gossiper.New(gossiper.DefaultSettings(), rand.New(rand.NewPCG(uint64(k), 1)), m)
-	}
-
-	for _, m := range f.order {
-		for _, o := range f.order {
-			f.members[m.Address].Introduce(f.now, o)
-		}
+			m, x := f.differences("")
+			i.Equal(m, 0)
+			i.Equal(x, 0)
+		})
 	}
-
-	return f
 }
 
-func (f *fleet) tick() {
-	f.now = f.now.Add(time.Second)
+// Guards against routers that do not know each other when all start at once with three seeds: those of a data centre
+// must know each other within five seconds, and all within ten.
+func TestRoutersThatStartTogetherDiscoverEachOther(t *testing.T) {
+	for name, tc := range map[string]struct{ members, centres int }{"83": {83, 5}, "301": {301, 6}, "986": {986, 6}} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			f := newStartingFleet(tc.members, tc.centres)
+			f.startWithSeeds()
+			f.run(5)
 
-	for _, m := range f.order {
-		if f.dead[m.ID] {
-			continue
-		}
+			for c := range tc.centres {
+				m, _ := f.differences("dc-" + strconv.Itoa(c))
+				i.Equal(m, 0)
+			}
 
-		for _, x := range f.members[m.Address].Tick(f.now, 1) {
-			f.bytes += messenger.Size(wire.KindGossip, 0, &x.Gossip)
-			f.deliver(m, x)
-		}
-	}
-}
+			f.run(5)
 
-func (f *fleet) deliver(from gossiper.Member, x gossiper.Message) {
-	for _, o := range f.order {
-		if o.Address == x.To && !f.dead[o.ID] && (f.partitionedCentre == "" || (o.DataCentre == f.partitionedCentre) == (from.DataCentre == f.partitionedCentre)) {
-			l := f.members[x.To].Receive(f.now, x.Gossip)
-			f.members[from.Address].Receive(f.now, wire.Gossip{Members: l})
-		}
+			m, _ := f.differences("")
+			i.Equal(m, 0)
+		})
 	}
 }
 
-func (f *fleet) live(n int) int { return len(f.members[f.order[n].Address].Live(f.now)) }
-
-// Guards against routers that keep requesting slots from one that was killed: the others must consider it dead
-// within seconds.
-func TestKilledRouterIsDetected(t *testing.T) {
-	i := is.New(t)
-	f := newFleet(12, 2)
-
-	for range 5 {
-		f.tick()
+// During a network partition, each side must continue with its own routers. After it, the sides must discover
+// each other again though each considered the other unreachable.
+func TestNetworkPartitionHeals(t *testing.T) {
+	centre := func(a, b *node) bool { return (a.DataCentre == "dc-1") != (b.DataCentre == "dc-1") }
+	half := func(a, b *node) bool { return (a.ID>>gossiper.LinkClassBits)%2 != (b.ID>>gossiper.LinkClassBits)%2 }
+	alone := func(a, b *node) bool {
+		return a.ID != b.ID && (a.ID>>gossiper.LinkClassBits == 7 || b.ID>>gossiper.LinkClassBits == 7)
 	}
 
-	i.Equal(f.live(0), 12)
-	f.dead[f.order[2].ID] = true // In the data centre of router 0.
+	for name, tc := range map[string]struct {
+		members, centres int
+		cut              func(a, b *node) bool
+		// parted and joined are the seconds until both sides know.
+		parted, joined int
+	}{
+		"a data centre of 8":           {8, 2, centre, 25, 3},
+		"a data centre of 301":         {301, 6, centre, 25, 3},
+		"one router":                   {301, 6, alone, 25, 4},
+		"half of every data centre":    {60, 3, half, 60, 10},
+		"half of the only data centre": {20, 1, half, 60, 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			f := newFleet(tc.members, tc.centres)
+			f.run(3)
 
-	for range 12 {
-		f.tick()
-	}
+			none := f.cut
+			f.cut = tc.cut
+			f.run(tc.parted)
 
-	i.Equal(f.live(0), 11)
+			m, x := f.differences("")
+			i.Equal(m, 0)
+			i.Equal(x, 0)
 
-	for range 15 {
-		f.tick()
-	}
+			f.cut = none
+			f.run(tc.joined)
 
-	for n, m := range f.order {
-		if !f.dead[m.ID] {
-			i.Equal(f.live(n), 11) // Also in the other data centre.
-		}
+			m, _ = f.differences("")
+			i.Equal(m, 0)
+		})
 	}
 }
 
-// Guards against routers that do not know each other when all start at once with three seeds. Without
-// introductions along with the beats, those of a data centre without a seed remained unknown to each other for a
-// minute, and a third of them each acted as the one that reads streams for its data centre.
-func TestRoutersThatStartTogetherDiscoverEachOther(t *testing.T) {
+// Guards against routers that are declared dead because they, or the ones that probe them, were frozen for less than
+// the time-out.
+func TestFrozenRoutersRemainLive(t *testing.T) {
 	i := is.New(t)
-	f := newFleet(83, 5)
-	seeds := f.order[:3]
+	f := newFleet(301, 6)
+	f.run(3)
 
-	for k, m := range f.order {
-		f.members[m.Address] = gossiper.New(gossiper.DefaultSettings(), rand.New(rand.NewPCG(uint64(k), 2)), m)
+	l := f.random.Perm(301)[:105] // 35 in 100.
+	for _, k := range l {
+		f.nodes[k].frozen = true
 	}
 
-	for _, m := range f.order {
-		for _, s := range seeds {
-			f.members[s.Address].Introduce(f.now, m)
-			f.members[m.Address].Receive(f.now, wire.Gossip{Members: f.members[s.Address].IntroductionsFor(m.ID)})
-		}
-	}
+	f.run(5)
 
-	for range 8 {
-		f.tick()
+	for _, k := range l {
+		f.nodes[k].frozen = false
 	}
 
-	for _, m := range f.order {
-		n := 0
+	f.run(5)
 
-		for _, x := range f.members[m.Address].Live(f.now) {
-			if x.DataCentre == m.DataCentre {
-				n++
-			}
-		}
+	m, _ := f.differences("")
+	i.Equal(m, 0)
+	i.Equal(f.declared, 0)
+}
 
-		// 83 routers in 5 data centres: 17 in the first three, 16 in the others.
-		i.True(n >= 16)
+// Guards against a connection between two routers that is lost in one place: the one that probes must not declare the
+// other dead while others reach it.
+func TestLostPathIsNoDeath(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(60, 3)
+	f.cut = func(a, b *node) bool {
+		return a == f.nodes[0] && b.ID%3 == 0 && b != a || b == f.nodes[0] && a.ID%3 == 0 && b != a
 	}
+	f.run(40)
+	i.Equal(f.declared, 0)
 }
 
-// During a network partition, each side must continue with its own routers. After it, the sides must discover
-// each other again though each considered the other dead.
-func TestNetworkPartitionHeals(t *testing.T) {
+// Guards against members that are added late: all must know 300 new ones soon.
+func TestManyRoutersAreAdded(t *testing.T) {
 	i := is.New(t)
-	f := newFleet(8, 2)
-	f.tick()
+	f := newFleet(100, 5)
+	f.run(3)
 
-	f.partitionedCentre = "dc-1"
-
-	for range 60 {
-		f.tick()
+	for k := range 300 {
+		f.add(uint64(1000+k), "dc-"+strconv.Itoa(k%5))
 	}
 
-	i.Equal(f.live(0), 4)
-	i.Equal(f.live(1), 4)
-
-	f.partitionedCentre = ""
-
-	for range 20 {
-		f.tick()
-	}
+	f.startWithSeeds()
+	f.run(10)
 
-	i.Equal(f.live(0), 8)
-	i.Equal(f.live(1), 8)
+	m, _ := f.differences("")
+	i.Equal(m, 0)
 }
 
-func TestBeats(t *testing.T) {
-	beat := func(n uint32, leaving bool) wire.Gossip {
-		return wire.Gossip{Heartbeats: []wire.Heartbeat{{ID: 2, Count: n, Leaving: leaving}}}
+func TestMembership(t *testing.T) {
+	s := gossiper.DefaultSettings()
+	other := member(2, "d")
+	change := func(g *gossiper.Gossiper, at time.Duration, state uint8, count uint32) {
+		a, _ := other.Address.MarshalBinary()
+		g.Merge(start.Add(at), &wire.MemberList{Centres: []wire.CentreMembers{{
+			Region: "r", DataCentre: "d", Members: []wire.MemberState{{ID: 2, Address: a, Count: count, State: state}},
+		}}}, true)
 	}
 
+	const dead, leaving = 2, 3
+
 	for name, tc := range map[string]struct {
 		then func(g *gossiper.Gossiper)
 		at   time.Duration
 		want int
 	}{
 		"introduced": {func(*gossiper.Gossiper) {}, 0, 2},
-		"silent":     {func(*gossiper.Gossiper) {}, 7 * time.Second, 1},
-		"new beat":   {func(g *gossiper.Gossiper) { g.Receive(start.Add(5*time.Second), beat(9, false)) }, 7 * time.Second, 2},
-		"repeated beat": {func(g *gossiper.Gossiper) {
-			g.Receive(start, beat(9, false))
-			g.Receive(start.Add(5*time.Second), beat(9, false))
-		}, 7 * time.Second, 1},
-		"leaving":                   {func(g *gossiper.Gossiper) { g.Receive(start, beat(9, true)) }, 0, 1},
-		"leaving is final":          {func(g *gossiper.Gossiper) { g.Receive(start, beat(9, true)); g.Receive(start, beat(10, false)) }, 0, 1},
-		"suspected":                 {func(g *gossiper.Gossiper) { g.Suspect(start, 2) }, time.Second, 1},
-		"suspicion expired":         {func(g *gossiper.Gossiper) { g.Suspect(start, 2) }, 4 * time.Second, 2},
-		"new beat clears suspicion": {func(g *gossiper.Gossiper) { g.Suspect(start, 2); g.Receive(start, beat(9, false)) }, time.Second, 2},
-		"self is not suspected":     {func(g *gossiper.Gossiper) { g.Suspect(start, 1) }, time.Second, 2},
-		"successor at its address":  {func(g *gossiper.Gossiper) { m := member(2, "d"); m.ID = 3; g.Introduce(start, m) }, 0, 2},
-		"predecessor is ignored": {func(g *gossiper.Gossiper) {
-			m := member(2, "d")
-			m.ID = 0
-			g.Introduce(start, m)
+		"silent":     {func(*gossiper.Gossiper) {}, s.NearTimeout + time.Second, 1},
+		"heard of":   {func(g *gossiper.Gossiper) { g.Receive(start.Add(5*time.Second), 2, wire.Gossip{}) }, 7 * time.Second, 2},
+		"one failure": {func(g *gossiper.Gossiper) {
+			g.Fail(start.Add(time.Second), start.Add(500*time.Millisecond), 2)
+			g.Declare(start.Add(time.Second), 2)
+		}, time.Second, 2},
+		"declared dead":           {func(g *gossiper.Gossiper) { change(g, 0, dead, 0) }, 0, 1},
+		"older report":            {func(g *gossiper.Gossiper) { change(g, 0, 0, 1); change(g, 0, dead, 0) }, 0, 2},
+		"dead, but just heard of": {func(g *gossiper.Gossiper) { g.Receive(start, 2, wire.Gossip{}); change(g, time.Second, dead, 0) }, time.Second, 2},
+		"dead, then heard of":     {func(g *gossiper.Gossiper) { change(g, 0, dead, 0); g.Receive(start, 2, wire.Gossip{}) }, 0, 2},
+		"leaving":                 {func(g *gossiper.Gossiper) { change(g, 0, leaving, 0) }, 0, 1},
+		"leaving is final": {func(g *gossiper.Gossiper) {
+			change(g, 0, leaving, 0)
+			change(g, 0, 0, 5)
+			g.Receive(start, 2, wire.Gossip{})
+		}, 0, 1},
+		"leaving, earlier release": {func(g *gossiper.Gossiper) {
+			g.Receive(start, 2, wire.Gossip{Heartbeats: []wire.Heartbeat{{ID: 2, Leaving: true}}})
+		}, 0, 1},
+		"unknown state":            {func(g *gossiper.Gossiper) { change(g, 0, leaving+1, 9) }, 0, 2},
+		"suspected":                {func(g *gossiper.Gossiper) { g.Suspect(start, 2) }, time.Second, 1},
+		"suspicion expired":        {func(g *gossiper.Gossiper) { g.Suspect(start, 2) }, 4 * time.Second, 2},
+		"an answer ends suspicion": {func(g *gossiper.Gossiper) { g.Suspect(start, 2); g.Receive(start, 2, wire.Gossip{}) }, time.Second, 2},
+		"self is not suspected":    {func(g *gossiper.Gossiper) { g.Suspect(start, 1) }, time.Second, 2},
+		"another process answers":  {func(g *gossiper.Gossiper) { g.Acknowledge(start, 2, &wire.GossipReply{From: 3}) }, 0, 1},
+		"successor at its address": {func(g *gossiper.Gossiper) { m := other; m.ID = 3; g.Introduce(start, m) }, 0, 2},
+		"predecessor is ignored":   {func(g *gossiper.Gossiper) { m := other; m.ID = 0; g.Introduce(start, m) }, 0, 2},
+		"refuses, earlier release": {func(g *gossiper.Gossiper) { g.AcknowledgeEarlier(start.Add(5*time.Second), 2) }, 7 * time.Second, 2},
+		"invalid address is no one": {func(g *gossiper.Gossiper) {
+			g.Receive(start, 9, wire.Gossip{Members: []wire.Member{{ID: 9, Address: "x"}}})
 		}, 0, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			g := gossiper.New(gossiper.DefaultSettings(), rand.New(rand.NewPCG(1, 1)), member(1, "d"))
-			g.Introduce(start, member(2, "d"))
+			g := gossiper.New(s, rand.New(rand.NewPCG(1, 1)), member(1, "d"))
+			g.Introduce(start, other)
+			g.Live(start)
 			tc.then(g)
 			i.Equal(len(g.Live(start.Add(tc.at))), tc.want)
 		})
 	}
 }
 
+// Guards against a router that was stalled and declares those dead whose answers it did not read in time.
+func TestStalledRouterDeclaresNoneDead(t *testing.T) {
+	i := is.New(t)
+	g := gossiper.New(gossiper.DefaultSettings(), rand.New(rand.NewPCG(1, 1)), member(1, "d"))
+	g.Introduce(start, member(2, "d"))
+	g.Introduce(start, member(3, "d"))
+
+	for k := range 20 {
+		// Each tick comes late, after which the probe before it fails.
+		n := start.Add(time.Duration(k) * 2 * time.Second)
+		g.Receive(n, 3, wire.Gossip{})
+		g.Tick(n, 1)
+		_, last := g.Fail(n, n.Add(-100*time.Millisecond), 2)
+		i.True(!last)
+		// A failure that is reported late says nothing either.
+		_, last = g.Fail(n.Add(time.Second), n.Add(time.Millisecond), 2)
+		i.True(!last)
+	}
+}
+
+// Guards against routers of the earlier release that count those of this one as dead, or are counted so, during a
+// rolling restart. A beat must reach one of the sender's data centre and one of any within a part of the time-outs
+// there; they pass it on.
+func TestEarlierReleaseStaysLive(t *testing.T) {
+	i := is.New(t)
+	f := newFleet(60, 3)
+
+	for _, n := range f.nodes[:20] {
+		n.earlier = true
+	}
+
+	f.run(5)
+
+	near, far := make(map[uint64]time.Time), make(map[uint64]time.Time)
+
+	for _, n := range f.nodes[20:] {
+		near[n.ID], far[n.ID] = f.now, f.now
+	}
+
+	f.onBeat = func(from, to *node) {
+		l := far
+		if from.DataCentre == to.DataCentre {
+			l = near
+		}
+
+		i.True(f.now.Sub(near[from.ID]) <= 3*time.Second)
+		l[from.ID] = f.now
+	}
+
+	f.run(60)
+
+	for _, n := range f.nodes[20:] {
+		i.Equal(len(n.gossiper.Live(f.now)), 60)
+		i.True(f.now.Sub(near[n.ID]) <= 3*time.Second)
+		i.True(f.now.Sub(far[n.ID]) <= 20*time.Second)
+	}
+}
+
 // Two routers with the same view must agree on the home of every cell, and the successor of a suspected home must
 // become the home.
 func TestHomesAgree(t *testing.T) {
@@ -220,24 +293,22 @@
 	f := newFleet(10, 2)
 
 	for k := range uint64(100) {
-		a := f.members[f.order[0].Address].Homes(f.now, k, []string{"dc-0"}, 2)
-		b := f.members[f.order[1].Address].Homes(f.now, k, []string{"dc-0"}, 2)
+		a := f.nodes[0].gossiper.Homes(f.now, k, []string{"dc-0"}, 2)
+		b := f.nodes[1].gossiper.Homes(f.now, k, []string{"dc-0"}, 2)
 		i.Equal(a, b)
 		i.Equal(a[0].DataCentre, "dc-0")
 
-		g := f.members[f.order[1].Address]
+		g := f.nodes[1].gossiper
 		g.Suspect(f.now, a[0].ID)
 
-		if a[0].ID != f.order[1].ID {
+		if a[0].ID != f.nodes[1].ID {
 			i.Equal(g.Homes(f.now, k, []string{"dc-0"}, 1)[0], a[1])
 		}
 
-		for range 4 {
-			f.tick()
-		}
+		f.run(4)
 	}
 
-	i.Equal(len(f.members[f.order[0].Address].Homes(f.now, 1, []string{"gone"}, 1)), 1) // Any router if the data centre has none.
+	i.Equal(len(f.nodes[0].gossiper.Homes(f.now, 1, []string{"gone"}, 1)), 1) // Any router if the data centre has none.
 }
 
 // Guards against several busy cells that have the same home by chance, which exceeds the router's budget of
@@ -291,40 +362,55 @@
 	i.Equal(len(gossiper.Assign(nil, keys)[7919]), 0)
 }
 
-// BenchmarkTick reports the bytes and processor time of gossip per router at the design size.
+// BenchmarkTick reports what a router sends and uses, a second, in a calm fleet in which one message in twenty is
+// lost, and how many were declared dead.
 func BenchmarkTick(b *testing.B) {
-	f := newFleet(380, 8)
-	n := 0
+	for _, x := range []struct{ members, centres int }{{85, 4}, {380, 8}, {986, 6}, {1972, 6}} {
+		b.Run(strconv.Itoa(x.members), func(b *testing.B) {
+			f := newFleet(x.members, x.centres)
+			f.loss = 0.05
+			n := 0
 
-	for b.Loop() {
-		f.tick()
+			b.ResetTimer()
 
-		n++
-	}
+			for b.Loop() {
+				f.run(1)
 
-	b.ReportMetric(float64(f.bytes)*2/float64(n)/380, "bytes/s/node")
-	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(n)/380, "µs/s/node")
+				n++
+			}
+
+			b.ReportMetric(float64(f.bytes)*2/float64(n)/float64(x.members), "bytes/s/node")
+			b.ReportMetric(float64(f.messages)/float64(n)/float64(x.members), "messages/s/node")
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(n)/float64(x.members), "µs/s/node")
+			b.ReportMetric(float64(f.declared), "declaredDead")
+		})
+	}
 }
 
-// BenchmarkHome looks up the homes of cells at the design size, repeatedly within one view ("again") and with a
-// new view each time ("anew").
+// BenchmarkHome looks up the homes of cells, repeatedly within one view ("again") and with a new view each time
+// ("anew").
 func BenchmarkHome(b *testing.B) {
 	region := []string{"dc-0", "dc-1", "dc-2", "dc-3"}
 
-	for name, step := range map[string]time.Duration{"again": 0, "anew": time.Second} {
-		b.Run(name, func(b *testing.B) {
-			f := newFleet(380, 8)
-			g := f.members[f.order[0].Address]
-
-			for b.Loop() {
-				// The time moves back and forth, so that no router times out.
-				f.now = f.now.Add(step)
-				step = -step
-
-				for k := range uint64(100) {
-					g.Homes(f.now, k, region, 1)
+	for name, anew := range map[string]bool{"again": false, "anew": true} {
+		for _, members := range []int{380, 986} {
+			b.Run(name+strconv.Itoa(members), func(b *testing.B) {
+				f := newFleet(members, 8)
+				g := f.nodes[0].gossiper
+
+				for b.Loop() {
+					if anew {
+						g.Suspect(f.now, f.nodes[1].ID)
+						f.now = f.now.Add(gossiper.DefaultSettings().SuspectFor)
+						g.Receive(f.now, f.nodes[1].ID, wire.Gossip{})
+						g.Receive(f.now, f.nodes[2].ID, wire.Gossip{})
+					}
+
+					for k := range uint64(100) {
+						g.Homes(f.now, k, region, 1)
+					}
 				}
-			}
-		})
+			})
+		}
 	}
 }
--- /dev/null
+++ b/internal/gossiper/ring.go
@@ -0,0 +1,95 @@
+package gossiper
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+// ring contains the other live members in the order of their positions: those of this data centre, and all.
+//
+// Each member probes those of its data centre that precede it on the ring. Each is thus probed by several, at any size
+// of the fleet. Positions are hashes, so that members that fail together are rarely neighbours. It also probes those
+// before a few random points of the ring of all, over which news reach all in a number of steps that grows with the
+// logarithm of their number.
+type ring struct {
+	near, all []*entry
+}
+
+const (
+	// nearNeighbours is how many members of the data centre that answer are probed. Of three members that probe one,
+	// at least one is expected to be live even if many fail at once.
+	nearNeighbours = 3
+	// randomNeighbours is how many points of the ring of all there are, with one member that answers each.
+	randomNeighbours = 2
+	// maxNear and maxRandom bound the members that are probed while the first ones do not answer.
+	maxNear   = 12
+	maxRandom = 4
+	// unresponsiveFailures is the number of unanswered probes from which a further neighbour is probed.
+	unresponsiveFailures = 2
+)
+
+// neighbours returns the members that this one probes.
+func (g *Gossiper) neighbours() []*entry {
+	if g.ringVersion != g.version || g.ring.near == nil {
+		g.ring = g.newRing()
+		g.ringVersion = g.version
+	}
+
+	o := preceding(g.ring.near, g.self.position, nearNeighbours, maxNear)
+
+	for k := range uint64(randomNeighbours) {
+		for _, e := range preceding(g.ring.all, hasher.Mix(g.self.ID, k+1), 1, maxRandom) {
+			if !slices.Contains(o, e) {
+				o = append(o, e)
+			}
+		}
+	}
+
+	return o
+}
+
+func (g *Gossiper) newRing() ring {
+	o := ring{near: []*entry{}}
+
+	for _, e := range g.entries {
+		if e == g.self || !e.isAlive() {
+			continue
+		}
+
+		o.all = append(o.all, e)
+
+		if e.DataCentre == g.self.DataCentre {
+			o.near = append(o.near, e)
+		}
+	}
+
+	for _, l := range [][]*entry{o.near, o.all} {
+		slices.SortFunc(l, func(a, b *entry) int { return cmp.Compare(a.position, b.position) })
+	}
+
+	return o
+}
+
+// preceding returns the entries before a position, until number of them answer or there are most.
+func preceding(l []*entry, position uint64, number, most int) []*entry {
+	n := sort.Search(len(l), func(i int) bool { return l[i].position >= position })
+	o := make([]*entry, 0, number)
+
+	for i := range l {
+		if number == 0 || len(o) == most {
+			break
+		}
+
+		e := l[(n-1-i+2*len(l))%len(l)]
+		o = append(o, e)
+
+		if e.failures < unresponsiveFailures {
+			number--
+		}
+	}
+
+	return o
+}
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -1,5 +1,5 @@
-// Package joiner maintains a router's membership in the fleet: it exchanges gossip with
-// the other routers and reads the platform's list of instances.
+// Package joiner maintains a router's membership in the fleet: it probes other routers, tells
+// them changes and reads the platform's list of instances.
 package joiner
 
 import (
@@ -24,15 +24,18 @@
 	// listInterval is short because a read of the platform's list returns only changes.
 	listInterval = time.Second
 	sendTimeout  = 500 * time.Millisecond
+	// changeDelay is how long changes of the membership are gathered before they are sent.
+	changeDelay = 100 * time.Millisecond
 	roleRouter   = "router"
 )
 
 // ErrGossip marks errors in decoding a gossip message.
 var ErrGossip = errors.New("invalid gossip message")
 
-// messenger sends messages to peers.
-type messenger interface {
+// Messenger sends messages to peers.
+type Messenger interface {
 	Send(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) error
+	Call(c context.Context, a netip.AddrPort, k wire.Kind, q msgp.Marshaler, r msgp.Unmarshaler) error
 }
 
 // lister reads the changes in the platform's list of instances.
@@ -42,7 +45,7 @@
 
 // Joiner tracks which routers are live. It is safe for concurrent use.
 type Joiner struct {
-	messenger messenger
+	messenger Messenger
 	lister    lister
 	self      gossiper.Member
 	revision  func() uint64
@@ -56,8 +59,12 @@
 	gossiper *gossiper.Gossiper
 	// listed contains the addresses of the routers in the platform's list.
 	listed map[netip.AddrPort]bool
+	// requesting reports that members are being requested.
+	requesting bool
 	// version is the version of the platform's list as last read. Only readList uses it.
 	version uint64
+	// changed receives a value when there are changes to send.
+	changed chan struct{}
 }
 
 // NewID returns an ID for this process from the current time, random bits and the class of its link (see
@@ -86,11 +93,12 @@
 }
 
 // New returns a Joiner that knows only its own router and the addresses of the seeds.
-func New(m messenger, l lister, g *gossiper.Gossiper, self gossiper.Member, seeds []netip.AddrPort, h Hooks) *Joiner {
+func New(m Messenger, l lister, g *gossiper.Gossiper, self gossiper.Member, seeds []netip.AddrPort, h Hooks) *Joiner {
 	return &Joiner{
 		messenger: m, lister: l, seeds: seeds, self: self, gossiper: g,
 		revision: h.Revision, onNewerRevision: h.OnNewerRevision, onTargetChange: h.OnTargetChange,
-		listed: make(map[netip.AddrPort]bool),
+		listed:  make(map[netip.AddrPort]bool),
+		changed: make(chan struct{}, 1),
 	}
 }
 
@@ -105,8 +113,17 @@
 	l := time.NewTicker(listInterval)
 	defer l.Stop()
 
+	var send <-chan time.Time
+
 	for {
 		select {
+		case <-j.changed:
+			if send == nil {
+				send = time.After(changeDelay)
+			}
+		case <-send:
+			send = nil
+			j.sendChanges(c)
 		case <-t.C:
 			j.tick(c)
 		case <-l.C:
@@ -117,42 +134,6 @@
 	}
 }
 
-// HandleGossip handles a gossip message from another router. It never returns a reply, and
-// fails with ErrGossip if the message is invalid.
-func (j *Joiner) HandleGossip(c context.Context, from uint64, body []byte) (msgp.Marshaler, error) {
-	var w wire.Gossip
-	if _, err := w.UnmarshalMsg(body); err != nil {
-		return nil, errors.Mark(err, ErrGossip)
-	}
-
-	j.mu.Lock()
-	_, known := j.gossiper.Address(from)
-	m := j.gossiper.Receive(time.Now(), w)
-	a, ok := j.gossiper.Address(from)
-	j.mu.Unlock()
-
-	if !ok {
-		return nil, nil //nolint:nilnil // Gossip has no reply.
-	}
-
-	if w.Revision > j.revision() {
-		go j.onNewerRevision(a, w.Revision)
-	}
-
-	// A sender that was unknown receives introductions immediately. The two routers then know
-	// each other after one message instead of at a random later round, and the new router
-	// learns of the routers in its data centre.
-	if !known {
-		m = append(m, j.introductionsFor(from)...)
-	}
-
-	if len(m) > 0 {
-		go j.send(c, gossiper.Message{To: a, Gossip: wire.Gossip{Revision: j.revision(), Members: m}})
-	}
-
-	return nil, nil //nolint:nilnil // Gossip has no reply.
-}
-
 // SetKeys sets the keys whose homes are spread over different routers, see
 // gossiper.Assign.
 func (j *Joiner) SetKeys(k []gossiper.Key) {
@@ -229,69 +210,58 @@
 	j.seeds = l
 }
 
-func (j *Joiner) introductionsFor(id uint64) []wire.Member {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-
-	return j.gossiper.IntroductionsFor(id)
-}
-
 // Leave notifies other routers that this one is shutting down.
 func (j *Joiner) Leave(c context.Context) {
 	j.mu.Lock()
-	j.gossiper.Leave()
+	j.gossiper.Leave(time.Now())
 	j.mu.Unlock()
+	j.sendChanges(c)
 	j.tick(c)
 }
 
 func (j *Joiner) tick(c context.Context) {
 	j.mu.Lock()
-	m := j.gossiper.Tick(time.Now(), j.revision())
-	m = append(m, j.introductions()...)
+	p, m := j.gossiper.Tick(time.Now(), j.revision())
+	p = append(p, j.greetings()...)
+	j.noteChanges()
 	j.mu.Unlock()
 
+	for _, x := range p {
+		go j.probe(c, x)
+	}
+
 	for _, x := range m {
 		go j.send(c, x)
 	}
 }
 
-// introductions returns messages that introduce this router to the addresses of the seeds
-// and of the platform's list at which no live router is known.
-func (j *Joiner) introductions() []gossiper.Message {
+// greetings returns probes of the addresses of the seeds and of the platform's list at which no live router is known.
+func (j *Joiner) greetings() []gossiper.Probe {
 	k := map[netip.AddrPort]bool{j.self.Address: true}
 	for _, m := range j.gossiper.Live(time.Now()) {
 		k[m.Address] = true
 	}
 
-	w := wire.Gossip{Members: []wire.Member{j.self.Introduction()}}
+	w := j.gossiper.Greeting(j.revision())
 
-	var o []gossiper.Message
+	var o []gossiper.Probe
 
 	for _, a := range j.seeds {
 		if !k[a] {
 			k[a] = true
-			o = append(o, gossiper.Message{To: a, Gossip: w})
+			o = append(o, gossiper.Probe{To: a, Gossip: w})
 		}
 	}
 
 	for a := range j.listed {
 		if !k[a] {
-			o = append(o, gossiper.Message{To: a, Gossip: w})
+			o = append(o, gossiper.Probe{To: a, Gossip: w})
 		}
 	}
 
 	return o
 }
 
-func (j *Joiner) send(c context.Context, m gossiper.Message) {
-	x, stop := context.WithTimeout(c, sendTimeout)
-	defer stop()
-
-	if err := j.messenger.Send(x, m.To, wire.KindGossip, &m.Gossip); err != nil {
-		logrus.WithFields(logrus.Fields{"event": "gossipFailed", "peer": m.To, "error": err}).Debug()
-	}
-}
-
 // readList applies the changes in the platform's list. While the platform is unreachable,
 // the last list remains in use.
 func (j *Joiner) readList(c context.Context) {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -32,7 +32,7 @@
 
 // registerHandlers registers the components' handlers for messages from peers.
 func (r *Router) registerHandlers(g *registrar.Registrar) {
-	r.messenger.Handle(wire.KindGossip, r.joiner.HandleGossip)
+	r.joiner.Register(r.messenger)
 	r.messenger.Handle(wire.KindState, r.follower.AnswerState)
 	r.supervisor.Register(r.messenger)
 	r.replicator.Register(r.messenger)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation DelegationRequest DelegationGrant Capacity StreamVersions StreamVersion VersionRequest VersionReply
+//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation DelegationRequest DelegationGrant Capacity StreamVersions StreamVersion VersionRequest VersionReply GossipReply CentreBeat MemberList CentreMembers MemberState MembersRequest ProbeRequest ProbeReply
 
 // The decoder allocates a list from its declared length before it reads the elements. Without a
 // limit, a message of ten bytes that declares 2^32 elements would exhaust the receiver's memory.
@@ -77,6 +77,12 @@
 	KindStreamVersions
 	// KindVersion requests the software version that began a stream.
 	KindVersion
+	// KindMembers reports changes of the membership.
+	KindMembers
+	// KindMembersRequest requests the members of the parts in which two instances differ.
+	KindMembersRequest
+	// KindProbe requests that the receiver probes another instance for the sender.
+	KindProbe
 	// Kinds is the number of kinds.
 	Kinds
 )
@@ -122,6 +128,60 @@
 	Unknown    []uint64
 }
 
+// GossipReply is the reply to a Gossip that is sent as a request; instances of earlier releases reply with
+// KindError. From is the ID of the replying process, and Digest that of all members that it considers alive. Beats
+// are the newest beats of the data centres that it knows. Unknown reports that it does not know the sender. Members
+// contains the replying instance if the request contained a Member.
+type GossipReply struct {
+	From     uint64
+	Revision uint64
+	Digest   uint64
+	Beats    []CentreBeat
+	Unknown  bool
+	Members  []Member
+}
+
+// CentreBeat is a number that increases while any instance of a data centre is alive.
+type CentreBeat struct {
+	DataCentre string
+	Count      uint64
+}
+
+// MemberList describes members, in groups by data centre.
+type MemberList struct {
+	Centres []CentreMembers
+}
+
+// CentreMembers describes members of one data centre.
+type CentreMembers struct {
+	Region     string
+	DataCentre string
+	Members    []MemberState
+}
+
+// MemberState is what the sender knows of the state of a member. Of two states of the same member, the one with the
+// higher Count is the newer one. Address is the binary form of a netip.AddrPort.
+type MemberState struct {
+	ID      uint64
+	Address []byte
+	Count   uint32
+	State   uint8
+}
+
+// MembersRequest requests all members of the parts whose digest differs from that of the receiver.
+type MembersRequest struct {
+	Digests []uint64
+}
+
+// ProbeRequest names the instance that the receiver is to probe.
+type ProbeRequest struct {
+	ID      uint64
+	Address string
+}
+
+// ProbeReply reports that the probed instance has answered.
+type ProbeReply struct{}
+
 // SlotRequest requests a slot from the home of a cell. The requester is the sender, and Seq
 // its sequence number of the request. Customer is the hash of the customer's name, Prompt the
 // estimated length of the prompt in tokens, and Hint the ID of the target that the caller's
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -364,6 +364,255 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *CentreBeat) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.Count, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z CentreBeat) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	err = en.WriteUint64(z.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CentreBeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.DataCentre)
+	o = msgp.AppendUint64(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CentreBeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	z.Count, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CentreBeat) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.DataCentre) + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *CentreMembers) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Region, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Region")
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0002) {
+		z.Members = (z.Members)[:zb0002]
+	} else {
+		z.Members = make([]MemberState, zb0002)
+	}
+	for za0001 := range z.Members {
+		err = z.Members[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *CentreMembers) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Region)
+	if err != nil {
+		err = msgp.WrapError(err, "Region")
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	for za0001 := range z.Members {
+		err = z.Members[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *CentreMembers) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendString(o, z.Region)
+	o = msgp.AppendString(o, z.DataCentre)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0001 := range z.Members {
+		o, err = z.Members[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CentreMembers) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Region, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Region")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0002) {
+		z.Members = (z.Members)[:zb0002]
+	} else {
+		z.Members = make([]MemberState, zb0002)
+	}
+	for za0001 := range z.Members {
+		bts, err = z.Members[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CentreMembers) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.DataCentre) + msgp.ArrayHeaderSize
+	for za0001 := range z.Members {
+		s += z.Members[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Claim) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -2065,7 +2314,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Grant) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *GossipReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -2076,54 +2325,355 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
-		return
-	}
-	z.Seq, err = dc.ReadUint32()
-	if err != nil {
-		err = msgp.WrapError(err, "Seq")
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
-	z.Target, err = dc.ReadUint32()
+	z.From, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Target")
+		err = msgp.WrapError(err, "From")
 		return
 	}
-	z.Customer, err = dc.ReadUint32()
+	z.Revision, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Customer")
+		err = msgp.WrapError(err, "Revision")
 		return
 	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z Grant) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+	z.Digest, err = dc.ReadUint64()
 	if err != nil {
+		err = msgp.WrapError(err, "Digest")
 		return
 	}
-	err = en.WriteUint32(z.Seq)
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Seq")
+		err = msgp.WrapError(err, "Beats")
 		return
 	}
-	err = en.WriteUint32(z.Target)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	err = en.WriteUint32(z.Customer)
-	if err != nil {
-		err = msgp.WrapError(err, "Customer")
-		return
+	if cap(z.Beats) >= int(zb0002) {
+		z.Beats = (z.Beats)[:zb0002]
+	} else {
+		z.Beats = make([]CentreBeat, zb0002)
 	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
+	for za0001 := range z.Beats {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001)
+			return
+		}
+		if zb0003 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Beats[za0001].DataCentre, err = dc.ReadString()
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001, "DataCentre")
+			return
+		}
+		z.Beats[za0001].Count, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001, "Count")
+			return
+		}
+	}
+	z.Unknown, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	var zb0004 uint32
+	zb0004, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0004 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0004) {
+		z.Members = (z.Members)[:zb0004]
+	} else {
+		z.Members = make([]Member, zb0004)
+	}
+	for za0002 := range z.Members {
+		err = z.Members[za0002].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *GossipReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 6
+	err = en.Append(0x96)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.From)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	err = en.WriteUint64(z.Revision)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	err = en.WriteUint64(z.Digest)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Beats)))
+	if err != nil {
+		err = msgp.WrapError(err, "Beats")
+		return
+	}
+	for za0001 := range z.Beats {
+		// array header, size 2
+		err = en.Append(0x92)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Beats[za0001].DataCentre)
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001, "DataCentre")
+			return
+		}
+		err = en.WriteUint64(z.Beats[za0001].Count)
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001, "Count")
+			return
+		}
+	}
+	err = en.WriteBool(z.Unknown)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Members)))
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	for za0002 := range z.Members {
+		err = z.Members[za0002].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *GossipReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendUint64(o, z.From)
+	o = msgp.AppendUint64(o, z.Revision)
+	o = msgp.AppendUint64(o, z.Digest)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Beats)))
+	for za0001 := range z.Beats {
+		// array header, size 2
+		o = append(o, 0x92)
+		o = msgp.AppendString(o, z.Beats[za0001].DataCentre)
+		o = msgp.AppendUint64(o, z.Beats[za0001].Count)
+	}
+	o = msgp.AppendBool(o, z.Unknown)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+	for za0002 := range z.Members {
+		o, err = z.Members[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *GossipReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.From, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.Revision, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Revision")
+		return
+	}
+	z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Digest")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Beats")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Beats) >= int(zb0002) {
+		z.Beats = (z.Beats)[:zb0002]
+	} else {
+		z.Beats = make([]CentreBeat, zb0002)
+	}
+	for za0001 := range z.Beats {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001)
+			return
+		}
+		if zb0003 != 2 {
+			err = msgp.ArrayError{Wanted: 2, Got: zb0003}
+			return
+		}
+		z.Beats[za0001].DataCentre, bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001, "DataCentre")
+			return
+		}
+		z.Beats[za0001].Count, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Beats", za0001, "Count")
+			return
+		}
+	}
+	z.Unknown, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Unknown")
+		return
+	}
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Members")
+		return
+	}
+	if zb0004 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Members) >= int(zb0004) {
+		z.Members = (z.Members)[:zb0004]
+	} else {
+		z.Members = make([]Member, zb0004)
+	}
+	for za0002 := range z.Members {
+		bts, err = z.Members[za0002].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Members", za0002)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *GossipReply) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Beats {
+		s += 1 + msgp.StringPrefixSize + len(z.Beats[za0001].DataCentre) + msgp.Uint64Size
+	}
+	s += msgp.BoolSize + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += z.Members[za0002].Msgsize()
+	}
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Grant) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Seq, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Customer, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Customer")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Grant) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Seq)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint32(z.Customer)
+	if err != nil {
+		err = msgp.WrapError(err, "Customer")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
 func (z Grant) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// array header, size 3
@@ -2529,16 +3079,266 @@
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.From, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Hello) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Holder) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Holder) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Key)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Holder) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.Key)
+	o = msgp.AppendUint32(o, z.Target)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Holder) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Key")
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Holder) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
+	{
+		var zb0001 uint8
+		zb0001, err = dc.ReadUint8()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Kind(zb0001)
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z Kind) EncodeMsg(en *msgp.Writer) (err error) {
+	err = en.WriteUint8(uint8(z))
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	o = msgp.AppendUint8(o, uint8(z))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Kind) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	{
+		var zb0001 uint8
+		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		(*z) = Kind(zb0001)
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Kind) Msgsize() (s int) {
+	s = msgp.Uint8Size
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.Calls, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	z.AgeMs, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint32(z.Target)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	err = en.WriteUint32(z.Calls)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
+		return
+	}
+	err = en.WriteUint32(z.AgeMs)
+	if err != nil {
+		err = msgp.WrapError(err, "AgeMs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint32(o, z.Target)
+	o = msgp.AppendUint32(o, z.Calls)
+	o = msgp.AppendUint32(o, z.AgeMs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	z.Calls, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Calls")
 		return
 	}
-	z.From, bts, err = msgp.ReadUint64Bytes(bts)
+	z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "From")
+		err = msgp.WrapError(err, "AgeMs")
 		return
 	}
 	o = bts
@@ -2546,13 +3346,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Hello) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size
+func (z LoadReport) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Holder) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -2563,73 +3363,105 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	z.Key, err = dc.ReadUint64()
+	z.ID, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Key")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Target, err = dc.ReadUint32()
+	z.Address, err = dc.ReadString()
 	if err != nil {
-		err = msgp.WrapError(err, "Target")
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Region, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Region")
+		return
+	}
+	z.DataCentre, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Holder) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint64(z.Key)
+	err = en.WriteUint64(z.ID)
 	if err != nil {
-		err = msgp.WrapError(err, "Key")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteUint32(z.Target)
+	err = en.WriteString(z.Address)
 	if err != nil {
-		err = msgp.WrapError(err, "Target")
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	err = en.WriteString(z.Region)
+	if err != nil {
+		err = msgp.WrapError(err, "Region")
+		return
+	}
+	err = en.WriteString(z.DataCentre)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Holder) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
-	o = msgp.AppendUint64(o, z.Key)
-	o = msgp.AppendUint32(o, z.Target)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendString(o, z.Address)
+	o = msgp.AppendString(o, z.Region)
+	o = msgp.AppendString(o, z.DataCentre)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Holder) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Key")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Target")
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	z.Region, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Region")
+		return
+	}
+	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "DataCentre")
 		return
 	}
 	o = bts
@@ -2637,65 +3469,139 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Holder) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size
+func (z *Member) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.DataCentre)
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Kind) DecodeMsg(dc *msgp.Reader) (err error) {
-	{
-		var zb0001 uint8
-		zb0001, err = dc.ReadUint8()
+func (z *MemberList) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Centres")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Centres) >= int(zb0002) {
+		z.Centres = (z.Centres)[:zb0002]
+	} else {
+		z.Centres = make([]CentreMembers, zb0002)
+	}
+	for za0001 := range z.Centres {
+		err = z.Centres[za0001].DecodeMsg(dc)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Centres", za0001)
 			return
 		}
-		(*z) = Kind(zb0001)
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z Kind) EncodeMsg(en *msgp.Writer) (err error) {
-	err = en.WriteUint8(uint8(z))
+func (z *MemberList) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
 	if err != nil {
-		err = msgp.WrapError(err)
 		return
 	}
+	err = en.WriteArrayHeader(uint32(len(z.Centres)))
+	if err != nil {
+		err = msgp.WrapError(err, "Centres")
+		return
+	}
+	for za0001 := range z.Centres {
+		err = z.Centres[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Centres", za0001)
+			return
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Kind) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *MemberList) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	o = msgp.AppendUint8(o, uint8(z))
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Centres)))
+	for za0001 := range z.Centres {
+		o, err = z.Centres[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Centres", za0001)
+			return
+		}
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Kind) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	{
-		var zb0001 uint8
-		zb0001, bts, err = msgp.ReadUint8Bytes(bts)
+func (z *MemberList) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Centres")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Centres) >= int(zb0002) {
+		z.Centres = (z.Centres)[:zb0002]
+	} else {
+		z.Centres = make([]CentreMembers, zb0002)
+	}
+	for za0001 := range z.Centres {
+		bts, err = z.Centres[za0001].UnmarshalMsg(bts)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Centres", za0001)
 			return
 		}
-		(*z) = Kind(zb0001)
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Kind) Msgsize() (s int) {
-	s = msgp.Uint8Size
+func (z *MemberList) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Centres {
+		s += z.Centres[za0001].Msgsize()
+	}
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *LoadReport) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *MemberState) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -2706,89 +3612,124 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
-	z.Target, err = dc.ReadUint32()
+	z.ID, err = dc.ReadUint64()
 	if err != nil {
-		err = msgp.WrapError(err, "Target")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	z.Calls, err = dc.ReadUint32()
+	z.Address, err = dc.ReadBytesLimit(z.Address, z5817a858limitArrays)
+	if err == nil && z.Address == nil {
+		z.Address = []byte{}
+	}
 	if err != nil {
-		err = msgp.WrapError(err, "Calls")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	z.AgeMs, err = dc.ReadUint32()
+	z.Count, err = dc.ReadUint32()
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMs")
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	z.State, err = dc.ReadUint8()
+	if err != nil {
+		err = msgp.WrapError(err, "State")
 		return
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z LoadReport) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 3
-	err = en.Append(0x93)
+func (z *MemberState) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 4
+	err = en.Append(0x94)
 	if err != nil {
 		return
 	}
-	err = en.WriteUint32(z.Target)
+	err = en.WriteUint64(z.ID)
 	if err != nil {
-		err = msgp.WrapError(err, "Target")
+		err = msgp.WrapError(err, "ID")
 		return
 	}
-	err = en.WriteUint32(z.Calls)
+	err = en.WriteBytes(z.Address)
 	if err != nil {
-		err = msgp.WrapError(err, "Calls")
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	err = en.WriteUint32(z.AgeMs)
+	err = en.WriteUint32(z.Count)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMs")
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	err = en.WriteUint8(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
 		return
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *MemberState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
-	o = msgp.AppendUint32(o, z.Target)
-	o = msgp.AppendUint32(o, z.Calls)
-	o = msgp.AppendUint32(o, z.AgeMs)
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendBytes(o, z.Address)
+	o = msgp.AppendUint32(o, z.Count)
+	o = msgp.AppendUint8(o, z.State)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *MemberState) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err)
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	z.Target, bts, err = msgp.ReadUint32Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Target")
+	if z.Address == nil || uint32(cap(z.Address)) < zb0002 {
+		z.Address = make([]byte, zb0002)
+	} else {
+		z.Address = z.Address[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
 		return
 	}
-	z.Calls, bts, err = msgp.ReadUint32Bytes(bts)
+	copy(z.Address, bts[:zb0002])
+	bts = bts[zb0002:]
+	z.Count, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Calls")
+		err = msgp.WrapError(err, "Count")
 		return
 	}
-	z.AgeMs, bts, err = msgp.ReadUint32Bytes(bts)
+	z.State, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "AgeMs")
+		err = msgp.WrapError(err, "State")
 		return
 	}
 	o = bts
@@ -2796,13 +3737,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z LoadReport) Msgsize() (s int) {
-	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint32Size
+func (z *MemberState) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Address) + msgp.Uint32Size + msgp.Uint8Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *Member) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *MembersRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -2813,114 +3754,110 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
 	}
-	z.ID, err = dc.ReadUint64()
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "ID")
+		err = msgp.WrapError(err, "Digests")
 		return
 	}
-	z.Address, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	z.Region, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "Region")
-		return
+	if cap(z.Digests) >= int(zb0002) {
+		z.Digests = (z.Digests)[:zb0002]
+	} else {
+		z.Digests = make([]uint64, zb0002)
 	}
-	z.DataCentre, err = dc.ReadString()
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
+	for za0001 := range z.Digests {
+		z.Digests[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Digests", za0001)
+			return
+		}
 	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *Member) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 4
-	err = en.Append(0x94)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.ID)
-	if err != nil {
-		err = msgp.WrapError(err, "ID")
-		return
-	}
-	err = en.WriteString(z.Address)
+func (z *MembersRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
 	if err != nil {
-		err = msgp.WrapError(err, "Address")
 		return
 	}
-	err = en.WriteString(z.Region)
+	err = en.WriteArrayHeader(uint32(len(z.Digests)))
 	if err != nil {
-		err = msgp.WrapError(err, "Region")
+		err = msgp.WrapError(err, "Digests")
 		return
 	}
-	err = en.WriteString(z.DataCentre)
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
+	for za0001 := range z.Digests {
+		err = en.WriteUint64(z.Digests[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Digests", za0001)
+			return
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *MembersRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
-	o = msgp.AppendUint64(o, z.ID)
-	o = msgp.AppendString(o, z.Address)
-	o = msgp.AppendString(o, z.Region)
-	o = msgp.AppendString(o, z.DataCentre)
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Digests)))
+	for za0001 := range z.Digests {
+		o = msgp.AppendUint64(o, z.Digests[za0001])
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *MembersRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
 		return
 	}
-	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "ID")
+		err = msgp.WrapError(err, "Digests")
 		return
 	}
-	z.Address, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Address")
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
-	z.Region, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Region")
-		return
+	if cap(z.Digests) >= int(zb0002) {
+		z.Digests = (z.Digests)[:zb0002]
+	} else {
+		z.Digests = make([]uint64, zb0002)
 	}
-	z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "DataCentre")
-		return
+	for za0001 := range z.Digests {
+		z.Digests[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Digests", za0001)
+			return
+		}
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Member) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address) + msgp.StringPrefixSize + len(z.Region) + msgp.StringPrefixSize + len(z.DataCentre)
+func (z *MembersRequest) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize + (len(z.Digests) * (msgp.Uint64Size))
 	return
 }
 
@@ -3122,6 +4059,156 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *ProbeReply) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 0 {
+		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ProbeReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 0
+	err = en.Append(0x90)
+	if err != nil {
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ProbeReply) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 0
+	o = append(o, 0x90)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ProbeReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 0 {
+		err = msgp.ArrayError{Wanted: 0, Got: zb0001}
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ProbeReply) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *ProbeRequest) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Address, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z ProbeRequest) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.ID)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	err = en.WriteString(z.Address)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ProbeRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint64(o, z.ID)
+	o = msgp.AppendString(o, z.Address)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ProbeRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.ID, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ID")
+		return
+	}
+	z.Address, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ProbeRequest) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Address)
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *QuarantineRecord) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
