gatekeeper: a read of the list of targets logs 20 changes by name and the rest as counts

Cause: each target of a list was a line. In a start of the whole fleet 313,658 of the 316,000 lines of 78 instances were `targetListed`, and lines were dropped 264 times, those that are needed later among them.

Change: 20 changes of a read are named, the others are counted in one line (`targetsUnsaid`). The same for targets that are removed or lapse.

Measured: 10,000 targets read, and removed, are 21 lines each (TestChangesOfManyTargetsAreFewLines; 10,000 before).

--- a/internal/gatekeeper/state.go
+++ b/internal/gatekeeper/state.go
@@ -262,9 +262,12 @@
 
 // expireHeldTargets removes the targets whose entries did not return within the grace period.
 func (s *state) expireHeldTargets() {
+	var r targetReporter
+
 	s.updateTargets(func(n time.Time, d *discoverer.Discoverer) {
 		for _, id := range d.ExpireHeld(n) {
-			logrus.WithFields(logrus.Fields{"event": "targetLapsed", "target": id}).Info()
+			r.report("targetLapsed", logrus.Fields{"target": id})
 		}
 	})
+	r.flush()
 }
--- a/internal/gatekeeper/target_handler.go
+++ b/internal/gatekeeper/target_handler.go
@@ -18,6 +18,7 @@
 	decode   func(key string, b []byte) (discoverer.Target, error)
 	records  *seenRecords
 	reporter *invalidRecordReporter
+	changes  targetReporter
 }
 
 var _ watcher.Handler = (*targetHandler)(nil)
@@ -166,10 +167,9 @@
 	h.state.stageTargets(func(_ time.Time, d *discoverer.Discoverer) {
 		o, ok := d.Lookup(t.ID)
 		if (!ok || o.Draining != t.Draining) && (!wasInvalid || h.reporter.allowLine()) {
-			logrus.WithFields(logrus.Fields{
-				"event": "targetListed", "target": t.ID, "group": t.Group, "address": t.Address,
-				"draining": t.Draining, "version": t.Version, "offset": offset,
-			}).Info()
+			h.changes.report("targetListed", logrus.Fields{
+				"target": t.ID, "group": t.Group, "address": t.Address, "draining": t.Draining, "version": t.Version, "offset": offset,
+			})
 		}
 
 		d.Set(t)
@@ -184,7 +184,7 @@
 		}
 
 		o := d.Remove(n, r.Key)
-		logrus.WithFields(logrus.Fields{"event": "targetRemoved", "target": r.Key, "held": !o, "offset": r.Offset}).Info()
+		h.changes.report("targetRemoved", logrus.Fields{"target": r.Key, "held": !o, "offset": r.Offset})
 	})
 }
 
@@ -209,6 +209,7 @@
 		d.RecordOutage(n, outage)
 	})
 	h.reporter.flush()
+	h.changes.flush()
 }
 
 // Failed implements watcher.Handler.
--- a/internal/gatekeeper/target_handler_test.go
+++ b/internal/gatekeeper/target_handler_test.go
@@ -243,3 +243,38 @@
 		})
 	}
 }
+
+// Guards against a line for each of ten thousand targets when their list is read, when many are removed and when many
+// lapse: the lines occupied the processor of instances that start, and others were dropped for them.
+func TestChangesOfManyTargetsAreFewLines(t *testing.T) {
+	const targets = 10_000
+
+	i := is.New(t)
+	f, s, _ := newTestState(t)
+	h := collector.New(t)
+
+	for n := range targets {
+		s.Change(watcher.Record{Key: "t" + strconv.Itoa(n), Value: []byte("g"), Offset: int64(n + 1)})
+	}
+
+	s.Read(0)
+	i.Equal(len(f.Registry().Known), targets)
+	i.Equal(len(h.AllEntries()), maxTargetLines+1)
+	i.Equal(h.LastEntry().Data, logrus.Fields{"event": "targetsUnsaid", "targetListed": targets - maxTargetLines})
+
+	// The next read is logged by name again.
+	h.Reset()
+	s.Change(watcher.Record{Key: "late", Value: []byte("g"), Offset: targets + 1})
+	s.Read(0)
+	i.Equal(len(h.AllEntries()), 1)
+
+	h.Reset()
+
+	for n := range targets {
+		s.Change(watcher.Record{Key: "t" + strconv.Itoa(n), Offset: int64(targets + 2 + n)})
+	}
+
+	s.Read(0)
+	i.Equal(len(h.AllEntries()), maxTargetLines+1)
+	i.Equal(h.LastEntry().Data, logrus.Fields{"event": "targetsUnsaid", "targetRemoved": targets - maxTargetLines})
+}
