replicator: only the seeds read the stored records at once, others ask them

Change: an instance asks a seed, and reads the store itself when no seed has sent the records after 500 ms.

Measured: 300 instances that start together make 3 reads, 300 before (TestSeedsReadTheStoreForOthers), with one of three seeds cut off too; cut off from all seeds each makes its own. A quarantined call is known everywhere within a second.

--- a/internal/commander/quarantine_test.go
+++ b/internal/commander/quarantine_test.go
@@ -26,6 +26,7 @@
 
 func (soloInstance) Live() []gossiper.Member { return nil }
 func (soloInstance) Self() gossiper.Member   { return gossiper.Member{ID: 1} }
+func (soloInstance) Seeds() []netip.AddrPort { return nil }
 
 // startInstance starts an instance at which one call is quarantined and another is suspected, and
 // returns its address.
--- a/internal/joiner/exchange_test.go
+++ b/internal/joiner/exchange_test.go
@@ -20,7 +20,9 @@
 
 type emptyList struct{}
 
-func (emptyList) Instances(context.Context, uint64) (recorder.List, error) { return recorder.List{}, nil }
+func (emptyList) Instances(context.Context, uint64) (recorder.List, error) {
+	return recorder.List{}, nil
+}
 
 // newMessenger returns a messenger on a free port that serves until the test ends.
 func newMessenger(t *testing.T, id uint64) *messenger.Messenger {
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -26,7 +26,7 @@
 	sendTimeout  = 500 * time.Millisecond
 	// changeDelay is how long changes of the membership are gathered before they are sent.
 	changeDelay = 100 * time.Millisecond
-	roleRouter   = "router"
+	roleRouter  = "router"
 )
 
 // ErrGossip marks errors in decoding a gossip message.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -12,6 +12,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -55,10 +56,16 @@
 // kinds are the message kinds of broadcasts.
 var kinds = broadcaster.Kinds{Direct: wire.KindSuspects, Relay: wire.KindSuspectsRelay} //nolint:gochecknoglobals // A constant.
 
+// Members lists the live instances, identifies this one, and has the addresses of a few that are known from the start.
+type Members interface {
+	broadcaster.Members
+	Seeds() []netip.AddrPort
+}
+
 // Replicator holds the records of this instance and replicates them. It is safe for concurrent use.
 type Replicator struct {
 	messenger   Messenger
-	members     broadcaster.Members
+	members     Members
 	broadcaster *broadcaster.Broadcaster
 	store       Store
 	retention   time.Duration
@@ -105,7 +112,7 @@
 }
 
 // New returns a replicator without records. With a nil store, the records are lost when all instances fail.
-func New(m Messenger, x broadcaster.Members, h Store, s quarantiner.Settings) *Replicator {
+func New(m Messenger, x Members, h Store, s quarantiner.Settings) *Replicator {
 	return &Replicator{
 		messenger: m, members: x, broadcaster: broadcaster.New(m, x), store: h, retention: s.Retention, quarantiner: quarantiner.New(s),
 		pending: make(map[digester.Digest]bool), wake: make(chan struct{}, 1), vouched: make(map[digester.Digest]bool),
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -34,6 +34,7 @@
 type fleet struct {
 	members   []gossiper.Member
 	instances []*replicator.Replicator
+	seeds     []netip.AddrPort
 
 	mu sync.Mutex
 	// partitioned are the instances that are partitioned from all others.
@@ -56,6 +57,7 @@
 
 func (v view) Live() []gossiper.Member { return v.members }
 func (v view) Self() gossiper.Member   { return v.members[v.index] }
+func (v view) Seeds() []netip.AddrPort { return v.seeds }
 
 func (v view) deliver(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) (msgp.Marshaler, error) {
 	n := slices.IndexFunc(v.members, func(m gossiper.Member) bool { return m.Address == a })
@@ -131,6 +133,13 @@
 // startWith starts n instances in four data centres with a store.
 func startWith(t *testing.T, n int, s replicator.Store) *fleet {
 	t.Helper()
+
+	return startSeeded(t, n, 0, s)
+}
+
+// startSeeded starts n instances in four data centres with a store, of which the first ones are the seeds.
+func startSeeded(t *testing.T, n, seeds int, s replicator.Store) *fleet {
+	t.Helper()
 	logrus.SetLevel(logrus.PanicLevel)
 
 	f := &fleet{partitioned: make(map[int]bool)}
@@ -143,6 +152,10 @@
 		f.instances = append(f.instances, replicator.New(view{f, i}, view{f, i}, s, quarantiner.DefaultSettings()))
 	}
 
+	for _, m := range f.members[:seeds] {
+		f.seeds = append(f.seeds, m.Address)
+	}
+
 	c, stop := context.WithCancel(t.Context())
 	for _, w := range f.instances {
 		go w.Run(c)
--- a/internal/replicator/store.go
+++ b/internal/replicator/store.go
@@ -34,6 +34,10 @@
 	// others, so that not all of them send requests to a store that is unavailable.
 	storeRetryDelay = time.Second
 	maxRank         = 10
+	// seedTime is how long an instance asks the seeds for the stored records before it reads the store itself, and
+	// seedRetryDelay is the pause after an answer that does not have them.
+	seedTime       = 500 * time.Millisecond
+	seedRetryDelay = 50 * time.Millisecond
 )
 
 // errRecord marks a stored record that cannot be decoded.
@@ -42,8 +46,11 @@
 // restore reads the stored records, until it succeeds or another instance that has them has answered.
 //
 // It begins immediately, like the reading of the catalog and of the target list. When it began only a second
-// after four instances had started, a call that crashes targets had crashed four targets by then.
+// after four instances had started, a call that crashes targets had crashed four targets by then. The seeds read the
+// store at once, and the others ask them: each request to the store is billed, and many instances may start together.
 func (r *Replicator) restore(c context.Context) {
+	r.askSeeds(c)
+
 	for tries := 1; c.Err() == nil && !r.isSynced(); tries++ {
 		l, err := r.readNewest(c)
 		if err == nil {
@@ -63,6 +70,31 @@
 	}
 }
 
+// askSeeds asks the seeds, one after the other, until one has sent the stored records or seedTime has passed. A seed asks
+// none.
+func (r *Replicator) askSeeds(c context.Context) {
+	l := r.members.Seeds()
+	if len(l) == 0 || slices.Contains(l, r.members.Self().Address) {
+		return
+	}
+
+	x, stop := context.WithTimeout(c, seedTime)
+	defer stop()
+
+	for n := r.members.Self().ID; x.Err() == nil && !r.isSynced(); n++ {
+		var p wire.Suspects
+
+		err := r.messenger.Call(x, l[n%uint64(len(l))], wire.KindSuspectsRequest, &wire.SuspectsRequest{}, &p)
+		if err == nil {
+			r.merge(&p)
+		}
+
+		if !r.isSynced() {
+			sleeper.Sleep(x, seedRetryDelay)
+		}
+	}
+}
+
 // rank returns the number of live instances with a lower ID.
 func (r *Replicator) rank() int {
 	n := 0
--- a/internal/replicator/store_test.go
+++ b/internal/replicator/store_test.go
@@ -171,6 +171,42 @@
 	})
 }
 
+// Guards against a read of the store by each of many instances that start together: only the seeds read it, and the
+// others have the records as soon. Without the seeds, each reads it itself.
+func TestSeedsReadTheStoreForOthers(t *testing.T) {
+	for name, tc := range map[string]struct{ members, partitioned, reads int }{
+		"all seeds answer":    {300, 0, 3},
+		"one seed is cut off": {300, 1, 3},
+		"all are cut off":     {30, 3, 30},
+		"only seeds":          {3, 0, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				s := newMemoryStore()
+
+				f := startWith(t, 3, s)
+				f.crash(0, 3)
+				time.Sleep(time.Second)
+				i.Equal(s.keys(), 1)
+
+				b := s.readCount()
+				g := startSeeded(t, tc.members, 3, s)
+				g.mu.Lock()
+
+				for k := range tc.partitioned {
+					g.partitioned[k] = true
+				}
+
+				g.mu.Unlock()
+				time.Sleep(time.Second)
+				i.Equal(s.readCount()-b, tc.reads)
+				i.Equal(g.quarantined(), tc.members)
+			})
+		})
+	}
+}
+
 // Guards against invalid stored records: they are skipped, and expired ones are deleted.
 func TestStoredRecords(t *testing.T) {
 	valid := wire.Suspect{Call: uint64(call), Crashes: []wire.SuspectCrash{{Target: 1, AgeMs: 2000}, {Target: 2, AgeMs: 1000}, {Target: 3}}}
