replicator: records are exchanged with the neighbours of the membership only

Cause: each instance exchanged records with all others in turn, two a second. In time it had a connection to and from each: 985 either way, and each exchange made a map of all live members.

Change: the five members that the gossip probes are used; in data centres of fewer than four members more random ones are probed, so that there are five everywhere. Each passes on what is new, as before.

--- a/internal/gossiper/ring.go
+++ b/internal/gossiper/ring.go
@@ -22,11 +22,15 @@
 	// nearNeighbours is how many members of the data centre that answer are probed. Of three members that probe one,
 	// at least one is expected to be live even if many fail at once.
 	nearNeighbours = 3
-	// randomNeighbours is how many points of the ring of all there are, with one member that answers each.
+	// randomNeighbours is how many members before random points of the ring of all are probed, and more in a smaller
+	// data centre. maxPoints bounds the points: several may have the same member.
 	randomNeighbours = 2
-	// maxNear and maxRandom bound the members that are probed while the first ones do not answer.
+	maxPoints        = 4 * (nearNeighbours + randomNeighbours)
+	// maxNear, maxRandom and maxProbed bound the members of the data centre, those before a point and all that are
+	// probed while the first ones do not answer.
 	maxNear   = 12
 	maxRandom = 4
+	maxProbed = 20
 	// unresponsiveFailures is the number of unanswered probes from which a further neighbour is probed.
 	unresponsiveFailures = 2
 )
@@ -39,11 +43,28 @@
 	}
 
 	o := preceding(g.ring.near, g.self.position, nearNeighbours, maxNear)
+	responsive := 0
+
+	for _, e := range o {
+		if e.failures < unresponsiveFailures {
+			responsive++
+		}
+	}
+
+	for k := range uint64(maxPoints) {
+		if responsive >= nearNeighbours+randomNeighbours || len(o) >= maxProbed {
+			break
+		}
 
-	for k := range uint64(randomNeighbours) {
 		for _, e := range preceding(g.ring.all, hasher.Mix(g.self.ID, k+1), 1, maxRandom) {
-			if !slices.Contains(o, e) {
-				o = append(o, e)
+			if slices.Contains(o, e) {
+				continue
+			}
+
+			o = append(o, e)
+
+			if e.failures < unresponsiveFailures {
+				responsive++
 			}
 		}
 	}
@@ -51,6 +72,20 @@
 	return o
 }
 
+// Neighbours returns the live members that this one probes and that answer. Records that each member passes on to its
+// neighbours reach all, over a number of connections that does not grow with the fleet.
+func (g *Gossiper) Neighbours() []Member {
+	var o []Member
+
+	for _, e := range g.neighbours() {
+		if e.failures < unresponsiveFailures {
+			o = append(o, e.Member)
+		}
+	}
+
+	return o
+}
+
 func (g *Gossiper) newRing() ring {
 	o := ring{near: []*entry{}}
 
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -181,6 +181,15 @@
 	return j.gossiper.Live(time.Now())
 }
 
+// Neighbours returns the few live routers with which this one exchanges what all must know, see
+// gossiper.Gossiper.Neighbours.
+func (j *Joiner) Neighbours() []gossiper.Member {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+
+	return j.gossiper.Neighbours()
+}
+
 // Suspect excludes a router temporarily because a call to it failed.
 func (j *Joiner) Suspect(id uint64) {
 	j.mu.Lock()
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -2,8 +2,8 @@
 // suspected if targets have crashed while they ran the call, or calls with the part.
 //
 // New records are broadcast at once, since the same call may be in transit through another instance
-// already. In addition each instance exchanges records with two others a second, in random order until all
-// have been contacted. So instances that missed a broadcast, have just started, were stalled or were
+// already. In addition each instance exchanges records with two of its neighbours a second, in random order until
+// all have been contacted. So instances that missed a broadcast, have just started, were stalled or were
 // partitioned have the same records within seconds. Records of quarantined calls are also written to a store
 // outside of the instances, in case all instances are lost.
 package replicator
@@ -56,9 +56,12 @@
 // kinds are the message kinds of broadcasts.
 var kinds = broadcaster.Kinds{Direct: wire.KindSuspects, Relay: wire.KindSuspectsRelay} //nolint:gochecknoglobals // A constant.
 
-// Members lists the live instances, identifies this one, and has the addresses of a few that are known from the start.
+// Members lists the live instances and identifies this one.
 type Members interface {
 	broadcaster.Members
+	// Neighbours returns the few instances with which this one exchanges records.
+	Neighbours() []gossiper.Member
+	// Seeds returns the addresses of a few instances that are known from the start.
 	Seeds() []netip.AddrPort
 }
 
@@ -320,10 +323,8 @@
 func (r *Replicator) nextPeer() (gossiper.Member, bool) {
 	l := make(map[uint64]gossiper.Member)
 
-	for _, m := range r.members.Live() {
-		if m.ID != r.members.Self().ID {
-			l[m.ID] = m
-		}
+	for _, m := range r.members.Neighbours() {
+		l[m.ID] = m
 	}
 
 	r.uncontacted = slices.DeleteFunc(r.uncontacted, func(id uint64) bool { _, ok := l[id]; return !ok })
