repeater: records are stored by their numbers, and recent changes are found without a search

Cause: each instance holds the list of all targets for those that read through it. At 10,002 targets the records took 4.8 of the 10 MB that an instance had in use, and each answer to a reader searched all of them.

Change: the text between the numbers of similar records is stored once (compactor); long values are stored as they are. The last 1,024 changes are found by their offsets.

Ways weighed: records compressed in blocks (as small; a block must be rewritten as its records change, and 1 MB of garbage a block), no records but the recent ones (an instance that becomes the reader reads 51 pages).

--- a/internal/repeater/cache.go
+++ b/internal/repeater/cache.go
@@ -1,19 +1,30 @@
 package repeater
 
 import (
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/compactor"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
 
 // maxDeleted is how many deleted keys a cache retains. An instance that lags by more deletions reads all keys again.
 const maxDeleted = 1024
 
+// maxRecent is how many of the last changes a cache finds without a search through all records.
+const maxRecent = 1024
+
 // cache holds what an instance has read of a stream: the newest record of each key, including recently deleted
 // ones. It is not safe for concurrent use.
 type cache struct {
-	records map[string]watcher.Record
+	records map[string]storedRecord
+	// compactor holds the values of the records but for the long ones, which are in long.
+	compactor *compactor.Compactor
+	long      map[string][]byte
+	// recent are the last changes, in the order of their offsets: all from recentFrom on.
+	recent     []change
+	recentFrom int64
 	// next is the position after the last record. All records are of its era.
 	next watcher.Position
 	// completeFrom: of each key that changed at or after this offset, the newest record is cached, deletions
@@ -27,6 +38,18 @@
 	compressed map[string]compressedValue
 }
 
+// storedRecord is the newest record of a key.
+type storedRecord struct {
+	value  compactor.Value
+	offset int64
+}
+
+// change is a record that may have been replaced since.
+type change struct {
+	key    string
+	offset int64
+}
+
 // compressedValue is the compressed value of the record at an offset.
 type compressedValue struct {
 	offset int64
@@ -34,21 +57,61 @@
 }
 
 func newCache() *cache {
-	return &cache{records: make(map[string]watcher.Record), compressed: make(map[string]compressedValue), next: watcher.Unread()}
+	return &cache{
+		records: make(map[string]storedRecord), compactor: compactor.New(), long: make(map[string][]byte),
+		compressed: make(map[string]compressedValue), next: watcher.Unread(),
+	}
 }
 
 // reset replaces all records by the newest of each key.
 func (c *cache) reset(confirmed time.Time, l []watcher.Record, next watcher.Position) {
 	clear(c.records)
+	clear(c.long)
 	clear(c.compressed)
+	c.compactor = compactor.New()
 
 	for _, r := range l {
-		c.records[r.Key] = r
+		c.set(r)
 	}
 
+	c.recent, c.recentFrom = nil, next.Offset
 	c.next, c.completeFrom, c.deleted, c.confirmed = next, next.Offset, 0, confirmed
 }
 
+// set stores a record.
+func (c *cache) set(r watcher.Record) {
+	delete(c.long, r.Key)
+
+	if len(r.Value) > compactor.MaxLength {
+		c.long[r.Key] = r.Value
+		c.records[r.Key] = storedRecord{offset: r.Offset}
+
+		return
+	}
+
+	c.records[r.Key] = storedRecord{value: c.compactor.Pack(r.Value), offset: r.Offset}
+}
+
+// get returns the newest record of a key.
+func (c *cache) get(key string) (watcher.Record, bool) {
+	r, ok := c.records[key]
+	if !ok {
+		return watcher.Record{}, false
+	}
+
+	o := watcher.Record{Key: key, Offset: r.offset, Value: c.long[key]}
+	if o.Value == nil {
+		o.Value = c.compactor.Unpack(r.value)
+	}
+
+	return o, true
+}
+
+// isDeleted reports whether the newest record of a key deletes it.
+func (c *cache) isDeleted(key string) bool {
+	return c.records[key].value == "" && c.long[key] == nil
+}
+
 // add adds records that follow the cached ones. Records of another era do not, and are not added.
 func (c *cache) add(confirmed time.Time, l []watcher.Record, next watcher.Position) {
 	if next.Era != c.next.Era {
@@ -56,11 +119,12 @@
 	}
 
 	for _, r := range l {
-		if o, ok := c.records[r.Key]; ok && o.Offset > r.Offset {
+		if o, ok := c.records[r.Key]; ok && o.offset > r.Offset {
 			continue
 		}
 
-		c.records[r.Key] = r
+		c.set(r)
+		c.noteChange(change{key: r.Key, offset: r.Offset})
 
 		if len(r.Value) == 0 {
 			c.deleted++
@@ -75,6 +139,22 @@
 	}
 }
 
+// noteChange adds a change to the recent ones. Changes usually arrive in their order.
+func (c *cache) noteChange(x change) {
+	n := len(c.recent)
+	for n > 0 && c.recent[n-1].offset > x.offset {
+		n--
+	}
+
+	c.recent = slices.Insert(c.recent, n, x)
+
+	if len(c.recent) > 2*maxRecent {
+		n := len(c.recent) - maxRecent
+		c.recentFrom = c.recent[n-1].offset + 1
+		c.recent = slices.Clone(c.recent[n:])
+	}
+}
+
 // newerThan reports whether the cache has a later record than a list of the same era for one of the list's keys.
 // Offsets of an era only increase, so the list is then from an older state, regardless of the end that it reports.
 func (c *cache) newerThan(l []watcher.Record) bool {
@@ -84,7 +164,7 @@
 	}
 
 	for k, o := range n {
-		if r, ok := c.records[k]; ok && r.Offset > o {
+		if r, ok := c.records[k]; ok && r.offset > o {
 			return true
 		}
 	}
@@ -94,8 +174,8 @@
 
 // prune removes the deleted keys.
 func (c *cache) prune() {
-	for k, r := range c.records {
-		if len(r.Value) == 0 {
+	for k := range c.records {
+		if c.isDeleted(k) {
 			delete(c.records, k)
 		}
 	}
@@ -127,9 +207,14 @@
 func (c *cache) since(from watcher.Position) (l []watcher.Record, all bool) {
 	all = from.Era != c.next.Era || from.Offset < c.completeFrom
 
-	for _, r := range c.records {
-		if all && len(r.Value) > 0 || !all && r.Offset >= from.Offset {
-			l = append(l, r)
+	if !all && from.Offset >= c.recentFrom {
+		return c.changesSince(from.Offset), false
+	}
+
+	for k, r := range c.records {
+		if all && !c.isDeleted(k) || !all && r.offset >= from.Offset {
+			x, _ := c.get(k)
+			l = append(l, x)
 		}
 	}
 
@@ -137,3 +222,17 @@
 
 	return l, all
 }
+
+// changesSince returns the newest records of the keys that have changed at or after a recent offset, in order.
+func (c *cache) changesSince(from int64) []watcher.Record {
+	var l []watcher.Record
+
+	n := sort.Search(len(c.recent), func(i int) bool { return c.recent[i].offset >= from })
+	for _, x := range c.recent[n:] {
+		if r, ok := c.get(x.key); ok && r.Offset == x.offset {
+			l = append(l, r)
+		}
+	}
+
+	return l
+}
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -190,8 +190,8 @@
 
 	s.mu.Lock()
 
-	for key, r := range s.cache.records {
-		if !k[key] && len(r.Value) > 0 {
+	for key := range s.cache.records {
+		if !k[key] && !s.cache.isDeleted(key) {
 			l = append(l, watcher.Record{Key: key, Offset: p.Next - 1})
 		}
 	}
