repeater: an instance that starts reads the complete list from its seed, and from others of its data centre

Cause: each instance read the configuration and the list of targets from the platform at its start, whatever it read through later: two calls at 986 instances while the list is short, and a page for each 200 of 10,002 targets when it is not: 52 calls an instance that is restarted. Seeds sent complete lists to all that asked.

Change: the first list comes from the upstream; for a second other seeds are tried. A seed sends the list to one instance of another data centre and redirects the others of it there, and those of its own while its link is occupied; one that comes back is served. An instance that has read nothing yet lets a requester wait for it.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -31,18 +31,30 @@
 	next      int64
 	served    []netip.AddrPort
 	redirects int
+	// listed are the instances that were sent the complete list, by data centre, and sent those that were redirected
+	// to one of them.
+	listed map[string][]netip.AddrPort
+	sent   map[netip.AddrPort]bool
 	// linkFree is when the link has carried all answers sent so far.
 	linkFree time.Time
 }
 
+// maxListed bounds the instances of a data centre to which requesters of the complete list are redirected, and maxSent
+// the remembered requesters.
+const (
+	maxListed = 16
+	maxSent   = 1024
+)
+
 // New returns a Relayer that has served no requester.
 func New(s Settings) *Relayer {
-	return &Relayer{settings: s}
+	return &Relayer{settings: s, listed: make(map[string][]netip.AddrPort), sent: make(map[netip.AddrPort]bool)}
 }
 
 // Forget forgets which instances have the stream, because a new era of it has begun. The link remains occupied.
 func (r *Relayer) Forget() {
 	r.next, r.served, r.redirects = 0, nil, 0
+	clear(r.listed)
 }
 
 // ServeOrRedirect reports whether the requester at address to is to be served here. The answer has the given
@@ -75,3 +87,36 @@
 
 	return netip.AddrPort{}, true
 }
+
+// ServeOrRedirectList does the same for a requester of the complete list in a data centre, which differs from that of
+// this instance if far is set. One that needs the list has just started, so an older list will do, and hundreds may
+// start at once. In another data centre one is served, and the others are redirected to it. A requester that comes back
+// is served: the instance that it was redirected to may have failed.
+func (r *Relayer) ServeOrRedirectList(now time.Time, bytes int, to netip.AddrPort, centre string, far bool) (netip.AddrPort, bool) {
+	if r.linkFree.Before(now) {
+		r.linkFree = now
+	}
+
+	l := r.listed[centre]
+	if len(l) > 0 && !r.sent[to] && (far || r.linkFree.Sub(now) >= r.settings.MaxBacklog) {
+		if len(r.sent) >= maxSent {
+			clear(r.sent)
+		}
+
+		r.sent[to] = true
+		r.redirects++
+
+		return l[r.redirects%len(l)], false
+	}
+
+	delete(r.sent, to)
+
+	if to.IsValid() && !slices.Contains(l, to) {
+		l = append(l, to)
+		r.listed[centre] = l[max(0, len(l)-maxListed):]
+	}
+
+	r.linkFree = r.linkFree.Add(time.Duration(float64(bytes) / r.settings.Rate * float64(time.Second)))
+
+	return netip.AddrPort{}, true
+}
--- a/internal/repeater/answer.go
+++ b/internal/repeater/answer.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/gossiper"
 	"github.com/auburntray/auburntray/internal/relayer"
 	"github.com/auburntray/auburntray/internal/watcher"
 	"github.com/auburntray/auburntray/internal/wire"
@@ -23,22 +24,22 @@
 		n, w := s.cache.next, s.changed
 		s.mu.Unlock()
 
-		if !n.IsRead() {
-			return nil, ErrPeer
-		}
-
-		if n.Era < from.Era {
+		if n.IsRead() && n.Era < from.Era {
 			// The requester ignores records of an earlier era.
 			return &wire.StreamReply{Era: n.Era, Next: n.Offset}, nil
 		}
 
-		if from.Before(n) || q.WaitMs == 0 {
+		if n.IsRead() && (from.Before(n) || q.WaitMs == 0) {
 			return s.redirect(s.reply(from), requester, from), nil
 		}
 
 		select {
 		case <-w:
 		case <-t.C:
+			if !n.IsRead() {
+				return nil, ErrPeer
+			}
+
 			return s.reply(from), nil
 		case <-c.Done():
 			return nil, c.Err()
@@ -100,14 +101,26 @@
 // records.
 func (s *Stream) redirect(p *wire.StreamReply, requester uint64, from watcher.Position) *wire.StreamReply {
 	n := recordBytes(p)
-	if n < relayer.LongBytes || !from.IsRead() {
+	if n < relayer.LongBytes {
 		return p
 	}
 
-	a, far := s.locate(requester)
+	m := s.locate(requester)
+	far := m.DataCentre != "" && m.DataCentre != s.repeater.members.Self().DataCentre
 
 	s.mu.Lock()
-	e, ok := s.relayer.ServeOrRedirect(time.Now(), p.Next, n, a, far)
+
+	var (
+		e  netip.AddrPort
+		ok bool
+	)
+
+	if from.IsRead() {
+		e, ok = s.relayer.ServeOrRedirect(time.Now(), p.Next, n, m.Address, far)
+	} else {
+		e, ok = s.relayer.ServeOrRedirectList(time.Now(), n, m.Address, m.DataCentre, far)
+	}
+
 	s.mu.Unlock()
 
 	if ok {
@@ -122,17 +135,15 @@
 	return uint32(min(time.Since(t), time.Hour).Milliseconds()) //nolint:gosec // Fits.
 }
 
-// locate returns the address of an instance; it is invalid when the instance is unknown. The second result reports
-// whether the instance is in another data centre. Such an instance reads for all instances there.
-func (s *Stream) locate(id uint64) (netip.AddrPort, bool) {
-	m := s.repeater.members
-	for _, x := range m.Live() {
+// locate returns the instance with an ID; its address is invalid when the instance is unknown.
+func (s *Stream) locate(id uint64) gossiper.Member {
+	for _, x := range s.repeater.members.Live() {
 		if x.ID == id {
-			return x.Address, x.DataCentre != m.Self().DataCentre
+			return x
 		}
 	}
 
-	return netip.AddrPort{}, false
+	return gossiper.Member{}
 }
 
 // recordBytes returns the total length of a reply's records in bytes.
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -183,7 +184,9 @@
 	wide map[int]bool
 	// sent is the number of bytes that all instances have sent.
 	sent int
-	mu   sync.Mutex
+	// sentBy is the same for single instances.
+	sentBy map[int]int
+	mu     sync.Mutex
 }
 
 type instance struct {
@@ -312,6 +315,7 @@
 		at := latest(time.Now(), i.fleet.linkFreeAt[n]).Add(time.Duration(k) * i.fleet.byteTime(n))
 		i.fleet.linkFreeAt[n] = at
 		i.fleet.sent += k
+		i.fleet.sentBy[n] += k
 		i.fleet.mu.Unlock()
 
 		if err := wait(c, time.Until(at)); err != nil {
@@ -415,6 +419,7 @@
 		seeds:      seeds,
 		linkFreeAt: map[int]time.Time{},
 		wide:       p.links.wide,
+		sentBy:     map[int]int{},
 	}
 	f.platform.put("k", "0")
 
@@ -759,6 +764,64 @@
 	}
 }
 
+// Guards against a read of the platform's whole list by each of many instances that start together, and against a seed
+// that sends all of them a copy: the list is long, and its pages are billed.
+func TestStartingInstancesReadTheListFromEachOther(t *testing.T) {
+	for name, x := range map[string]struct {
+		down []int
+		// maxReads bounds the reads of the platform by all but the seeds.
+		maxReads int
+	}{
+		"both seeds answer": {nil, 0},
+		"one is down":       {[]int{1}, 0},
+		"both are down":     {[]int{0, 1}, 58 * 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPlatform()
+				r := rand.New(rand.NewPCG(1, 1))
+
+				for n := range 1200 {
+					p.put("t"+strconv.Itoa(n), strconv.FormatUint(r.Uint64(), 36)+strconv.FormatUint(r.Uint64(), 36)+strconv.FormatUint(r.Uint64(), 36))
+				}
+
+				var l []string
+				for n := range 60 {
+					l = append(l, string(rune('a'+n%4)))
+				}
+
+				f, stop := startOn(t, p, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")}, l...)
+				f.set(f.down, true, x.down...)
+				time.Sleep(2900 * time.Millisecond)
+
+				p.mu.Lock()
+				reads := 0
+				for n := 2; n < 60; n++ {
+					reads += p.reads[n]
+				}
+				p.mu.Unlock()
+
+				for n := 2; n < 60; n++ {
+					is.True(f.instances[n].handler.get("t1199") != "")
+				}
+
+				f.mu.Lock()
+				seeds, all := f.sentBy[0]+f.sentBy[1], f.sent
+				f.mu.Unlock()
+				stop()
+
+				t.Logf("%d reads; the seeds sent %d of %d bytes", reads, seeds, all)
+				is.True(reads <= x.maxReads)
+
+				if len(x.down) == 0 {
+					is.True(2*seeds <= all)
+				}
+			})
+		})
+	}
+}
+
 // Guards against seeds that read for all for longer than needed: an instance that knows the others reads through the
 // reader of its data centre. The seed, which is no reader, is lost soon after the start: few others read from the
 // platform then.
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -35,6 +35,8 @@
 	// skipped is the instance that is not used as the upstream for a while after skippedAt.
 	skipped   uint64
 	skippedAt time.Time
+	// seedFailures is how many reads from seeds have failed. Each is followed by one from another seed.
+	seedFailures uint64
 	// platformFailed reports whether this instance's last call to the platform failed.
 	platformFailed bool
 	// lastArrival is when a part of an answer last arrived, here or at the upstream.
--- a/internal/repeater/upstream.go
+++ b/internal/repeater/upstream.go
@@ -25,11 +25,11 @@
 	switch {
 	case errors.Is(err, errRedirect):
 		// The upstream itself has answered.
-	case x.regional || errors.Is(err, errStale) || errors.Is(err, messenger.ErrRefused) || errors.Is(err, messenger.ErrFrame) || x.member.ID == 0:
-		s.mu.Lock()
-		s.skipped = x.member.ID
-		s.skippedAt = time.Now()
-		s.mu.Unlock()
+	case x.member.ID == 0:
+		s.skip(x.member.ID)
+		s.nextSeed()
+	case x.regional || errors.Is(err, errStale) || errors.Is(err, messenger.ErrRefused) || errors.Is(err, messenger.ErrFrame):
+		s.skip(x.member.ID)
 	default:
 		s.repeater.members.Suspect(x.member.ID)
 	}
@@ -39,6 +39,22 @@
 	}).Info()
 }
 
+// skip makes this instance skip an upstream for a while.
+func (s *Stream) skip(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.skipped, s.skippedAt = id, time.Now()
+}
+
+// nextSeed makes the next read from a seed use another one.
+func (s *Stream) nextSeed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.seedFailures++
+}
+
 // upstream is the instance through which this one reads.
 type upstream struct {
 	member gossiper.Member
@@ -154,7 +170,7 @@
 	}
 
 	if !slices.Contains(l, m.Self().Address) {
-		return upstream{member: gossiper.Member{Address: l[m.Self().ID%uint64(len(l))]}, wait: s.fraction(readerWaitFraction), stale: s.fraction(readerStaleFraction)}, true
+		return upstream{member: gossiper.Member{Address: l[(m.Self().ID+s.seedFailures)%uint64(len(l))]}, wait: s.fraction(readerWaitFraction), stale: s.fraction(readerStaleFraction)}, true
 	}
 
 	k := hasher.Key("reader", s.name)
