--- a/internal/commander/quarantine_test.go
+++ b/internal/commander/quarantine_test.go
@@ -24,10 +24,10 @@
 // soloInstance is the membership of a fleet of one instance.
 type soloInstance struct{}
 
-func (soloInstance) Live() []gossiper.Member       { return nil }
-func (soloInstance) Self() gossiper.Member         { return gossiper.Member{ID: 1} }
-func (soloInstance) Seeds() []netip.AddrPort       { return nil }
-func (soloInstance) Neighbours() []gossiper.Member { return nil }
+func (soloInstance) Live() []gossiper.Member      { return nil }
+func (soloInstance) Self() gossiper.Member        { return gossiper.Member{ID: 1} }
+func (soloInstance) Seeds() []netip.AddrPort      { return nil }
+func (soloInstance) Neighbors() []gossiper.Member { return nil }
 
 // startInstance starts an instance at which one call is quarantined and another is suspected, and
 // returns its address.
--- a/internal/gossiper/change.go
+++ b/internal/gossiper/change.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// parts is the number of parts in which two routers compare their members. A change concerns one part.
-	parts = 32
+	// buckets is the number of buckets in which two routers compare their members. A change concerns one bucket.
+	buckets = 32
 	// maxListed is the number of members, of about 20 bytes each, from which a list is not continued with a further
-	// part.
+	// bucket.
 	maxListed = 128
 	// witnessTime is how long after a router was heard of a report that it is dead is contradicted.
 	witnessTime = 2 * time.Second
 )
 
-func part(id uint64) int { return int((id >> LinkClassBits) % parts) } //nolint:gosec // Below parts.
+func bucket(id uint64) int { return int((id >> LinkClassBits) % buckets) }
 
 // digest returns the digest of all live members.
 func (g *Gossiper) digest() uint64 {
@@ -60,7 +60,7 @@
 func (g *Gossiper) Requested(s Source, members int) {
 	s.lists++
 
-	if members >= maxListed && !s.stranger && s.lists < parts {
+	if members >= maxListed && !s.stranger && s.lists < buckets {
 		g.sources = slices.Insert(g.sources, 0, s)
 	}
 }
@@ -70,25 +70,25 @@
 	return append([]uint64(nil), g.digests[:]...)
 }
 
-// Members returns the members, dead ones included, of the parts whose digests differ from the given ones. If they are
-// too many for one list, the list begins with a random part.
+// Members returns the members, dead ones included, of the buckets whose digests differ from the given ones. If they are
+// too many for one list, the list begins with a random bucket.
 func (g *Gossiper) Members(digests []uint64) *wire.MemberList {
-	var differs [parts][]*entry
+	var differs [buckets][]*entry
 
-	if len(digests) != parts {
+	if len(digests) != buckets {
 		return &wire.MemberList{}
 	}
 
 	for id, e := range g.entries {
-		if p := part(id); digests[p] != g.digests[p] {
+		if p := bucket(id); digests[p] != g.digests[p] {
 			differs[p] = append(differs[p], e)
 		}
 	}
 
 	var l []*entry
 
-	for n, i := 0, g.random.IntN(parts); n < parts && len(l) < maxListed; n++ {
-		l = append(l, differs[(i+n)%parts]...)
+	for n, i := 0, g.random.IntN(buckets); n < buckets && len(l) < maxListed; n++ {
+		l = append(l, differs[(i+n)%buckets]...)
 	}
 
 	return list(l)
@@ -115,7 +115,7 @@
 
 	var o []netip.AddrPort
 
-	for _, e := range g.neighbours() {
+	for _, e := range g.neighbors() {
 		if e.state != aliveEarlier {
 			o = append(o, e.Address)
 		}
@@ -124,7 +124,7 @@
 	return list(l), o
 }
 
-// Merge applies a list of members and returns their number. Changes are sent on to the neighbours if spread is set.
+// Merge applies a list of members and returns their number. Changes are sent on to the neighbors if spread is set.
 // Members with an invalid address are ignored.
 func (g *Gossiper) Merge(now time.Time, l *wire.MemberList, spread bool) int {
 	o := 0
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -51,7 +51,7 @@
 	state state
 	// count increases when a router that was declared dead proves to be alive.
 	count uint32
-	// position determines the neighbours of a router.
+	// position determines the neighbors of a router.
 	position uint64
 	// diedAt is when the router was last alive as far as this one knows.
 	diedAt time.Time
@@ -82,11 +82,11 @@
 	entries   map[uint64]*entry
 	addresses map[netip.AddrPort]*entry
 	centres   map[string]*centre
-	// digests are the digests of the parts of the live members.
-	digests [parts]uint64
+	// digests are the digests of the live members, by bucket.
+	digests [buckets]uint64
 	// gone and earlier contain the dead or leaving members, and the live ones of earlier releases.
 	gone, earlier map[uint64]*entry
-	// changes contains the members whose changes are to be sent to the neighbours.
+	// changes contains the members whose changes are to be sent to the neighbors.
 	changes map[uint64]bool
 	// agreements is the number of consecutive replies from routers that know the same members as this one.
 	agreements int
@@ -189,7 +189,7 @@
 // toggle adds a router to the digests or removes it from them, if it is alive.
 func (g *Gossiper) toggle(e *entry) {
 	if e.isAlive() {
-		g.digests[part(e.ID)] ^= hasher.Mix(hasher.Mix(e.ID, uint64(e.count)), uint64(e.state))
+		g.digests[bucket(e.ID)] ^= hasher.Mix(hasher.Mix(e.ID, uint64(e.count)), uint64(e.state))
 		g.version++
 	}
 }
@@ -208,7 +208,7 @@
 	}
 }
 
-// set changes the state of a router. The change is sent to the neighbours if spread is set.
+// set changes the state of a router. The change is sent to the neighbors if spread is set.
 func (g *Gossiper) set(now time.Time, e *entry, s state, count uint32, spread bool) {
 	g.toggle(e)
 
@@ -249,9 +249,9 @@
 
 // settledAgreements is the number of consecutive replies from routers with the same members after which this router
 // knows the fleet: those of one round.
-const settledAgreements = nearNeighbours + randomNeighbours
+const settledAgreements = nearNeighbors + randomNeighbors
 
-// Settled reports whether this router, since its start, has come to know the same members as its neighbours. It may
+// Settled reports whether this router, since its start, has come to know the same members as its neighbors. It may
 // report so too early while many routers start at once.
 func (g *Gossiper) Settled() bool {
 	return g.agreements >= settledAgreements
--- a/internal/gossiper/probe.go
+++ b/internal/gossiper/probe.go
@@ -58,7 +58,7 @@
 
 	var o []Probe
 
-	for _, e := range g.neighbours() {
+	for _, e := range g.neighbors() {
 		o = append(o, g.newProbe(revision, e))
 	}
 
--- a/internal/gossiper/ring.go
+++ b/internal/gossiper/ring.go
@@ -11,7 +11,7 @@
 // ring contains the other live members in the order of their positions: those of this data centre, and all.
 //
 // Each member probes those of its data centre that precede it on the ring. Each is thus probed by several, at any size
-// of the fleet. Positions are hashes, so that members that fail together are rarely neighbours. It also probes those
+// of the fleet. Positions are hashes, so that members that fail together are rarely neighbors. It also probes those
 // before a few random points of the ring of all, over which news reach all in a number of steps that grows with the
 // logarithm of their number.
 type ring struct {
@@ -19,30 +19,30 @@
 }
 
 const (
-	// nearNeighbours is how many members of the data centre that answer are probed. Of three members that probe one,
+	// nearNeighbors is how many members of the data centre that answer are probed. Of three members that probe one,
 	// at least one is expected to be live even if many fail at once.
-	nearNeighbours = 3
-	// randomNeighbours is how many members before random points of the ring of all are probed, and more in a smaller
+	nearNeighbors = 3
+	// randomNeighbors is how many members before random points of the ring of all are probed, and more in a smaller
 	// data centre. maxPoints bounds the points: several may have the same member.
-	randomNeighbours = 2
-	maxPoints        = 4 * (nearNeighbours + randomNeighbours)
+	randomNeighbors = 2
+	maxPoints       = 4 * (nearNeighbors + randomNeighbors)
 	// maxNear, maxRandom and maxProbed bound the members of the data centre, those before a point and all that are
 	// probed while the first ones do not answer.
 	maxNear   = 12
 	maxRandom = 4
 	maxProbed = 20
-	// unresponsiveFailures is the number of unanswered probes from which a further neighbour is probed.
+	// unresponsiveFailures is the number of unanswered probes from which a further neighbor is probed.
 	unresponsiveFailures = 2
 )
 
-// neighbours returns the members that this one probes.
-func (g *Gossiper) neighbours() []*entry {
+// neighbors returns the members that this one probes.
+func (g *Gossiper) neighbors() []*entry {
 	if g.ringVersion != g.version || g.ring.near == nil {
 		g.ring = g.newRing()
 		g.ringVersion = g.version
 	}
 
-	o := preceding(g.ring.near, g.self.position, nearNeighbours, maxNear)
+	o := preceding(g.ring.near, g.self.position, nearNeighbors, maxNear)
 	responsive := 0
 
 	for _, e := range o {
@@ -52,7 +52,7 @@
 	}
 
 	for k := range uint64(maxPoints) {
-		if responsive >= nearNeighbours+randomNeighbours || len(o) >= maxProbed {
+		if responsive >= nearNeighbors+randomNeighbors || len(o) >= maxProbed {
 			break
 		}
 
@@ -72,12 +72,12 @@
 	return o
 }
 
-// Neighbours returns the live members that this one probes and that answer. Records that each member passes on to its
-// neighbours reach all, over a number of connections that does not grow with the fleet.
-func (g *Gossiper) Neighbours() []Member {
+// Neighbors returns the live members that this one probes and that answer. Records that each member passes on to its
+// neighbors reach all, over a number of connections that does not grow with the fleet.
+func (g *Gossiper) Neighbors() []Member {
 	var o []Member
 
-	for _, e := range g.neighbours() {
+	for _, e := range g.neighbors() {
 		if e.failures < unresponsiveFailures {
 			o = append(o, e.Member)
 		}
--- a/internal/joiner/exchange.go
+++ b/internal/joiner/exchange.go
@@ -245,7 +245,7 @@
 	}
 }
 
-// sendChanges sends the changes of the membership to the neighbours.
+// sendChanges sends the changes of the membership to the neighbors.
 func (j *Joiner) sendChanges(c context.Context) {
 	j.mu.Lock()
 	w, l := j.gossiper.Changes()
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -181,13 +181,13 @@
 	return j.gossiper.Live(time.Now())
 }
 
-// Neighbours returns the few live routers with which this one exchanges what all must know, see
-// gossiper.Gossiper.Neighbours.
-func (j *Joiner) Neighbours() []gossiper.Member {
+// Neighbors returns the few live routers with which this one exchanges what all must know, see
+// gossiper.Gossiper.Neighbors.
+func (j *Joiner) Neighbors() []gossiper.Member {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 
-	return j.gossiper.Neighbours()
+	return j.gossiper.Neighbors()
 }
 
 // Settled reports whether this router knows the fleet, see gossiper.Gossiper.Settled.
--- a/internal/replicator/replicator.go
+++ b/internal/replicator/replicator.go
@@ -2,7 +2,7 @@
 // suspected if targets have crashed while they ran the call, or calls with the part.
 //
 // New records are broadcast at once, since the same call may be in transit through another instance
-// already. In addition each instance exchanges records with two of its neighbours a second, in random order until
+// already. In addition each instance exchanges records with two of its neighbors a second, in random order until
 // all have been contacted. So instances that missed a broadcast, have just started, were stalled or were
 // partitioned have the same records within seconds. Records of quarantined calls are also written to a store
 // outside of the instances, in case all instances are lost.
@@ -59,8 +59,8 @@
 // Members lists the live instances and identifies this one.
 type Members interface {
 	broadcaster.Members
-	// Neighbours returns the few instances with which this one exchanges records.
-	Neighbours() []gossiper.Member
+	// Neighbors returns the few instances with which this one exchanges records.
+	Neighbors() []gossiper.Member
 	// Seeds returns the addresses of a few instances that are known from the start.
 	Seeds() []netip.AddrPort
 }
@@ -323,7 +323,7 @@
 func (r *Replicator) nextPeer() (gossiper.Member, bool) {
 	l := make(map[uint64]gossiper.Member)
 
-	for _, m := range r.members.Neighbours() {
+	for _, m := range r.members.Neighbors() {
 		l[m.ID] = m
 	}
 
--- a/internal/replicator/replicator_test.go
+++ b/internal/replicator/replicator_test.go
@@ -62,8 +62,8 @@
 func (v view) Self() gossiper.Member   { return v.members[v.index] }
 func (v view) Seeds() []netip.AddrPort { return v.seeds }
 
-// Neighbours returns those that the instance would have as a member of the fleet.
-func (v view) Neighbours() []gossiper.Member {
+// Neighbors returns those that the instance would have as a member of the fleet.
+func (v view) Neighbors() []gossiper.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 
@@ -77,7 +77,7 @@
 		v.gossipers[v.index] = g
 	}
 
-	return g.Neighbours()
+	return g.Neighbors()
 }
 
 func (v view) deliver(c context.Context, a netip.AddrPort, k wire.Kind, m msgp.Marshaler) (msgp.Marshaler, error) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -168,7 +168,7 @@
 	State   uint8
 }
 
-// MembersRequest requests all members of the parts whose digest differs from that of the receiver.
+// MembersRequest requests all members of the buckets whose digest differs from that of the receiver.
 type MembersRequest struct {
 	Digests []uint64
 }
