repeater: an instance reads through a seed for 14 s again

By their logs the readers of two data centres had records of 2.1 to 2.5 s then: while 10,000 targets register, each of the two readers in the chain pauses for 1.5 s after each read, so that their records are too old, all 164 instances read from the platform, the reads of the 1.3 MB that they lack time out there, and so on.

The herd of reads behind a late reader is open, see docs/design/whole-fleet.md.

--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -88,8 +88,6 @@
 	gone, earlier map[uint64]*entry
 	// changes contains the members whose changes are to be sent to the neighbors.
 	changes map[uint64]bool
-	// agreements is the number of consecutive replies from routers that know the same members as this one.
-	agreements int
 	// sources are the routers to request members from.
 	sources []Source
 	ticks   uint64
@@ -247,16 +245,6 @@
 	return g.viewAt(now).live
 }
 
-// settledAgreements is the number of consecutive replies from routers with the same members after which this router
-// knows the fleet: those of one round.
-const settledAgreements = nearNeighbors + randomNeighbors
-
-// Settled reports whether this router, since its start, has come to know the same members as its neighbors. It may
-// report so too early while many routers start at once.
-func (g *Gossiper) Settled() bool {
-	return g.agreements >= settledAgreements
-}
-
 // Address returns the address of a router, or false if it is not known.
 func (g *Gossiper) Address(id uint64) (netip.AddrPort, bool) {
 	e, ok := g.entries[id]
--- a/internal/gossiper/probe.go
+++ b/internal/gossiper/probe.go
@@ -208,13 +208,6 @@
 
 	e.introduced = !r.Unknown
 
-	switch {
-	case r.Digest == g.digest():
-		g.agreements++
-	case !g.Settled():
-		g.agreements = 0
-	}
-
 	if r.Digest != g.digest() {
 		g.sources = slices.DeleteFunc(g.sources, func(s Source) bool { return s.Address == e.Address })
 		g.sources = append(g.sources, Source{Address: e.Address, digest: r.Digest, stranger: id == 0})
--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -190,14 +190,6 @@
 	return j.gossiper.Neighbors()
 }
 
-// Settled reports whether this router knows the fleet, see gossiper.Gossiper.Settled.
-func (j *Joiner) Settled() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-
-	return j.gossiper.Settled()
-}
-
 // Suspect excludes a router temporarily because a call to it failed.
 func (j *Joiner) Suspect(id uint64) {
 	j.mu.Lock()
--- a/internal/repeater/repeater.go
+++ b/internal/repeater/repeater.go
@@ -83,10 +83,9 @@
 	// seedSkipPeriod is how long seeds are skipped after a seed did not answer this instance, which has just started:
 	// the seed may have just started, too.
 	seedSkipPeriod = 300 * time.Millisecond
-	// settlePeriod is how long after its start an instance reads through a seed unless it knows the other instances
-	// earlier, and minSettlePeriod how long at least: instances that start together know few others at first.
-	settlePeriod    = 14 * time.Second
-	minSettlePeriod = 3 * time.Second
+	// settlePeriod is how long after its start an instance reads through a seed. By then it knows the other
+	// instances from gossip, and the readers of the data centres have caught up.
+	settlePeriod = 14 * time.Second
 	// maxRedirects bounds how often a read is redirected to another instance that has the records. It is the
 	// depth of the tree along which redirects distribute a record in a data centre of about 1,000 instances.
 	maxRedirects = 6
@@ -100,8 +99,6 @@
 	Live() []gossiper.Member
 	Suspect(id uint64)
 	Self() gossiper.Member
-	// Settled reports whether this instance knows the others.
-	Settled() bool
 	// Seeds returns the addresses of a few instances that are known from the start.
 	Seeds() []netip.AddrPort
 }
--- a/internal/repeater/upstream.go
+++ b/internal/repeater/upstream.go
@@ -73,7 +73,7 @@
 // data centre. When an upstream fails, the instances that read from it read from the platform at once.
 func (s *Stream) upstream() (upstream, bool) {
 	m := s.repeater.members
-	if d := time.Since(s.repeater.started); d < minSettlePeriod || d < settlePeriod && !m.Settled() {
+	if time.Since(s.repeater.started) < settlePeriod {
 		return s.seed()
 	}
 
