relayer: one instance of another data centre is served, and the others of it are redirected there

Cause: requesters of other data centres were always served, since a reader of a data centre has to be. In a start they are no readers: each of three seeds sent all records of 10,000 targets to 270 instances of other data centres while the list grew, stalled for up to 0.2 s, and reads of the configuration behind them timed out.

Change: only the reader of another data centre is always served; of the others one is served, and the rest is redirected to it. A failed redirect is tried once more.

Measured: TestOneOfAnotherDataCentreIsServed; the tests of repeater and relayer, also with the race detector.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -24,99 +24,115 @@
 	MaxBacklog time.Duration
 }
 
+// Request is a request for a long answer.
+type Request struct {
+	// Next is the offset up to which the answer reaches, and Bytes its length.
+	Next  int64
+	Bytes int
+	// To is the address of the requester; one with an invalid address is never a destination of redirects. Centre is
+	// its data centre, and Far is set if that is another one than that of this instance.
+	To     netip.AddrPort
+	Centre string
+	Far    bool
+	// Must is set if the requester is served in any case, since other instances wait for the data that it receives.
+	Must bool
+	// List is set if the requester has just started and needs the complete list. An older list will do.
+	List bool
+}
+
 // Relayer decides for the requesters of one stream. It is not safe for concurrent use.
 type Relayer struct {
 	settings Settings
-	// next is the offset up to which the instances in served have the stream.
-	next      int64
-	served    []netip.AddrPort
-	redirects int
-	// listed are the instances that were sent the complete list, by data centre, and sent those that were redirected
-	// to one of them.
-	listed map[string][]netip.AddrPort
-	sent   map[netip.AddrPort]bool
+	// next is the offset up to which the instances in served have the stream, and served and listed are the instances
+	// that were sent the newest records and the complete list, by data centre.
+	next           int64
+	served, listed map[string][]netip.AddrPort
+	// redirected are the requesters of the complete list that were redirected.
+	redirected map[netip.AddrPort]bool
+	redirects  int
 	// linkFree is when the link has carried all answers sent so far.
 	linkFree time.Time
 }
 
-// maxListed bounds the instances of a data centre to which requesters of the complete list are redirected, and maxSent
-// the remembered requesters.
+// maxListed bounds the instances of a data centre to which requesters of the complete list are redirected, and
+// maxRedirected the remembered requesters.
 const (
-	maxListed = 16
-	maxSent   = 1024
+	maxListed     = 16
+	maxRedirected = 1024
 )
 
 // New returns a Relayer that has served no requester.
 func New(s Settings) *Relayer {
-	return &Relayer{settings: s, listed: make(map[string][]netip.AddrPort), sent: make(map[netip.AddrPort]bool)}
+	r := &Relayer{settings: s}
+	r.Forget()
+
+	return r
 }
 
 // Forget forgets which instances have the stream, because a new era of it has begun. The link remains occupied.
 func (r *Relayer) Forget() {
-	r.next, r.served, r.redirects = 0, nil, 0
-	clear(r.listed)
+	r.next, r.redirects = 0, 0
+	r.served, r.listed = make(map[string][]netip.AddrPort), make(map[string][]netip.AddrPort)
+	r.redirected = make(map[netip.AddrPort]bool)
 }
 
-// ServeOrRedirect reports whether the requester at address to is to be served here. The answer has the given
-// length in bytes and reaches up to the offset next. If the result is false, the returned address is that of
-// an instance that has the answer. If must is set, the requester is always served, since other instances wait
-// for the data that it receives.
+// ServeOrRedirect reports whether a requester is to be served here. If the result is false, the returned address is that
+// of an instance of its data centre that has the answer.
 //
-// A requester with an invalid address is never a destination of redirects.
-func (r *Relayer) ServeOrRedirect(now time.Time, next int64, bytes int, to netip.AddrPort, must bool) (netip.AddrPort, bool) {
-	if r.next != next {
-		r.next, r.served, r.redirects = next, nil, 0
+// A requester of this data centre is redirected while the link is occupied. Of another data centre one is served, and
+// the others are redirected to it: hundreds of instances that start at once read through a few.
+func (r *Relayer) ServeOrRedirect(now time.Time, q Request) (netip.AddrPort, bool) {
+	if r.next != q.Next && !q.List {
+		r.next, r.served = q.Next, make(map[string][]netip.AddrPort)
 	}
 
 	if r.linkFree.Before(now) {
 		r.linkFree = now
 	}
 
-	again := slices.Contains(r.served, to)
-	if !must && !again && len(r.served) > 0 && r.linkFree.Sub(now) >= r.settings.MaxBacklog {
+	l := r.served[q.Centre]
+	if q.List {
+		l = r.listed[q.Centre]
+	}
+
+	again := slices.Contains(l, q.To) || q.List && r.redirected[q.To]
+	if !q.Must && !again && len(l) > 0 && (q.Far || r.linkFree.Sub(now) >= r.settings.MaxBacklog) {
 		r.redirects++
+		r.noteRedirected(q)
 
-		return r.served[r.redirects%len(r.served)], false
+		return l[r.redirects%len(l)], false
 	}
 
-	if !again && to.IsValid() {
-		r.served = append(r.served, to)
+	delete(r.redirected, q.To)
+
+	if q.To.IsValid() && !slices.Contains(l, q.To) {
+		r.noteServed(q, append(l, q.To))
 	}
 
-	r.linkFree = r.linkFree.Add(time.Duration(float64(bytes) / r.settings.Rate * float64(time.Second)))
+	r.linkFree = r.linkFree.Add(time.Duration(float64(q.Bytes) / r.settings.Rate * float64(time.Second)))
 
 	return netip.AddrPort{}, true
 }
 
-// ServeOrRedirectList does the same for a requester of the complete list in a data centre, which differs from that of
-// this instance if far is set. One that needs the list has just started, so an older list will do, and hundreds may
-// start at once. In another data centre one is served, and the others are redirected to it. A requester that comes back
-// is served: the instance that it was redirected to may have failed.
-func (r *Relayer) ServeOrRedirectList(now time.Time, bytes int, to netip.AddrPort, centre string, far bool) (netip.AddrPort, bool) {
-	if r.linkFree.Before(now) {
-		r.linkFree = now
+// noteRedirected remembers a requester of the complete list. If it comes back, it is served: the instance that it was
+// redirected to may have failed.
+func (r *Relayer) noteRedirected(q Request) {
+	if !q.List {
+		return
 	}
 
-	l := r.listed[centre]
-	if len(l) > 0 && !r.sent[to] && (far || r.linkFree.Sub(now) >= r.settings.MaxBacklog) {
-		if len(r.sent) >= maxSent {
-			clear(r.sent)
-		}
-
-		r.sent[to] = true
-		r.redirects++
-
-		return l[r.redirects%len(l)], false
+	if len(r.redirected) >= maxRedirected {
+		clear(r.redirected)
 	}
 
-	delete(r.sent, to)
+	r.redirected[q.To] = true
+}
 
-	if to.IsValid() && !slices.Contains(l, to) {
-		l = append(l, to)
-		r.listed[centre] = l[max(0, len(l)-maxListed):]
+// noteServed sets the instances of the requester's data centre that have its answer.
+func (r *Relayer) noteServed(q Request, l []netip.AddrPort) {
+	if q.List {
+		r.listed[q.Centre] = l[max(0, len(l)-maxListed):]
+	} else {
+		r.served[q.Centre] = l
 	}
-
-	r.linkFree = r.linkFree.Add(time.Duration(float64(bytes) / r.settings.Rate * float64(time.Second)))
-
-	return netip.AddrPort{}, true
 }
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -59,7 +59,7 @@
 						at = has[from]
 					}
 
-					e, ok := relayers[from].ServeOrRedirect(at, 1, bytes, address(n), false)
+					e, ok := relayers[from].ServeOrRedirect(at, relayer.Request{Next: 1, Bytes: bytes, To: address(n)})
 					if ok {
 						break
 					}
@@ -90,25 +90,26 @@
 	n := time.Now()
 
 	for name, x := range map[string]struct {
-		to   netip.AddrPort
-		next int64
-		must bool
+		q    relayer.Request
 		want netip.AddrPort
 	}{
-		"already served, repeats the request": {to: a, next: 1},
-		"others wait for it":                  {to: b, next: 1, must: true},
-		"first requester of a new offset":     {to: b, next: 2},
-		"another requester":                   {to: c, next: 1, want: a},
-		"unknown address":                     {next: 1, want: a},
+		"already served, repeats the request": {q: relayer.Request{To: a, Next: 1}},
+		"others wait for it":                  {q: relayer.Request{To: b, Next: 1, Must: true}},
+		"first requester of a new offset":     {q: relayer.Request{To: b, Next: 2}},
+		"another requester":                   {q: relayer.Request{To: c, Next: 1}, want: a},
+		"unknown address":                     {q: relayer.Request{Next: 1}, want: a},
+		"first of another data centre":        {q: relayer.Request{To: c, Next: 1, Centre: "far", Far: true}},
+		"first of the complete list":          {q: relayer.Request{To: c, Next: 1, List: true}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
 			r := relayer.New(relayer.Settings{Rate: 1000, MaxBacklog: time.Second})
 
-			_, ok := r.ServeOrRedirect(n, 1, 1000, a, false)
+			_, ok := r.ServeOrRedirect(n, relayer.Request{Next: 1, Bytes: 1000, To: a})
 			i.True(ok)
 
-			e, ok := r.ServeOrRedirect(n, x.next, 1000, x.to, x.must)
+			x.q.Bytes = 1000
+			e, ok := r.ServeOrRedirect(n, x.q)
 			i.Equal(e, x.want)
 			i.Equal(ok, !x.want.IsValid())
 		})
@@ -123,15 +124,47 @@
 	n := time.Unix(1000, 0)
 	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
 
-	_, ok := r.ServeOrRedirect(n, 7, 1e6, a, false)
+	_, ok := r.ServeOrRedirect(n, relayer.Request{Next: 7, Bytes: 1e6, To: a})
 	i.True(ok)
 
-	to, ok := r.ServeOrRedirect(n, 7, 1e6, b, false)
+	to, ok := r.ServeOrRedirect(n, relayer.Request{Next: 7, Bytes: 1e6, To: b})
 	i.True(!ok)
 	i.Equal(to, a)
 
 	r.Forget()
 
-	_, ok = r.ServeOrRedirect(n, 7, 1e6, b, false)
+	_, ok = r.ServeOrRedirect(n, relayer.Request{Next: 7, Bytes: 1e6, To: b})
 	i.True(ok)
 }
+
+// Guards against a copy of each answer for each instance of another data centre, and against one that is redirected for
+// ever to an instance that has failed.
+func TestOneOfAnotherDataCentreIsServed(t *testing.T) {
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+
+	for name, list := range map[string]bool{"newest records": false, "complete list": true} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			r := relayer.New(relayer.Settings{Rate: 1e6, MaxBacklog: 200 * time.Millisecond})
+			n := time.Unix(1000, 0)
+			q := relayer.Request{Next: 7, Bytes: 20_000, Centre: "far", Far: true, List: list}
+
+			q.To = a
+			_, ok := r.ServeOrRedirect(n, q)
+			i.True(ok)
+
+			q.To = b
+			to, ok := r.ServeOrRedirect(n, q)
+			i.True(!ok)
+			i.Equal(to, a)
+
+			_, ok = r.ServeOrRedirect(n, q)
+			i.Equal(ok, list) // One that needs the list comes back if the redirect failed.
+
+			// One of this data centre is served as long as the link is free, and an older list will do.
+			q = relayer.Request{Next: 9, Bytes: 20_000, To: a, Centre: "near", List: list}
+			_, ok = r.ServeOrRedirect(n, q)
+			i.True(ok)
+		})
+	}
+}
--- a/internal/repeater/answer.go
+++ b/internal/repeater/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/gossiper"
@@ -106,21 +105,12 @@
 	}
 
 	m := s.locate(requester)
-	far := m.DataCentre != "" && m.DataCentre != s.repeater.members.Self().DataCentre
+	q := relayer.Request{Next: p.Next, Bytes: n, To: m.Address, Centre: m.DataCentre, List: !from.IsRead()}
+	q.Far = m.DataCentre != "" && m.DataCentre != s.repeater.members.Self().DataCentre
+	q.Must = q.Far && s.reads(m)
 
 	s.mu.Lock()
-
-	var (
-		e  netip.AddrPort
-		ok bool
-	)
-
-	if from.IsRead() {
-		e, ok = s.relayer.ServeOrRedirect(time.Now(), p.Next, n, m.Address, far)
-	} else {
-		e, ok = s.relayer.ServeOrRedirectList(time.Now(), n, m.Address, m.DataCentre, far)
-	}
-
+	e, ok := s.relayer.ServeOrRedirect(time.Now(), q)
 	s.mu.Unlock()
 
 	if ok {
@@ -146,6 +136,13 @@
 	return gossiper.Member{}
 }
 
+// reads reports whether an instance is the reader of its data centre, for which all others of it wait.
+func (s *Stream) reads(m gossiper.Member) bool {
+	h, ok := s.reader(m.DataCentre)
+
+	return ok && h.ID == m.ID
+}
+
 // recordBytes returns the total length of a reply's records in bytes.
 func recordBytes(p *wire.StreamReply) int {
 	n := len(p.Packed)
--- a/internal/repeater/peers.go
+++ b/internal/repeater/peers.go
@@ -68,9 +68,23 @@
 	s.repeater.meter.Read(s.name, source, err == nil)
 }
 
+// upstreamAttempts is how often the upstream is asked while the instances to which it redirects fail.
+const upstreamAttempts = 2
+
 // requestUpstream requests records from the upstream, and follows its redirects. It fails with ErrPeer or errStale;
 // errRedirect marks failures of an instance to which the read was redirected.
-func (s *Stream) requestUpstream(c context.Context, x upstream, from watcher.Position, wait time.Duration) (*wire.StreamReply, error) {
+func (s *Stream) requestUpstream(c context.Context, x upstream, from watcher.Position, wait time.Duration) (p *wire.StreamReply, err error) {
+	for range upstreamAttempts {
+		p, err = s.followRedirects(c, x, from, wait)
+		if !errors.Is(err, errRedirect) || c.Err() != nil {
+			return p, err
+		}
+	}
+
+	return p, err
+}
+
+func (s *Stream) followRedirects(c context.Context, x upstream, from watcher.Position, wait time.Duration) (*wire.StreamReply, error) {
 	p, err := s.request(c, x.member, from, wait, x.stale)
 
 	for n := 0; err == nil && p.RedirectTo != "" && n < maxRedirects; n++ {
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -86,6 +86,9 @@
 		if time.Since(s.ConfirmedAt()) > s.fraction(recentFraction) {
 			wait = 0
 		}
+
+		// The read from the platform has the rest of the time.
+		wait = max(wait-time.Since(b), 0)
 	}
 
 	if !s.probesPlatform() {
