repeater: equal requests share one answer; watcher: pauses after reads have jitter

Cause: since each answer unpacked its records, also the one that was cached compressed: a few milliseconds for two thousand records, for each of 328 readers of a seed at the same moment, since all had the same pause after the same first list.

Change: the whole answer is cached by position, and collected under the lock of the compression. The pause after a read varies by half.

Measured: a repeated request allocates five times at most (TestEqualRequestsShareAnAnswer).

--- a/internal/repeater/answer.go
+++ b/internal/repeater/answer.go
@@ -49,38 +49,63 @@
 // reply returns the records from a position on.
 func (s *Stream) reply(from watcher.Position) *wire.StreamReply {
 	s.mu.Lock()
-	l, w := s.cache.since(from)
-	p := &wire.StreamReply{
-		Next: s.cache.next.Offset, Era: s.cache.next.Era, Snapshot: w, AgeMs: sinceMs(s.cache.confirmed), LastArrivalMs: sinceMs(s.lastArrival),
+	a := answer{next: s.cache.next}
+	s.mu.Unlock()
+
+	if from.Before(a.next) {
+		a = s.answerFrom(from)
 	}
 
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return &wire.StreamReply{
+		Next: a.next.Offset, Era: a.next.Era, Snapshot: a.snapshot, Records: a.records, Packed: a.packed,
+		AgeMs: sinceMs(s.cache.confirmed), LastArrivalMs: sinceMs(s.lastArrival),
+	}
+}
+
+// answerFrom returns the records from a position on as they are sent. All instances that wait for a record request it at
+// once, so they are collected and compressed once and cached. This takes milliseconds, so s.mu is not held meanwhile.
+func (s *Stream) answerFrom(from watcher.Position) answer {
+	s.compressing.Lock()
+	defer s.compressing.Unlock()
+
+	s.mu.Lock()
+	n := s.cache.next
+	s.mu.Unlock()
+
+	if a, ok := s.answers.get(from, n); ok {
+		return a
+	}
+
+	s.mu.Lock()
+	l, w := s.cache.since(from)
+	a := answer{next: s.cache.next, snapshot: w}
 	s.mu.Unlock()
 
 	for _, r := range l {
 		x := wire.StreamRecord{Key: r.Key, Value: r.Value, Offset: r.Offset}
-		if v, ok := s.compressed(r, p.Era); ok {
+		if v, ok := s.compressed(r, a.next.Era); ok {
 			x.Value, x.Packed = v, true
 		}
 
-		p.Records = append(p.Records, x)
+		a.records = append(a.records, x)
 	}
 
-	s.bundle(p, from)
+	a.bundle()
+	s.answers.put(from, a)
 
-	return p
+	return a
 }
 
 // compressed returns the compressed value of a record of an era, and false when compression does not make the value shorter.
-// Compression takes milliseconds, so s.mu is not held meanwhile. All instances that wait for a record request it at
-// once, so its value is compressed once and cached.
+// The caller holds s.compressing.
 func (s *Stream) compressed(r watcher.Record, era uint64) ([]byte, bool) {
 	if len(r.Value) < compressMinBytes {
 		return nil, false
 	}
 
-	s.compressing.Lock()
-	defer s.compressing.Unlock()
-
 	s.mu.Lock()
 	v, ok := s.cache.compressedValue(r, era)
 	s.mu.Unlock()
--- a/internal/repeater/bundles.go
+++ b/internal/repeater/bundles.go
@@ -11,47 +11,57 @@
 // target records on, compression more than halves the total length.
 const bundleMinBytes = 1 << 10
 
-// maxBundles bounds the cached bundles of a stream. Instances that have read equally far request records from the
-// same few positions.
-const maxBundles = 16
-
-// bundles caches the compressed records of replies, by the position of the request. Compressing takes a fraction of
-// a millisecond per hundred records, and a hundred instances that have just started request the same records from
-// one seed. It is not safe for concurrent use.
-type bundles struct {
-	// next is the position after the last record of each bundle: all bundles end there.
+// maxAnswers bounds the cached answers of a stream. Instances that have read equally far request records from the same
+// few positions.
+const maxAnswers = 16
+
+// answer holds the records from one position to another, as they are sent.
+type answer struct {
+	next     watcher.Position
+	snapshot bool
+	records  []wire.StreamRecord
+	packed   []byte
+}
+
+// answers caches answers by the position of the request. Collecting and compressing records takes some milliseconds for
+// a thousand of them, and hundreds of instances that have just started request the same records from one seed. It is
+// not safe for concurrent use.
+type answers struct {
+	// next is the position after the last record of each answer: all end there.
 	next watcher.Position
-	// byPosition holds each bundle under the position from which its records were requested.
-	byPosition map[watcher.Position][]byte
+	// byPosition holds each answer under the position from which its records were requested.
+	byPosition map[watcher.Position]answer
 }
 
-// get returns the bundle of the records from a position up to next, or nil when it is not cached.
-func (b *bundles) get(from, next watcher.Position) []byte {
+// get returns the answer with the records from a position up to next, and false when it is not cached.
+func (b *answers) get(from, next watcher.Position) (answer, bool) {
 	if b.next != next {
-		return nil
+		return answer{}, false
 	}
 
-	return b.byPosition[from]
+	a, ok := b.byPosition[from]
+
+	return a, ok
 }
 
-// put caches a bundle and evicts those with another end, or all when the cache is full.
-func (b *bundles) put(from, next watcher.Position, v []byte) {
-	if b.next != next || b.byPosition == nil || len(b.byPosition) >= maxBundles {
-		b.next, b.byPosition = next, make(map[watcher.Position][]byte)
+// put caches an answer and evicts those with another end, or all when the cache is full.
+func (b *answers) put(from watcher.Position, a answer) {
+	if b.next != a.next || b.byPosition == nil || len(b.byPosition) >= maxAnswers {
+		b.next, b.byPosition = a.next, make(map[watcher.Position]answer)
 	}
 
-	b.byPosition[from] = v
+	b.byPosition[from] = a
 }
 
-// bundle compresses the records of a reply together, when they are long enough.
+// bundle compresses the records of an answer together, when they are long enough.
 //
 // The list of targets has thousands of similar records of a few hundred bytes. Sent uncompressed to a hundred
 // instances that have just started, they would occupy a link of 10 Mbit/s for longer than it takes until the next
 // records arrive, and requests for the complete list would time out.
-func (s *Stream) bundle(p *wire.StreamReply, from watcher.Position) {
+func (a *answer) bundle() {
 	n := 0
 
-	for _, r := range p.Records {
+	for _, r := range a.records {
 		if !r.Packed {
 			n += len(r.Value)
 		}
@@ -61,21 +71,12 @@
 		return
 	}
 
-	s.compressing.Lock()
-	defer s.compressing.Unlock()
-
-	v := s.bundles.get(from, position(p))
-	if v == nil {
-		b, err := (&wire.StreamRecords{Records: p.Records}).MarshalMsg(nil)
-		if err != nil {
-			return
-		}
-
-		v = compress(b)
-		s.bundles.put(from, position(p), v)
+	b, err := (&wire.StreamRecords{Records: a.records}).MarshalMsg(nil)
+	if err != nil {
+		return
 	}
 
-	p.Records, p.Packed = nil, v
+	a.records, a.packed = nil, compress(b)
 }
 
 // unbundle decompresses the records of a reply. It fails with ErrPeer.
--- a/internal/repeater/cache_test.go
+++ b/internal/repeater/cache_test.go
@@ -81,6 +81,32 @@
 	}
 }
 
+// Guards against records that are collected and compressed again for each of hundreds of instances that request the same.
+func TestEqualRequestsShareAnAnswer(t *testing.T) {
+	i := is.New(t)
+	r := New(nil, nil, nil, 1)
+	s := r.AddStream("s", nil, time.Second)
+
+	var l []watcher.Record
+
+	for n := range 2000 {
+		l = append(l, watcher.Record{Key: strconv.Itoa(n), Value: []byte("value " + strconv.Itoa(n)), Offset: int64(n)})
+	}
+
+	i.NoErr(s.reset(time.Now(), nil, watcher.Position{Offset: 0}))
+	s.add(time.Now(), l, watcher.Position{Offset: 2000})
+
+	p := s.reply(watcher.Position{Offset: 10})
+	i.True(len(p.Packed) > 0)
+	i.True(testing.AllocsPerRun(100, func() { s.reply(watcher.Position{Offset: 10}) }) <= 5)
+	i.True(testing.AllocsPerRun(100, func() { s.reply(watcher.Position{Offset: 2000}) }) <= 5)
+
+	// A later record is in the next answer.
+	s.add(time.Now(), []watcher.Record{{Key: "late", Value: []byte("v"), Offset: 2000}}, watcher.Position{Offset: 2001})
+	i.Equal(s.reply(watcher.Position{Offset: 10}).Next, int64(2001))
+	i.Equal(len(s.reply(watcher.Position{Offset: 2000}).Records), 1)
+}
+
 // BenchmarkSince asks for what changed lately, and for all, of ten thousand records.
 func BenchmarkSince(b *testing.B) {
 	const records = 10_000
--- a/internal/repeater/stream.go
+++ b/internal/repeater/stream.go
@@ -24,10 +24,10 @@
 	// waitBudget is the time for which all reads on the path of a change may wait in total.
 	waitBudget time.Duration
 
-	// compressing is held while records are compressed, and locked before mu.
+	// compressing is held while records are collected and compressed, and locked before mu.
 	compressing sync.Mutex
-	// bundles is guarded by compressing.
-	bundles bundles
+	// answers is guarded by compressing.
+	answers answers
 
 	mu      sync.Mutex
 	cache   *cache
--- a/internal/watcher/watcher.go
+++ b/internal/watcher/watcher.go
@@ -140,8 +140,10 @@
 		default:
 			w.succeed()
 
+			// Hundreds of instances receive the same records at the same moment. Without jitter they would all read again
+			// at the same moment.
 			if n > 0 {
-				sleeper.Sleep(c, w.pause)
+				sleeper.Sleep(c, w.pause/2+rand.N(w.pause+1)) //nolint:gosec // Jitter.
 			}
 		}
 	}
