--- a/internal/gossiper/fleet_test.go
+++ b/internal/gossiper/fleet_test.go
@@ -289,9 +289,6 @@
 	}
 }
 
-// live returns how many live routers a node knows.
-func (f *fleet) live(n int) int { return len(f.nodes[n].gossiper.Live(f.now)) }
-
 // differences returns, summed over all running nodes, how many routers a node can reach but does not know to be live,
 // and how many it believes live that are dead or cut off. If a data centre is given, only its routers count.
 func (f *fleet) differences(centre string) (missing, extra int) {
