--- a/internal/repeater/newest.go
+++ b/internal/repeater/newest.go
@@ -30,9 +30,10 @@
 // answers.
 //
 // An instance that has just started first asks its upstream: many may start together, and the platform's list of ten
-// thousand targets takes fifty calls. Otherwise it reads from the platform, and also from other instances when the platform is slow or fails. The read from the
-// platform continues meanwhile. If it were restarted each time, a list that takes long over the link would never
-// arrive while no other instance has it either, for example after all instances have crashed.
+// thousand targets takes fifty calls. Otherwise it reads from the platform, and also from other instances when the
+// platform is slow or fails. The read from the platform continues meanwhile. If it were restarted each time, a list
+// that takes long over the link would never arrive while no other instance has it either, for example after all
+// instances have crashed.
 func (s *Stream) Newest(c context.Context) ([]watcher.Record, watcher.Position, error) {
 	if p := s.requestFirst(c); p != nil {
 		return s.applyList(p)
