--- a/internal/gossiper/gossiper_test.go
+++ b/internal/gossiper/gossiper_test.go
@@ -82,7 +82,8 @@
 	for name, tc := range map[string]struct {
 		members, centres int
 		cut              func(a, b *node) bool
-		// parted and joined are the seconds until both sides know.
+		// parted and joined are the seconds until both sides know: for a data centre the time-out of 20 s, and the time
+		// that its last beats are under way.
 		parted, joined int
 	}{
 		"a data centre of 8":           {8, 2, centre, 25, 3},
--- a/internal/repeater/repeater_test.go
+++ b/internal/repeater/repeater_test.go
@@ -763,6 +763,10 @@
 // Guards against a read of the platform's whole list by each of many instances that start together, and against a seed
 // that sends all of them a copy: the list is long, and its pages are billed.
 func TestStartingInstancesReadTheListFromEachOther(t *testing.T) {
+	// readsAlone is how often an instance without seeds may read from the platform in 2.9 s: the list, and then once each
+	// 0.7 s, the part of the two seconds for changes that a read waits.
+	const readsAlone = 6
+
 	for name, x := range map[string]struct {
 		down []int
 		// maxReads bounds the reads of the platform by all but the seeds.
@@ -770,7 +774,7 @@
 	}{
 		"both seeds answer": {nil, 0},
 		"one is down":       {[]int{1}, 0},
-		"both are down":     {[]int{0, 1}, 58 * 6},
+		"both are down":     {[]int{0, 1}, 58 * readsAlone},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -118,9 +118,10 @@
 	Leaving bool
 }
 
-// Gossip carries the heartbeats of some routers and the configuration revision in
-// force at the sender. Unknown lists the IDs of routers whose Member the sender
-// requests.
+// Gossip is a probe, with the sender's heartbeat and the configuration revision in force
+// there. Members introduces the sender to a receiver that may not know it. Routers of the
+// earlier release send it without expecting a reply, with the heartbeats of others, and
+// list in Unknown the IDs of routers whose Member they request.
 type Gossip struct {
 	Revision   uint64
 	Heartbeats []Heartbeat
