--- a/review/world/server.go
+++ b/review/world/server.go
@@ -54,13 +54,9 @@
 	pause time.Duration
 	// unframed is the share of answers that have no length and end with their channel.
 	unframed float64
-	// failStatus is the status with which the share failRate of requests fail after they have run.
-	failStatus int
-	failEvery  int
 
 	mu      sync.Mutex
 	running int
-	count   int
 }
 
 // runServer runs one server until it is killed. It prints a line for each request that it begins to run.
@@ -77,8 +73,6 @@
 	f.DurationVar(&s.work, "work", 30*time.Millisecond, "time of a request")
 	f.Float64Var(&s.unframed, "unframed", 0, "share of streams without a length")
 	f.DurationVar(&s.pause, "pause", 60*time.Millisecond, "time between two events of a stream")
-	f.IntVar(&s.failStatus, "fail-status", 0, "status of failures")
-	f.IntVar(&s.failEvery, "fail-every", 0, "each how manieth request fails; 0 means none")
 	_ = f.Parse(args)
 
 	l, err := net.Listen("tcp", *listen)
@@ -124,8 +118,7 @@
 
 	_, _ = io.Copy(io.Discard, r.Body)
 
-	ok, fails := s.enter()
-	if !ok {
+	if !s.enter() {
 		h.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 
@@ -149,14 +142,7 @@
 
 	time.Sleep(s.work)
 
-	status := http.StatusOK
-	if fails {
-		status, body = s.failStatus, []byte("the work failed\n")
-		h.Set("X-Response-Seal", seal(s.id, id, body))
-	}
-
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
 
@@ -230,19 +216,18 @@
 	return c
 }
 
-// enter takes a slot for a request, and reports whether it fails after it has run.
-func (s *server) enter() (ok, fails bool) {
+// enter takes a slot for a request, and reports whether there is one.
+func (s *server) enter() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if s.running >= s.slots {
-		return false, false
+		return false
 	}
 
 	s.running++
-	s.count++
 
-	return true, s.failEvery > 0 && s.count%s.failEvery == 0
+	return true
 }
 
 func (s *server) leave() {
