--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -5,12 +5,14 @@
 	"maps"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strings"
 
 	"github.com/sirupsen/logrus"
 	"github.com/spf13/cobra"
 	"go.uber.org/fx"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/gatekeeper"
 	"github.com/auburntray/auburntray/internal/logger"
@@ -67,6 +69,8 @@
 		return nil, err
 	}
 
+	limitMemory(s.Memory)
+
 	y := gatewaySettings(s)
 	if metricsPort > 0 {
 		y.Metrics = netip.AddrPortFrom(s.Callers.Addr(), metricsPort)
@@ -102,6 +106,8 @@
 		return err
 	}
 
+	limitMemory(s.Memory)
+
 	x := gatewaySettings(s)
 	if l := restartSettings(started, x); len(l) > 0 {
 		logrus.WithFields(logrus.Fields{"event": "restartNeeded", "settings": strings.Join(l, ",")}).Warn()
@@ -113,6 +119,11 @@
 	return nil
 }
 
+// limitMemory makes the garbage collector keep the process within the given number of bytes; zero removes the limit.
+func limitMemory(bytes int64) {
+	debug.SetMemoryLimit(accountant.RuntimeLimit(bytes))
+}
+
 // restartSettings returns the names of the settings that differ and take effect only after a restart.
 func restartSettings(a, b gatekeeper.Settings) []string {
 	var o []string
@@ -147,7 +158,7 @@
 		Name: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, InternalPorts: s.InternalPorts, Region: s.Region,
 		Regions: s.Regions, MaxFactor: s.MaxFactor, ApplyWithin: s.ApplyWithin, LinkRate: s.LinkRate, MaxDescriptors: s.MaxDescriptors,
 		Tunables: gatekeeper.Tunables{
-			Seeds: s.Seeds, StopTimeout: s.StopTimeout,
+			Seeds: s.Seeds, StopTimeout: s.StopTimeout, Memory: s.Memory,
 			Retries: budgeter.Settings{Ratio: s.RetryRatio, Window: s.RetryWindow, Slack: s.RetrySlack},
 			Cold:    throttler.Settings{Coverage: s.ColdCoverage, Slack: s.ColdSlack},
 		},
--- a/internal/digester/digester.go
+++ b/internal/digester/digester.go
@@ -54,15 +54,15 @@
 
 // Of returns the digest of a call. Uri is its path with its query as the caller sent it. The call's ID, its
 // framing, its other headers and the event from which it resumes are left out: they differ between two
-// transmissions of the same call. It takes a microsecond per KB.
-func Of(customer, method, uri string, body []byte) Digest {
+// transmissions of the same call. The body may be given in several parts. It takes a microsecond per KB.
+func Of(customer, method, uri string, body ...[]byte) Digest {
 	h := sha256.New()
 
 	for _, s := range []string{customer, method, uri} {
 		add(h, []byte(s))
 	}
 
-	add(h, body)
+	add(h, body...)
 
 	d := Digest(binary.BigEndian.Uint64(h.Sum(nil)))
 	if d.IsPart() {
@@ -82,12 +82,22 @@
 	return Digest(binary.BigEndian.Uint64(h.Sum(nil))) | partMark
 }
 
-// add hashes the length of a field and then the field. Without the length, bytes could move from the end of
+// add hashes the length of a field and then its parts. Without the length, bytes could move from the end of
 // one field to the beginning of the next without a change of the digest.
-func add(h hash.Hash, b []byte) {
-	var n [8]byte
+func add(h hash.Hash, parts ...[]byte) {
+	var (
+		b [8]byte
+		n uint64
+	)
+
+	for _, x := range parts {
+		n += uint64(len(x))
+	}
+
+	binary.BigEndian.PutUint64(b[:], n)
+	h.Write(b[:])
 
-	binary.BigEndian.PutUint64(n[:], uint64(len(b)))
-	h.Write(n[:])
-	h.Write(b)
+	for _, x := range parts {
+		h.Write(x)
+	}
 }
--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -327,6 +327,8 @@
 		return nil, p, result{err: errors.Newf("target refused the call with status %d", a.StatusCode), notRun: true, outcome: o}
 	}
 
+	x.dropSpentBody()
+
 	return a, p, result{}
 }
 
--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/selector"
 )
@@ -26,23 +26,20 @@
 	streamWaitFactor = 1.5
 )
 
-var (
-	errSlow    = errors.New("target too slow; attempt abandoned")
-	errTooLong = errors.New("answer body too long")
-)
+var errSlow = errors.New("target too slow; attempt abandoned")
 
 // bufferedAnswer is an answer that was read to its end.
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *accountant.Buffer
 }
 
 func (a *bufferedAnswer) write(w http.ResponseWriter) {
 	copyHeader(w.Header(), a.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	w.Header().Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
 	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
+	_, _ = a.body.WriteTo(w) // The caller may have left.
 }
 
 // bufferedAttempt makes an attempt whose answer is read completely before any part of it is relayed,
@@ -60,9 +57,13 @@
 
 	defer a.Body.Close() //nolint:errcheck // The body was read to its end or is abandoned.
 
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if err == nil && len(b) > maxAnswerBytes {
-		err = errTooLong
+	if a.StatusCode < http.StatusMultipleChoices && !p.Sealed {
+		return result{err: errors.Mark(errors.New("answer has no seal, the proof that a target made it"), errBroken), outcome: selector.Failed}
+	}
+
+	b, err := f.readAnswer(x, a)
+	if errors.Is(err, accountant.ErrExhausted) && f.mayRelayUnfinished(x, a) {
+		return f.relayUnfinished(c, x, t, a, b)
 	}
 
 	if err == nil {
@@ -79,10 +80,6 @@
 		return result{err: errors.Newf("the target answered with status %d", a.StatusCode), answer: o, outcome: selector.Failed}
 	}
 
-	if a.StatusCode < http.StatusMultipleChoices && !p.Sealed {
-		return result{err: errors.Mark(errors.New("answer has no seal, the proof that a target made it"), errBroken), outcome: selector.Failed}
-	}
-
 	f.recordFirstPart(x, t)
 
 	x.relayed = true
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -1,9 +1,7 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/prober"
 )
@@ -101,7 +100,7 @@
 type outgoingCall struct {
 	method, uri, host string
 	header            http.Header
-	body              []byte
+	body              *accountant.Buffer
 	// repeatable is set when a call that may have run may be sent again.
 	repeatable bool
 }
@@ -145,7 +144,7 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		// http.Transport resends a request by itself if the request has no body or its GetBody is
 		// set. http.Transport never resends a request whose body can be read only once.
-		Body: io.NopCloser(bytes.NewReader(o.body)), ContentLength: int64(len(o.body)),
+		Body: o.body.NewReader(), ContentLength: o.body.Len(),
 	}
 	q = q.WithContext(httptrace.WithClientTrace(c, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/digester"
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/selector"
@@ -174,8 +175,22 @@
 	x.digest = d.digest
 	x.parts = partDigests(x.call.Prompt)
 
-	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, f.settings.MaxBody))
+	k, err := f.reserveCall()
 	if err != nil {
+		return full, nil
+	}
+	defer k.Close()
+
+	defer x.dropBody()
+
+	x.memory = f.memory.Open(accountant.Body, essentialDelegated(d))
+
+	x.body, err = x.memory.Read(http.MaxBytesReader(x.writer, x.request.Body, f.settings.MaxBody), x.request.ContentLength, f.settings.MaxBody)
+
+	switch {
+	case errors.Is(err, accountant.ErrExhausted):
+		return full, nil
+	case err != nil:
 		return declined, err
 	}
 
@@ -196,7 +211,7 @@
 	f.mu.Unlock()
 
 	v, r := f.exchangeDelegated(c, x, t, outgoingCall{
-		method: x.request.Method, uri: x.request.RequestURI, host: x.request.Host, header: h, body: b, repeatable: d.repeatable,
+		method: x.request.Method, uri: x.request.RequestURI, host: x.request.Host, header: h, body: x.body, repeatable: d.repeatable,
 	})
 
 	if f.detectCrash(c, x, selector.Choice{Target: t}, r) {
@@ -252,6 +267,8 @@
 
 	defer a.Body.Close() //nolint:errcheck // The body was read to its end or is abandoned.
 
+	x.dropBody() // The instance that has delegated the call sends it again if need be.
+
 	p := f.dialect.ReadReply(a.Header, a.StatusCode)
 	f.handleReply(x, t, p)
 
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/admitter"
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/digester"
@@ -33,7 +34,12 @@
 	regions  []string
 	priority int
 	deadline time.Time
-	body     []byte
+	// body is kept until the call can't be sent again; memory holds its bytes.
+	body   *accountant.Buffer
+	memory *accountant.Account
+	// answer holds the bytes of the current attempt's answer that were not relayed yet, and of the last one that failed; nil if
+	// there are none.
+	answer *accountant.Account
 	// digest identifies the call's content. It is equal whenever the same call is sent, also under
 	// another ID.
 	digest digester.Digest
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/time/rate"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/admitter"
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/cataloger"
@@ -95,6 +96,8 @@
 	delegates Delegates
 	// binder keeps the software versions that began streams; nil if streams may go on at any version.
 	binder StreamBinder
+	// memory bounds what is held for calls.
+	memory *accountant.Accountant
 	// quarantine records the calls that were running when targets crashed; nil disables it.
 	quarantine Quarantine
 
@@ -114,6 +117,7 @@
 	HealthChange(cause string, excluded bool)
 	Reservation(group, outcome string)
 	Delegated(result string)
+	Unbuffered()
 }
 
 // servedLogsPerSecond bounds the log lines about served calls. It is four times the usual load of
@@ -136,7 +140,7 @@
 
 	return &Forwarder{
 		settings: s, dialect: d, state: f, tracer: t, client: k, selector: c, budgeter: b, admitter: admitter.New(), notifyGone: func(discoverer.Process) {}, notifyLeaving: func(discoverer.Process) {}, notifyRefusal: func(selector.Refusal) {},
-		sharder: sharder.New(), sharded: make(map[string]bool),
+		sharder: sharder.New(), sharded: make(map[string]bool), memory: accountant.New(0),
 		meter: m, servedLogs: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 		rejectedLogs: rate.NewLimiter(rejectedLogsPerSecond, rejectedLogsPerSecond), stopping: make(chan struct{}),
 	}, k.close
@@ -173,6 +177,15 @@
 func (f *Forwarder) serve(c context.Context, x *exchange) error {
 	defer x.finishTrial()
 
+	k, err := f.reserveCall()
+	if err != nil {
+		return err
+	}
+	defer k.Close()
+
+	defer x.dropBody()
+	defer x.dropAnswer()
+
 	for _, s := range []func(*exchange) error{f.readCall, f.matchRule, f.authorize, f.readBody, f.checkQuarantine} {
 		if err := s(x); err != nil {
 			return err
--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -1,13 +1,13 @@
 package forwarder
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/digester"
 )
 
@@ -133,19 +133,22 @@
 		n = l
 	}
 
-	b, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, n))
+	x.memory = f.memory.Open(accountant.Body, essentialBytes(x))
+	b, err := x.memory.Read(http.MaxBytesReader(x.writer, x.request.Body, n), x.request.ContentLength, n)
 
 	var m *http.MaxBytesError
 
 	switch {
-	case errors.As(err, &m):
+	case errors.Is(err, accountant.ErrExhausted):
+		return refuseForMemory()
+	case errors.As(err, &m) || errors.Is(err, accountant.ErrTooLong):
 		return refuse(http.StatusRequestEntityTooLarge, BodyTooLarge, 0, "the body is longer than %d bytes", n)
 	case err != nil:
 		return errors.Mark(err, errCallerLeft)
 	}
 
 	x.body = b
-	x.digest = digester.Of(x.customer, x.request.Method, x.request.URL.RequestURI(), b)
+	x.digest = digester.Of(x.customer, x.request.Method, x.request.URL.RequestURI(), b.Chunks()...)
 	x.parts = partDigests(x.call.Prompt)
 
 	return nil
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -29,6 +29,8 @@
 	// overloadWait is the Retry-After when the queues at the targets are longer than callers wait.
 	// Such a queue is processed in about a second if no more calls arrive.
 	overloadWait = time.Second
+	// memoryWait is the Retry-After of an instance whose memory does not suffice for the call.
+	memoryWait = 250 * time.Millisecond
 	// evacuatedWait is the Retry-After while all data centres that could serve the call are
 	// evacuated. Operators take seconds at best to end an evacuation.
 	evacuatedWait = time.Second
@@ -62,6 +64,7 @@
 	TargetsBackingOff Reason = "targetsResting"
 	UnknownVersion    Reason = "unknownVersion"
 	VersionGone       Reason = "versionGone"
+	NoMemory          Reason = "noMemory"
 )
 
 // Refusal is the gateway's own answer to a call that it does not forward, or stops trying to. A refusal
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/selector"
 	"github.com/auburntray/auburntray/internal/splitter"
 )
@@ -37,7 +38,7 @@
 	defer a.Body.Close() //nolint:errcheck // The body was read to its end or is abandoned.
 
 	if a.StatusCode >= http.StatusMultipleChoices || !p.Sealed {
-		return f.readFailure(a)
+		return f.readFailure(x, a)
 	}
 
 	s := splitter.New(a.Body)
@@ -96,8 +97,16 @@
 }
 
 // readFailure returns the result of an answer that is not a stream.
-func (f *Forwarder) readFailure(a *http.Response) result {
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+func (f *Forwarder) readFailure(x *exchange, a *http.Response) result {
+	var (
+		b   *accountant.Buffer
+		err error
+	)
+
+	if a.StatusCode >= http.StatusMultipleChoices {
+		b, err = f.readAnswer(x, a)
+	}
+
 	if err != nil || a.StatusCode < http.StatusMultipleChoices {
 		return result{err: errors.Mark(errors.Newf("answer with status %d is incomplete or has no seal, the proof that a target made it", a.StatusCode), errBroken), outcome: selector.Failed}
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/advertiser"
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/forwarder"
@@ -38,6 +39,7 @@
 	advertiser    *advertiser.Advertiser
 	replicator    *replicator.Replicator
 	negotiator    *negotiator.Negotiator
+	memory        *accountant.Accountant
 	watchers      []*watcher.Watcher
 	reaper        *reaper.Reaper
 	overload      *overload
@@ -59,9 +61,10 @@
 	g.joiner.SetSeeds(t.Seeds)
 	g.forwarder.SetRetryBudget(t.Retries)
 	g.forwarder.SetThrottle(t.Cold)
+	g.memory.SetLimit(t.Memory)
 	logrus.WithFields(logrus.Fields{
 		"event": "tuned", "seeds": len(t.Seeds), "stop": t.StopTimeout,
 		"retryRatio": t.Retries.Ratio, "retryWindow": t.Retries.Window, "retrySlack": t.Retries.Slack,
-		"coldCoverage": t.Cold.Coverage, "coldSlack": t.Cold.Slack,
+		"coldCoverage": t.Cold.Coverage, "coldSlack": t.Cold.Slack, "memory": t.Memory,
 	}).Info()
 }
--- a/internal/gatekeeper/metrics.go
+++ b/internal/gatekeeper/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/meter"
 )
 
@@ -33,6 +34,13 @@
 
 		return o
 	})
+	m.RegisterGauge("memory_budget_bytes", func() float64 { return float64(g.memory.Budget()) })
+	m.RegisterGauge("memory_held_peak_bytes", func() float64 { return float64(g.memory.Peak()) })
+
+	for _, k := range accountant.Kinds() {
+		m.RegisterGauge(`memory_held_bytes{kind="`+k.String()+`"}`, func() float64 { return float64(g.memory.Held(k)) })
+	}
+
 	m.RegisterGauge("calls_suspected", func() float64 { return float64(g.replicator.Counts().Suspected) })
 	m.RegisterGauge("calls_held_back", func() float64 { return float64(g.replicator.Counts().Quarantined) })
 	m.RegisterGauge("calls_excused", func() float64 { return float64(g.replicator.Counts().Cleared) })
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/advertiser"
 	"github.com/auburntray/auburntray/internal/binder"
 	"github.com/auburntray/auburntray/internal/budgeter"
@@ -32,8 +33,7 @@
 )
 
 const (
-	// maxCalls is the largest number of calls in progress. At about 50 KB each they fit into the
-	// memory of the smallest instances.
+	// maxCalls is the largest number of calls in progress, whatever the memory.
 	maxCalls = 4096
 	// maxDelegated is the largest number of calls of other instances in progress.
 	maxDelegated = maxCalls / 4
@@ -58,7 +58,7 @@
 func Options(s Settings, w Environment) fx.Option {
 	return fx.Options(
 		fx.Supply(s, w),
-		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newFleet, newRepeater, newReserver, newReplicator, newNegotiator, newBinder, newForwarder, newGatekeeper),
+		fx.Provide(meter.New, provideState, newTracer, newMessenger, newMembers, newFleet, newRepeater, newReserver, newReplicator, newNegotiator, newBinder, newAccountant, newForwarder, newGatekeeper),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		// A process that stalls during its start must not exit because of that.
 		fx.StartTimeout(lifecycleTimeout),
@@ -114,7 +114,7 @@
 }
 
 func newForwarder(
-	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator, n *negotiator.Negotiator, k *fleet, v *binder.Binder,
+	l fx.Lifecycle, s Settings, w Environment, f *state, t trace.Tracer, m *meter.Meter, j *joiner.Joiner, h *reserver.Reserver, q *replicator.Replicator, n *negotiator.Negotiator, k *fleet, v *binder.Binder, a *accountant.Accountant,
 ) *forwarder.Forwarder {
 	x, stop := forwarder.New(
 		forwarder.Settings{DataCentre: s.DataCentre, DefaultTimeout: defaultTimeout, MaxBody: maxBodyBytes, Regions: s.Regions},
@@ -123,6 +123,7 @@
 	x.SetDelegates(n)
 	x.SetBinder(v)
 	x.SetQuarantine(q)
+	x.SetMemory(a)
 	q.OnCrashes(x.RecordCrashes)
 	f.onRegistryChange = func(r *discoverer.Registry) {
 		x.Prune(r)
@@ -139,6 +140,10 @@
 	return x
 }
 
+func newAccountant(s Settings) *accountant.Accountant {
+	return accountant.New(s.Memory)
+}
+
 func newBudgeter(s Settings, j *joiner.Joiner) *budgeter.Budgeter {
 	r := mathrand.New(mathrand.NewPCG(j.Self().ID, 2)) //nolint:gosec // Draws shares of less than one repeat.
 
@@ -167,6 +172,7 @@
 	Replicator  *replicator.Replicator
 	Negotiator  *negotiator.Negotiator
 	Binder      *binder.Binder
+	Accountant  *accountant.Accountant
 	Meter       *meter.Meter
 }
 
@@ -193,7 +199,7 @@
 	x.OnRefusal(i.NotifyRefusal)
 
 	g := &Gatekeeper{
-		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, negotiator: p.Negotiator, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, negotiator: p.Negotiator, memory: p.Accountant, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, handlers{
 				newEraHandler(func() {
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/shedder"
 )
@@ -53,6 +54,7 @@
 
 	logrus.WithFields(logrus.Fields{
 		"event": "started", "name": g.settings.Name, "dataCentre": g.settings.DataCentre, "callers": g.settings.Callers,
+		"memory": g.settings.Memory, "memoryBudget": g.memory.Budget(),
 	}).Info()
 
 	return nil
@@ -84,7 +86,9 @@
 	}
 
 	if l, ok := listeners[g.callerServer]; ok {
-		listeners[g.callerServer] = shedder.New(l, shedder.Bound(g.settings.descriptors()), g.overload.closeIdle, g.overload.recordShed)
+		listeners[g.callerServer] = shedder.New(l, g.maxConnections(), g.overload.closeIdle, g.overload.recordShed, func(n int) {
+			g.memory.Charge(accountant.Connection, int64(n)*connectionBytes)
+		})
 	}
 
 	for s, l := range listeners {
@@ -98,6 +102,20 @@
 	return nil
 }
 
+const (
+	// connectionBytes is what a caller's connection without a call takes: a goroutine and buffers.
+	connectionBytes = 16 << 10
+	// connectionsDivisor is the part of the memory for calls that connections may take.
+	connectionsDivisor = 2
+)
+
+// maxConnections returns how many connections of callers may be open.
+func (g *Gatekeeper) maxConnections() int {
+	m := max(g.memory.Budget()/connectionsDivisor/connectionBytes, 1)
+
+	return int(min(int64(shedder.Bound(g.settings.descriptors())), m))
+}
+
 func (g *Gatekeeper) runInBackground(f func()) {
 	g.background.Add(1)
 
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -103,6 +103,8 @@
 	StopTimeout time.Duration
 	// Retries limits the retries of all instances together.
 	Retries budgeter.Settings
+	// Memory is the number of bytes that the process may use; zero sets no bound.
+	Memory int64
 	// Cold limits the calls of all instances to cold targets.
 	Cold throttler.Settings
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -73,6 +73,11 @@
 	m.set.GetOrCreateCounter(`auburntray_calls_delegated_total{result="` + result + `"}`).Inc()
 }
 
+// Unbuffered records an answer that was relayed as it arrived, since it did not fit into memory.
+func (m *Meter) Unbuffered() {
+	m.set.GetOrCreateCounter(`auburntray_answers_unbuffered_total`).Inc()
+}
+
 // Refusal records a refusal by the gateway with its reason.
 func (m *Meter) Refusal(reason string) {
 	m.set.GetOrCreateCounter(`auburntray_refusals_total{reason="` + reason + `"}`).Inc()
--- a/internal/shedder/shedder.go
+++ b/internal/shedder/shedder.go
@@ -28,15 +28,17 @@
 	limit int
 	free  func()
 	shed  func()
+	// count is called with 1 for each connection that is accepted, and with -1 when it is closed.
+	count func(n int)
 
 	mu   sync.Mutex
 	open int
 }
 
 // New returns a Listener that accepts at most limit open connections from l. It calls free when it has that many, to have idle
-// ones closed, and shed for each connection that it closes.
-func New(l net.Listener, limit int, free, shed func()) *Listener {
-	return &Listener{Listener: l, limit: limit, free: free, shed: shed}
+// ones closed, shed for each connection that it closes, and count with each change of the number of open connections.
+func New(l net.Listener, limit int, free, shed func(), count func(n int)) *Listener {
+	return &Listener{Listener: l, limit: limit, free: free, shed: shed, count: count}
 }
 
 // Accept returns the next connection within the bound, and closes those beyond it unread. It fails as the Listener that it uses does.
@@ -68,6 +70,7 @@
 	}
 
 	l.open++
+	l.count(1)
 
 	return true
 }
@@ -78,6 +81,7 @@
 	defer l.mu.Unlock()
 
 	l.open--
+	l.count(-1)
 }
 
 // conn is a connection that is counted as open until it is closed.
