--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -22,13 +22,15 @@
 	Answer
 	// Connection is the connections of callers.
 	Connection
+	// Head is the headers of calls beyond their usual length.
+	Head
 
 	kinds
 )
 
 // String returns the kind's name in metrics.
 func (k Kind) String() string {
-	return [kinds]string{"call", "body", "answer", "connection"}[k]
+	return [kinds]string{"call", "body", "answer", "connection", "head"}[k]
 }
 
 const (
@@ -48,7 +50,7 @@
 	essentialDivisor = 8
 	maxEssential     = 12 * mib
 	// answerDivisor is the part of the budget that answers may use. Answers without end would otherwise leave no room for calls.
-	answerDivisor = 4
+	answerDivisor = 2
 	// shortAnswer is the length up to which an answer is not bound by that part.
 	shortAnswer = 64 << 10
 )
@@ -107,7 +109,7 @@
 
 // Kinds returns all kinds.
 func Kinds() []Kind {
-	return []Kind{Call, Body, Answer, Connection}
+	return []Kind{Call, Body, Answer, Connection, Head}
 }
 
 // Held returns the number of bytes of a kind that are held.
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -29,8 +29,10 @@
 	// apart, so a target that takes this long is unreachable, and the call still has time to be
 	// sent to another one.
 	dialTimeout = 120 * time.Millisecond
-	readBuffer  = 4 << 10
-	writeBuffer = 4 << 10
+	// maxAnswerHead bounds the headers of an answer, with those of the interim answers before it, in bytes.
+	maxAnswerHead = 64 << 10
+	readBuffer    = 4 << 10
+	writeBuffer   = 4 << 10
 )
 
 // client sends calls to targets. It is safe for concurrent use.
@@ -62,6 +64,7 @@
 		delegates: &http.Transport{
 			DialContext: p, DisableCompression: true, IdleConnTimeout: idleTimeout,
 			MaxIdleConnsPerHost: idlePerTarget, ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+			MaxResponseHeaderBytes: maxAnswerHead,
 		},
 		singleUseDelegates: newSingleUse(p),
 	}
@@ -71,7 +74,7 @@
 func newSingleUse(d dial) *http.Transport {
 	return &http.Transport{
 		DialContext: d, DisableCompression: true, DisableKeepAlives: true,
-		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: maxAnswerHead,
 	}
 }
 
--- a/internal/forwarder/intake.go
+++ b/internal/forwarder/intake.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -134,11 +135,25 @@
 	}
 
 	x.memory = f.memory.Open(accountant.Body, essentialBytes(x))
+
+	// A caller that stops sending must not hold the memory of its body for longer than the call may take. Not all writers
+	// support deadlines, and the connection may be closed.
+	c := http.NewResponseController(x.writer)
+	if x.request.ContentLength != 0 {
+		_ = c.SetReadDeadline(x.deadline)
+	}
+
 	b, err := x.memory.Read(http.MaxBytesReader(x.writer, x.request.Body, n), x.request.ContentLength, n)
 
+	if err == nil && x.request.ContentLength != 0 {
+		_ = c.SetReadDeadline(time.Time{}) // From now on a read only notices that the caller leaves.
+	}
+
 	var m *http.MaxBytesError
 
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, BodyTooLate, 0, "the body did not arrive in time")
 	case errors.Is(err, accountant.ErrExhausted):
 		return refuseForMemory()
 	case errors.As(err, &m) || errors.Is(err, accountant.ErrTooLong):
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -47,6 +47,7 @@
 		r = &http.Transport{
 			DialContext: k.dial, DisableCompression: true, IdleConnTimeout: idleTimeout,
 			MaxIdleConnsPerHost: idlePerTarget, ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
+			MaxResponseHeaderBytes: maxAnswerHead,
 		}
 		k.transports[t.Key()] = r
 	}
--- a/internal/forwarder/refusal.go
+++ b/internal/forwarder/refusal.go
@@ -65,6 +65,7 @@
 	UnknownVersion    Reason = "unknownVersion"
 	VersionGone       Reason = "versionGone"
 	NoMemory          Reason = "noMemory"
+	BodyTooLate       Reason = "bodyTooLate"
 )
 
 // Refusal is the gateway's own answer to a call that it does not forward, or stops trying to. A refusal
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -41,7 +42,10 @@
 		return f.readFailure(x, a)
 	}
 
-	s := splitter.New(a.Body)
+	x.dropAnswer()
+	x.answer = f.memory.Open(accountant.Answer, math.MaxInt64)
+
+	s := splitter.New(a.Body, x.answer.Reserve)
 
 	for first := true; ; first = false {
 		e, id, err := s.Next()
@@ -55,6 +59,10 @@
 			return result{err: errors.Mark(err, errBroken), outcome: selector.Failed}
 		}
 
+		if x.rule.Resumable && id == "" {
+			return result{err: errors.Mark(errors.New("an event has no ID"), errBroken), outcome: selector.Failed}
+		}
+
 		if !isNextEvent(x.lastEvent, id) {
 			return result{err: errors.Mark(errors.Newf("event %q came after %q", id, x.lastEvent), errBroken), outcome: selector.Failed}
 		}
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -40,7 +40,7 @@
 	g.overload = newOverload(g.reaper)
 	g.callerServer = &http.Server{
 		Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.reaper.Track, ConnContext: g.reaper.Context,
+		ConnState: g.trackConnection, ConnContext: g.reaper.Context,
 	}
 	g.readyServer = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
 
@@ -70,7 +70,7 @@
 
 // serve counts a call as running while it is handled, so that a stop waits for it.
 func (g *Gatekeeper) serve(w http.ResponseWriter, r *http.Request) {
-	g.reaper.RecordHeaders(r.Context())
+	g.recordHeaders(r.Context())
 
 	if p, ok := g.drainer.Enter(time.Now()); !ok {
 		w.Header().Set("Connection", "close")
--- a/internal/messenger/frame.go
+++ b/internal/messenger/frame.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tinylib/msgp/msgp"
@@ -85,14 +86,18 @@
 		return f, 0, errors.Mark(errors.Newf("frame length of %d bytes is not between 1 and %d", n, MaxFrame), ErrFrame)
 	}
 
-	b := make([]byte, n)
+	// The memory grows with what has arrived: a peer that names a length may send nothing.
+	var b []byte
 
-	for o := 0; o < len(b); o += readChunkBytes {
+	for o := 0; o < int(n); o += readChunkBytes {
 		if o > 0 && progress != nil {
 			progress()
 		}
 
-		if _, err := io.ReadFull(r, b[o:min(o+readChunkBytes, len(b))]); err != nil {
+		k := min(readChunkBytes, int(n)-o)
+		b = slices.Grow(b, k)[:o+k]
+
+		if _, err := io.ReadFull(r, b[o:]); err != nil {
 			return f, 0, errors.Mark(err, ErrUnreachable)
 		}
 	}
--- a/internal/reaper/reaper.go
+++ b/internal/reaper/reaper.go
@@ -83,11 +83,18 @@
 	return context.WithValue(c, connKey{}, n)
 }
 
+// Connection returns the connection of the call with this context, or nil if there is none.
+func Connection(c context.Context) net.Conn {
+	n, _ := c.Value(connKey{}).(net.Conn)
+
+	return n
+}
+
 // RecordHeaders records that the headers of the call with this context are complete, so that its
 // connection has no limit until the call ends.
 func (i *Reaper) RecordHeaders(c context.Context) {
-	n, ok := c.Value(connKey{}).(net.Conn)
-	if !ok {
+	n := Connection(c)
+	if n == nil {
 		return
 	}
 
--- a/internal/sender/event.go
+++ b/internal/sender/event.go
@@ -66,9 +66,14 @@
 func (e *EventReader) Next() (Event, error) {
 	var o Event
 
+	line := 0 // Where the current line begins.
+
 	for {
-		l, err := e.reader.ReadBytes('\n')
-		if err != nil {
+		l, err := e.reader.ReadSlice('\n')
+
+		// A line without end must not be read to its end.
+		full := errors.Is(err, bufio.ErrBufferFull)
+		if err != nil && !full {
 			return o, errors.Mark(err, ErrBroken)
 		}
 
@@ -77,7 +82,13 @@
 			return o, errors.Mark(errors.New("an event is too long"), ErrBroken)
 		}
 
-		l = bytes.TrimRight(l, "\r\n")
+		if full {
+			continue
+		}
+
+		l = bytes.TrimRight(o.Raw[line:], "\r\n")
+		line = len(o.Raw)
+
 		if len(l) == 0 {
 			return o, nil
 		}
