internal/reaper: the time-out of headers applies while they arrive

What callers saw: nothing by itself.

Cause: http.Server reports a connection as active only when all headers have arrived, so that the reaper never saw the time in which they arrive.

Change: the connection itself tells the reaper of the first byte.

--- a/internal/gatekeeper/connection.go
+++ b/internal/gatekeeper/connection.go
@@ -23,6 +23,8 @@
 
 	mu      sync.Mutex
 	account *accountant.Account
+	// firstByte is called when the first byte of a call's headers has arrived.
+	firstByte func(n net.Conn)
 	// inHead is set while the headers of a call may arrive, and head is how many bytes of them have arrived.
 	inHead bool
 	head   int64
@@ -39,6 +41,10 @@
 		return n, err
 	}
 
+	if c.head == 0 {
+		c.firstByte(c)
+	}
+
 	c.head += int64(n)
 	if c.head > usualHeadBytes && !c.account.Reserve(int64(n)) {
 		return 0, errHeadTooLong
@@ -75,7 +81,8 @@
 type connectionListener struct {
 	net.Listener
 
-	memory *accountant.Accountant
+	memory    *accountant.Accountant
+	firstByte func(n net.Conn)
 }
 
 // Accept implements net.Listener.
@@ -85,7 +92,7 @@
 		return nil, err
 	}
 
-	return &connection{Conn: n, inHead: true, account: l.memory.Open(accountant.Head, 0)}, nil
+	return &connection{Conn: n, firstByte: l.firstByte, inHead: true, account: l.memory.Open(accountant.Head, 0)}, nil
 }
 
 // trackConnection records a change of a connection's state; it is the ConnState of the callers' server.
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -86,7 +86,7 @@
 	}
 
 	if l, ok := listeners[g.callerServer]; ok {
-		listeners[g.callerServer] = connectionListener{memory: g.memory, Listener: shedder.New(l, g.maxConnections(), g.overload.closeIdle, g.overload.recordShed, func(n int) {
+		listeners[g.callerServer] = connectionListener{memory: g.memory, firstByte: g.reaper.RecordFirstByte, Listener: shedder.New(l, g.maxConnections(), g.overload.closeIdle, g.overload.recordShed, func(n int) {
 			g.memory.Charge(accountant.Connection, int64(n)*connectionBytes)
 		})}
 	}
--- a/internal/reaper/reaper.go
+++ b/internal/reaper/reaper.go
@@ -66,6 +66,17 @@
 	}
 }
 
+// RecordFirstByte records that the first byte of a call's headers has arrived. The server reports a connection as active only
+// when all headers have arrived.
+func (i *Reaper) RecordFirstByte(n net.Conn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	if p, ok := i.waiting[n]; ok && !p.header {
+		i.waiting[n] = phase{since: time.Now(), header: true, expired: p.expired}
+	}
+}
+
 // Expire expires the connections that have had no call for longer than a duration, and returns how many are newly expired, as
 // Sweep does. It makes room for connections with calls.
 func (i *Reaper) Expire(idle time.Duration) int {
