--- a/internal/cataloger/cataloger.go
+++ b/internal/cataloger/cataloger.go
@@ -27,7 +27,7 @@
 	Priority int
 	// HasPriority is set when the customer has a priority.
 	HasPriority bool
-	// Regions are the regions whose targets may run the customer's calls; none means all.
+	// Regions are the regions whose targets may run the customer's calls; nil means all, and an empty list none.
 	Regions []string
 }
 
@@ -59,7 +59,9 @@
 	Rules     []Rule
 	Groups    []Group
 	Customers []Customer
-	Limits    Limits
+	// RequiresKey is set if callers need a key even if there are no customers: then nobody is admitted but by public rules.
+	RequiresKey bool
+	Limits      Limits
 }
 
 // Catalog is one version of the document, indexed. It is immutable and safe for concurrent
@@ -68,8 +70,7 @@
 	Version uint64
 	Limits  Limits
 
-	// hasCustomers reports whether the document has customers, with or without keys.
-	hasCustomers bool
+	requiresKey bool
 	// hosts holds the rules by host in lower case, those with the longest prefix first.
 	hosts  map[string][]*Rule
 	groups map[string]*Group
@@ -81,7 +82,7 @@
 // a document takes effect as a whole or not at all.
 func New(d Document) (*Catalog, error) {
 	c := &Catalog{
-		Version: d.Version, Limits: d.Limits, hasCustomers: len(d.Customers) > 0,
+		Version: d.Version, Limits: d.Limits, requiresKey: d.RequiresKey || len(d.Customers) > 0,
 		hosts: make(map[string][]*Rule), groups: make(map[string]*Group), customers: make(map[string]*Customer),
 	}
 
@@ -229,8 +230,13 @@
 	return x, ok
 }
 
-// RequiresKey reports whether callers need a key. They do when the catalog has customers, even if
-// no customer has a key: the removal of the last key must not admit all callers.
+// RequiresKey reports whether callers need a key. They do when the document says so or has customers, even if
+// no customer has a key: the removal of the last key, or of the last customer, must not admit all callers.
 func (c *Catalog) RequiresKey() bool {
-	return c.hasCustomers
+	return c.requiresKey
+}
+
+// Keys returns the number of API keys.
+func (c *Catalog) Keys() int {
+	return len(c.customers)
 }
--- a/internal/cataloger/cataloger_test.go
+++ b/internal/cataloger/cataloger_test.go
@@ -131,6 +131,20 @@
 	is.True(c.RequiresKey())
 }
 
+// Guards against callers that are admitted without a key once the last customer is removed.
+func TestKeyRequiredWithoutCustomers(t *testing.T) {
+	is := is.New(t)
+
+	c, err := cataloger.New(cataloger.Document{RequiresKey: true})
+	is.NoErr(err)
+	is.True(c.RequiresKey())
+	is.Equal(c.Keys(), 0)
+
+	c, err = cataloger.New(cataloger.Document{})
+	is.NoErr(err)
+	is.True(!c.RequiresKey())
+}
+
 func TestCustomers(t *testing.T) {
 	is := is.New(t)
 
--- a/internal/cataloger/rule.go
+++ b/internal/cataloger/rule.go
@@ -53,7 +53,7 @@
 	Attempts int
 	// Priority is the priority class of the calls; zero is the most urgent.
 	Priority int
-	// Regions are the regions whose targets may run the calls; none means all.
+	// Regions are the regions whose targets may run the calls; nil means all, and an empty list none.
 	Regions []string
 	// Shares are the groups that the calls are split between by weight.
 	Shares []Share
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -30,7 +30,7 @@
 	catalog  *cataloger.Catalog
 	rule     *cataloger.Rule
 	customer string
-	// regions are the regions whose targets may run the customer's calls; empty means all.
+	// regions are the regions whose targets may run the customer's calls; nil means all.
 	regions  []string
 	priority int
 	deadline time.Time
@@ -198,12 +198,12 @@
 // allowedCentres returns the data centres whose targets may run the call, or nil if all may. The
 // rule's and the customer's regions both apply; a data centre whose region is unknown is excluded.
 func (x *exchange) allowedCentres(regions map[string]string) map[string]bool {
-	if len(x.rule.Regions)+len(x.regions) == 0 {
+	if x.rule.Regions == nil && x.regions == nil {
 		return nil
 	}
 
 	o := make(map[string]bool)
-	in := func(l []string, r string) bool { return len(l) == 0 || slices.Contains(l, r) }
+	in := func(l []string, r string) bool { return l == nil || slices.Contains(l, r) }
 
 	for c, r := range regions {
 		if r != "" && in(x.rule.Regions, r) && in(x.regions, r) {
--- a/internal/forwarder/region_test.go
+++ b/internal/forwarder/region_test.go
@@ -25,6 +25,8 @@
 		"rule and customer, one region in common": {rule: []string{"r0", "r1"}, customer: []string{"r1"}, path: "/idempotent/", status: http.StatusOK, calls: []int{0, 1}},
 		"rule and customer, no region in common":  {rule: []string{"r0"}, customer: []string{"r1"}, path: "/idempotent/", status: http.StatusServiceUnavailable, calls: []int{0, 0}},
 		"region without targets":                  {rule: []string{"r9"}, path: "/once/", status: http.StatusServiceUnavailable, calls: []int{0, 0}},
+		"rule, an empty list":                     {rule: []string{}, path: "/once/", status: http.StatusServiceUnavailable, calls: []int{0, 0}},
+		"customer, an empty list":                 {customer: []string{}, path: "/idempotent/", status: http.StatusServiceUnavailable, calls: []int{0, 0}},
 		"empty name":                              {rule: []string{""}, path: "/once/", status: http.StatusServiceUnavailable, calls: []int{0, 0}},
 		"public rule ignores customer":            {customer: []string{"r1"}, path: "/public/", status: http.StatusOK, calls: []int{1, 0}},
 		"second attempt stays in the region":      {rule: []string{"r0"}, path: "/idempotent/", status: http.StatusBadGateway, calls: []int{1, 0}},
--- a/internal/gatekeeper/metrics.go
+++ b/internal/gatekeeper/metrics.go
@@ -10,6 +10,20 @@
 // registerMetrics registers the metrics that are read on demand.
 func (g *Gatekeeper) registerMetrics(m *meter.Meter) {
 	m.RegisterGauge("catalog_version", func() float64 { return float64(g.state.catalogVersion()) })
+	m.RegisterGauge("catalog_requires_key", func() float64 {
+		if c := g.state.Catalog(); c != nil && c.RequiresKey() {
+			return 1
+		}
+
+		return 0
+	})
+	m.RegisterGauge("catalog_keys", func() float64 {
+		if c := g.state.Catalog(); c != nil {
+			return float64(c.Keys())
+		}
+
+		return 0
+	})
 	m.RegisterGauge("catalog_age_seconds", func() float64 { return time.Since(g.state.lastConfirmed()).Seconds() })
 	m.RegisterGauge("targets", func() float64 { return float64(len(g.state.Registry().Known)) })
 	m.RegisterGauge("data_centres_evacuated", func() float64 { return float64(len(g.state.evacuations().Begun)) })
--- a/internal/gatekeeper/state.go
+++ b/internal/gatekeeper/state.go
@@ -136,7 +136,12 @@
 	s.signalSynced()
 	logrus.WithFields(logrus.Fields{
 		"event": "catalogInForce", "version": c.Version, "source": "stream", "offset": r.Offset, "bytes": len(r.Value),
+		"requiresKey": c.RequiresKey(), "keys": c.Keys(),
 	}).Info()
+
+	if c.RequiresKey() && c.Keys() == 0 {
+		logrus.WithFields(logrus.Fields{"event": "catalogWithoutKeys", "version": c.Version}).Warn()
+	}
 }
 
 // signalSynced closes synced when there is a catalog and a list of targets. The caller holds the lock.
