--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -5,7 +5,9 @@
 	"context"
 	"net"
 	"net/netip"
+	"os"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -49,6 +51,40 @@
 	return false
 }
 
+// settleTime is how long a process that has been killed may still accept connections after it has closed others: the system closes
+// all of them, and the listener, one after the other.
+const settleTime = 20 * time.Millisecond
+
+// Ended reports whether no process listens at an address: it refuses connections, or closes one that it accepts within 20 ms and refuses
+// the next. A network partition that refuses connections looks the same.
+//
+// It shares no dials with other calls, which may have begun before the process ended.
+func (p *Prober) Ended(c context.Context, a netip.AddrPort) bool {
+	n, err := p.dial(c, "tcp", a.String())
+	if err != nil {
+		return Refused(err)
+	}
+	defer n.Close() //nolint:errcheck // Nothing was sent.
+
+	// A process that runs waits for a request.
+	if err = n.SetReadDeadline(time.Now().Add(settleTime)); err == nil {
+		_, err = n.Read(make([]byte, 1))
+	}
+
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+
+	m, again := p.dial(c, "tcp", a.String())
+	if again == nil {
+		_ = m.Close() // Nothing was sent.
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "probeClosed", "address": a, "error": err, "again": again}).Info()
+
+	return Refused(again)
+}
+
 // maxUnanswered is the number of addresses that give no answer after which Reachable gives up: each takes a whole dial time-out,
 // for which a caller waits.
 const maxUnanswered = 2
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -131,3 +131,35 @@
 	is.Equal(dials.Load(), int64(1))
 	is.Equal(ended.Load(), int64(30))
 }
+
+// Guards against a process that is taken for running because its listener is closed an instant after its other connections.
+func TestEnded(t *testing.T) {
+	d := (&net.Dialer{}).DialContext
+
+	for name, x := range map[string]struct {
+		// serve handles the listener.
+		serve func(l net.Listener)
+		want  bool
+	}{
+		"runs":    {serve: func(net.Listener) {}},
+		"refuses": {serve: func(l net.Listener) { _ = l.Close() }, want: true},
+		"closes a moment later": {serve: func(l net.Listener) {
+			time.AfterFunc(2*time.Millisecond, func() { _ = l.Close() })
+		}, want: true},
+		"resets one and goes on": {serve: func(l net.Listener) {
+			go func() {
+				n, err := l.Accept()
+				if err == nil {
+					_ = n.(*net.TCPConn).SetLinger(0)
+					_ = n.Close()
+				}
+			}()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, a := listen(t)
+			x.serve(l)
+			is.New(t).Equal(prober.New(d).Ended(t.Context(), a), x.want)
+		})
+	}
+}
