internal/forwarder: a path is forwarded with the bytes of the caller

What callers saw: a path or query with bytes such as |, ", { or above ASCII reached the target percent-encoded, though "the method, path and body are forwarded unchanged".

Cause: net/url encodes what it holds not to be valid in a path.

Change: where the encoded form differs, the request is sent with the raw one. A path that begins with two slashes and has such bytes is still encoded: net/http would send it with a scheme and a host.

Evidence: forwarder.TestPathIsForwardedUnchanged failed in three of nine cases and passes.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -135,6 +136,12 @@
 		return nil, errors.Mark(err, errNotSent)
 	}
 
+	// A path with bytes that should be encoded is sent as it came; net/url would encode it. One with two slashes at its beginning
+	// would be sent with a scheme and a host.
+	if u.RequestURI() != o.uri && !strings.HasPrefix(o.uri, "//") {
+		u = &url.URL{Opaque: o.uri}
+	}
+
 	u.Scheme = "http"
 	u.Host = a.String()
 
