internal/forwarder: "not run" is believed and promised only with its proof

What callers saw: a target that had run a call that must not be repeated and answered 429 or 408 without X-Not-Executed had its answer relayed; callers take these for "not run" and send the call again. An answer with 503 became a 502 already. And a late refusal of an earlier call on a kept connection was believed though its ID was another's: an idempotent call was sent to a second target while the first one ran it.

Cause: only answers from 500 on were checked for such a promise; refusals were exempt from the check of the ID.

Change: 429 and 408 without the proof become a 502 for calls that must not be repeated; for others they are relayed unchanged. A refusal with the ID of another call counts as a broken answer; one without an ID is believed as before, since processes that are not the target refuse without.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -205,6 +205,12 @@
 	}
 }
 
+// breaksPromise reports whether an answer with a status, relayed to the caller, would promise that a call that must not be repeated
+// was not run, though the target does not state that. A call that may be repeated loses nothing by the answer.
+func breaksPromise(x *exchange, status int) bool {
+	return !x.rule.Repeatable() && impliesNotRun(status)
+}
+
 // attempt sends a call to one target and relays the answer.
 func (f *Forwarder) attempt(c context.Context, x *exchange, t selector.Choice) result {
 	c, s := f.tracer.Start(c, "attempt")
@@ -309,8 +315,9 @@
 	f.handleBrittle(x, t, p)
 
 	// A delayed answer to an earlier call may arrive in place of the answer to this one. The
-	// ID of a delayed answer differs; relaying it would give the caller another caller's answer.
-	if p.ID != x.call.ID && !p.NotRun {
+	// ID of a delayed answer differs; relaying it would give the caller another caller's answer, and a delayed refusal
+	// would be taken for that of a call that the target runs. A process that is not the target may refuse without an ID.
+	if p.ID != x.call.ID && (p.ID != "" || !p.NotRun) {
 		_ = a.Body.Close()
 
 		return nil, p, result{err: errors.Mark(errors.Newf("target sent the answer to call %q", p.ID), errBroken), outcome: selector.Failed}
--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -80,6 +80,10 @@
 		return result{err: errors.Newf("the target answered with status %d", a.StatusCode), answer: o, outcome: selector.Failed}
 	}
 
+	if breaksPromise(x, a.StatusCode) {
+		return result{err: errors.Newf("the target answered with status %d and does not state that it did not run the call", a.StatusCode), answer: o}
+	}
+
 	f.recordFirstPart(x, t)
 
 	x.relayed = true
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -104,7 +104,7 @@
 // mayRelayUnfinished reports whether an answer that doesn't fit into memory is relayed as it arrives. If it has no length, it may
 // be one without end, so that a call that may be sent to another target is sent there.
 func (f *Forwarder) mayRelayUnfinished(x *exchange, a *http.Response) bool {
-	return a.StatusCode < http.StatusInternalServerError && (a.ContentLength > 0 || !x.rule.Repeatable() || x.sent+1 >= x.rule.Attempts)
+	return a.StatusCode < http.StatusInternalServerError && !breaksPromise(x, a.StatusCode) && (a.ContentLength > 0 || !x.rule.Repeatable() || x.sent+1 >= x.rule.Attempts)
 }
 
 // relayUnfinished relays an answer that doesn't fit into memory: first the part that has been read, then the rest as it arrives.
