internal/forwarder: the answer to HEAD has the target's Content-Length

What callers saw: Content-Length: 0 in the answer to HEAD.

Cause: the length of the body that was read, which is empty for HEAD, took the place of the one that the target stated.

Evidence: forwarder.TestLengthOfAnswerToHead failed (0 in place of 1234) and passes.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -155,7 +155,7 @@
 	case x.relayed:
 		return r.err
 	case r.answer != nil && !impliesNotRun(r.answer.status):
-		r.answer.write(x.writer)
+		r.answer.write(x.writer, x.request.Method)
 		x.relayed = true
 
 		return nil
--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -35,9 +35,16 @@
 	body   *accountant.Buffer
 }
 
-func (a *bufferedAnswer) write(w http.ResponseWriter) {
+// write relays the answer to a call with a method.
+func (a *bufferedAnswer) write(w http.ResponseWriter, method string) {
 	copyHeader(w.Header(), a.header)
-	w.Header().Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
+
+	if method == http.MethodHead {
+		setLength(w.Header(), a.header)
+	} else {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.body.Len(), 10))
+	}
+
 	w.WriteHeader(a.status)
 	_, _ = a.body.WriteTo(w) // The caller may have left.
 }
@@ -88,7 +95,7 @@
 
 	x.relayed = true
 	x.recordRelay(time.Now())
-	o.write(x.writer)
+	o.write(x.writer, x.request.Method)
 
 	return result{}
 }
@@ -123,6 +130,13 @@
 	}
 }
 
+// setLength sets the length that an answer without a body states, if it does.
+func setLength(to, from http.Header) {
+	if l := from.Get("Content-Length"); l != "" {
+		to.Set("Content-Length", l)
+	}
+}
+
 func copyHeader(to, from http.Header) {
 	for k, v := range endToEndHeaders(from) {
 		if v != nil {
