--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -34,6 +34,11 @@
 }
 
 const (
+	// CallBytes is what a call in progress takes besides its body and its answer: goroutines, buffers of connections, headers.
+	CallBytes = 48 << 10
+	// ShortBytes is the length up to which a body is essential data.
+	ShortBytes = 64 << 10
+
 	mib = 1 << 20
 
 	// binaryBytes is the memory of a process outside the Go runtime: its program and C libraries.
@@ -120,6 +125,14 @@
 	return a.held[k]
 }
 
+// Total returns the number of bytes that are held.
+func (a *Accountant) Total() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.total
+}
+
 // Peak returns the largest number of bytes that were held at a time.
 func (a *Accountant) Peak() int64 {
 	a.mu.Lock()
@@ -167,7 +180,7 @@
 }
 
 // Open returns an empty account for data of a kind. As long as it holds at most the given number of bytes, the data is essential:
-// it may use a part of the budget that other data may not.
+// it may use a part of the budget that other data may not. The accounts of a nil Accountant have no bound.
 func (a *Accountant) Open(k Kind, essential int64) *Account {
 	return &Account{accountant: a, kind: k, essential: essential}
 }
@@ -182,7 +195,7 @@
 
 // Reserve reports whether n more bytes may be held, and counts them if so.
 func (a *Account) Reserve(n int64) bool {
-	if !a.accountant.reserve(a, n) {
+	if a.accountant != nil && !a.accountant.reserve(a, n) {
 		return false
 	}
 
@@ -193,8 +206,9 @@
 
 // Close releases all bytes. It may be called more than once.
 func (a *Account) Close() {
-	if a.held > 0 {
+	if a.held > 0 && a.accountant != nil {
 		a.accountant.Charge(a.kind, -a.held)
-		a.held = 0
 	}
+
+	a.held = 0
 }
--- a/internal/accountant/buffer.go
+++ b/internal/accountant/buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -38,6 +39,22 @@
 	return b.chunks
 }
 
+// Join returns the data in one piece. It fails with ErrExhausted if that needs a copy for which there is no memory in the account.
+func (a *Account) Join(b *Buffer) ([]byte, error) {
+	switch l := b.Chunks(); len(l) {
+	case 0:
+		return nil, nil
+	case 1:
+		return l[0], nil
+	default:
+		if !a.Reserve(b.Len()) {
+			return nil, ErrExhausted
+		}
+
+		return slices.Concat(l...), nil
+	}
+}
+
 // WriteTo writes the data. It implements io.WriterTo.
 func (b *Buffer) WriteTo(w io.Writer) (int64, error) {
 	var o int64
--- a/internal/commander/router.go
+++ b/internal/commander/router.go
@@ -53,6 +53,8 @@
 	}
 	defer flush()
 
+	limitMemory(int64(s.Memory))
+
 	x, end := signaler.New(logSignal)
 	defer end()
 
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -9,7 +9,7 @@
 // Name is a metric's name.
 type Name string
 
-// The metrics. Revision, LiveRouters, InFlight and Placements are gauges; all others count from the start of
+// The metrics. Revision, LiveRouters, InFlight, MemoryHeld and Placements are gauges; all others count from the start of
 // the process.
 const (
 	Requests            Name = "requests"
@@ -36,6 +36,7 @@
 	Revision            Name = "revision"
 	LiveRouters         Name = "routersLive"
 	InFlight            Name = "inFlight"
+	MemoryHeld          Name = "memoryHeldBytes"
 	Placements          Name = "placesRemembered"
 	Commands            Name = "orders"
 )
--- a/internal/exchanger/exchange.go
+++ b/internal/exchanger/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/digester"
 	"github.com/auburntray/auburntray/internal/follower"
 	"github.com/auburntray/auburntray/internal/matcher"
@@ -23,9 +24,10 @@
 	// ID identifies the call in logs and in requests to targets.
 	ID string
 
-	// Set by the filter accept.
-	Body  []byte
-	Start time.Time
+	// Set by the filter accept. Memory holds the bytes of the body.
+	Body   []byte
+	Memory *accountant.Account
+	Start  time.Time
 
 	// Set by the filter identify. Chat is the hash that identifies the chat, Hint the target's
 	// ID from the placement token, and Key the idempotency key.
@@ -70,6 +72,17 @@
 	Relayed bool
 	Answer  Answer
 	Result  Result
+	// AnswerMemory holds the bytes of the answer; nil if none was buffered.
+	AnswerMemory *accountant.Account
+}
+
+// Release releases the memory that the call holds.
+func (x *Exchange) Release() {
+	for _, a := range []*accountant.Account{x.Memory, x.AnswerMemory} {
+		if a != nil {
+			a.Close()
+		}
+	}
 }
 
 // Answer is a complete answer.
--- a/internal/exchanger/refusal.go
+++ b/internal/exchanger/refusal.go
@@ -18,6 +18,7 @@
 	CodeNotReady           Code = "notReady"
 	CodeStopping           Code = "stopping"
 	CodeBusy               Code = "busy"
+	CodeNoMemory           Code = "noMemory"
 	CodeFull               Code = "full"
 	CodeOverShare          Code = "overShare"
 	CodeNoTargets          Code = "noTargets"
--- a/internal/filterer/accept.go
+++ b/internal/filterer/accept.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/exchanger"
 )
 
@@ -16,28 +16,50 @@
 type Accept struct {
 	// MaxBody is the largest accepted body, in bytes.
 	MaxBody int64
+	// Memory bounds what is held for calls; nil sets no bound.
+	Memory *accountant.Accountant
 }
 
+// memoryWait is the Retry-After of a router whose memory does not suffice for the call.
+const memoryWait = 250 * time.Millisecond
+
 // Name implements exchanger.Filter.
 func (Accept) Name() string { return "accept" }
 
 // Apply records the start time of the call and reads the body. It fails with a Refusal if the
-// body is larger than MaxBody or cannot be read.
+// body is larger than MaxBody, cannot be read or does not fit into memory.
 func (a Accept) Apply(_ context.Context, x *exchanger.Exchange) error {
 	x.Start = time.Now()
 
-	b, err := io.ReadAll(http.MaxBytesReader(x.Writer, x.Request.Body, a.MaxBody))
-	if err == nil {
-		x.Body = b
+	x.Memory = a.Memory.Open(accountant.Body, accountant.CallBytes+accountant.ShortBytes)
 
-		return nil
-	}
+	err := a.read(x)
 
 	var m *http.MaxBytesError
-	if errors.As(err, &m) {
+
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, accountant.ErrExhausted):
+		return exchanger.Refuse(http.StatusServiceUnavailable, exchanger.CodeNoMemory, memoryWait, "this router has too little memory for the call")
+	case errors.As(err, &m) || errors.Is(err, accountant.ErrTooLong):
 		return exchanger.Refuse(http.StatusRequestEntityTooLarge, exchanger.CodeTooLarge, 0,
-			"the body is larger than %d bytes", m.Limit)
+			"the body is larger than %d bytes", a.MaxBody)
+	default:
+		return exchanger.Refuse(http.StatusBadRequest, exchanger.CodeBadRequest, 0, "the body can't be read")
+	}
+}
+
+// read reads the body within the memory.
+func (a Accept) read(x *exchanger.Exchange) error {
+	if !x.Memory.Reserve(accountant.CallBytes) {
+		return accountant.ErrExhausted
+	}
+
+	b, err := x.Memory.Read(http.MaxBytesReader(x.Writer, x.Request.Body, a.MaxBody), x.Request.ContentLength, a.MaxBody)
+	if err == nil {
+		x.Body, err = x.Memory.Join(b)
 	}
 
-	return exchanger.Refuse(http.StatusBadRequest, exchanger.CodeBadRequest, 0, "the body can't be read")
+	return err
 }
--- a/internal/filterer/filterer_test.go
+++ b/internal/filterer/filterer_test.go
@@ -1,6 +1,7 @@
 package filterer_test
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -19,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/claimer"
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/drainer"
@@ -303,6 +305,52 @@
 	i.Equal(r.Code, exchanger.CodeBadRequest)
 }
 
+// Guards against a router that is killed for its memory by many long bodies: what does not fit is refused before it is read.
+func TestBodiesBeyondMemory(t *testing.T) {
+	i := is.New(t)
+	m := accountant.New(64 << 20)
+	a := filterer.Accept{MaxBody: 8 << 20, Memory: m}
+
+	var l []*exchanger.Exchange
+
+	accept := func(n int) (int, error) {
+		b := bytes.NewReader(make([]byte, n))
+		x := &exchanger.Exchange{Writer: httptest.NewRecorder(), Request: httptest.NewRequest(http.MethodPost, "/", b)}
+		l = append(l, x)
+		err := a.Apply(t.Context(), x)
+
+		return n - b.Len(), err
+	}
+
+	var (
+		read int
+		err  error
+	)
+
+	for err == nil {
+		read, err = accept(1 << 20)
+	}
+
+	var r *exchanger.Refusal
+
+	i.True(errors.As(err, &r))
+	i.Equal(r.Code, exchanger.CodeNoMemory)
+	i.Equal(read, 0)
+	i.True(len(l) > 5)
+
+	_, err = accept(1 << 10)
+	i.NoErr(err) // A short one.
+
+	for _, x := range l {
+		x.Release()
+	}
+
+	i.Equal(m.Held(accountant.Body), int64(0))
+
+	_, err = accept(1 << 20)
+	i.NoErr(err)
+}
+
 // brokenReader is a body whose connection is lost.
 type brokenReader struct{}
 
--- a/internal/filterer/pipeline.go
+++ b/internal/filterer/pipeline.go
@@ -51,6 +51,7 @@
 // calls, it answers that the call was not run.
 func (p *Pipeline) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchanger.Exchange{Writer: w, Request: r, ID: uuid.NewString()}
+	defer x.Release()
 
 	p.counter.Add(counter.Requests, 1)
 
--- a/internal/filterer/relay.go
+++ b/internal/filterer/relay.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/sender"
@@ -29,6 +30,8 @@
 type Relay struct {
 	Targets targets
 	Counter *counter.Counter
+	// Memory bounds what is held for calls; nil sets no bound.
+	Memory *accountant.Accountant
 }
 
 // Name implements exchanger.Filter.
@@ -79,13 +82,29 @@
 // buffer reads an answer that is not streamed. Nothing of it is sent to the caller before
 // it is complete, so that the caller never gets a truncated answer.
 func (r Relay) buffer(x *exchanger.Exchange) error {
-	b, err := io.ReadAll(io.LimitReader(x.Response.Body, maxAnswerBytes+1))
-	if err != nil {
-		return errors.Mark(err, sender.ErrBroken)
+	if x.AnswerMemory != nil {
+		x.AnswerMemory.Close()
 	}
 
-	if len(b) > maxAnswerBytes {
-		return sender.ErrTooLong
+	x.AnswerMemory = r.Memory.Open(accountant.Answer, math.MaxInt64)
+
+	n := x.Response.ContentLength
+	if x.Response.Body == http.NoBody {
+		n = 0 // A length may be stated nevertheless.
+	}
+
+	l, err := x.AnswerMemory.Read(x.Response.Body, n, maxAnswerBytes)
+
+	var b []byte
+	if err == nil {
+		b, err = x.AnswerMemory.Join(l)
+	}
+
+	switch {
+	case errors.Is(err, accountant.ErrTooLong) || errors.Is(err, accountant.ErrExhausted):
+		return errors.Mark(err, sender.ErrTooLong)
+	case err != nil:
+		return errors.Mark(err, sender.ErrBroken)
 	}
 
 	h := make(http.Header)
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -15,13 +15,6 @@
 	"github.com/auburntray/auburntray/internal/selector"
 )
 
-const (
-	// callBytes is what a call in progress takes besides its body and its answer: goroutines, buffers of connections, headers.
-	callBytes = 48 << 10
-	// shortBytes is the length up to which a body may use the memory that is kept free for calls other than long ones.
-	shortBytes = 64 << 10
-)
-
 // SetMemory sets the bound on what is held for calls. It must be called before the first call is served.
 func (f *Forwarder) SetMemory(a *accountant.Accountant) {
 	f.memory = a
@@ -29,8 +22,8 @@
 
 // reserveCall reserves what a call takes besides its body. The caller closes the account when the call ends.
 func (f *Forwarder) reserveCall() (*accountant.Account, error) {
-	k := f.memory.Open(accountant.Call, callBytes)
-	if !k.Reserve(callBytes) {
+	k := f.memory.Open(accountant.Call, accountant.CallBytes)
+	if !k.Reserve(accountant.CallBytes) {
 		return nil, refuseForMemory()
 	}
 
@@ -50,7 +43,7 @@
 		return math.MaxInt64
 	}
 
-	return shortBytes
+	return accountant.ShortBytes
 }
 
 // essentialDelegated is essentialBytes for a call of another instance.
@@ -59,7 +52,7 @@
 		return math.MaxInt64
 	}
 
-	return shortBytes
+	return accountant.ShortBytes
 }
 
 // dropBody releases the body.
--- a/internal/resolver/router.go
+++ b/internal/resolver/router.go
@@ -20,11 +20,13 @@
 	Debug    netip.AddrPort
 	Platform netip.AddrPort
 	// Seeds are peers to contact before the platform's list has been read.
-	Seeds           []netip.AddrPort
-	LogLevel        string
-	MaxBody         int
-	MaxHeader       int
-	MaxInFlight     int
+	Seeds       []netip.AddrPort
+	LogLevel    string
+	MaxBody     int
+	MaxHeader   int
+	MaxInFlight int
+	// Memory is the number of bytes that the process may use; zero sets no bound.
+	Memory          int
 	IdleTimeout     time.Duration
 	Deadline        time.Duration
 	MaxDeadline     time.Duration
@@ -95,6 +97,7 @@
 		{"max-body", "8388608", "1024 to 134217728 bytes", "largest request body", Int(&r.MaxBody, 1<<10, 128<<20)},
 		{"max-header", "65536", "1024 to 1048576 bytes", "largest request header", Int(&r.MaxHeader, 1<<10, 1<<20)},
 		{"max-in-flight", "4096", "1 to 1000000", "requests in progress here before new ones are refused", Int(&r.MaxInFlight, 1, 1000000)},
+		{"memory", "0", "0 to 1099511627776 bytes; 0 sets no bound", "memory that the process may use; requests beyond it are refused", Int(&r.Memory, 0, 1<<40)},
 		{"idle-timeout", "90s", "1s to 1h", "how long an idle connection is kept", Duration(&r.IdleTimeout, time.Second, time.Hour)},
 		{"deadline", "120s", "1s to 1h", "deadline of a request that names none", Duration(&r.Deadline, time.Second, time.Hour)},
 		{"max-deadline", "600s", "1s to 1h", "longest deadline that a request may name", Duration(&r.MaxDeadline, time.Second, time.Hour)},
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/filterer"
@@ -53,6 +54,7 @@
 	drainer    *drainer.Drainer
 	counter    *counter.Counter
 	stalls     *stallMonitor
+	memory     *accountant.Accountant
 
 	server   *http.Server
 	listener net.Listener
@@ -78,6 +80,7 @@
 			newSender,
 			newComponents,
 			newReplicator,
+			newAccountant,
 			newPipeline,
 			newRouter,
 		),
@@ -174,13 +177,17 @@
 	return replicator.New(m, j, nil, quarantiner.DefaultSettings())
 }
 
+func newAccountant(s resolver.Router) *accountant.Accountant {
+	return accountant.New(int64(s.Memory))
+}
+
 func newPipeline(s resolver.Router, t trace.Tracer, d *drainer.Drainer, f *follower.Follower, a *requester.Requester,
-	g *registrar.Registrar, x *sender.Sender, n *counter.Counter, p *stallMonitor, q *replicator.Replicator,
+	g *registrar.Registrar, x *sender.Sender, n *counter.Counter, p *stallMonitor, q *replicator.Replicator, m *accountant.Accountant,
 ) *filterer.Pipeline {
 	i := filterer.RefuseQuarantined{Quarantine: q, Targets: x}
 
 	return filterer.New(d, g, n, t,
-		filterer.Accept{MaxBody: int64(s.MaxBody)},
+		filterer.Accept{MaxBody: int64(s.MaxBody), Memory: m},
 		filterer.Identify{Deadline: s.Deadline, MaxDeadline: s.MaxDeadline},
 		filterer.Match{Config: f.Config},
 		i,
@@ -188,7 +195,7 @@
 		filterer.NewAttempt(a, n, i,
 			filterer.Pick{Slots: a, Region: s.Region, Counter: n},
 			filterer.Send{Targets: x, Slots: a, Stalls: p},
-			filterer.Relay{Targets: x, Counter: n},
+			filterer.Relay{Targets: x, Counter: n, Memory: m},
 		),
 	)
 }
@@ -211,6 +218,7 @@
 	Drainer    *drainer.Drainer
 	Counter    *counter.Counter
 	Stalls     *stallMonitor
+	Memory     *accountant.Accountant
 }
 
 func newRouter(i routerParams) (*Router, error) {
@@ -222,7 +230,7 @@
 	r := &Router{
 		settings: i.Settings, follower: i.Follower, joiner: i.Joiner, supervisor: i.Supervisor, requester: i.Requester,
 		reconciler: i.Reconciler, messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, replicator: i.Replicator, drainer: i.Drainer,
-		counter: i.Counter, stalls: i.Stalls, listener: l,
+		counter: i.Counter, stalls: i.Stalls, memory: i.Memory, listener: l,
 	}
 	r.registerHandlers(i.Registrar)
 	r.registerGauges()
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -45,6 +45,7 @@
 	n.RegisterGauge(counter.Revision, func() int64 { return int64(r.follower.Revision()) }) //nolint:gosec // Below 2^63.
 	n.RegisterGauge(counter.LiveRouters, func() int64 { return int64(len(r.joiner.Live())) })
 	n.RegisterGauge(counter.InFlight, func() int64 { return int64(r.drainer.Running()) })
+	n.RegisterGauge(counter.MemoryHeld, r.memory.Total)
 	n.RegisterGauge(counter.Placements, func() int64 { return int64(r.supervisor.PlacementCount()) })
 	n.RegisterGauge(counter.PlatformBytes, r.recorder.Bytes)
 	n.RegisterGauge(counter.ControlSent, func() int64 { s, _ := r.messenger.Traffic().Bytes(); return s })
