internal/accountant: a body is counted while a transport still sends it

A target may answer before it has read a long body. The body of a call that can't be sent again was released at that moment, though the transport held and sent it further: memory in use that nothing counted. It is now counted until the transport has closed it, or the call ends.

--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -167,7 +167,10 @@
 	is.NoErr(err)
 
 	r := b.NewReader()
+	is.True(b.InUse())
 	is.NoErr(r.Close())
+	is.NoErr(r.Close())
+	is.True(!b.InUse())
 
 	l, err := io.ReadAll(r)
 	is.NoErr(err)
--- a/internal/accountant/buffer.go
+++ b/internal/accountant/buffer.go
@@ -4,6 +4,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -19,6 +20,13 @@
 type Buffer struct {
 	chunks [][]byte
 	size   int64
+	// open is the number of readers that were not closed.
+	open atomic.Int32
+}
+
+// InUse reports whether a reader of the data was not closed yet.
+func (b *Buffer) InUse() bool {
+	return b != nil && b.open.Load() > 0
 }
 
 // Len returns the number of bytes.
@@ -155,7 +163,10 @@
 
 // reader reads a Buffer once.
 type reader struct {
+	buffer *Buffer
+
 	mu     sync.Mutex
+	closed bool
 	chunks [][]byte
 	// offset is the number of bytes read of the first chunk.
 	offset int
@@ -163,7 +174,11 @@
 
 // NewReader returns a reader of the data, which keeps nothing of it once it is closed.
 func (b *Buffer) NewReader() io.ReadCloser {
-	return &reader{chunks: b.Chunks()}
+	if b != nil {
+		b.open.Add(1)
+	}
+
+	return &reader{buffer: b, chunks: b.Chunks()}
 }
 
 // Read implements io.Reader.
@@ -190,7 +205,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.chunks = nil
+	if r.buffer != nil && !r.closed {
+		r.buffer.open.Add(-1)
+	}
+
+	r.chunks, r.closed = nil, true
 
 	return nil
 }
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -267,7 +267,9 @@
 
 	defer a.Body.Close() //nolint:errcheck // The body was read to its end or is abandoned.
 
-	x.dropBody() // The instance that has delegated the call sends it again if need be.
+	if !x.body.InUse() {
+		x.dropBody() // The instance that has delegated the call sends it again if need be.
+	}
 
 	p := f.dialect.ReadReply(a.Header, a.StatusCode)
 	f.handleReply(x, t, p)
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -64,9 +64,10 @@
 	x.body = nil
 }
 
-// dropSpentBody releases the body of a call that a target has answered, unless the call may be sent again.
+// dropSpentBody releases the body of a call that a target has answered, unless the call may be sent again, or the target has answered
+// before it has read the body.
 func (x *exchange) dropSpentBody() {
-	if !x.rule.Repeatable() || x.sent+1 >= x.rule.Attempts {
+	if !x.body.InUse() && (!x.rule.Repeatable() || x.sent+1 >= x.rule.Attempts) {
 		x.dropBody()
 	}
 }
