--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -59,11 +59,7 @@
 			return result{err: errors.Mark(err, errBroken), outcome: selector.Failed}
 		}
 
-		if x.rule.Resumable && id == "" {
-			return result{err: errors.Mark(errors.New("an event has no ID"), errBroken), outcome: selector.Failed}
-		}
-
-		if !isNextEvent(x.lastEvent, id) {
+		if !mayRelayEvent(x, id) {
 			return result{err: errors.Mark(errors.Newf("event %q came after %q", id, x.lastEvent), errBroken), outcome: selector.Failed}
 		}
 
@@ -154,6 +150,12 @@
 	return pauseFactor * x.rule.MaxEventGap
 }
 
+// mayRelayEvent reports whether the event with an ID may be relayed. A stream that may be resumed has an ID in each event; bytes without
+// end may look like events without one.
+func mayRelayEvent(x *exchange, id string) bool {
+	return (id != "" || !x.rule.Resumable) && isNextEvent(x.lastEvent, id)
+}
+
 // isNextEvent reports whether the event with an ID may follow the event with the ID last. A target
 // that resumes a stream may start too early or too late; relaying that would duplicate or lose a
 // part of the answer.
--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -93,7 +93,7 @@
 
 	// The buffer of an event is at most twice as long as the event.
 	to := min(max(n, 2*s.reserved), maxEventBytes)
-	if !s.reserve(2 * int64(to-s.reserved)) { //nolint:mnd // As above.
+	if !s.reserve(2 * int64(to-s.reserved)) {
 		return errors.Mark(errors.Newf("no memory for an event of more than %d bytes", s.reserved), ErrBroken)
 	}
 
