internal/forwarder: an answer that is relayed as it arrives is not abandoned

What callers would see: a long answer that did not fit into memory broke off in the middle, with status 200, though its target went on sending.

Cause: found by reading the change once more. The timer that sends a slow call to another target went on while the answer was relayed, and cancelled the attempt. Before answers were relayed unfinished that could not happen.

Change: the timer stops before the first byte is relayed; an attempt that it has cancelled by then is repeated as before.

Evidence: forwarder.TestSlowAnswerBeyondMemoryIsNotAbandoned failed (unexpected EOF) and passes.

--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -52,10 +52,10 @@
 // bufferedAttempt makes an attempt whose answer is read completely before any part of it is relayed,
 // so that the call can be sent again if the answer is incomplete.
 func (f *Forwarder) bufferedAttempt(c context.Context, stop context.CancelCauseFunc, x *exchange, t selector.Choice) result {
-	if d := f.firstPartTimeout(x); d > 0 {
-		w := time.AfterFunc(d, f.slowAttempt(x, t, stop))
-		defer w.Stop()
-	}
+	g := newStepTimer(f.slowAttempt(x, t, stop))
+	defer g.stop()
+
+	g.set(f.firstPartTimeout(x))
 
 	a, p, r := f.send(c, x, t)
 	if r.err != nil {
@@ -70,6 +70,8 @@
 
 	b, err := f.readAnswer(x, a)
 	if errors.Is(err, accountant.ErrExhausted) && f.mayRelayUnfinished(x, a) {
+		g.stop() // From now on the call can't be sent to another target.
+
 		return f.relayUnfinished(c, x, t, a, b)
 	}
 
--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -103,6 +103,10 @@
 
 // relayUnfinished relays an answer that doesn't fit into memory: first the part that has been read, then the rest as it arrives.
 func (f *Forwarder) relayUnfinished(c context.Context, x *exchange, t selector.Choice, a *http.Response, b *accountant.Buffer) result {
+	if err := context.Cause(c); err != nil {
+		return result{err: errors.Mark(err, errBroken), outcome: selector.Failed}
+	}
+
 	f.meter.Unbuffered()
 	f.recordFirstPart(x, t)
 
