--- a/internal/accountant/buffer.go
+++ b/internal/accountant/buffer.go
@@ -63,6 +63,17 @@
 	}
 }
 
+// ReadAll reads r to its end, without an account and without the copies of a growing buffer. A negative length stands for an unknown
+// one. It fails with ErrTooLong if there are more than most bytes, and as r does, with what has been read so far.
+func ReadAll(r io.Reader, length, most int64) ([]byte, error) {
+	a := &Account{}
+
+	b, err := a.Read(r, length, most)
+	l, _ := a.Join(b) // Without an account there is always memory.
+
+	return l, err
+}
+
 // WriteTo writes the data. It implements io.WriterTo.
 func (b *Buffer) WriteTo(w io.Writer) (int64, error) {
 	var o int64
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/accountant"
 )
 
 const (
@@ -180,7 +181,7 @@
 
 	defer func() { _ = a.Body.Close() }()
 
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	b, err := accountant.ReadAll(a.Body, a.ContentLength, maxAnswerBytes)
 	r.bytes.Add(int64(len(b) + len(body)))
 
 	if err != nil {
