internal/binder, internal/meter: what the version of a resumed stream is known from

Logs told a refusal with unknownVersion, but not whether nobody was reached, nobody knew the stream, or several versions are in use. The line streamLookedUp and auburntray_stream_lookups_total tell hypothesis 1 (no note is left: source=none, replies without one, versionsInUse=2) from hypothesis 2 (sure too early: source=replies with found=0 and versionsInUse=1 in a process that has just started). No logic is changed.

--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -48,10 +48,25 @@
 	Self() gossiper.Member
 }
 
+// Meter records metrics. It is implemented by meter.Meter.
+type Meter interface {
+	// StreamLookup records that the version of a stream was looked up, and from what the answer follows.
+	StreamLookup(source string)
+}
+
+// The sources of what is known of a stream's version.
+const (
+	sourceOwn     = "own"     // A note of this instance.
+	sourceSole    = "sole"    // The group has had one version for longer than streams last.
+	sourceReplies = "replies" // What other instances have replied.
+	sourceNone    = "none"    // Nothing is certain.
+)
+
 // Binder tells and asks other instances. It is safe for concurrent use.
 type Binder struct {
 	messenger Messenger
 	members   Members
+	meter     Meter
 	// centres are the data centres of all instances.
 	centres []string
 	// fresh reports whether the list of targets is up to date.
@@ -65,8 +80,8 @@
 
 // New returns a Binder that knows no streams. The function fresh reports whether the list of targets is up to date, and
 // centres are the data centres of all instances.
-func New(m Messenger, x Members, centres []string, fresh func() bool) *Binder {
-	return &Binder{messenger: m, members: x, centres: centres, fresh: fresh, asking: make(chan struct{}, maxAsking), pinner: pinner.New()}
+func New(m Messenger, x Members, t Meter, centres []string, fresh func() bool) *Binder {
+	return &Binder{messenger: m, members: x, meter: t, centres: centres, fresh: fresh, asking: make(chan struct{}, maxAsking), pinner: pinner.New()}
 }
 
 // Observe applies a registry that has changed.
@@ -112,12 +127,43 @@
 
 	switch {
 	case own.Found:
+		b.meter.StreamLookup(sourceOwn)
+
 		return own.Note.Version, own.Note.Version != 0
 	case complete && fresh:
+		b.meter.StreamLookup(sourceSole)
+
 		return v, true
-	default:
-		return pinner.Decide(own, b.ask(c, group, s), b.centres, fresh)
 	}
+
+	replies := b.ask(c, group, s)
+	source := sourceReplies
+
+	v, ok := pinner.Decide(own, replies, b.centres, fresh)
+	if !ok {
+		source = sourceNone
+	}
+
+	b.meter.StreamLookup(source)
+	logrus.WithFields(logrus.Fields{
+		"event": "streamLookedUp", "group": group, "source": source, "versionsInUse": len(own.Versions), "replies": len(replies),
+		"found": countFound(replies), "fresh": fresh,
+	}).Info()
+
+	return v, ok
+}
+
+// countFound returns how many replies have the version of the stream.
+func countFound(l []pinner.View) int {
+	n := 0
+
+	for _, v := range l {
+		if v.Found {
+			n++
+		}
+	}
+
+	return n
 }
 
 // Len returns the number of streams whose version is known.
--- a/internal/binder/replay_test.go
+++ b/internal/binder/replay_test.go
@@ -18,6 +18,7 @@
 	"github.com/auburntray/auburntray/internal/binder"
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/pinner"
 	"github.com/auburntray/auburntray/internal/wire"
 )
@@ -64,7 +65,7 @@
 	}
 
 	f.members[n].ID = rand.Uint64()
-	f.instances[n] = binder.New(view{f, n}, view{f, n}, l, func() bool { return f.fresh[n] })
+	f.instances[n] = binder.New(view{f, n}, view{f, n}, meter.New(), l, func() bool { return f.fresh[n] })
 }
 
 // observe has all instances observe targets of the given versions.
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -98,8 +98,8 @@
 	return n
 }
 
-func newBinder(s Settings, f *state, m *messenger.Messenger, j *joiner.Joiner) *binder.Binder {
-	b := binder.New(m, j, slices.Collect(maps.Keys(s.Regions)), f.targetsFresh)
+func newBinder(s Settings, f *state, t *meter.Meter, m *messenger.Messenger, j *joiner.Joiner) *binder.Binder {
+	b := binder.New(m, j, t, slices.Collect(maps.Keys(s.Regions)), f.targetsFresh)
 	m.Handle(wire.KindStreamVersions, b.HandleVersions)
 	m.Handle(wire.KindVersion, b.HandleRequest)
 
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -83,6 +83,11 @@
 	m.set.GetOrCreateCounter(`auburntray_refusals_total{reason="` + reason + `"}`).Inc()
 }
 
+// StreamLookup records that the software version of a stream was looked up, and from what the answer follows.
+func (m *Meter) StreamLookup(source string) {
+	m.set.GetOrCreateCounter(`auburntray_stream_lookups_total{source="` + source + `"}`).Inc()
+}
+
 // Read records a read of a stream from a source and whether it was answered.
 func (m *Meter) Read(stream, source string, answered bool) {
 	r := "answered"
