--- /dev/null
+++ b/internal/binder/archive.go
@@ -0,0 +1,162 @@
+package binder
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/pinner"
+	"github.com/auburntray/auburntray/internal/watcher"
+)
+
+const (
+	// keptTime is how long written notes are kept, to be written again if the log loses them. Older streams have ended.
+	keptTime = 20 * time.Second
+	// markInterval is the time between two writes of the versions of a group that are in use, if nothing changes.
+	markInterval = 10 * time.Second
+	// slots is the number of records of an instance. The oldest is replaced: at one record each minWriteInterval it is
+	// older than keptTime.
+	slots = 200
+	// maxWritten bounds the notes of a record, and so its size to 200 KB.
+	maxWritten = 16384
+)
+
+// archive holds what a recorder has to write, and where it has read to. It is protected by the mutex of the Binder.
+type archive struct {
+	// pending are the notes to be written; wake has an element when something is to be written, and urgent when that must be
+	// soon.
+	pending      map[pinner.Stream]pinner.Note
+	wake, urgent chan struct{}
+	// kept are the notes of the last keptTime, in the order of their arrival.
+	kept []keptNote
+	// marks are the versions in use that were written, by group.
+	marks map[string]mark
+	// position is where to read on, and slot the number of the next record.
+	position watcher.Position
+	slot     int
+	// reading is the read in progress, or nil. The last one that succeeded began at readAt.
+	reading *reading
+	readAt  time.Time
+}
+
+type keptNote struct {
+	pinner.Note
+
+	at time.Time
+}
+
+type mark struct {
+	versions []discoverer.Version
+	at       time.Time
+}
+
+// reading is a read of the log. It has ended when done is closed; ok reports that it has succeeded then.
+type reading struct {
+	done chan struct{}
+	ok   bool
+}
+
+func newArchive() archive {
+	return archive{
+		pending: make(map[pinner.Stream]pinner.Note), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), marks: make(map[string]mark), position: watcher.Unread(),
+	}
+}
+
+// add schedules the writing of a note.
+func (a *archive) add(now time.Time, n pinner.Note) {
+	a.schedule(n)
+
+	for len(a.kept) > 0 && now.Sub(a.kept[0].at) >= keptTime {
+		a.kept = a.kept[1:]
+	}
+
+	a.kept = append(a.kept, keptNote{n, now})
+}
+
+func (a *archive) schedule(n pinner.Note) {
+	if o, ok := a.pending[n.Stream]; !ok || o.Attempt <= n.Attempt {
+		a.pending[n.Stream] = n
+	}
+
+	a.wakeUp()
+}
+
+func (a *archive) wakeUp() { signal(a.wake) }
+
+// hurry has the pending notes written soon: the log may have another version of a stream that is about to begin.
+func (a *archive) hurry() { signal(a.urgent) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default: // A signal is pending.
+	}
+}
+
+// writeAgain schedules everything that the log may have lost.
+func (a *archive) writeAgain(now time.Time) {
+	a.marks = make(map[string]mark)
+
+	for _, n := range a.kept {
+		if now.Sub(n.at) < keptTime {
+			a.schedule(n.Note)
+		}
+	}
+
+	a.wakeUp()
+}
+
+// takePending removes some notes from those to be written and returns them.
+func (a *archive) takePending() []pinner.Note {
+	l := slices.Collect(maps.Values(a.pending))
+	l = l[:min(len(l), maxWritten)]
+
+	for _, n := range l {
+		delete(a.pending, n.Stream)
+	}
+
+	return l
+}
+
+// dueMarks returns the groups whose versions in use must be written; those of a group that has one version again are empty.
+func (a *archive) dueMarks(now time.Time, mixed map[string][]discoverer.Version) map[string][]discoverer.Version {
+	o := make(map[string][]discoverer.Version)
+
+	for g, l := range mixed {
+		if m, ok := a.marks[g]; !ok || now.Sub(m.at) >= markInterval || !slices.Equal(m.versions, l) {
+			o[g] = l
+		}
+	}
+
+	for g := range a.marks {
+		if mixed[g] == nil {
+			o[g] = nil
+		}
+	}
+
+	return o
+}
+
+// recordMark records that the versions of a group were written.
+func (a *archive) recordMark(now time.Time, group string, l []discoverer.Version) {
+	if len(l) == 0 {
+		delete(a.marks, group)
+	} else {
+		a.marks[group] = mark{l, now}
+	}
+}
+
+// nextKey returns the key of the next record of an instance.
+func (a *archive) nextKey(instance string) string {
+	k := noteKey(instance, a.slot)
+	a.slot = (a.slot + 1) % slots
+
+	return k
+}
+
+// noteKey returns the key of a record with notes.
+func noteKey(instance string, slot int) string {
+	return fmt.Sprintf("%s/%d", instance, slot)
+}
--- /dev/null
+++ b/internal/binder/log.go
@@ -0,0 +1,360 @@
+package binder
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/extender"
+	"github.com/auburntray/auburntray/internal/hasher"
+	"github.com/auburntray/auburntray/internal/pinner"
+	"github.com/auburntray/auburntray/internal/sleeper"
+	"github.com/auburntray/auburntray/internal/watcher"
+	"github.com/auburntray/auburntray/internal/wire"
+)
+
+const (
+	// writeFraction is the part of the requests that all instances may send to the log each second that notes may take.
+	writeFraction = 0.07
+	// minWriteInterval is the least time between two writes of a recorder. A stream whose note was not written before
+	// all instances were killed does not go on.
+	minWriteInterval = 100 * time.Millisecond
+	// writeJitter is the width of the random part of the time between two writes.
+	writeJitter = 0.4
+	// urgentWrites is how many urgent writes may take the time of one.
+	urgentWrites = 4
+	// minReadInterval is the least time between two reads of a recorder, however many streams that nobody knows are resumed.
+	minReadInterval = 50 * time.Millisecond
+	// logTimeout bounds a request to the log, and logRetryDelay is the pause after a failed one.
+	logTimeout    = time.Second
+	logRetryDelay = 500 * time.Millisecond
+	// markPrefix is the prefix of the keys of the versions in use.
+	markPrefix = "versions/"
+)
+
+// Log keeps the newest record of each key outside of the instances.
+type Log interface {
+	watcher.Source
+
+	// Put writes the record of a key. Without a value it deletes the key.
+	Put(c context.Context, key string, value []byte) error
+}
+
+// Run writes what this instance has to write as a recorder, until the context ends.
+func (b *Binder) Run(c context.Context) {
+	if b.log == nil {
+		return
+	}
+
+	t := time.NewTicker(markInterval)
+	defer t.Stop()
+
+	for c.Err() == nil {
+		select {
+		case <-b.archive.wake:
+		case <-t.C:
+		case <-c.Done():
+			return
+		}
+
+		if err := b.write(c); err != nil {
+			logrus.WithFields(logrus.Fields{"event": "streamNotesUnwritten", "error": err}).Warn()
+			sleeper.Sleep(c, logRetryDelay)
+			b.archive.wakeUp()
+		}
+
+		b.pause(c)
+	}
+}
+
+// pause waits until the next write may begin.
+func (b *Binder) pause(c context.Context) {
+	// Recorders that have started together write at different times.
+	i := b.writeInterval()
+	i += time.Duration((rand.Float64() - 0.5) * writeJitter * float64(i)) //nolint:gosec // Jitter.
+	u := i / urgentWrites
+
+	sleeper.Sleep(c, u)
+
+	t := time.NewTimer(i - u)
+	defer t.Stop()
+
+	select {
+	case <-b.archive.urgent:
+	case <-t.C:
+	case <-c.Done():
+	}
+}
+
+// WriteAgain schedules the writing of everything that the log may have lost since it has come back from an older copy.
+func (b *Binder) WriteAgain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.archive.writeAgain(time.Now())
+}
+
+func (b *Binder) writeInterval() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	n := float64(b.selectRecorders(time.Now()).Count())
+
+	return max(minWriteInterval, time.Duration(n/(writeFraction*b.settings.WritesPerSecond)*float64(time.Second)))
+}
+
+// write writes the versions in use and the notes that are due. It reads the log before its first write, since that replaces
+// the oldest record of this instance.
+func (b *Binder) write(c context.Context) error {
+	n := time.Now()
+
+	b.mu.Lock()
+	marks := b.archive.dueMarks(n, b.mixedGroups(n))
+	idle := len(marks) == 0 && len(b.archive.pending) == 0
+	read := b.archive.position.IsRead()
+	b.mu.Unlock()
+
+	if idle {
+		return nil
+	}
+
+	if !read && !b.refresh(c) {
+		return errors.New("the log could not be read")
+	}
+
+	for g, l := range marks {
+		if err := b.writeMark(c, g, l); err != nil {
+			return err
+		}
+	}
+
+	return b.writeNotes(c)
+}
+
+// mixedGroups returns the groups of which several versions are in use, if this instance is a recorder. The mutex must be held.
+func (b *Binder) mixedGroups(now time.Time) map[string][]discoverer.Version {
+	if !b.selectRecorders(now).Recording() {
+		return nil
+	}
+
+	return b.pinner.MixedGroups(now)
+}
+
+func (b *Binder) writeMark(c context.Context, group string, l []discoverer.Version) error {
+	n := time.Now()
+	w := wire.UsedVersions{Group: group}
+
+	for _, v := range l {
+		w.Versions = append(w.Versions, uint64(v))
+	}
+
+	var m msgp.Marshaler
+	if len(l) > 0 {
+		m = &w
+	}
+
+	if err := b.put(c, fmt.Sprintf("%s%016x", markPrefix, hasher.Key(group)), m); err != nil {
+		return err
+	}
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.archive.recordMark(n, group, l)
+
+	return nil
+}
+
+// writeNotes writes one record with the pending notes. If that fails they remain pending.
+func (b *Binder) writeNotes(c context.Context) error {
+	b.mu.Lock()
+	l := b.archive.takePending()
+	k := ""
+
+	if len(l) > 0 {
+		k = b.archive.nextKey(b.members.Self().Address.String())
+	}
+	b.mu.Unlock()
+
+	if len(l) == 0 {
+		return nil
+	}
+
+	err := b.put(c, k, encodeNotes(l))
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	if err != nil {
+		for _, n := range l {
+			b.archive.schedule(n)
+		}
+
+		return err
+	}
+
+	if len(b.archive.pending) > 0 {
+		b.archive.wakeUp()
+	}
+
+	return nil
+}
+
+// put writes a record, or deletes it if m is nil.
+func (b *Binder) put(c context.Context, key string, m msgp.Marshaler) error {
+	x, stop := context.WithTimeout(c, logTimeout)
+	defer stop()
+
+	if m == nil {
+		return b.log.Put(x, key, nil)
+	}
+
+	v, err := m.MarshalMsg(nil)
+	if err != nil {
+		return errors.Mark(err, ErrBinding)
+	}
+
+	return b.log.Put(x, key, v)
+}
+
+// refresh reads what has been written to the log since the last read. It returns false if that fails or the context ends
+// first; the read goes on then.
+func (b *Binder) refresh(c context.Context) bool {
+	if b.log == nil {
+		return false
+	}
+
+	b.mu.Lock()
+
+	if b.archive.position.IsRead() && time.Since(b.archive.readAt) < minReadInterval {
+		b.mu.Unlock()
+
+		return true
+	}
+
+	r := b.archive.reading
+	if r == nil {
+		r = &reading{done: make(chan struct{})}
+		b.archive.reading = r
+
+		go b.read(r)
+	}
+
+	b.mu.Unlock()
+
+	select {
+	case <-r.done:
+		return r.ok
+	case <-c.Done():
+		return false
+	}
+}
+
+func (b *Binder) read(r *reading) {
+	n := time.Now()
+
+	c, stop := extender.New(context.Background(), extender.DefaultSettings(logTimeout))
+	defer stop()
+
+	b.mu.Lock()
+	p := b.archive.position
+	b.mu.Unlock()
+
+	o, err := b.readFrom(c, p)
+	if err == nil {
+		b.apply(o)
+	} else {
+		logrus.WithFields(logrus.Fields{"event": "streamNotesUnread", "error": err}).Warn()
+	}
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	if err == nil {
+		b.archive.readAt = n
+	}
+
+	r.ok = err == nil
+	b.archive.reading = nil
+	close(r.done)
+}
+
+// readFrom returns the records after a position, or the newest of each key if there is none or the log no longer has it.
+func (b *Binder) readFrom(c context.Context, p watcher.Position) (watcher.Batch, error) {
+	if p.IsRead() {
+		o, err := b.log.Follow(c, p, 0)
+		if !errors.Is(err, watcher.ErrTruncated) {
+			return o, err
+		}
+	}
+
+	l, n, err := b.log.Newest(c)
+	if err != nil {
+		return watcher.Batch{}, err
+	}
+
+	slices.SortFunc(l, func(a, b watcher.Record) int { return int(a.Offset - b.Offset) })
+
+	return watcher.Batch{Records: l, Complete: true, Next: n}, nil
+}
+
+// apply applies the records that were read. The first read tells which versions were in use before this process started.
+func (b *Binder) apply(o watcher.Batch) {
+	n := time.Now()
+	used := make(map[string][]discoverer.Version)
+
+	b.mu.Lock()
+
+	first := !b.archive.position.IsRead()
+	own := b.members.Self().Address.String() + "/"
+	notes := 0
+
+	for _, x := range o.Records {
+		var err error
+
+		switch {
+		case len(x.Value) == 0: // The key was deleted.
+		case strings.HasPrefix(x.Key, markPrefix):
+			err = decodeMark(x.Value, used)
+		default:
+			var l []pinner.Note
+
+			l, err = decodeNotes(x.Value)
+			for _, s := range l {
+				b.pinner.Record(n, s)
+			}
+
+			notes += len(l)
+		}
+
+		if err != nil {
+			logrus.WithFields(logrus.Fields{"event": "streamNotesInvalid", "key": x.Key, "error": err}).Warn()
+		}
+
+		if first && strings.HasPrefix(x.Key, own) {
+			b.archive.slot = slotAfter(x.Key, own)
+		}
+	}
+
+	b.archive.position = o.Next
+
+	var l []pinner.Note
+	if first {
+		l = b.recent(n, b.pinner.LearnAll(n, used))
+	}
+
+	b.mu.Unlock()
+	b.tell(l)
+
+	if first {
+		logrus.WithFields(logrus.Fields{"event": "streamNotesRead", "records": len(o.Records), "notes": notes, "mixedGroups": len(used)}).Info()
+	}
+}
--- a/internal/commander/gateway.go
+++ b/internal/commander/gateway.go
@@ -144,6 +144,7 @@
 		{"within", a.ApplyWithin == b.ApplyWithin},
 		{"link", a.LinkRate == b.LinkRate},
 		{"descriptors", a.MaxDescriptors == b.MaxDescriptors},
+		{"storeWrites", a.StoreWrites == b.StoreWrites},
 	} {
 		if !f.same {
 			o = append(o, f.name)
@@ -156,7 +157,7 @@
 func gatewaySettings(s platform.Settings) gatekeeper.Settings {
 	return gatekeeper.Settings{
 		Name: s.Name, DataCentre: s.DataCentre, Callers: s.Callers, Ready: s.Ready, Peers: s.Peers, InternalPorts: s.InternalPorts, Region: s.Region,
-		Regions: s.Regions, MaxFactor: s.MaxFactor, ApplyWithin: s.ApplyWithin, LinkRate: s.LinkRate, MaxDescriptors: s.MaxDescriptors,
+		Regions: s.Regions, MaxFactor: s.MaxFactor, ApplyWithin: s.ApplyWithin, LinkRate: s.LinkRate, MaxDescriptors: s.MaxDescriptors, StoreWrites: s.StoreWrites,
 		Tunables: gatekeeper.Tunables{
 			Seeds: s.Seeds, StopTimeout: s.StopTimeout, Memory: s.Memory,
 			Retries: budgeter.Settings{Ratio: s.RetryRatio, Window: s.RetryWindow, Slack: s.RetrySlack},
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -12,6 +12,7 @@
 
 	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/advertiser"
+	"github.com/auburntray/auburntray/internal/binder"
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/forwarder"
 	"github.com/auburntray/auburntray/internal/joiner"
@@ -38,6 +39,7 @@
 	fleet         *fleet
 	advertiser    *advertiser.Advertiser
 	replicator    *replicator.Replicator
+	binder        *binder.Binder
 	negotiator    *negotiator.Negotiator
 	memory        *accountant.Accountant
 	watchers      []*watcher.Watcher
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -98,10 +98,13 @@
 	return n
 }
 
-func newBinder(s Settings, f *state, t *meter.Meter, m *messenger.Messenger, j *joiner.Joiner) *binder.Binder {
-	b := binder.New(m, j, t, slices.Collect(maps.Keys(s.Regions)), f.targetsFresh)
+func newBinder(s Settings, w Environment, f *state, t *meter.Meter, m *messenger.Messenger, j *joiner.Joiner) *binder.Binder {
+	b := binder.New(m, j, w.Streams, t, binder.Settings{
+		Centres: slices.Collect(maps.Keys(s.Regions)), Fresh: f.targetsFresh, WritesPerSecond: s.StoreWrites,
+	})
 	m.Handle(wire.KindStreamVersions, b.HandleVersions)
-	m.Handle(wire.KindVersion, b.HandleRequest)
+	m.Handle(wire.KindVersion, b.HandleEarlierRequest)
+	m.Handle(wire.KindStreamVersion, b.HandleRequest)
 
 	return b
 }
@@ -199,12 +202,13 @@
 	x.OnRefusal(i.NotifyRefusal)
 
 	g := &Gatekeeper{
-		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, negotiator: p.Negotiator, memory: p.Accountant, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, binder: p.Binder, negotiator: p.Negotiator, memory: p.Accountant, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, handlers{
 				newEraHandler(func() {
 					f.beginEra()
 					p.Replicator.VerifyStored()
+					p.Binder.WriteAgain()
 				}),
 				// Evacuations come first: a starting instance must know them before it has a catalog.
 				&evacuationHandler{
@@ -230,7 +234,7 @@
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
 		"trial": wire.KindTrial, "capacity": wire.KindCapacity, "delegation": wire.KindDelegation,
-		"stream_versions": wire.KindStreamVersions, "version": wire.KindVersion,
+		"stream_versions": wire.KindStreamVersions, "version": wire.KindVersion, "stream_version": wire.KindStreamVersion,
 	} {
 		p.Meter.RegisterGauge("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -47,6 +47,7 @@
 	g.runInBackground(func() { g.joiner.Run(x) })
 	g.runInBackground(func() { g.advertiser.Run(x) })
 	g.runInBackground(func() { g.replicator.Run(x) })
+	g.runInBackground(func() { g.binder.Run(x) })
 
 	for _, w := range g.watchers {
 		g.runInBackground(func() { w.Run(x) })
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/auburntray/auburntray/internal/binder"
 	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/cataloger"
 	"github.com/auburntray/auburntray/internal/discoverer"
@@ -42,6 +43,9 @@
 	LinkRate float64
 	// MaxDescriptors is the number of descriptors that the process may have open; zero means the limit of the process.
 	MaxDescriptors int
+	// StoreWrites is how many writes a second the store accepts from all instances together; zero means
+	// binder.DefaultWritesPerSecond.
+	StoreWrites float64
 	// Metrics is the address at which metrics are served; zero disables them.
 	Metrics netip.AddrPort
 
@@ -127,6 +131,8 @@
 	DecodeTarget func(key string, b []byte) (discoverer.Target, error)
 	// Quarantine stores the records of quarantined calls; nil stores none.
 	Quarantine replicator.Store
+	// Streams keeps the software versions that began streams; nil keeps none.
+	Streams binder.Log
 	// ReadyPath is the path of the readiness checks.
 	ReadyPath string
 	// Dialer connects to targets; nil means a net.Dialer.
--- a/internal/messenger/serve.go
+++ b/internal/messenger/serve.go
@@ -54,7 +54,7 @@
 
 		// The handlers of these kinds wait for reads or writes of a log, or for another instance.
 		// Handling them in order would delay the requests behind them on the same connection.
-		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle || f.Kind == wire.KindStream || f.Kind == wire.KindProbe {
+		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle || f.Kind == wire.KindStream || f.Kind == wire.KindProbe || f.Kind == wire.KindStreamVersion {
 			go m.handle(x, c, &w, from, h, f)
 
 			continue
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -2,8 +2,9 @@
 // What two versions write does not fit together, and targets do not check it.
 //
 // Load pattern: two versions serve side by side, instances are killed with their streams, and the callers resume these at
-// other instances, all at once. An instance that is asked knows the version from a note that the first instance has sent
-// before the stream began, or because the group has had one version alone for longer than any stream lasts.
+// other instances, all at once. All instances may be killed together. An instance that is asked knows the version from a note
+// that the first instance has sent before the stream began, from the log, or because the group has had one version alone for
+// longer than any stream lasts.
 package pinner
 
 import (
@@ -49,6 +50,8 @@
 	listed map[discoverer.Version]bool
 	// gone holds when the last targets of other versions disappeared.
 	gone map[discoverer.Version]time.Time
+	// learned reports that another instance or the log has told which versions were in use before this process started.
+	learned bool
 }
 
 // Pinner holds the notes and the versions that are in use. It is not safe for concurrent use.
@@ -57,8 +60,10 @@
 	// order holds the streams approximately by the time of their notes.
 	order []record
 	// since is when the targets were first observed.
-	since  time.Time
-	groups map[string]*use
+	since time.Time
+	// learned is as in use, for all groups.
+	learned bool
+	groups  map[string]*use
 }
 
 // New returns a Pinner without notes.
@@ -147,19 +152,63 @@
 	}
 
 	for g := range listed {
-		if p.groups[g] == nil {
-			p.groups[g] = &use{gone: make(map[discoverer.Version]time.Time)}
-		}
+		p.group(g)
 	}
 
 	for g, u := range p.groups {
 		u.replace(now, listed[g])
 	}
 
+	return p.newlyMixed(now, mixed)
+}
+
+// Learn records which versions were in use before this process started, and returns the groups that have more than one
+// version since. It has no effect on groups of which that is known.
+func (p *Pinner) Learn(now time.Time, used map[string][]discoverer.Version) []string {
+	mixed := p.mixedGroups(now)
+
+	for g, l := range used {
+		u := p.group(g)
+		if u.learned || p.learned {
+			continue
+		}
+
+		u.learned = true
+
+		for _, v := range l {
+			if !u.listed[v] {
+				u.gone[v] = now
+			}
+		}
+	}
+
+	return p.newlyMixed(now, mixed)
+}
+
+// LearnAll is Learn for all groups: those that are missing have had no other versions than those that are listed.
+func (p *Pinner) LearnAll(now time.Time, used map[string][]discoverer.Version) []string {
+	o := p.Learn(now, used)
+	p.learned = true
+
+	return o
+}
+
+func (p *Pinner) group(name string) *use {
+	u := p.groups[name]
+	if u == nil {
+		u = &use{gone: make(map[discoverer.Version]time.Time)}
+		p.groups[name] = u
+	}
+
+	return u
+}
+
+// newlyMixed returns the groups that have several versions and are not among the given ones.
+func (p *Pinner) newlyMixed(now time.Time, before map[string]bool) []string {
 	var o []string
 
 	for g := range p.mixedGroups(now) {
-		if !mixed[g] {
+		if !before[g] {
 			o = append(o, g)
 		}
 	}
@@ -199,6 +248,16 @@
 	return len(p.Versions(now, group)) > 1
 }
 
+// MixedGroups returns the groups of which several versions are in use, with these.
+func (p *Pinner) MixedGroups(now time.Time) map[string][]discoverer.Version {
+	o := make(map[string][]discoverer.Version)
+	for g := range p.mixedGroups(now) {
+		o[g] = p.Versions(now, g)
+	}
+
+	return o
+}
+
 // Versions returns the versions of a group that are in use, in ascending order.
 func (p *Pinner) Versions(now time.Time, group string) []discoverer.Version {
 	u := p.groups[group]
@@ -221,14 +280,12 @@
 	return o
 }
 
-// Sole returns the version of a group if it is the only one in use and known. The result complete reports that this instance
-// has observed the targets for longer than any stream lasts.
-func (p *Pinner) Sole(now time.Time, group string) (v discoverer.Version, complete bool) {
-	if l := p.Versions(now, group); len(l) == 1 {
-		v = l[0]
-	}
+// Complete reports whether all versions of a group are known that were in use for as long as any stream lasts: this instance
+// has observed the targets for so long, or has learned what was before.
+func (p *Pinner) Complete(now time.Time, group string) bool {
+	u := p.groups[group]
 
-	return v, v != 0 && now.Sub(p.since) >= retention
+	return u != nil && !p.since.IsZero() && (p.learned || u.learned || now.Sub(p.since) >= retention)
 }
 
 // View is what an instance knows of a stream and of the versions of its group.
@@ -237,22 +294,35 @@
 	Note       Note
 	// Found reports that there is a note.
 	Found bool
-	// Versions are those in use.
+	// Versions are those in use. Complete reports that these are all.
 	Versions []discoverer.Version
+	Complete bool
+}
+
+// sole returns the version of the group if there is one alone, and it is known.
+func (v View) sole() (discoverer.Version, bool) {
+	if len(v.Versions) != 1 || v.Versions[0] == 0 {
+		return 0, false
+	}
+
+	return v.Versions[0], true
 }
 
 // Decide returns the version at which a stream goes on, by what this instance and others know, and false if it is not
 // certain. The parameter fresh reports that the list of targets of this instance is up to date, and centres are the data
 // centres of all instances.
 //
-// Without a note, the stream goes on if the group has one version, of which nobody who answers knows another. An instance
-// whose list may be old needs an answer from each data centre: another version may have appeared there.
+// Without a note, the stream goes on if the group has one version, of which nobody who answers knows another, and one of them
+// knows all versions that were in use: when all instances have just started, none may know of the version that began the stream.
+// An instance whose list may be old needs an answer from each data centre: another version may have appeared there.
 func Decide(own View, others []View, centres []string, fresh bool) (discoverer.Version, bool) {
 	best := own
+	complete := own.Complete
 	answered := map[string]bool{own.DataCentre: true}
 
 	for _, v := range others {
 		answered[v.DataCentre] = true
+		complete = complete || v.Complete
 
 		if v.Found && (!best.Found || v.Note.Attempt > best.Note.Attempt) {
 			best = v
@@ -263,12 +333,13 @@
 		return best.Note.Version, best.Note.Version != 0
 	}
 
-	if len(own.Versions) != 1 || own.Versions[0] == 0 {
+	o, ok := own.sole()
+	if !ok || !complete {
 		return 0, false
 	}
 
 	for _, v := range others {
-		if slices.ContainsFunc(v.Versions, func(x discoverer.Version) bool { return x != own.Versions[0] }) {
+		if slices.ContainsFunc(v.Versions, func(x discoverer.Version) bool { return x != o }) {
 			return 0, false
 		}
 	}
@@ -277,5 +348,5 @@
 		return 0, false
 	}
 
-	return own.Versions[0], true
+	return o, true
 }
--- /dev/null
+++ b/internal/pinner/recorders.go
@@ -0,0 +1,137 @@
+package pinner
+
+import (
+	"cmp"
+	"encoding/binary"
+	"net/netip"
+	"slices"
+
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/hasher"
+)
+
+const (
+	// instancesPerRecorder is the number of instances for each recorder. More recorders write to the log more often, fewer
+	// receive more bytes each.
+	instancesPerRecorder = 24
+	// copies is the number of recorders that get the note of a stream, in different data centres. One of them may be killed
+	// with the instance, or cut off.
+	copies = 2
+)
+
+// Recorders are the few instances that write notes to the log, by data centre.
+type Recorders struct {
+	self      gossiper.Member
+	byCentre  map[string][]gossiper.Member
+	recording bool
+	count     int
+}
+
+// NewRecorders selects the recorders among the live instances and this one: the first in each data centre, then the second
+// ones, and so on, until there are enough.
+func NewRecorders(self gossiper.Member, live []gossiper.Member) *Recorders {
+	r := &Recorders{self: self, byCentre: make(map[string][]gossiper.Member)}
+
+	for _, m := range byRank(self, live) {
+		if r.count >= copies && r.count*instancesPerRecorder >= max(len(live), 1) {
+			break
+		}
+
+		r.byCentre[m.DataCentre] = append(r.byCentre[m.DataCentre], m)
+		r.count++
+		r.recording = r.recording || m.ID == self.ID
+	}
+
+	return r
+}
+
+// Recording reports whether this instance is a recorder.
+func (r *Recorders) Recording() bool { return r.recording }
+
+// Count returns the number of recorders.
+func (r *Recorders) Count() int { return r.count }
+
+// Of returns the recorders of a stream without this instance: one in each data centre that has any, that of this data centre
+// first. The number of those that get its note is the second result.
+func (r *Recorders) Of(s Stream) (l []gossiper.Member, told int) {
+	type ranked struct {
+		member gossiper.Member
+		score  uint64
+	}
+
+	var o []ranked
+
+	for _, l := range r.byCentre {
+		k := func(m gossiper.Member) uint64 { return hasher.Mix(uint64(s), addressKey(m.Address)) }
+		m := slices.MaxFunc(l, func(a, b gossiper.Member) int { return cmp.Compare(k(a), k(b)) })
+		o = append(o, ranked{m, k(m)})
+	}
+
+	slices.SortFunc(o, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(r.distance(a.member), r.distance(b.member)), cmp.Compare(b.score, a.score))
+	})
+
+	told = min(copies, len(o))
+
+	for i, x := range o {
+		if x.member.ID != r.self.ID {
+			l = append(l, x.member)
+		} else if i < copies {
+			told--
+		}
+	}
+
+	return l, told
+}
+
+// distance is zero for the instances in the data centre of this one, and one for others.
+func (r *Recorders) distance(m gossiper.Member) int {
+	if m.DataCentre == r.self.DataCentre {
+		return 0
+	}
+
+	return 1
+}
+
+// byRank returns this instance and the other live ones: the first in an order by address in each data centre, then the second
+// ones and so on. The order remains the same when processes start again.
+func byRank(self gossiper.Member, live []gossiper.Member) []gossiper.Member {
+	type ranked struct {
+		member gossiper.Member
+		key    uint64
+		place  int
+	}
+
+	l := []ranked{{member: self, key: addressKey(self.Address)}}
+
+	for _, m := range live {
+		if m.ID != self.ID {
+			l = append(l, ranked{member: m, key: addressKey(m.Address)})
+		}
+	}
+
+	slices.SortFunc(l, func(a, b ranked) int { return cmp.Compare(a.key, b.key) })
+
+	places := make(map[string]int)
+
+	for i := range l {
+		l[i].place = places[l[i].member.DataCentre]
+		places[l[i].member.DataCentre]++
+	}
+
+	slices.SortStableFunc(l, func(a, b ranked) int { return cmp.Compare(a.place, b.place) })
+
+	o := make([]gossiper.Member, 0, len(l))
+	for _, x := range l {
+		o = append(o, x.member)
+	}
+
+	return o
+}
+
+// addressKey returns the hash of an address.
+func addressKey(a netip.AddrPort) uint64 {
+	b := a.Addr().As16()
+
+	return hasher.Mix(hasher.Mix(binary.BigEndian.Uint64(b[:]), binary.BigEndian.Uint64(b[len(b)/2:])), uint64(a.Port()))
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 
 //go:generate msgp -tests=false -o wire_gen.go
 
-//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation DelegationRequest DelegationGrant Capacity StreamVersions StreamVersion VersionRequest VersionReply GossipReply CentreBeat MemberList CentreMembers MemberState MembersRequest ProbeRequest ProbeReply
+//msgp:tuple Hello Frame Member Heartbeat Gossip SlotRequest SlotReply Release Report Backoff Grant Sync Claim ClaimReply Settle SettleReply StateRequest StateReply Placement HandOver CellLoad ClaimRecord StreamRequest StreamReply StreamRecord StreamRecords Update Holder LoadReport Gone Reserve ReserveReply Vacate Occupancy Suspects Suspect SuspectCrash SuspectsRequest QuarantineRecord Trial TrialReply ReleaseRequest ReleaseReply EvacuationsRequest EvacuationsReply Evacuation DelegationRequest DelegationGrant Capacity StreamVersions StreamVersion VersionRequest VersionReply StreamVersionReply StreamNotes VersionStreams UsedVersions GossipReply CentreBeat MemberList CentreMembers MemberState MembersRequest ProbeRequest ProbeReply
 
 // The decoder allocates a list from its declared length before it reads the elements. Without a
 // limit, a message of ten bytes that declares 2^32 elements would exhaust the receiver's memory.
@@ -83,6 +83,8 @@
 	KindMembersRequest
 	// KindProbe requests that the receiver probes another instance for the sender.
 	KindProbe
+	// KindStreamVersion requests the software version that began a stream from an instance that writes notes to the log.
+	KindStreamVersion
 	// Kinds is the number of kinds.
 	Kinds
 )
@@ -598,6 +600,34 @@
 	Group  string
 }
 
+// StreamVersionReply is the reply to a VersionRequest of KindStreamVersion, as VersionReply. Complete reports that Versions
+// contains all that were in use for as long as any stream lasts.
+type StreamVersionReply struct {
+	Found    bool
+	Complete bool
+	Version  uint64
+	Attempt  uint32
+	Versions []uint64
+}
+
+// StreamNotes is a record of the log with the software versions that began streams.
+type StreamNotes struct {
+	Versions []VersionStreams
+}
+
+// VersionStreams are the streams that began at a software version. Version and Attempt are as in StreamVersion.
+type VersionStreams struct {
+	Version uint64
+	Attempt uint32
+	Streams []uint64
+}
+
+// UsedVersions is a record of the log with the software versions of a group that are in use.
+type UsedVersions struct {
+	Group    string
+	Versions []uint64
+}
+
 // VersionReply is the reply to a VersionRequest. Found reports that Version and Attempt are those of the stream. Versions
 // are those of the group that are in use.
 type VersionReply struct {
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -5918,6 +5918,132 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *StreamNotes) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
+	} else {
+		z.Versions = make([]VersionStreams, zb0002)
+	}
+	for za0001 := range z.Versions {
+		err = z.Versions[za0001].DecodeMsg(dc)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamNotes) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Versions)))
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	for za0001 := range z.Versions {
+		err = z.Versions[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamNotes) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0001 := range z.Versions {
+		o, err = z.Versions[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamNotes) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
+	} else {
+		z.Versions = make([]VersionStreams, zb0002)
+	}
+	for za0001 := range z.Versions {
+		bts, err = z.Versions[za0001].UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamNotes) Msgsize() (s int) {
+	s = 1 + msgp.ArrayHeaderSize
+	for za0001 := range z.Versions {
+		s += z.Versions[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *StreamRecord) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -6675,7 +6801,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *StreamVersions) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *StreamVersionReply) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
 	zb0001, err = dc.ReadArrayHeader()
 	if err != nil {
@@ -6686,53 +6812,49 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+		return
+	}
+	z.Found, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Found")
+		return
+	}
+	z.Complete, err = dc.ReadBool()
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
+	}
+	z.Version, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
 		return
 	}
 	var zb0002 uint32
 	zb0002, err = dc.ReadArrayHeader()
 	if err != nil {
-		err = msgp.WrapError(err, "Streams")
+		err = msgp.WrapError(err, "Versions")
 		return
 	}
 	if zb0002 > z5817a858limitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Streams) >= int(zb0002) {
-		z.Streams = (z.Streams)[:zb0002]
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
 	} else {
-		z.Streams = make([]StreamVersion, zb0002)
+		z.Versions = make([]uint64, zb0002)
 	}
-	for za0001 := range z.Streams {
-		var zb0003 uint32
-		zb0003, err = dc.ReadArrayHeader()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001)
-			return
-		}
-		if zb0003 > z5817a858limitArrays {
-			err = msgp.ErrLimitExceeded
-			return
-		}
-		if zb0003 != 3 {
-			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
-			return
-		}
-		z.Streams[za0001].Stream, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Stream")
-			return
-		}
-		z.Streams[za0001].Version, err = dc.ReadUint64()
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
-			return
-		}
-		z.Streams[za0001].Attempt, err = dc.ReadUint32()
+	for za0001 := range z.Versions {
+		z.Versions[za0001], err = dc.ReadUint64()
 		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Attempt")
+			err = msgp.WrapError(err, "Versions", za0001)
 			return
 		}
 	}
@@ -6740,36 +6862,41 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *StreamVersions) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 1
-	err = en.Append(0x91)
+func (z *StreamVersionReply) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 5
+	err = en.Append(0x95)
 	if err != nil {
 		return
 	}
-	err = en.WriteArrayHeader(uint32(len(z.Streams)))
+	err = en.WriteBool(z.Found)
 	if err != nil {
-		err = msgp.WrapError(err, "Streams")
+		err = msgp.WrapError(err, "Found")
 		return
 	}
-	for za0001 := range z.Streams {
-		// array header, size 3
-		err = en.Append(0x93)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint64(z.Streams[za0001].Stream)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Stream")
-			return
-		}
-		err = en.WriteUint64(z.Streams[za0001].Version)
-		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Version")
-			return
-		}
-		err = en.WriteUint32(z.Streams[za0001].Attempt)
+	err = en.WriteBool(z.Complete)
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteUint32(z.Attempt)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Versions)))
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	for za0001 := range z.Versions {
+		err = en.WriteUint64(z.Versions[za0001])
 		if err != nil {
-			err = msgp.WrapError(err, "Streams", za0001, "Attempt")
+			err = msgp.WrapError(err, "Versions", za0001)
 			return
 		}
 	}
@@ -6777,45 +6904,227 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *StreamVersions) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StreamVersionReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 1
-	o = append(o, 0x91)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
-	for za0001 := range z.Streams {
-		// array header, size 3
-		o = append(o, 0x93)
-		o = msgp.AppendUint64(o, z.Streams[za0001].Stream)
-		o = msgp.AppendUint64(o, z.Streams[za0001].Version)
-		o = msgp.AppendUint32(o, z.Streams[za0001].Attempt)
+	// array header, size 5
+	o = append(o, 0x95)
+	o = msgp.AppendBool(o, z.Found)
+	o = msgp.AppendBool(o, z.Complete)
+	o = msgp.AppendUint64(o, z.Version)
+	o = msgp.AppendUint32(o, z.Attempt)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0001 := range z.Versions {
+		o = msgp.AppendUint64(o, z.Versions[za0001])
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *StreamVersions) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StreamVersionReply) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var zb0001 uint32
 	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 1 {
-		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+	if zb0001 != 5 {
+		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
 		return
 	}
-	var zb0002 uint32
-	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	z.Found, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Streams")
+		err = msgp.WrapError(err, "Found")
 		return
 	}
-	if zb0002 > z5817a858limitArrays {
-		err = msgp.ErrLimitExceeded
+	z.Complete, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Complete")
 		return
 	}
-	if cap(z.Streams) >= int(zb0002) {
-		z.Streams = (z.Streams)[:zb0002]
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
+	} else {
+		z.Versions = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Versions {
+		z.Versions[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *StreamVersionReply) Msgsize() (s int) {
+	s = 1 + msgp.BoolSize + msgp.BoolSize + msgp.Uint64Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Uint64Size))
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *StreamVersions) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Streams) >= int(zb0002) {
+		z.Streams = (z.Streams)[:zb0002]
+	} else {
+		z.Streams = make([]StreamVersion, zb0002)
+	}
+	for za0001 := range z.Streams {
+		var zb0003 uint32
+		zb0003, err = dc.ReadArrayHeader()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
+		if zb0003 > z5817a858limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Streams[za0001].Stream, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Stream")
+			return
+		}
+		z.Streams[za0001].Version, err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Version")
+			return
+		}
+		z.Streams[za0001].Attempt, err = dc.ReadUint32()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Attempt")
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *StreamVersions) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 1
+	err = en.Append(0x91)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Streams)))
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	for za0001 := range z.Streams {
+		// array header, size 3
+		err = en.Append(0x93)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Streams[za0001].Stream)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Stream")
+			return
+		}
+		err = en.WriteUint64(z.Streams[za0001].Version)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Version")
+			return
+		}
+		err = en.WriteUint32(z.Streams[za0001].Attempt)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001, "Attempt")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *StreamVersions) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
+	for za0001 := range z.Streams {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint64(o, z.Streams[za0001].Stream)
+		o = msgp.AppendUint64(o, z.Streams[za0001].Version)
+		o = msgp.AppendUint32(o, z.Streams[za0001].Attempt)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *StreamVersions) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Streams) >= int(zb0002) {
+		z.Streams = (z.Streams)[:zb0002]
 	} else {
 		z.Streams = make([]StreamVersion, zb0002)
 	}
@@ -8080,6 +8389,141 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *UsedVersions) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Group, err = dc.ReadString()
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
+	} else {
+		z.Versions = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Versions {
+		z.Versions[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *UsedVersions) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 2
+	err = en.Append(0x92)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Group)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Versions)))
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	for za0001 := range z.Versions {
+		err = en.WriteUint64(z.Versions[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsedVersions) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendString(o, z.Group)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0001 := range z.Versions {
+		o = msgp.AppendUint64(o, z.Versions[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsedVersions) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Group, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Group")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Versions")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Versions) >= int(zb0002) {
+		z.Versions = (z.Versions)[:zb0002]
+	} else {
+		z.Versions = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Versions {
+		z.Versions[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Versions", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsedVersions) Msgsize() (s int) {
+	s = 1 + msgp.StringPrefixSize + len(z.Group) + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Uint64Size))
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *Vacate) DecodeMsg(dc *msgp.Reader) (err error) {
 	var zb0001 uint32
@@ -8460,3 +8904,154 @@
 	s = 1 + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Group)
 	return
 }
+
+// DecodeMsg implements msgp.Decodable
+func (z *VersionStreams) DecodeMsg(dc *msgp.Reader) (err error) {
+	var zb0001 uint32
+	zb0001, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Version, err = dc.ReadUint64()
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, err = dc.ReadUint32()
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	var zb0002 uint32
+	zb0002, err = dc.ReadArrayHeader()
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Streams) >= int(zb0002) {
+		z.Streams = (z.Streams)[:zb0002]
+	} else {
+		z.Streams = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Streams {
+		z.Streams[za0001], err = dc.ReadUint64()
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *VersionStreams) EncodeMsg(en *msgp.Writer) (err error) {
+	// array header, size 3
+	err = en.Append(0x93)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Version)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	err = en.WriteUint32(z.Attempt)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Streams)))
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	for za0001 := range z.Streams {
+		err = en.WriteUint64(z.Streams[za0001])
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *VersionStreams) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint64(o, z.Version)
+	o = msgp.AppendUint32(o, z.Attempt)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Streams)))
+	for za0001 := range z.Streams {
+		o = msgp.AppendUint64(o, z.Streams[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *VersionStreams) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Version")
+		return
+	}
+	z.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Attempt")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Streams")
+		return
+	}
+	if zb0002 > z5817a858limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Streams) >= int(zb0002) {
+		z.Streams = (z.Streams)[:zb0002]
+	} else {
+		z.Streams = make([]uint64, zb0002)
+	}
+	for za0001 := range z.Streams {
+		z.Streams[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Streams", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *VersionStreams) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Streams) * (msgp.Uint64Size))
+	return
+}
