internal/prober: a dial that the end of a process resets shows its end

The kernel closes the connections of a killed process one after the other, and its listener with them. A dial that meets the end of the listener has its handshake answered and is then reset, so that connect fails with ECONNRESET. Ended took only ECONNREFUSED for an end, and each other failure for a process that runs.

Why it works: a dial that is reset, closed or not answered is repeated. A listener that has reset its queue is gone, so the next dial is refused; a process that runs accepts it. If the second dial fails in any way, it can't be told that the process runs, and the answer is incomplete: it is repeated or resumed elsewhere, or broken off.

TestMayHaveEndedByDials fails before in all six cases, TestUnframedAnswerWithResetDial in the three in which the process ends.

--- a/internal/forwarder/unframed_test.go
+++ b/internal/forwarder/unframed_test.go
@@ -1,9 +1,12 @@
 package forwarder_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -76,3 +79,67 @@
 		})
 	}
 }
+
+// abortingDialer fails once with a reset when it is armed, as a dial does that meets the end of a listener.
+type abortingDialer struct {
+	net.Dialer
+
+	armed atomic.Bool
+}
+
+func (d *abortingDialer) DialContext(c context.Context, network, address string) (net.Conn, error) {
+	if d.armed.CompareAndSwap(true, false) {
+		return nil, syscall.ECONNRESET
+	}
+
+	return d.Dialer.DialContext(c, network, address)
+}
+
+// Guards against a part of an answer that looks complete since the dial that follows it was reset by the end of the process.
+func TestUnframedAnswerWithResetDial(t *testing.T) {
+	for name, x := range map[string]struct {
+		path, want string
+		ends       bool
+		complete   bool
+	}{
+		"stream":                  {"/stream/x", event(1), true, false},
+		"resumable stream":        {"/resumable/x", event(1) + event(2), true, true},
+		"repeated answer":         {"/idempotent/x", "from t1", true, true},
+		"stream, process runs":    {"/stream/x", event(1), false, true},
+		"answer, process runs":    {"/idempotent/x", event(1), false, true},
+		"resumable, process runs": {"/resumable/x", event(1), false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			d := &abortingDialer{}
+			a := &target{}
+			a.answer = func(n net.Conn, s received) {
+				if x.ends {
+					a.refuseConnections()
+				}
+
+				d.armed.Store(true)
+
+				_, _ = fmt.Fprintf(n, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: %s\r\n\r\n%s", s.header.Get("Id"), s.target, event(1))
+				_ = n.Close()
+			}
+			b := &target{answer: func(n net.Conn, s received) {
+				if s.header.Get("Last") == "" {
+					answerOK(n, s)
+
+					return
+				}
+
+				beginStream(n, s)
+				chunk(n, event(2))
+				finishStream(n)
+			}}
+			g := newGatewayWithDialer(t, d, a, b)
+
+			o := g.call(t, http.MethodPost, x.path, "x")
+			i.Equal(a.count(), 1)
+			i.Equal(o.body, x.want)
+			i.Equal(o.err == nil, x.complete)
+		})
+	}
+}
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -55,14 +55,35 @@
 // all of them, and the listener, one after the other.
 const settleTime = 20 * time.Millisecond
 
-// Ended reports whether no process listens at an address: it refuses connections, or closes one that it accepts within 20 ms and refuses
-// the next. A network partition that refuses connections looks the same.
+// MayHaveEnded reports whether the process that listens at an address has ended, or may have. It has not if it keeps a connection open
+// for 20 ms, or accepts another one after the first was closed, was reset or could not be made. A network partition looks like the end of
+// a process.
+//
+// A process that ends resets the connections that it has not accepted yet, and then a dial fails with a reset and not with a refusal:
+// only the next one is refused.
 //
 // It shares no dials with other calls, which may have begun before the process ended.
-func (p *Prober) Ended(c context.Context, a netip.AddrPort) bool {
+func (p *Prober) MayHaveEnded(c context.Context, a netip.AddrPort) bool {
+	err := p.hold(c, a)
+	if err == nil || Refused(err) {
+		return err != nil
+	}
+
+	n, again := p.dial(c, "tcp", a.String())
+	if again == nil {
+		_ = n.Close() // Nothing was sent.
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "probeFailed", "address": a, "error": err, "again": again}).Info()
+
+	return again != nil
+}
+
+// hold opens a connection and fails unless it stays open for 20 ms.
+func (p *Prober) hold(c context.Context, a netip.AddrPort) error {
 	n, err := p.dial(c, "tcp", a.String())
 	if err != nil {
-		return Refused(err)
+		return err
 	}
 	defer n.Close() //nolint:errcheck // Nothing was sent.
 
@@ -71,18 +92,11 @@
 		_, err = n.Read(make([]byte, 1))
 	}
 
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		return false
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil
 	}
 
-	m, again := p.dial(c, "tcp", a.String())
-	if again == nil {
-		_ = m.Close() // Nothing was sent.
-	}
-
-	logrus.WithFields(logrus.Fields{"event": "probeClosed", "address": a, "error": err, "again": again}).Info()
-
-	return Refused(again)
+	return err
 }
 
 // maxUnanswered is the number of addresses that give no answer after which Reachable gives up: each takes a whole dial time-out,
--- a/internal/prober/prober_test.go
+++ b/internal/prober/prober_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -133,7 +134,7 @@
 }
 
 // Guards against a process that is taken for running because its listener is closed an instant after its other connections.
-func TestEnded(t *testing.T) {
+func TestMayHaveEnded(t *testing.T) {
 	d := (&net.Dialer{}).DialContext
 
 	for name, x := range map[string]struct {
@@ -159,7 +160,43 @@
 		t.Run(name, func(t *testing.T) {
 			l, a := listen(t)
 			x.serve(l)
-			is.New(t).Equal(prober.New(d).Ended(t.Context(), a), x.want)
+			is.New(t).Equal(prober.New(d).MayHaveEnded(t.Context(), a), x.want)
+		})
+	}
+}
+
+// Guards against a process that is taken for running because the dial met the end of its listener and was reset, not refused.
+func TestMayHaveEndedByDials(t *testing.T) {
+	open := (&net.Dialer{}).DialContext
+	fail := func(err error) prober.Dial {
+		return func(context.Context, string, string) (net.Conn, error) { return nil, err }
+	}
+	reset, refused := fail(syscall.ECONNRESET), fail(syscall.ECONNREFUSED)
+	silent := fail(context.DeadlineExceeded)
+
+	for name, x := range map[string]struct {
+		dials []prober.Dial
+		want  bool
+	}{
+		"reset, then refused":  {[]prober.Dial{reset, refused}, true},
+		"reset, then accepted": {[]prober.Dial{reset, open}, false},
+		"reset twice":          {[]prober.Dial{reset, reset}, true},
+		"silent twice":         {[]prober.Dial{silent, silent}, true},
+		"silent, then refused": {[]prober.Dial{silent, refused}, true},
+		"silent once":          {[]prober.Dial{silent, open}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, a := listen(t)
+			dials := 0
+			p := prober.New(func(c context.Context, network, address string) (net.Conn, error) {
+				dials++
+
+				return x.dials[dials-1](c, network, address)
+			})
+
+			is.Equal(p.MayHaveEnded(t.Context(), a), x.want)
+			is.Equal(dials, len(x.dials))
 		})
 	}
 }
