internal/forwarder: an answer that is given up never ends as complete

What callers saw: a stream that ends as complete in the middle, with status 200 and the end of its chunks; and an empty answer with status 200 to a call whose body ends early or has a malformed chunk.

Cause: when the caller's connection can't be read any more, the call is given up with errCallerLeft, and the handler returned as after an answer that was relayed to its end. net/http then ends the answer properly. A caller that has closed only its own direction of the connection still reads it, and so does one whose body can't be read.

Evidence: found by reading what returns from ServeHTTP without an abort; no users' case is known to be of this kind. TestStreamOfHalfClosedCaller and TestNoAnswerToBrokenBody fail before in all four cases.

Why it works: the handler aborts for each call that was not answered to its end, so that no end of the answer is sent. To a caller that has left nothing changes.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -232,9 +232,9 @@
 
 	f.meter.Call(x.kindLabel(), o, time.Since(x.start))
 
-	if o == meter.Broken {
+	if o == meter.Broken || o == meter.Disconnected {
 		// Abort the connection without ending the answer: an incomplete answer must not appear
-		// complete. Events received together with the failure are still buffered. They are flushed
+		// complete. A caller that has closed its own direction only still reads. Events received together with the failure are still buffered. They are flushed
 		// first, because a caller that resumes the stream needs them.
 		_ = http.NewResponseController(x.writer).Flush() // The caller may have left.
 
