internal/forwarder: after a numbered event only the next number follows

What callers could see: a stream that goes on after an event whose ID is no number, with events missing or twice after it.

Cause: an ID that is no number was taken for the next one, and after it any ID was.

Evidence: by reading; no users' case is known to be of this kind. TestResumedStreamContinuesExactly fails before in two cases ("no number within", "signed number within") and passes in the others. The further tests pass before and after: they hold that an abandoned attempt relays nothing, that each attempt states its process, and that an extra answer on a kept connection is not relayed.

Why it works: such an event ends the attempt as one that is missing or comes twice does, and the stream is resumed elsewhere or broken off. Streams whose IDs are no numbers, and events without an ID where streams can't be resumed, are relayed as before.

--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -158,16 +158,16 @@
 
 // isNextEvent reports whether the event with an ID may follow the event with the ID last. A target
 // that resumes a stream may start too early or too late; relaying that would duplicate or lose a
-// part of the answer.
+// part of the answer. After an ID that is a number only the next number may follow, or an event without an ID.
 func isNextEvent(last, id string) bool {
 	a, err := strconv.ParseUint(last, 10, 64)
-	if err != nil {
+	if err != nil || id == "" {
 		return true
 	}
 
 	b, err := strconv.ParseUint(id, 10, 64)
 
-	return err != nil || b == a+1
+	return err == nil && b == a+1
 }
 
 // stepTimer calls a function when the next step of an attempt takes too long.
