--- a/internal/binder/archive.go
+++ b/internal/binder/archive.go
@@ -36,9 +36,10 @@
 	// position is where to read on, and slot the number of the next record.
 	position watcher.Position
 	slot     int
-	// reading is the read in progress, or nil. The last one that succeeded began at readAt.
-	reading *reading
-	readAt  time.Time
+	// reading is the read in progress, or nil. The last one that succeeded began at readAt, the last one that failed ended at
+	// failedAt.
+	reading          *reading
+	readAt, failedAt time.Time
 }
 
 type keptNote struct {
--- a/internal/binder/log.go
+++ b/internal/binder/log.go
@@ -36,6 +36,8 @@
 	// logTimeout bounds a request to the log, and logRetryDelay is the pause after a failed one.
 	logTimeout    = time.Second
 	logRetryDelay = 500 * time.Millisecond
+	// readRetryDelay is the pause after a failed read, in which streams that nobody knows are refused at once.
+	readRetryDelay = 100 * time.Millisecond
 	// markPrefix is the prefix of the keys of the versions in use.
 	markPrefix = "versions/"
 )
@@ -241,11 +243,17 @@
 	}
 
 	r := b.archive.reading
+	if r == nil && time.Since(b.archive.failedAt) < readRetryDelay {
+		b.mu.Unlock()
+
+		return false
+	}
+
 	if r == nil {
 		r = &reading{done: make(chan struct{})}
 		b.archive.reading = r
 
-		go b.read(r)
+		go b.read(r) //nolint:gosec // It outlives the stream for which it was begun.
 	}
 
 	b.mu.Unlock()
@@ -280,6 +288,8 @@
 
 	if err == nil {
 		b.archive.readAt = n
+	} else {
+		b.archive.failedAt = time.Now()
 	}
 
 	r.ok = err == nil
