--- a/internal/binder/archive.go
+++ b/internal/binder/archive.go
@@ -21,13 +21,16 @@
 	slots = 200
 	// maxWritten bounds the notes of a record, and so its size to 200 KB.
 	maxWritten = 16384
+	// maxPending bounds the memory of pending notes, while the log is away, to a few megabytes. Above it the earlier ones are
+	// dropped.
+	maxPending = 1 << 16
 )
 
 // archive holds what a recorder has to write, and where it has read to. It is protected by the mutex of the Binder.
 type archive struct {
 	// pending are the notes to be written; wake has an element when something is to be written, and urgent when that must be
 	// soon.
-	pending      map[pinner.Stream]pinner.Note
+	pending      map[pinner.Stream]keptNote
 	wake, urgent chan struct{}
 	// kept are the notes of the last keptTime, in the order of their arrival.
 	kept []keptNote
@@ -61,13 +64,13 @@
 
 func newArchive() archive {
 	return archive{
-		pending: make(map[pinner.Stream]pinner.Note), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), marks: make(map[string]mark), position: watcher.Unread(),
+		pending: make(map[pinner.Stream]keptNote), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), marks: make(map[string]mark), position: watcher.Unread(),
 	}
 }
 
 // add schedules the writing of a note.
 func (a *archive) add(now time.Time, n pinner.Note) {
-	a.schedule(n)
+	a.schedule(keptNote{n, now})
 
 	for len(a.kept) > 0 && now.Sub(a.kept[0].at) >= keptTime {
 		a.kept = a.kept[1:]
@@ -76,7 +79,11 @@
 	a.kept = append(a.kept, keptNote{n, now})
 }
 
-func (a *archive) schedule(n pinner.Note) {
+func (a *archive) schedule(n keptNote) {
+	if len(a.pending) >= maxPending {
+		clear(a.pending)
+	}
+
 	if o, ok := a.pending[n.Stream]; !ok || o.Attempt <= n.Attempt {
 		a.pending[n.Stream] = n
 	}
@@ -102,17 +109,31 @@
 
 	for _, n := range a.kept {
 		if now.Sub(n.at) < keptTime {
-			a.schedule(n.Note)
+			a.schedule(n)
 		}
 	}
 
 	a.wakeUp()
 }
 
-// takePending removes some notes from those to be written and returns them.
-func (a *archive) takePending() []pinner.Note {
+// takePending removes some notes from those to be written and returns them, the latest first. It drops those whose streams have
+// ended.
+func (a *archive) takePending(now time.Time) []keptNote {
+	if len(a.pending) == 0 {
+		return nil
+	}
+
 	l := slices.Collect(maps.Values(a.pending))
-	l = l[:min(len(l), maxWritten)]
+	l = slices.DeleteFunc(l, func(n keptNote) bool { return now.Sub(n.at) >= keptTime })
+
+	if len(l) <= maxWritten {
+		clear(a.pending)
+
+		return l
+	}
+
+	slices.SortFunc(l, func(a, b keptNote) int { return b.at.Compare(a.at) })
+	l = l[:maxWritten]
 
 	for _, n := range l {
 		delete(a.pending, n.Stream)
@@ -121,7 +142,8 @@
 	return l
 }
 
-// dueMarks returns the groups whose versions in use must be written; those of a group that has one version again are empty.
+// dueMarks returns the groups whose versions in use a recorder must write; those of a group that has one version again are
+// empty.
 func (a *archive) dueMarks(now time.Time, mixed map[string][]discoverer.Version) map[string][]discoverer.Version {
 	o := make(map[string][]discoverer.Version)
 
@@ -140,6 +162,15 @@
 	return o
 }
 
+// adoptMarks takes over the versions in use that earlier processes have written, so that they are deleted in time.
+func (a *archive) adoptMarks(used map[string][]discoverer.Version) {
+	for g, l := range used {
+		if _, ok := a.marks[g]; !ok {
+			a.marks[g] = mark{versions: l}
+		}
+	}
+}
+
 // recordMark records that the versions of a group were written.
 func (a *archive) recordMark(now time.Time, group string, l []discoverer.Version) {
 	if len(l) == 0 {
--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -81,7 +81,9 @@
 	// recorders were selected at selectedAt.
 	recorders  *pinner.Recorders
 	selectedAt time.Time
-	archive    archive
+	// asked are the groups about which others were asked since this process started.
+	asked   map[string]bool
+	archive archive
 }
 
 // New returns a Binder that knows no streams. With a nil log, what is known of streams is lost when all instances are killed.
@@ -91,7 +93,7 @@
 	}
 
 	return &Binder{
-		messenger: m, members: x, log: l, meter: t, settings: s, asking: make(chan struct{}, maxAsking), pinner: pinner.New(), archive: newArchive(),
+		messenger: m, members: x, log: l, meter: t, settings: s, asking: make(chan struct{}, maxAsking), pinner: pinner.New(), asked: make(map[string]bool), archive: newArchive(),
 	}
 }
 
--- a/internal/binder/log.go
+++ b/internal/binder/log.go
@@ -30,7 +30,7 @@
 	// writeJitter is the width of the random part of the time between two writes.
 	writeJitter = 0.4
 	// urgentWrites is how many urgent writes may take the time of one.
-	urgentWrites = 4
+	urgentWrites = 2
 	// minReadInterval is the least time between two reads of a recorder, however many streams that nobody knows are resumed.
 	minReadInterval = 50 * time.Millisecond
 	// logTimeout bounds a request to the log, and logRetryDelay is the pause after a failed one.
@@ -38,6 +38,8 @@
 	logRetryDelay = 500 * time.Millisecond
 	// readRetryDelay is the pause after a failed read, in which streams that nobody knows are refused at once.
 	readRetryDelay = 100 * time.Millisecond
+	// longRead is the number of bytes from which a reply may lack records.
+	longRead = 256 << 10
 	// markPrefix is the prefix of the keys of the versions in use.
 	markPrefix = "versions/"
 )
@@ -119,7 +121,7 @@
 	n := time.Now()
 
 	b.mu.Lock()
-	marks := b.archive.dueMarks(n, b.mixedGroups(n))
+	marks := b.dueMarks(n)
 	idle := len(marks) == 0 && len(b.archive.pending) == 0
 	read := b.archive.position.IsRead()
 	b.mu.Unlock()
@@ -141,18 +143,21 @@
 	return b.writeNotes(c)
 }
 
-// mixedGroups returns the groups of which several versions are in use, if this instance is a recorder. The mutex must be held.
-func (b *Binder) mixedGroups(now time.Time) map[string][]discoverer.Version {
+// dueMarks returns the versions in use that must be written. An instance that is no recorder any more leaves those that it has
+// written to the others. The mutex must be held.
+func (b *Binder) dueMarks(now time.Time) map[string][]discoverer.Version {
 	if !b.selectRecorders(now).Recording() {
+		clear(b.archive.marks)
+
 		return nil
 	}
 
-	return b.pinner.MixedGroups(now)
+	return b.archive.dueMarks(now, b.pinner.MixedGroups(now))
 }
 
 func (b *Binder) writeMark(c context.Context, group string, l []discoverer.Version) error {
 	n := time.Now()
-	w := wire.UsedVersions{Group: group}
+	w := wire.UsedVersions{Group: group, WrittenMs: n.UnixMilli()}
 
 	for _, v := range l {
 		w.Versions = append(w.Versions, uint64(v))
@@ -178,7 +183,7 @@
 // writeNotes writes one record with the pending notes. If that fails they remain pending.
 func (b *Binder) writeNotes(c context.Context) error {
 	b.mu.Lock()
-	l := b.archive.takePending()
+	l := b.archive.takePending(time.Now())
 	k := ""
 
 	if len(l) > 0 {
@@ -300,7 +305,7 @@
 // readFrom returns the records after a position, or the newest of each key if there is none or the log no longer has it.
 func (b *Binder) readFrom(c context.Context, p watcher.Position) (watcher.Batch, error) {
 	if p.IsRead() {
-		o, err := b.log.Follow(c, p, 0)
+		o, err := b.follow(c, p)
 		if !errors.Is(err, watcher.ErrTruncated) {
 			return o, err
 		}
@@ -316,48 +321,53 @@
 	return watcher.Batch{Records: l, Complete: true, Next: n}, nil
 }
 
-// apply applies the records that were read. The first read tells which versions were in use before this process started.
-func (b *Binder) apply(o watcher.Batch) {
-	n := time.Now()
-	used := make(map[string][]discoverer.Version)
-
-	b.mu.Lock()
+// follow returns the records after a position. The log returns a part of them if they are long.
+func (b *Binder) follow(c context.Context, p watcher.Position) (watcher.Batch, error) {
+	o := watcher.Batch{Next: p}
 
-	first := !b.archive.position.IsRead()
-	own := b.members.Self().Address.String() + "/"
-	notes := 0
+	for size := longRead; size >= longRead; {
+		x, err := b.log.Follow(c, o.Next, 0)
+		if err != nil {
+			return o, err
+		}
 
-	for _, x := range o.Records {
-		var err error
+		size = 0
+		for _, r := range x.Records {
+			size += len(r.Value)
+		}
 
-		switch {
-		case len(x.Value) == 0: // The key was deleted.
-		case strings.HasPrefix(x.Key, markPrefix):
-			err = decodeMark(x.Value, used)
-		default:
-			var l []pinner.Note
+		o.Records, o.Next = append(o.Records, x.Records...), x.Next
+	}
 
-			l, err = decodeNotes(x.Value)
-			for _, s := range l {
-				b.pinner.Record(n, s)
-			}
+	return o, nil
+}
 
-			notes += len(l)
-		}
+// apply applies the records that were read. The first read tells which versions were in use before this process started.
+func (b *Binder) apply(o watcher.Batch) {
+	used := make(map[string][]discoverer.Version)
+	notes := 0
 
+	for _, x := range o.Records {
+		n, err := b.applyRecord(x, used)
 		if err != nil {
 			logrus.WithFields(logrus.Fields{"event": "streamNotesInvalid", "key": x.Key, "error": err}).Warn()
 		}
 
-		if first && strings.HasPrefix(x.Key, own) {
-			b.archive.slot = slotAfter(x.Key, own)
-		}
+		notes += n
 	}
 
+	n := time.Now()
+
+	b.mu.Lock()
+
+	first := !b.archive.position.IsRead()
 	b.archive.position = o.Next
 
 	var l []pinner.Note
+
 	if first {
+		b.archive.slot = b.nextSlot(o.Records)
+		b.archive.adoptMarks(used)
 		l = b.recent(n, b.pinner.LearnAll(n, used))
 	}
 
@@ -368,3 +378,40 @@
 		logrus.WithFields(logrus.Fields{"event": "streamNotesRead", "records": len(o.Records), "notes": notes, "mixedGroups": len(used)}).Info()
 	}
 }
+
+// applyRecord applies one record and adds the versions in use that it has. It returns the number of its notes.
+func (b *Binder) applyRecord(x watcher.Record, used map[string][]discoverer.Version) (int, error) {
+	if len(x.Value) == 0 { // The key was deleted.
+		return 0, nil
+	}
+
+	if strings.HasPrefix(x.Key, markPrefix) {
+		return 0, decodeMark(time.Now(), x.Value, used)
+	}
+
+	l, err := decodeNotes(x.Value)
+	n := time.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	for _, s := range l {
+		b.pinner.Record(n, s)
+	}
+
+	return len(l), err
+}
+
+// nextSlot returns the number of the record after the newest one of this instance.
+func (b *Binder) nextSlot(l []watcher.Record) int {
+	own := b.members.Self().Address.String() + "/"
+	o := 0
+
+	for _, x := range l {
+		if strings.HasPrefix(x.Key, own) {
+			o = slotAfter(x.Key, own)
+		}
+	}
+
+	return o
+}
--- a/internal/binder/lookup.go
+++ b/internal/binder/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,7 +43,7 @@
 // Find returns the version that began a stream of a group, and false if that is not certain.
 func (b *Binder) Find(c context.Context, group string, s pinner.Stream) (discoverer.Version, bool) {
 	own := b.view(group, s)
-	if v, ok := b.known(own); ok || own.Found {
+	if v, ok := b.known(group, own); ok || own.Found {
 		b.meter.StreamLookup(sourceOf(own))
 
 		return v, ok
@@ -76,17 +75,17 @@
 	read := b.isRecorder() && b.refresh(x)
 
 	own := b.view(group, s)
-	if v, ok := b.known(own); ok {
+	if v, ok := b.known(group, own); ok {
 		return v, sourceLog, false
 	}
 
-	replies := b.ask(x, group, s)
+	replies, reading := b.ask(x, group, s)
 	b.learn(group, replies)
 
 	// The recorders may all have been killed, and the others have not noticed yet.
 	if len(replies) == 0 && !read && b.refresh(x) {
 		own = b.view(group, s)
-		if v, ok := b.known(own); ok {
+		if v, ok := b.known(group, own); ok {
 			return v, sourceLog, false
 		}
 	}
@@ -97,7 +96,7 @@
 	v, ok := pinner.Decide(own, replies, b.settings.Centres, fresh)
 	if !ok {
 		source = sourceNone
-		waiting = b.isReading() || slices.ContainsFunc(replies, func(v pinner.View) bool { return !v.Complete })
+		waiting = reading || b.isReading()
 	}
 
 	logrus.WithFields(logrus.Fields{
@@ -108,9 +107,14 @@
 	return v, source, waiting
 }
 
-// known returns the version of a stream if this instance needs nobody else for it.
-func (b *Binder) known(own pinner.View) (discoverer.Version, bool) {
-	if !own.Found && (!own.Complete || !b.settings.Fresh()) {
+// known returns the version of a stream if this instance needs nobody else for it. A process that has just started asks others
+// once, whatever the log has: instances of the earlier release do not write to it.
+func (b *Binder) known(group string, own pinner.View) (discoverer.Version, bool) {
+	b.mu.Lock()
+	asked := b.asked[group] || b.pinner.Settled(time.Now())
+	b.mu.Unlock()
+
+	if !own.Found && (!own.Complete || !asked || !b.settings.Fresh()) {
 		return 0, false
 	}
 
@@ -143,6 +147,7 @@
 	n := time.Now()
 
 	b.mu.Lock()
+	b.asked[group] = true
 
 	var l []pinner.Note
 
@@ -239,13 +244,13 @@
 }
 
 // ask asks the recorders of a stream. It returns the replies that arrive in time, and those so far as soon as one has the
-// stream's version. It asks nobody while it asks about many streams.
-func (b *Binder) ask(c context.Context, group string, s pinner.Stream) []pinner.View {
+// stream's version, and whether a recorder still reads the log. It asks nobody while it asks about many streams.
+func (b *Binder) ask(c context.Context, group string, s pinner.Stream) (o []pinner.View, reading bool) {
 	select {
 	case b.asking <- struct{}{}:
 		defer func() { <-b.asking }()
 	default:
-		return nil
+		return nil, false
 	}
 
 	c, stop := context.WithTimeout(c, askTimeout)
@@ -255,39 +260,71 @@
 	l, _ := b.selectRecorders(time.Now()).Of(s)
 	b.mu.Unlock()
 
-	replies := make(chan pinner.View, len(l))
-	failed := make(chan struct{}, len(l))
+	requests := len(l) * len(requestKinds)
+	replies := make(chan reply, requests)
+	failed := make(chan struct{}, requests)
 
 	// Each request runs in a goroutine, since it may block beyond its time-out while another message waits for a
 	// connection to the same instance.
 	for _, m := range l {
-		go func() {
-			var w wire.StreamVersionReply
-			if err := b.messenger.Call(c, m.Address, wire.KindStreamVersion, &wire.VersionRequest{Stream: uint64(s), Group: group}, &w); err != nil {
-				failed <- struct{}{}
+		for _, k := range requestKinds {
+			go func() {
+				v, err := b.request(c, m, k, &wire.VersionRequest{Stream: uint64(s), Group: group})
+				if err != nil {
+					failed <- struct{}{}
 
-				return
-			}
+					return
+				}
 
-			replies <- viewOf(m, s, &w)
-		}()
+				replies <- reply{v, k}
+			}()
+		}
 	}
 
-	var o []pinner.View
-
-	for range l {
+	for range requests {
 		select {
-		case v := <-replies:
-			if o = append(o, v); v.Found {
-				return o
+		case r := <-replies:
+			reading = reading || r.kind == wire.KindStreamVersion && !r.Complete
+
+			if o = append(o, r.View); r.Found {
+				return o, reading
 			}
 		case <-failed:
 		case <-c.Done():
-			return o
+			return o, reading
 		}
 	}
 
-	return o
+	return o, reading
+}
+
+// reply is a reply to a request of a kind.
+type reply struct {
+	pinner.View
+
+	kind wire.Kind
+}
+
+// requestKinds are the kinds of requests for a stream's version: instances of the earlier release answer only the second.
+var requestKinds = [...]wire.Kind{wire.KindStreamVersion, wire.KindVersion} //nolint:gochecknoglobals // A constant.
+
+// request sends a request of a kind and returns what the other instance has replied. A reply of the earlier kind is never taken
+// for complete.
+func (b *Binder) request(c context.Context, m gossiper.Member, k wire.Kind, q *wire.VersionRequest) (pinner.View, error) {
+	var w wire.StreamVersionReply
+
+	if k == wire.KindVersion {
+		var e wire.VersionReply
+		if err := b.messenger.Call(c, m.Address, k, q, &e); err != nil {
+			return pinner.View{}, err
+		}
+
+		w = wire.StreamVersionReply{Found: e.Found, Version: e.Version, Attempt: e.Attempt, Versions: e.Versions}
+	} else if err := b.messenger.Call(c, m.Address, k, q, &w); err != nil {
+		return pinner.View{}, err
+	}
+
+	return viewOf(m, pinner.Stream(q.Stream), &w), nil
 }
 
 // viewOf returns what another instance has replied.
--- a/internal/binder/record.go
+++ b/internal/binder/record.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -11,8 +12,12 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
+// maxMarkAge is the age by the clocks of two instances, which may differ, from which a record of versions in use is ignored: the
+// instances that wrote it each few seconds ended long ago.
+const maxMarkAge = time.Hour
+
 // encodeNotes returns the record with some notes. Those with the same version and attempt share them, since there are few.
-func encodeNotes(l []pinner.Note) *wire.StreamNotes {
+func encodeNotes(l []keptNote) *wire.StreamNotes {
 	type key struct {
 		version uint64
 		attempt uint32
@@ -22,7 +27,7 @@
 	o := &wire.StreamNotes{}
 
 	for _, n := range l {
-		k := key{uint64(n.Version), attempt(n)}
+		k := key{uint64(n.Version), attempt(n.Note)}
 
 		i, ok := index[k]
 		if !ok {
@@ -55,13 +60,18 @@
 	return o, nil
 }
 
-// decodeMark adds the versions in use of a record to those by group. It fails with ErrBinding.
-func decodeMark(b []byte, used map[string][]discoverer.Version) error {
+// decodeMark adds the versions in use of a record to those by group, unless it is older than maxMarkAge. It fails with
+// ErrBinding.
+func decodeMark(now time.Time, b []byte, used map[string][]discoverer.Version) error {
 	var w wire.UsedVersions
 	if _, err := w.UnmarshalMsg(b); err != nil {
 		return errors.Mark(err, ErrBinding)
 	}
 
+	if now.Sub(time.UnixMilli(w.WrittenMs)) > maxMarkAge {
+		return nil
+	}
+
 	for _, v := range w.Versions {
 		used[w.Group] = append(used[w.Group], discoverer.Version(v))
 	}
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -107,6 +107,8 @@
 	// version is the software version of the target that began the stream; zero if there is no event yet or the version
 	// is unknown. Only targets of that version may go on with the stream.
 	version discoverer.Version
+	// begunAt is the software version of the target at which the stream was begun last; zero if at none.
+	begunAt discoverer.Version
 	// lastEvent is the ID of the last event that the caller has received.
 	lastEvent string
 	// firstPart is the time from the start of the call to the first part of the answer; longestGap
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -119,6 +119,21 @@
 	}
 }
 
+// chooseTarget selects a target. A stream that was begun at a target in vain is begun again at one of the same software version, if
+// there is any: others may have been told of that version, and not yet of another.
+func (f *Forwarder) chooseTarget(now time.Time, r *discoverer.Registry, x *exchange, q selector.Query) (selector.Choice, bool) {
+	if q.Version == 0 && x.begunAt != 0 {
+		s := q
+		s.Version = x.begunAt
+
+		if t, ok := f.selector.Choose(now, r, x.group, s); ok {
+			return t, true
+		}
+	}
+
+	return f.selector.Choose(now, r, x.group, q)
+}
+
 // pickOn selects a target on a route by local state and counts the call there. The parameter declined is the number
 // of targets so far whose home nodes reported them as full.
 func (f *Forwarder) pickOn(r selector.Route, x *exchange, declined int) (selector.Choice, bool) {
@@ -133,7 +148,7 @@
 	q := x.query(f.settings, r)
 	q.Declined, q.Sharded, q.Uncounted = declined, x.sharded, x.uncounted
 
-	t, ok := f.selector.Choose(n, l, x.group, q)
+	t, ok := f.chooseTarget(n, l, x, q)
 	x.coldTargets, x.backingOff, x.fullTargets = t.Cold, t.BackingOff, t.Full
 
 	if ok {
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -70,6 +70,7 @@
 // before the caller has the first event, since they are asked when this instance is gone.
 func (f *Forwarder) bindStream(x *exchange, t selector.Choice) {
 	if x.stream != 0 && x.rule.Resumable && x.lastEvent == "" {
+		x.begunAt = t.Target.SoftwareVersion()
 		f.binder.Bind(x.group, pinner.Note{Stream: x.stream, Version: t.Target.SoftwareVersion(), Attempt: len(x.tried)})
 	}
 }
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -19,7 +19,8 @@
 	// retention is how long the version of a stream is kept, and how long a version counts as in use after its last
 	// target has disappeared. It is longer than callers go on with a stream.
 	retention = time.Minute
-	// recentTime is how old the notes are that are sent when a second version appears: older streams have ended.
+	// recentTime is how old the notes are that are sent when a second version appears, and how long a process has observed the
+	// targets when it knows all versions in use: older streams have ended.
 	recentTime = 20 * time.Second
 	// maxNotes bounds the memory of the notes to a few megabytes. Above it the oldest are dropped.
 	maxNotes = 1 << 16
@@ -285,7 +286,12 @@
 func (p *Pinner) Complete(now time.Time, group string) bool {
 	u := p.groups[group]
 
-	return u != nil && !p.since.IsZero() && (p.learned || u.learned || now.Sub(p.since) >= retention)
+	return u != nil && !p.since.IsZero() && (p.learned || u.learned || p.Settled(now))
+}
+
+// Settled reports whether this instance has observed the targets for longer than any stream lasts.
+func (p *Pinner) Settled(now time.Time) bool {
+	return !p.since.IsZero() && now.Sub(p.since) >= recentTime
 }
 
 // View is what an instance knows of a stream and of the versions of its group.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -622,10 +622,12 @@
 	Streams []uint64
 }
 
-// UsedVersions is a record of the log with the software versions of a group that are in use.
+// UsedVersions is a record of the log with the software versions of a group that are in use, and the time of day at which it was
+// written.
 type UsedVersions struct {
-	Group    string
-	Versions []uint64
+	Group     string
+	Versions  []uint64
+	WrittenMs int64
 }
 
 // VersionReply is the reply to a VersionRequest. Found reports that Version and Attempt are those of the stream. Versions
--- a/internal/wire/wire_gen.go
+++ b/internal/wire/wire_gen.go
@@ -8401,8 +8401,8 @@
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Group, err = dc.ReadString()
@@ -8432,13 +8432,18 @@
 			return
 		}
 	}
+	z.WrittenMs, err = dc.ReadInt64()
+	if err != nil {
+		err = msgp.WrapError(err, "WrittenMs")
+		return
+	}
 	return
 }
 
 // EncodeMsg implements msgp.Encodable
 func (z *UsedVersions) EncodeMsg(en *msgp.Writer) (err error) {
-	// array header, size 2
-	err = en.Append(0x92)
+	// array header, size 3
+	err = en.Append(0x93)
 	if err != nil {
 		return
 	}
@@ -8459,19 +8464,25 @@
 			return
 		}
 	}
+	err = en.WriteInt64(z.WrittenMs)
+	if err != nil {
+		err = msgp.WrapError(err, "WrittenMs")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *UsedVersions) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendString(o, z.Group)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
 	for za0001 := range z.Versions {
 		o = msgp.AppendUint64(o, z.Versions[za0001])
 	}
+	o = msgp.AppendInt64(o, z.WrittenMs)
 	return
 }
 
@@ -8483,8 +8494,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Group, bts, err = msgp.ReadStringBytes(bts)
@@ -8514,13 +8525,18 @@
 			return
 		}
 	}
+	z.WrittenMs, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "WrittenMs")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UsedVersions) Msgsize() (s int) {
-	s = 1 + msgp.StringPrefixSize + len(z.Group) + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Uint64Size))
+	s = 1 + msgp.StringPrefixSize + len(z.Group) + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Uint64Size)) + msgp.Int64Size
 	return
 }
 
