--- /dev/null
+++ b/internal/binder/marks_test.go
@@ -0,0 +1,181 @@
+package binder_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/gossiper"
+	"github.com/auburntray/auburntray/internal/pinner"
+)
+
+const smallFleet = 6
+
+// newPlay returns a play of six instances.
+func newPlay(t *testing.T) *play {
+	t.Helper()
+	logrus.SetLevel(logrus.FatalLevel)
+
+	return &play{fleet: newFleet(t, smallFleet), random: rand.New(rand.NewPCG(1, 1))}
+}
+
+// recorders returns the recorders as all instances see them.
+func (p *play) recorders() string {
+	o := ""
+
+	for n := range p.members {
+		if pinner.NewRecorders(p.members[n], p.members).Recording() {
+			o += fmt.Sprint(n, " ")
+		}
+	}
+
+	return o
+}
+
+// join has a further instance start.
+func (p *play) join() {
+	n := len(p.members)
+
+	p.mu.Lock()
+	p.members = append(p.members, gossiper.Member{
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 80), DataCentre: fmt.Sprint(n % centreCount),
+	})
+	p.instances, p.fresh, p.ends = append(p.instances, nil), append(p.fresh, true), append(p.ends, func() {})
+	p.mu.Unlock()
+
+	p.start(n)
+	p.instances[n].Observe(registry(p.listed...))
+}
+
+// Guards against versions in use that a recorder deletes as another instance takes its place.
+func TestReplacedRecorderLeavesVersionsInUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlay(t)
+		p.list("v1", "v2")
+		p.serve(serveTime)
+
+		b := p.recorders()
+		for p.recorders() == b {
+			p.join()
+		}
+
+		p.serve(serveTime)
+		p.kill("v2")
+		p.resume()
+
+		is.Equal(p.wrong.Load(), int64(0))
+		is.True(p.owed.Load() > 0)
+	})
+}
+
+// Guards against streams that are refused, and messages, on a day with one version, for the versions of a release long ago whose
+// instances were all killed in it.
+func TestVersionsInUseLongAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlay(t)
+		p.list("v1", "v2")
+		p.serve(serveTime)
+		p.list("v2")
+		p.kill("v2")
+
+		p.streams = nil
+
+		time.Sleep(2 * time.Hour)
+		p.serve(serveTime)
+		p.kill("v2")
+		p.resume()
+
+		_, writes := p.log.counts()
+		p.serve(serveTime)
+		_, w := p.log.counts()
+
+		is.Equal(w, writes)
+		is.True(p.owed.Load() > 0)
+		is.Equal(p.found.Load(), p.owed.Load())
+	})
+}
+
+// Guards against notes without bound while the log is away for long.
+func TestNotesOfEndedStreamsAreDropped(t *testing.T) {
+	const (
+		streams = 20000
+		// maxBytes is what the notes of the last 20 s take at most, of which both recorders write all.
+		maxBytes = 50000
+	)
+
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlay(t)
+		p.list("v1", "v2")
+		p.log.set(true, logDelay)
+
+		for n := range streams {
+			p.begin(n % smallFleet)
+			time.Sleep(time.Second / streamsPerSecond / smallFleet)
+		}
+
+		p.log.set(false, logDelay)
+		time.Sleep(10 * time.Second)
+
+		bytes := 0
+		for _, r := range p.log.copy() {
+			bytes += len(r.Value)
+		}
+
+		is.True(bytes > 0)
+		is.True(bytes <= maxBytes)
+	})
+}
+
+// Guards against streams that go on at another version after all targets of the only version were replaced while all instances
+// were gone: nobody has written that version down.
+func TestVersionReplacedWhileAllAreAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlay(t)
+		p.list("v1")
+		time.Sleep(time.Minute)
+		p.serve(serveTime)
+		p.kill("v2")
+		p.resume()
+
+		is.Equal(p.wrong.Load(), int64(0))
+	})
+}
+
+// Guards against a stream whose second attempt, at another version, was not written yet when all instances were killed.
+func TestRetryIsWrittenSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlay(t)
+		p.list("v1", "v2")
+		p.serve(serveTime)
+
+		p.streams = nil
+
+		for n := range 20 {
+			s := begun{pinner.Stream(p.random.Uint64()), discoverer.VersionOf("v2"), time.Now()}
+			p.streams = append(p.streams, s)
+			b := p.instance(n % smallFleet)
+
+			b.Bind("g", pinner.Note{Stream: s.id, Version: discoverer.VersionOf("v1"), Attempt: 1})
+			time.Sleep(300 * time.Millisecond) // The first attempt is written.
+			b.Bind("g", pinner.Note{Stream: s.id, Version: s.version, Attempt: 2})
+			time.Sleep(firstEvent)
+		}
+
+		p.kill("v1", "v2")
+		p.resume()
+
+		is.Equal(p.wrong.Load(), int64(0))
+	})
+}
--- a/internal/forwarder/version_test.go
+++ b/internal/forwarder/version_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -193,3 +194,35 @@
 	g.call(t, http.MethodPost, "/stream/", "x")
 	is.Equal(len(s.bound), 3)
 }
+
+// Guards against a stream of which others know the version of a first attempt in vain, and not yet that of the second one.
+func TestRetryPrefersVersionBegunAt(t *testing.T) {
+	is := is.New(t)
+	s := &streamBinder{}
+
+	a := &target{answer: func(n net.Conn, _ received) { reset(n) }}
+	b, c := &target{answer: answerEvents(5)}, &target{answer: answerEvents(5)}
+	g := newGatewayWithDialer(t, &unboundedDialer{}, a, b, c)
+
+	g.setVersions("v1", "v1", "v2")
+	g.forwarder.SetBinder(s)
+
+	for n := range 12 {
+		is.Equal(g.call(t, http.MethodPost, "/resumable/", "x", "Id", strconv.Itoa(n)).body, events(1, 5))
+	}
+
+	began := make(map[pinner.Stream]discoverer.Version)
+	retries := 0
+
+	for _, n := range s.bound {
+		if v, ok := began[n.Stream]; ok {
+			retries++
+
+			is.Equal(n.Version, v)
+		}
+
+		began[n.Stream] = n.Version
+	}
+
+	is.True(retries > 0)
+}
