--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -234,8 +234,8 @@
 
 	if o == meter.Broken || o == meter.Disconnected {
 		// Abort the connection without ending the answer: an incomplete answer must not appear
-		// complete. A caller that has closed its own direction only still reads. Events received together with the failure are still buffered. They are flushed
-		// first, because a caller that resumes the stream needs them.
+		// complete. A caller that has closed only its own direction still reads. Events received together with the
+		// failure are still buffered. They are flushed first, because a caller that resumes the stream needs them.
 		_ = http.NewResponseController(x.writer).Flush() // The caller may have left.
 
 		panic(http.ErrAbortHandler)
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -66,7 +66,7 @@
 	return pinner.Stream(max(hasher.Key(id, x.customer, x.group), 1))
 }
 
-// bindStream records the version of the target at which a stream is about to begin. The homes of the stream must know it
+// bindStream records the version of the target at which a stream is about to begin. Its recorders must know it
 // before the caller has the first event, since they are asked when this instance is gone.
 func (f *Forwarder) bindStream(x *exchange, t selector.Choice) {
 	if x.stream != 0 && x.rule.Resumable && x.lastEvent == "" {
