internal/binder: a note that its recorder does not take is written by its sender (LOST)

Cause: the first half held both recorders. Until others miss them, the notes of the streams that the other half begins are sent to nobody, and are lost with it. Now the sender writes them to the store. binder.TestStreamsBegunAfterTheirRecordersWereKilled fails without it.

--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -166,7 +166,7 @@
 	recording := b.selectRecorders(n).Recording()
 
 	for _, x := range w.Streams {
-		o := pinner.Note{Stream: pinner.Stream(x.Stream), Version: discoverer.Version(x.Version), Attempt: int(x.Attempt)}
+		o := noteOf(x)
 		before, ok := b.pinner.Find(n, o.Stream)
 		b.pinner.Record(n, o)
 
@@ -238,5 +238,23 @@
 
 	if err := b.messenger.Send(c, m.Address, wire.KindStreamVersions, w); err != nil {
 		logrus.WithFields(logrus.Fields{"event": "streamRecorderNotTold", "peer": m.Address, "error": err}).Debug()
+		b.archiveAll(w)
 	}
 }
+
+// archiveAll has this instance write notes itself. The recorders may all have been killed, and nobody has noticed yet.
+func (b *Binder) archiveAll(w *wire.StreamVersions) {
+	n := time.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	for _, x := range w.Streams {
+		b.archive.add(n, noteOf(x))
+	}
+}
+
+// noteOf returns a note from the wire.
+func noteOf(x wire.StreamVersion) pinner.Note {
+	return pinner.Note{Stream: pinner.Stream(x.Stream), Version: discoverer.Version(x.Version), Attempt: int(x.Attempt)}
+}
--- a/internal/binder/marks_test.go
+++ b/internal/binder/marks_test.go
@@ -76,6 +76,43 @@
 	})
 }
 
+// Guards against streams whose recorders were all killed before them, as nobody had noticed yet: nobody would write their notes.
+func TestStreamsBegunAfterTheirRecordersWereKilled(t *testing.T) {
+	// minFound is the part of the streams that go on, as after one kill of all.
+	const minFound = 0.95
+
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newPlay(t)
+		p.refusing = true
+		p.list("v1", "v2")
+		p.serve(serveTime)
+
+		var alive []int
+
+		for n := range p.members {
+			if pinner.NewRecorders(p.members[n], p.members).Recording() {
+				p.stop(n)
+			} else {
+				alive = append(alive, n)
+			}
+		}
+
+		p.streams = nil
+
+		for range 200 {
+			p.begin(alive[p.random.IntN(len(alive))])
+			time.Sleep(10 * time.Millisecond)
+		}
+
+		p.kill("v1", "v2")
+		p.resume()
+
+		is.Equal(p.wrong.Load(), int64(0))
+		is.True(float64(p.found.Load()) >= minFound*float64(p.owed.Load()))
+	})
+}
+
 // Guards against streams that are refused, and messages, on a day with one version, for the versions of a release long ago whose
 // instances were all killed in it.
 func TestVersionsInUseLongAgo(t *testing.T) {
--- a/internal/binder/replay_test.go
+++ b/internal/binder/replay_test.go
@@ -33,6 +33,8 @@
 	endTime = 5 * time.Second
 )
 
+var errRefused = errors.New("connection refused")
+
 // fleet connects instances without a network.
 type fleet struct {
 	// mu protects members, instances and stopped against processes that run while others start.
@@ -44,6 +46,8 @@
 	// cut cuts the data centres off from each other, and stopped are instances that do not reply.
 	cut     bool
 	stopped map[int]bool
+	// refusing has connections to stopped instances refused.
+	refusing bool
 	// messages and bytes are those of all instances.
 	messages, bytes atomic.Int64
 	log             *log
@@ -186,6 +190,10 @@
 	v.bytes.Add(int64(len(b)))
 
 	n, ok := v.receiver(a)
+	if !ok && v.refusing {
+		return 0, nil, errRefused
+	}
+
 	if !ok {
 		<-c.Done()
 
