--- a/internal/binder/marks_test.go
+++ b/internal/binder/marks_test.go
@@ -189,6 +189,137 @@
 	})
 }
 
+// Guards against streams that go on at another version, or nowhere, after a loss of all instances while one version alone served: each
+// play lists and serves versions, and loses all instances.
+func TestOneVersionAroundLossOfAll(t *testing.T) {
+	const (
+		// minFound is the part of the streams that go on if a target of their version serves. The users' bound is half.
+		minFound = 0.95
+		// knownTime is long enough for a fleet that has started to know its versions and to have written them.
+		knownTime = 10 * time.Second
+	)
+
+	for name, x := range map[string]struct {
+		run func(p *play)
+		// owed reports that there are streams that must go on.
+		owed bool
+		// unknown permits that streams do not go on: the log does not have their notes.
+		unknown bool
+	}{
+		"nothing is replaced":          {owed: true, run: func(p *play) { p.kill("v1") }},
+		"replaced while all are away":  {run: func(p *play) { p.kill("v2") }},
+		"replaced by two":              {run: func(p *play) { p.kill("v2", "v3") }},
+		"replaced, killed again":       {owed: true, run: func(p *play) { p.kill("v2"); p.again(time.Second); p.kill("v2") }},
+		"replaced, killed twice again": {owed: true, run: func(p *play) { p.kill("v2"); p.kill("v2"); p.again(time.Second); p.kill("v2") }},
+		"replaced, later all are killed": {owed: true, run: func(p *play) {
+			p.kill("v2")
+			time.Sleep(5 * time.Minute)
+			p.again(serveTime)
+			p.kill("v2")
+		}},
+		"replaced and back again": {run: func(p *play) { p.kill("v2"); p.again(serveTime); p.kill("v1") }},
+		"replaced, one of them is killed at once": {owed: true, run: func(p *play) {
+			p.kill("v2")
+			p.again(time.Second)
+			p.killSome(1, "v2")
+		}},
+		"replaced during a rest of a day": {owed: true, run: func(p *play) {
+			for n := range p.instances {
+				p.stop(n)
+			}
+
+			time.Sleep(24 * time.Hour)
+			p.kill("v2")
+			p.again(time.Second)
+			p.kill("v2")
+		}},
+		"the log refuses all since before the second version": {unknown: true, run: func(p *play) {
+			p.log.set(true, logDelay)
+			p.list("v1", "v2")
+			p.again(serveTime)
+			p.log.set(false, logDelay)
+			p.kill("v2")
+		}},
+		"the log is back from before the second version": {unknown: true, run: func(p *play) {
+			c := p.log.copy()
+			p.list("v1", "v2")
+			p.again(serveTime)
+			p.log.restore(c)
+			p.kill("v2")
+		}},
+		"replaced, the log is away at the start": {run: func(p *play) {
+			p.log.set(true, logDelay)
+			p.kill("v2")
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPlay(t)
+				p.list("v1")
+				time.Sleep(knownTime)
+				p.serve(serveTime)
+				x.run(p)
+				p.resume()
+
+				t.Logf("%d of %d found, %d wrong", p.found.Load(), p.owed.Load(), p.wrong.Load())
+				is.Equal(p.wrong.Load(), int64(0))
+				is.Equal(p.owed.Load() > 0, x.owed || x.unknown)
+				is.True(x.unknown || float64(p.found.Load()) >= minFound*float64(p.owed.Load()))
+			})
+		})
+	}
+}
+
+// again forgets the streams so far and has new ones begin.
+func (p *play) again(d time.Duration) {
+	p.streams = nil
+	p.serve(d)
+}
+
+// Guards against a start of many instances at once that all read and write the versions in use, and against messages in a fleet that
+// knows them.
+func TestStartOfAllWithOneVersion(t *testing.T) {
+	const startTime = 30 * time.Second
+
+	logrus.SetLevel(logrus.FatalLevel)
+
+	for _, size := range []int{smallFleet, 380, 986} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFleet(t, size)
+				recorders := pinner.NewRecorders(f.members[0], f.members).Count()
+
+				f.observe("v1")
+				time.Sleep(startTime)
+
+				reads, writes := f.log.counts()
+				t.Logf("first start: %d reads, %d writes, %.1f messages an instance", reads, writes, float64(f.messages.Load())/float64(size))
+				is.Equal(writes, 1)
+				is.True(reads <= recorders)
+
+				for n := range size {
+					f.start(n)
+				}
+
+				f.observe("v1")
+				time.Sleep(startTime)
+
+				r, w := f.log.counts()
+				t.Logf("second start: %d reads, %d writes", r-reads, w-writes)
+				is.Equal(w, writes)
+				is.True(r-reads <= recorders)
+
+				f.messages.Store(0)
+				f.instances[0].Bind("g", pinner.Note{Stream: 1, Version: discoverer.VersionOf("v1"), Attempt: 1})
+				time.Sleep(startTime)
+				is.Equal(f.messages.Load(), int64(0))
+			})
+		})
+	}
+}
+
 // Guards against a stream whose second attempt, at another version, was not written yet when all instances were killed.
 func TestRetryIsWrittenSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
