--- a/internal/binder/archive.go
+++ b/internal/binder/archive.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/pinner"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
@@ -14,7 +15,7 @@
 const (
 	// keptTime is how long written notes are kept, to be written again if the log loses them. Older streams have ended.
 	keptTime = 20 * time.Second
-	// markInterval is the time between two writes of the versions of a group that are in use, if nothing changes.
+	// markInterval is the time between two writes of the versions of a group that are in use, if there are several and nothing changes.
 	markInterval = 10 * time.Second
 	// slots is the number of records of an instance. The oldest is replaced: at one record each minWriteInterval it is
 	// older than keptTime.
@@ -34,7 +35,7 @@
 	wake, urgent chan struct{}
 	// kept are the notes of the last keptTime, in the order of their arrival.
 	kept []keptNote
-	// marks are the versions in use that were written, by group.
+	// marks are the versions in use that were written by this instance or others, by group.
 	marks map[string]mark
 	// position is where to read on, and slot the number of the next record.
 	position watcher.Position
@@ -142,42 +143,55 @@
 	return l
 }
 
-// dueMarks returns the groups whose versions in use a recorder must write; those of a group that has one version again are
-// empty.
-func (a *archive) dueMarks(now time.Time, mixed map[string][]discoverer.Version) map[string][]discoverer.Version {
+// dueMarks returns the groups of which a recorder must write the versions in use, with these. Several versions are written by each
+// recorder, again and again. One alone is written when it changes, and by the first recorder if none is known to have been written.
+func (a *archive) dueMarks(now time.Time, used map[string][]discoverer.Version, first bool) map[string][]discoverer.Version {
 	o := make(map[string][]discoverer.Version)
 
-	for g, l := range mixed {
-		if m, ok := a.marks[g]; !ok || now.Sub(m.at) >= markInterval || !slices.Equal(m.versions, l) {
+	for g, l := range used {
+		m, ok := a.marks[g]
+		if !ok && (first || len(l) > 1) || ok && (!slices.Equal(m.versions, l) || len(l) > 1 && now.Sub(m.at) >= markInterval) {
 			o[g] = l
 		}
 	}
 
-	for g := range a.marks {
-		if mixed[g] == nil {
-			o[g] = nil
+	return o
+}
+
+// lacksMark reports whether it is not known what was written of one of some groups.
+func (a *archive) lacksMark(groups map[string][]discoverer.Version) bool {
+	for g := range groups {
+		if _, ok := a.marks[g]; !ok {
+			return true
 		}
 	}
 
-	return o
+	return false
 }
 
-// adoptMarks takes over the versions in use that earlier processes have written, so that they are deleted in time.
+// adoptMarks takes over the versions in use that others have written.
 func (a *archive) adoptMarks(used map[string][]discoverer.Version) {
 	for g, l := range used {
 		if _, ok := a.marks[g]; !ok {
+			slices.Sort(l)
 			a.marks[g] = mark{versions: l}
 		}
 	}
 }
 
+// forgetMark has a record of versions in use written again that was deleted: instances of the earlier release delete it when a group
+// has one version.
+func (a *archive) forgetMark(key string) {
+	for g := range a.marks {
+		if markKey(g) == key {
+			delete(a.marks, g)
+		}
+	}
+}
+
 // recordMark records that the versions of a group were written.
 func (a *archive) recordMark(now time.Time, group string, l []discoverer.Version) {
-	if len(l) == 0 {
-		delete(a.marks, group)
-	} else {
-		a.marks[group] = mark{l, now}
-	}
+	a.marks[group] = mark{l, now}
 }
 
 // nextKey returns the key of the next record of an instance.
@@ -188,6 +202,11 @@
 	return k
 }
 
+// markKey returns the key of the record with the versions of a group that are in use.
+func markKey(group string) string {
+	return fmt.Sprintf("%s%016x", markPrefix, hasher.Key(group))
+}
+
 // noteKey returns the key of a record with notes.
 func noteKey(instance string, slot int) string {
 	return fmt.Sprintf("%s/%d", instance, slot)
--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -4,6 +4,8 @@
 //
 // Recorders need no consensus: each writes its own records, and a stream of which nothing is known does not go on. Instances
 // are told only while several versions of a group are in use, and all streams begun shortly before when a second one appears.
+// The versions in use are always in the log, also one alone: a process that starts and is listed another one knows that it does
+// not know which of them began a stream.
 package binder
 
 import (
@@ -78,6 +80,8 @@
 
 	mu     sync.Mutex
 	pinner *pinner.Pinner
+	// startedAt is when this process started.
+	startedAt time.Time
 	// recorders were selected at selectedAt.
 	recorders  *pinner.Recorders
 	selectedAt time.Time
@@ -93,7 +97,7 @@
 	}
 
 	return &Binder{
-		messenger: m, members: x, log: l, meter: t, settings: s, asking: make(chan struct{}, maxAsking), pinner: pinner.New(), asked: make(map[string]bool), archive: newArchive(),
+		messenger: m, members: x, log: l, meter: t, settings: s, asking: make(chan struct{}, maxAsking), pinner: pinner.New(), startedAt: time.Now(), asked: make(map[string]bool), archive: newArchive(),
 	}
 }
 
@@ -104,9 +108,10 @@
 	b.mu.Lock()
 	mixed := b.pinner.Observe(n, r)
 	l := b.recent(n, mixed)
+	unwritten := b.archive.lacksMark(b.pinner.InUse(n))
 	b.mu.Unlock()
 
-	if len(mixed) > 0 {
+	if len(mixed) > 0 || unwritten {
 		b.archive.wakeUp()
 	}
 
@@ -124,21 +129,21 @@
 }
 
 // Bind records that a stream of a group is about to begin at a target with a version, and tells the recorders of the stream
-// if the group has several versions. It does not block.
+// if the group has several versions, or may have had. It does not block.
 func (b *Binder) Bind(group string, n pinner.Note) {
 	now := time.Now()
 
 	b.mu.Lock()
 	before, ok := b.pinner.Find(now, n.Stream)
 	b.pinner.RecordOwn(now, group, n)
-	mixed := b.pinner.Mixed(now, group)
+	must := b.pinner.MustTell(now, group)
 	b.mu.Unlock()
 
 	if ok && before.Version != n.Version {
 		b.archive.hurry()
 	}
 
-	if mixed {
+	if must {
 		b.tell([]pinner.Note{n})
 	}
 }
--- a/internal/binder/killed_test.go
+++ b/internal/binder/killed_test.go
@@ -259,7 +259,7 @@
 		}},
 		"a data centre is cut off": {unknown: true, run: func(p *play) {
 			p.kill("v2")
-			p.cut = true
+			p.change(func() { p.cut = true })
 			p.resume()
 		}},
 	} {
--- a/internal/binder/log.go
+++ b/internal/binder/log.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -14,7 +13,6 @@
 
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/extender"
-	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/pinner"
 	"github.com/auburntray/auburntray/internal/sleeper"
 	"github.com/auburntray/auburntray/internal/watcher"
@@ -48,7 +46,7 @@
 type Log interface {
 	watcher.Source
 
-	// Put writes the record of a key. Without a value it deletes the key.
+	// Put writes the record of a key.
 	Put(c context.Context, key string, value []byte) error
 }
 
@@ -58,6 +56,8 @@
 		return
 	}
 
+	go b.learnVersions(c)
+
 	t := time.NewTicker(markInterval)
 	defer t.Stop()
 
@@ -116,14 +116,12 @@
 }
 
 // write writes the versions in use and the notes that are due. It reads the log before its first write, since that replaces
-// the oldest record of this instance.
+// the oldest record of this instance, and before it writes versions of which it does not know what others have written.
 func (b *Binder) write(c context.Context) error {
-	n := time.Now()
-
 	b.mu.Lock()
-	marks := b.dueMarks(n)
+	marks := b.dueMarks(time.Now())
 	idle := len(marks) == 0 && len(b.archive.pending) == 0
-	read := b.archive.position.IsRead()
+	read := b.archive.position.IsRead() && (!b.archive.lacksMark(marks) || time.Since(b.archive.readAt) < markInterval)
 	b.mu.Unlock()
 
 	if idle {
@@ -134,6 +132,10 @@
 		return errors.New("the log could not be read")
 	}
 
+	b.mu.Lock()
+	marks = b.dueMarks(time.Now())
+	b.mu.Unlock()
+
 	for g, l := range marks {
 		if err := b.writeMark(c, g, l); err != nil {
 			return err
@@ -146,13 +148,14 @@
 // dueMarks returns the versions in use that must be written. An instance that is no recorder any more leaves those that it has
 // written to the others. The mutex must be held.
 func (b *Binder) dueMarks(now time.Time) map[string][]discoverer.Version {
-	if !b.selectRecorders(now).Recording() {
+	r := b.selectRecorders(now)
+	if !r.Recording() {
 		clear(b.archive.marks)
 
 		return nil
 	}
 
-	return b.archive.dueMarks(now, b.pinner.MixedGroups(now))
+	return b.archive.dueMarks(now, b.pinner.InUse(now), r.First() && b.started(now))
 }
 
 func (b *Binder) writeMark(c context.Context, group string, l []discoverer.Version) error {
@@ -163,12 +166,7 @@
 		w.Versions = append(w.Versions, uint64(v))
 	}
 
-	var m msgp.Marshaler
-	if len(l) > 0 {
-		m = &w
-	}
-
-	if err := b.put(c, fmt.Sprintf("%s%016x", markPrefix, hasher.Key(group)), m); err != nil {
+	if err := b.put(c, markKey(group), &w); err != nil {
 		return err
 	}
 
@@ -176,6 +174,7 @@
 	defer b.mu.Unlock()
 
 	b.archive.recordMark(n, group, l)
+	logrus.WithFields(logrus.Fields{"event": "streamVersionsWritten", "group": group, "versions": len(l)}).Debug()
 
 	return nil
 }
@@ -215,15 +214,11 @@
 	return nil
 }
 
-// put writes a record, or deletes it if m is nil.
+// put writes a record.
 func (b *Binder) put(c context.Context, key string, m msgp.Marshaler) error {
 	x, stop := context.WithTimeout(c, logTimeout)
 	defer stop()
 
-	if m == nil {
-		return b.log.Put(x, key, nil)
-	}
-
 	v, err := m.MarshalMsg(nil)
 	if err != nil {
 		return errors.Mark(err, ErrBinding)
@@ -342,7 +337,8 @@
 	return o, nil
 }
 
-// apply applies the records that were read. The first read tells which versions were in use before this process started.
+// apply applies the records that were read. The first read tells which versions were in use before this process started: what it does
+// not have was never written, so no stream of the group has begun.
 func (b *Binder) apply(o watcher.Batch) {
 	used := make(map[string][]discoverer.Version)
 	notes := 0
@@ -367,26 +363,31 @@
 
 	if first {
 		b.archive.slot = b.nextSlot(o.Records)
-		b.archive.adoptMarks(used)
 		l = b.recent(n, b.pinner.LearnAll(n, used))
 	}
 
+	b.archive.adoptMarks(used)
 	b.mu.Unlock()
 	b.tell(l)
 
 	if first {
-		logrus.WithFields(logrus.Fields{"event": "streamNotesRead", "records": len(o.Records), "notes": notes, "mixedGroups": len(used)}).Info()
+		logrus.WithFields(logrus.Fields{"event": "streamNotesRead", "records": len(o.Records), "notes": notes, "groups": len(used)}).Info()
 	}
 }
 
 // applyRecord applies one record and adds the versions in use that it has. It returns the number of its notes.
 func (b *Binder) applyRecord(x watcher.Record, used map[string][]discoverer.Version) (int, error) {
 	if len(x.Value) == 0 { // The key was deleted.
+		b.mu.Lock()
+		defer b.mu.Unlock()
+
+		b.archive.forgetMark(x.Key)
+
 		return 0, nil
 	}
 
 	if strings.HasPrefix(x.Key, markPrefix) {
-		return 0, decodeMark(time.Now(), x.Value, used)
+		return 0, decodeMark(x.Value, used)
 	}
 
 	l, err := decodeNotes(x.Value)
--- a/internal/binder/lookup.go
+++ b/internal/binder/lookup.go
@@ -81,6 +81,7 @@
 
 	replies, reading := b.ask(x, group, s)
 	b.learn(group, replies)
+	b.recordAsked(group)
 
 	// The recorders may all have been killed, and the others have not noticed yet.
 	if len(replies) == 0 && !read && b.refresh(x) {
@@ -121,6 +122,14 @@
 	return pinner.Decide(own, nil, nil, true)
 }
 
+// recordAsked records that other instances were asked about a group.
+func (b *Binder) recordAsked(group string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.asked[group] = true
+}
+
 func sourceOf(own pinner.View) string {
 	if own.Found {
 		return sourceOwn
@@ -142,25 +151,6 @@
 	return n
 }
 
-// learn records which versions of a group were in use before this process started, once another instance has told that.
-func (b *Binder) learn(group string, replies []pinner.View) {
-	n := time.Now()
-
-	b.mu.Lock()
-	b.asked[group] = true
-
-	var l []pinner.Note
-
-	for _, v := range replies {
-		if v.Complete {
-			l = append(l, b.recent(n, b.pinner.Learn(n, map[string][]discoverer.Version{group: v.Versions}))...)
-		}
-	}
-
-	b.mu.Unlock()
-	b.tell(l)
-}
-
 // HandleRequest answers what this instance knows of a stream. If it is a recorder and does not know the stream, it reads
 // the log first.
 func (b *Binder) HandleRequest(c context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
@@ -201,7 +191,7 @@
 	s := pinner.Stream(q.Stream)
 	v := b.view(q.Group, s)
 
-	if v.Found || v.Complete && len(v.Versions) <= 1 || !read || !b.isRecorder() {
+	if v.Found || v.Complete && (len(v.Versions) <= 1 || s == 0) || !read || !b.mayRead(s) {
 		return v, nil
 	}
 
@@ -235,6 +225,16 @@
 	return b.selectRecorders(time.Now()).Recording()
 }
 
+// mayRead reports whether this instance reads the log to answer about a stream, or about no stream in particular if s is zero.
+func (b *Binder) mayRead(s pinner.Stream) bool {
+	n := time.Now()
+
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.selectRecorders(n).Recording() && (s != 0 || b.started(n))
+}
+
 // isReading reports whether this instance reads the log.
 func (b *Binder) isReading() bool {
 	b.mu.Lock()
--- a/internal/binder/marks_test.go
+++ b/internal/binder/marks_test.go
@@ -84,7 +84,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		p := newPlay(t)
-		p.refusing = true
+		p.change(func() { p.refusing = true })
 		p.list("v1", "v2")
 		p.serve(serveTime)
 
@@ -280,7 +280,7 @@
 // Guards against a start of many instances at once that all read and write the versions in use, and against messages in a fleet that
 // knows them.
 func TestStartOfAllWithOneVersion(t *testing.T) {
-	const startTime = 30 * time.Second
+	const startTime = 12 * time.Second
 
 	logrus.SetLevel(logrus.FatalLevel)
 
--- a/internal/binder/record.go
+++ b/internal/binder/record.go
@@ -3,7 +3,6 @@
 import (
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -12,10 +11,6 @@
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
-// maxMarkAge is the age by the clocks of two instances, which may differ, from which a record of versions in use is ignored: the
-// instances that wrote it each few seconds ended long ago.
-const maxMarkAge = time.Hour
-
 // encodeNotes returns the record with some notes. Those with the same version and attempt share them, since there are few.
 func encodeNotes(l []keptNote) *wire.StreamNotes {
 	type key struct {
@@ -60,18 +55,14 @@
 	return o, nil
 }
 
-// decodeMark adds the versions in use of a record to those by group, unless it is older than maxMarkAge. It fails with
-// ErrBinding.
-func decodeMark(now time.Time, b []byte, used map[string][]discoverer.Version) error {
+// decodeMark adds the versions in use of a record to those by group. A version that is not written again may have served until just
+// now, so the age of the record says nothing. It fails with ErrBinding.
+func decodeMark(b []byte, used map[string][]discoverer.Version) error {
 	var w wire.UsedVersions
 	if _, err := w.UnmarshalMsg(b); err != nil {
 		return errors.Mark(err, ErrBinding)
 	}
 
-	if now.Sub(time.UnixMilli(w.WrittenMs)) > maxMarkAge {
-		return nil
-	}
-
 	for _, v := range w.Versions {
 		used[w.Group] = append(used[w.Group], discoverer.Version(v))
 	}
--- a/internal/binder/replay_test.go
+++ b/internal/binder/replay_test.go
@@ -89,7 +89,12 @@
 
 	c, end := context.WithCancel(context.Background())
 	o := f.settings
-	o.Fresh = func() bool { return f.fresh[n] }
+	o.Fresh = func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+
+		return f.fresh[n]
+	}
 
 	f.ends[n] = end
 	b := binder.New(view{f, n}, view{f, n}, f.log, meter.New(), o)
@@ -115,6 +120,14 @@
 	f.stopped[n] = true
 }
 
+// change changes the fleet while its processes run.
+func (f *fleet) change(c func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	c()
+}
+
 func (f *fleet) instance(n int) *binder.Binder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -169,15 +182,17 @@
 
 func (v view) Self() gossiper.Member { return v.Live()[v.number] }
 
-// receiver returns the instance at an address, and false if this one does not reach it.
-func (v view) receiver(a netip.AddrPort) (int, bool) {
+// receiver returns the instance at an address, and false if this one does not reach it. It reports whether connections are refused.
+func (v view) receiver(a netip.AddrPort) (n int, ok, refused bool) {
 	b := a.Addr().As4()
-	n := int(b[2])*256 + int(b[3])
+	n = int(b[2])*256 + int(b[3])
 
 	v.mu.Lock()
 	defer v.mu.Unlock()
 
-	return n, !v.stopped[n] && (!v.cut || v.members[n].DataCentre == v.members[v.number].DataCentre)
+	ok = !v.stopped[n] && (!v.cut || v.members[n].DataCentre == v.members[v.number].DataCentre)
+
+	return n, ok, !ok && v.refusing
 }
 
 func (v view) deliver(c context.Context, a netip.AddrPort, m msgp.Marshaler) (int, []byte, error) {
@@ -189,8 +204,8 @@
 	v.messages.Add(1)
 	v.bytes.Add(int64(len(b)))
 
-	n, ok := v.receiver(a)
-	if !ok && v.refusing {
+	n, ok, refused := v.receiver(a)
+	if refused {
 		return 0, nil, errRefused
 	}
 
@@ -302,7 +317,7 @@
 						f.instances[n].Observe(registry("v1", "v2"))
 					}
 
-					f.cut = x.cut
+					f.change(func() { f.cut = x.cut })
 					resumed, found, wrong := 0, 0, 0
 
 					for _, s := range l {
@@ -338,6 +353,8 @@
 		is := is.New(t)
 		f := newFleet(t, 6)
 		f.observe("v1")
+		time.Sleep(time.Minute)
+		f.messages.Store(0)
 
 		f.instances[0].Bind("g", pinner.Note{Stream: 1, Version: discoverer.VersionOf("v1"), Attempt: 1})
 		synctest.Wait()
@@ -366,7 +383,7 @@
 		f.observe("v1", "v2")
 
 		for n := range 5 {
-			f.stopped[n] = true
+			f.change(func() { f.stopped[n] = true })
 		}
 
 		b := time.Now()
@@ -393,15 +410,20 @@
 		is.True(reads <= 2) // Two recorders read what was before.
 		is.Equal(writes, 0)
 
-		f.cut, f.fresh[0] = true, false
+		f.change(func() { f.cut, f.fresh[0] = true, false })
 
 		_, ok = f.instances[0].Find(t.Context(), "g", 1)
 		is.True(!ok)
 
 		synctest.Wait()
 
-		f.cut, f.fresh[0] = false, true
+		f.change(func() { f.cut, f.fresh[0] = false, true })
+
+		time.Sleep(5 * time.Second) // All learn what was before they started.
 
+		reads, writes = f.log.counts()
+		is.True(reads <= 2)
+		is.Equal(writes, 1)
 		f.messages.Store(0)
 
 		time.Sleep(time.Minute)
@@ -409,6 +431,10 @@
 		_, ok = f.instances[0].Find(t.Context(), "g", 1)
 		is.True(ok)
 		is.Equal(f.messages.Load(), int64(0))
+
+		r, w := f.log.counts()
+		is.Equal(r, reads)
+		is.Equal(w, writes)
 	})
 }
 
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -249,11 +249,33 @@
 	return len(p.Versions(now, group)) > 1
 }
 
-// MixedGroups returns the groups of which several versions are in use, with these.
-func (p *Pinner) MixedGroups(now time.Time) map[string][]discoverer.Version {
+// MustTell reports whether others must be told at which version a stream of a group begins: several are in use, or
+// may be, as this process has just started.
+func (p *Pinner) MustTell(now time.Time, group string) bool {
+	return p.Mixed(now, group) || !p.Complete(now, group)
+}
+
+// InUse returns the versions in use of all groups that have any.
+func (p *Pinner) InUse(now time.Time) map[string][]discoverer.Version {
 	o := make(map[string][]discoverer.Version)
-	for g := range p.mixedGroups(now) {
-		o[g] = p.Versions(now, g)
+
+	for g := range p.groups {
+		if l := p.Versions(now, g); len(l) > 0 {
+			o[g] = l
+		}
+	}
+
+	return o
+}
+
+// Incomplete returns the groups with targets of which it is not known which versions were in use before this process started.
+func (p *Pinner) Incomplete(now time.Time) []string {
+	var o []string
+
+	for g, u := range p.groups {
+		if len(u.listed) > 0 && !p.Complete(now, g) {
+			o = append(o, g)
+		}
 	}
 
 	return o
--- a/internal/pinner/pinner_test.go
+++ b/internal/pinner/pinner_test.go
@@ -215,3 +215,49 @@
 		})
 	}
 }
+
+// Guards against streams of which nobody is told, as the process that began them knew one version and not yet what was before.
+func TestStreamsAreToldUntilVersionsAreKnown(t *testing.T) {
+	v1, v2 := discoverer.VersionOf("v1"), discoverer.VersionOf("v2")
+
+	for name, x := range map[string]struct {
+		learn      func(p *pinner.Pinner)
+		at         time.Duration
+		must       bool
+		incomplete []string
+	}{
+		"just started":              {func(*pinner.Pinner) {}, 0, true, []string{"g"}},
+		"observed for long":         {func(*pinner.Pinner) {}, time.Minute, false, nil},
+		"the log has this version":  {func(p *pinner.Pinner) { p.LearnAll(start, map[string][]discoverer.Version{"g": {v2}}) }, 0, false, nil},
+		"the log has nothing":       {func(p *pinner.Pinner) { p.LearnAll(start, nil) }, 0, false, nil},
+		"the log has another one":   {func(p *pinner.Pinner) { p.LearnAll(start, map[string][]discoverer.Version{"g": {v1}}) }, 0, true, nil},
+		"it had another one before": {func(p *pinner.Pinner) { p.LearnAll(start, map[string][]discoverer.Version{"g": {v1}}) }, time.Minute, false, nil},
+		"an instance knows":         {func(p *pinner.Pinner) { p.Learn(start, map[string][]discoverer.Version{"g": {v2}}) }, 0, false, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := pinner.New()
+			is.True(p.MustTell(start, "g"))
+
+			p.Observe(start, registry("v2"))
+			x.learn(p)
+
+			n := start.Add(x.at)
+			is.Equal(p.MustTell(n, "g"), x.must)
+			is.Equal(p.Incomplete(n), x.incomplete)
+		})
+	}
+}
+
+func TestVersionsInUseOfAllGroups(t *testing.T) {
+	is := is.New(t)
+	p := pinner.New()
+	p.Observe(start, registry("v1", "v2"))
+	is.Equal(p.InUse(start), map[string][]discoverer.Version{"g": versions("v1", "v2")})
+
+	p.Observe(start, registry("v2"))
+	is.Equal(p.InUse(start.Add(time.Minute)), map[string][]discoverer.Version{"g": versions("v2")})
+
+	p.Observe(start.Add(time.Minute), registry())
+	is.Equal(p.InUse(start.Add(2*time.Minute)), map[string][]discoverer.Version{})
+}
--- a/internal/pinner/recorders.go
+++ b/internal/pinner/recorders.go
@@ -24,7 +24,9 @@
 	self      gossiper.Member
 	byCentre  map[string][]gossiper.Member
 	recording bool
-	count     int
+	// first reports that this instance is the first of the recorders.
+	first bool
+	count int
 }
 
 // NewRecorders selects the recorders among the live instances and this one: the first in each data centre, then the second
@@ -38,6 +40,7 @@
 		}
 
 		r.byCentre[m.DataCentre] = append(r.byCentre[m.DataCentre], m)
+		r.first = r.first || r.count == 0 && m.ID == self.ID
 		r.count++
 		r.recording = r.recording || m.ID == self.ID
 	}
@@ -48,6 +51,9 @@
 // Recording reports whether this instance is a recorder.
 func (r *Recorders) Recording() bool { return r.recording }
 
+// First reports whether this instance is the recorder that writes what all recorders know.
+func (r *Recorders) First() bool { return r.first }
+
 // Count returns the number of recorders.
 func (r *Recorders) Count() int { return r.count }
 
@@ -97,36 +103,36 @@
 // ones and so on. The order remains the same when processes start again.
 func byRank(self gossiper.Member, live []gossiper.Member) []gossiper.Member {
 	type ranked struct {
-		member gossiper.Member
+		member *gossiper.Member
 		key    uint64
-		place  int
 	}
 
-	l := []ranked{{member: self, key: addressKey(self.Address)}}
+	l := []ranked{{&self, addressKey(self.Address)}}
 
-	for _, m := range live {
-		if m.ID != self.ID {
-			l = append(l, ranked{member: m, key: addressKey(m.Address)})
+	for i := range live {
+		if m := &live[i]; m.ID != self.ID {
+			l = append(l, ranked{m, addressKey(m.Address)})
 		}
 	}
 
 	slices.SortFunc(l, func(a, b ranked) int { return cmp.Compare(a.key, b.key) })
 
+	var byPlace [][]gossiper.Member
+
 	places := make(map[string]int)
 
-	for i := range l {
-		l[i].place = places[l[i].member.DataCentre]
-		places[l[i].member.DataCentre]++
-	}
+	for _, x := range l {
+		n := places[x.member.DataCentre]
+		places[x.member.DataCentre]++
 
-	slices.SortStableFunc(l, func(a, b ranked) int { return cmp.Compare(a.place, b.place) })
+		if n == len(byPlace) {
+			byPlace = append(byPlace, nil)
+		}
 
-	o := make([]gossiper.Member, 0, len(l))
-	for _, x := range l {
-		o = append(o, x.member)
+		byPlace[n] = append(byPlace[n], *x.member)
 	}
 
-	return o
+	return slices.Concat(byPlace...)
 }
 
 // addressKey returns the hash of an address.
--- a/internal/pinner/recorders_test.go
+++ b/internal/pinner/recorders_test.go
@@ -37,11 +37,16 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l := members(x.instances, x.centres)
-			recording := 0
+			recording, first := 0, 0
 
 			for _, m := range l {
 				r := pinner.NewRecorders(m, l)
 				is.Equal(r.Count(), x.want)
+				is.True(r.Recording() || !r.First())
+
+				if r.First() {
+					first++
+				}
 
 				if r.Recording() {
 					recording++
@@ -49,6 +54,7 @@
 			}
 
 			is.Equal(recording, x.want)
+			is.Equal(first, 1)
 		})
 	}
 }
