--- a/internal/binder/archive.go
+++ b/internal/binder/archive.go
@@ -17,6 +17,8 @@
 	keptTime = 20 * time.Second
 	// markInterval is the time between two writes of the versions of a group that are in use, if there are several and nothing changes.
 	markInterval = 10 * time.Second
+	// marksPerWrite is the largest number of groups whose versions are written between two writes of notes.
+	marksPerWrite = 2
 	// slots is the number of records of an instance. The oldest is replaced: at one record each minWriteInterval it is
 	// older than keptTime.
 	slots = 200
@@ -37,6 +39,11 @@
 	kept []keptNote
 	// marks are the versions in use that were written by this instance or others, by group.
 	marks map[string]mark
+	// missed are the groups of which it is not known that their versions were written, and since when.
+	missed map[string]time.Time
+	// writers write the versions in use. unchecked reports that the log must be read, as they have changed.
+	writers   []uint64
+	unchecked bool
 	// position is where to read on, and slot the number of the next record.
 	position watcher.Position
 	slot     int
@@ -65,7 +72,7 @@
 
 func newArchive() archive {
 	return archive{
-		pending: make(map[pinner.Stream]keptNote), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), marks: make(map[string]mark), position: watcher.Unread(),
+		pending: make(map[pinner.Stream]keptNote), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1), marks: make(map[string]mark), missed: make(map[string]time.Time), position: watcher.Unread(),
 	}
 }
 
@@ -143,14 +150,23 @@
 	return l
 }
 
-// dueMarks returns the groups of which a recorder must write the versions in use, with these. Several versions are written by each
-// recorder, again and again. One alone is written when it changes, and by the first recorder if none is known to have been written.
+// dueMarks returns the groups of which a writer must write the versions in use, with these. Several are written again and again, one
+// alone when it changes. If none is known to have been written, the first writer does it, and the others later if it has not.
 func (a *archive) dueMarks(now time.Time, used map[string][]discoverer.Version, first bool) map[string][]discoverer.Version {
 	o := make(map[string][]discoverer.Version)
 
 	for g, l := range used {
 		m, ok := a.marks[g]
-		if !ok && (first || len(l) > 1) || ok && (!slices.Equal(m.versions, l) || len(l) > 1 && now.Sub(m.at) >= markInterval) {
+		if ok {
+			delete(a.missed, g)
+		} else if a.missed[g].IsZero() {
+			a.missed[g] = now
+		}
+
+		unwritten := !ok && (first || len(l) > 1 || now.Sub(a.missed[g]) >= markInterval)
+		old := ok && (!slices.Equal(m.versions, l) || len(l) > 1 && now.Sub(m.at) >= markInterval)
+
+		if unwritten || old {
 			o[g] = l
 		}
 	}
@@ -158,6 +174,21 @@
 	return o
 }
 
+// leave forgets what is known of the versions in use that were written: others write them.
+func (a *archive) leave() {
+	clear(a.marks)
+	clear(a.missed)
+	a.writers, a.unchecked = nil, false
+}
+
+// follow records who writes the versions in use. When that changes, one that has ended may have written others last.
+func (a *archive) follow(writers []uint64) {
+	if !slices.Equal(a.writers, writers) {
+		a.unchecked = a.writers != nil
+		a.writers = slices.Clone(writers)
+	}
+}
+
 // lacksMark reports whether it is not known what was written of one of some groups.
 func (a *archive) lacksMark(groups map[string][]discoverer.Version) bool {
 	for g := range groups {
@@ -169,14 +200,17 @@
 	return false
 }
 
-// adoptMarks takes over the versions in use that others have written.
+// adoptMarks takes over the versions in use that were read, whoever has written them.
 func (a *archive) adoptMarks(used map[string][]discoverer.Version) {
 	for g, l := range used {
-		if _, ok := a.marks[g]; !ok {
-			slices.Sort(l)
+		slices.Sort(l)
+
+		if m, ok := a.marks[g]; !ok || !slices.Equal(m.versions, l) {
 			a.marks[g] = mark{versions: l}
 		}
 	}
+
+	a.unchecked = false
 }
 
 // forgetMark has a record of versions in use written again that was deleted: instances of the earlier release delete it when a group
--- a/internal/binder/log.go
+++ b/internal/binder/log.go
@@ -1,10 +1,13 @@
 package binder
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,7 +59,10 @@
 		return
 	}
 
-	go b.learnVersions(c)
+	var g sync.WaitGroup
+	defer g.Wait()
+
+	g.Go(func() { b.learnVersions(c) })
 
 	t := time.NewTicker(markInterval)
 	defer t.Stop()
@@ -115,47 +121,73 @@
 	return max(minWriteInterval, time.Duration(n/(writeFraction*b.settings.WritesPerSecond)*float64(time.Second)))
 }
 
-// write writes the versions in use and the notes that are due. It reads the log before its first write, since that replaces
-// the oldest record of this instance, and before it writes versions of which it does not know what others have written.
+// write writes some of the versions in use and the notes that are due. It reads the log before its first write, since that replaces
+// the oldest record of this instance, and before it writes versions while it does not know what others have written.
 func (b *Binder) write(c context.Context) error {
 	b.mu.Lock()
 	marks := b.dueMarks(time.Now())
-	idle := len(marks) == 0 && len(b.archive.pending) == 0
-	read := b.archive.position.IsRead() && (!b.archive.lacksMark(marks) || time.Since(b.archive.readAt) < markInterval)
+	known := b.archive.position.IsRead() && (len(marks) == 0 || !b.archive.lacksMark(marks) || time.Since(b.archive.readAt) < markInterval)
+	unchecked := b.archive.unchecked
+	idle := len(marks) == 0 && len(b.archive.pending) == 0 && !unchecked
 	b.mu.Unlock()
 
 	if idle {
 		return nil
 	}
 
-	if !read && !b.refresh(c) {
+	if (!known || unchecked) && !b.refresh(c) {
 		return errors.New("the log could not be read")
 	}
 
+	if err := b.writeMarks(c); err != nil {
+		return err
+	}
+
+	return b.writeNotes(c)
+}
+
+// writeMarks writes the versions in use of some groups, those with several first.
+func (b *Binder) writeMarks(c context.Context) error {
 	b.mu.Lock()
-	marks = b.dueMarks(time.Now())
+	marks := b.dueMarks(time.Now())
 	b.mu.Unlock()
 
-	for g, l := range marks {
-		if err := b.writeMark(c, g, l); err != nil {
+	l := slices.SortedFunc(maps.Keys(marks), func(g, h string) int {
+		return cmp.Or(cmp.Compare(len(marks[h]), len(marks[g])), cmp.Compare(g, h))
+	})
+
+	if len(l) > marksPerWrite {
+		l = l[:marksPerWrite]
+
+		b.archive.wakeUp()
+	}
+
+	for _, g := range l {
+		if err := b.writeMark(c, g, marks[g]); err != nil {
 			return err
 		}
 	}
 
-	return b.writeNotes(c)
+	return nil
 }
 
-// dueMarks returns the versions in use that must be written. An instance that is no recorder any more leaves those that it has
+// dueMarks returns the versions in use that must be written. An instance that is no writer any more leaves those that it has
 // written to the others. The mutex must be held.
 func (b *Binder) dueMarks(now time.Time) map[string][]discoverer.Version {
 	r := b.selectRecorders(now)
-	if !r.Recording() {
-		clear(b.archive.marks)
+	if !r.Writing() {
+		b.archive.leave()
 
 		return nil
 	}
 
-	return b.archive.dueMarks(now, b.pinner.InUse(now), r.First() && b.started(now))
+	if !b.started(now) || !b.settings.Fresh() {
+		return b.archive.dueMarks(now, b.pinner.MixedGroups(now), false)
+	}
+
+	b.archive.follow(r.Writers())
+
+	return b.archive.dueMarks(now, b.pinner.InUse(now), r.First())
 }
 
 func (b *Binder) writeMark(c context.Context, group string, l []discoverer.Version) error {
@@ -337,8 +369,7 @@
 	return o, nil
 }
 
-// apply applies the records that were read. The first read tells which versions were in use before this process started: what it does
-// not have was never written, so no stream of the group has begun.
+// apply applies the records that were read. The first read tells which versions were in use before this process started.
 func (b *Binder) apply(o watcher.Batch) {
 	used := make(map[string][]discoverer.Version)
 	notes := 0
@@ -363,7 +394,7 @@
 
 	if first {
 		b.archive.slot = b.nextSlot(o.Records)
-		l = b.recent(n, b.pinner.LearnAll(n, used))
+		l = b.recent(n, b.pinner.Learn(n, used))
 	}
 
 	b.archive.adoptMarks(used)
--- a/internal/binder/lookup.go
+++ b/internal/binder/lookup.go
@@ -199,8 +199,14 @@
 	defer stop()
 
 	b.refresh(x)
+	v = b.view(q.Group, s)
 
-	return b.view(q.Group, s), nil
+	// It knows nothing yet, and may be asked again.
+	if !v.Complete && b.isReading() {
+		v.Versions = nil
+	}
+
+	return v, nil
 }
 
 // view returns what this instance knows.
@@ -232,7 +238,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	return b.selectRecorders(n).Recording() && (s != 0 || b.started(n))
+	return b.selectRecorders(n).Recording() && (s != 0 || b.started(n) && !b.archive.position.IsRead())
 }
 
 // isReading reports whether this instance reads the log.
@@ -284,7 +290,7 @@
 	for range requests {
 		select {
 		case r := <-replies:
-			reading = reading || r.kind == wire.KindStreamVersion && !r.Complete
+			reading = reading || r.kind == wire.KindStreamVersion && !r.Complete && len(r.Versions) == 0
 
 			if o = append(o, r.View); r.Found {
 				return o, reading
--- a/internal/binder/start.go
+++ b/internal/binder/start.go
@@ -17,8 +17,8 @@
 	startTime = 2 * time.Second
 	// minLearnInterval and maxLearnInterval bound the time between two attempts to learn which versions were in use before the start.
 	// Each is up to half longer.
-	minLearnInterval = 100 * time.Millisecond
-	maxLearnInterval = time.Second
+	minLearnInterval = 200 * time.Millisecond
+	maxLearnInterval = 5 * time.Second
 )
 
 // started reports whether this process knows the other instances. The mutex must be held.
@@ -29,21 +29,24 @@
 // learnVersions asks recorders which versions were in use before this process started, until it has observed the targets for long
 // enough itself. Each stream of a group of which that is not known is told to them.
 func (b *Binder) learnVersions(c context.Context) {
-	woken := false
-
 	for i := minLearnInterval; c.Err() == nil; i = min(2*i, maxLearnInterval) {
-		sleeper.Sleep(c, i+rand.N(i/2)) //nolint:gosec // Jitter.
+		d := i + rand.N(i/2) //nolint:gosec // Jitter.
+		if r := startTime - time.Since(b.startedAt); r > 0 {
+			d = min(d, r) // The first writer is awaited then.
+		}
+
+		sleeper.Sleep(c, d)
 
 		n := time.Now()
 
 		b.mu.Lock()
 		groups := b.pinner.Incomplete(n)
 		started := b.started(n)
-		recording := started && len(groups) > 0 && b.selectRecorders(n).Recording()
+		first := started && len(groups) > 0 && !b.archive.position.IsRead() && b.selectRecorders(n).First()
 		settled := b.pinner.Settled(n)
 		b.mu.Unlock()
 
-		if recording {
+		if first {
 			b.refresh(c)
 		}
 
@@ -51,10 +54,8 @@
 			b.learnFromOthers(c, g)
 		}
 
-		if started && !woken {
+		if started {
 			b.archive.wakeUp()
-
-			woken = true
 		}
 
 		if settled {
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -19,6 +19,9 @@
 	// retention is how long the version of a stream is kept, and how long a version counts as in use after its last
 	// target has disappeared. It is longer than callers go on with a stream.
 	retention = time.Minute
+	// toldTime is how long after its last target has disappeared a version may count as in use at instances that start meanwhile: until
+	// then others are told where streams begin.
+	toldTime = 2 * retention
 	// recentTime is how old the notes are that are sent when a second version appears, and how long a process has observed the
 	// targets when it knows all versions in use: older streams have ended.
 	recentTime = 20 * time.Second
@@ -61,10 +64,8 @@
 	// order holds the streams approximately by the time of their notes.
 	order []record
 	// since is when the targets were first observed.
-	since time.Time
-	// learned is as in use, for all groups.
-	learned bool
-	groups  map[string]*use
+	since  time.Time
+	groups map[string]*use
 }
 
 // New returns a Pinner without notes.
@@ -164,13 +165,14 @@
 }
 
 // Learn records which versions were in use before this process started, and returns the groups that have more than one
-// version since. It has no effect on groups of which that is known.
+// version since. It has no effect on groups of which that is known. A group of which nothing is recorded is not learned: its record
+// may be lost.
 func (p *Pinner) Learn(now time.Time, used map[string][]discoverer.Version) []string {
 	mixed := p.mixedGroups(now)
 
 	for g, l := range used {
 		u := p.group(g)
-		if u.learned || p.learned {
+		if u.learned {
 			continue
 		}
 
@@ -186,14 +188,6 @@
 	return p.newlyMixed(now, mixed)
 }
 
-// LearnAll is Learn for all groups: those that are missing have had no other versions than those that are listed.
-func (p *Pinner) LearnAll(now time.Time, used map[string][]discoverer.Version) []string {
-	o := p.Learn(now, used)
-	p.learned = true
-
-	return o
-}
-
 func (p *Pinner) group(name string) *use {
 	u := p.groups[name]
 	if u == nil {
@@ -249,18 +243,28 @@
 	return len(p.Versions(now, group)) > 1
 }
 
+// MixedGroups returns the groups of which several versions are in use, with these.
+func (p *Pinner) MixedGroups(now time.Time) map[string][]discoverer.Version {
+	o := make(map[string][]discoverer.Version)
+	for g := range p.mixedGroups(now) {
+		o[g] = p.Versions(now, g)
+	}
+
+	return o
+}
+
 // MustTell reports whether others must be told at which version a stream of a group begins: several are in use, or
-// may be, as this process has just started.
+// count as such at instances that have just started, or may be, as this one has.
 func (p *Pinner) MustTell(now time.Time, group string) bool {
-	return p.Mixed(now, group) || !p.Complete(now, group)
+	return p.Mixed(now, group) || !p.Complete(now, group) || len(p.groups[group].gone) > 0
 }
 
-// InUse returns the versions in use of all groups that have any.
+// InUse returns the versions in use of the groups that have several, and of those that have one and are known to have had no other.
 func (p *Pinner) InUse(now time.Time) map[string][]discoverer.Version {
 	o := make(map[string][]discoverer.Version)
 
 	for g := range p.groups {
-		if l := p.Versions(now, g); len(l) > 0 {
+		if l := p.Versions(now, g); len(l) > 1 || len(l) == 1 && p.Complete(now, g) {
 			o[g] = l
 		}
 	}
@@ -293,7 +297,9 @@
 	for v, at := range u.gone {
 		if now.Sub(at) < retention {
 			o = append(o, v)
-		} else {
+		}
+
+		if now.Sub(at) >= toldTime {
 			delete(u.gone, v)
 		}
 	}
@@ -308,7 +314,7 @@
 func (p *Pinner) Complete(now time.Time, group string) bool {
 	u := p.groups[group]
 
-	return u != nil && !p.since.IsZero() && (p.learned || u.learned || p.Settled(now))
+	return u != nil && !p.since.IsZero() && (u.learned || p.Settled(now))
 }
 
 // Settled reports whether this instance has observed the targets for longer than any stream lasts.
--- a/internal/pinner/recorders.go
+++ b/internal/pinner/recorders.go
@@ -24,9 +24,9 @@
 	self      gossiper.Member
 	byCentre  map[string][]gossiper.Member
 	recording bool
-	// first reports that this instance is the first of the recorders.
-	first bool
-	count int
+	// writers are the IDs of the recorders that write the versions in use.
+	writers []uint64
+	count   int
 }
 
 // NewRecorders selects the recorders among the live instances and this one: the first in each data centre, then the second
@@ -40,8 +40,12 @@
 		}
 
 		r.byCentre[m.DataCentre] = append(r.byCentre[m.DataCentre], m)
-		r.first = r.first || r.count == 0 && m.ID == self.ID
 		r.count++
+
+		if len(r.writers) < copies {
+			r.writers = append(r.writers, m.ID)
+		}
+
 		r.recording = r.recording || m.ID == self.ID
 	}
 
@@ -51,8 +55,15 @@
 // Recording reports whether this instance is a recorder.
 func (r *Recorders) Recording() bool { return r.recording }
 
-// First reports whether this instance is the recorder that writes what all recorders know.
-func (r *Recorders) First() bool { return r.first }
+// Writers returns the process IDs of the recorders that write the versions in use. They are few, since these are the same for all
+// recorders.
+func (r *Recorders) Writers() []uint64 { return r.writers }
+
+// Writing reports whether this instance is a writer.
+func (r *Recorders) Writing() bool { return slices.Contains(r.writers, r.self.ID) }
+
+// First reports whether this instance is the first writer.
+func (r *Recorders) First() bool { return len(r.writers) > 0 && r.writers[0] == r.self.ID }
 
 // Count returns the number of recorders.
 func (r *Recorders) Count() int { return r.count }
