internal/recorder, internal/joiner: one odd entry hides the platform's whole list from a router no more

What callers saw: nothing yet; a router stopped following the list of instances and targets (LOST: a target that leaves, a router that joins) as soon as one entry of another writer was in it, until that entry was written again. Cause: the answer was decoded as a whole, and an address is parsed while decoding. A port of 65536, an incarnation of 2^64 or 1e400, a string for an object, or an entry nested deeper than encoding/json permits was an error of the whole answer. The version did not advance, so each later answer had the entry again. A router's entry without a usable address is refused by name and not probed. An answer that was cut off is an error as before (TestUnreadableLists).

--- a/internal/joiner/joiner.go
+++ b/internal/joiner/joiner.go
@@ -293,21 +293,35 @@
 
 	j.version = l.Version
 
+	if n := len(l.Invalid); n > 0 {
+		logrus.WithFields(logrus.Fields{"event": "instancesRefused", "entries": n, "version": l.Version, "error": l.Invalid[0]}).Error()
+	}
+
 	for _, i := range l.Instances {
-		if i.Role != roleRouter {
-			j.onTargetChange(i)
+		j.applyEntry(i)
+	}
+}
 
-			continue
-		}
+// applyEntry applies an entry of the platform's list.
+func (j *Joiner) applyEntry(i recorder.Instance) {
+	if i.Role != roleRouter {
+		j.onTargetChange(i)
+
+		return
+	}
 
-		j.mu.Lock()
+	if !i.Address.IsValid() || i.Address.Port() == 0 || i.Address.Addr().IsUnspecified() {
+		logrus.WithFields(logrus.Fields{"event": "instancesRefused", "name": i.Name, "address": i.Address}).Error()
 
-		if i.Gone || i.Leaving {
-			delete(j.listed, i.Address)
-		} else {
-			j.listed[i.Address] = true
-		}
+		return
+	}
+
+	j.mu.Lock()
+	defer j.mu.Unlock()
 
-		j.mu.Unlock()
+	if i.Gone || i.Leaving {
+		delete(j.listed, i.Address)
+	} else {
+		j.listed[i.Address] = true
 	}
 }
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -66,8 +66,10 @@
 
 // List holds the changes of the platform's list since a version.
 type List struct {
-	Version   uint64     `json:"version"`
-	Instances []Instance `json:"instances"`
+	Version   uint64
+	Instances []Instance
+	// Invalid are the errors of the entries that can't be decoded. They are not among the instances.
+	Invalid []error
 }
 
 // Recorder is a client of the platform. It is safe for concurrent use.
@@ -117,11 +119,13 @@
 	}
 
 	u := r.base.JoinPath("v1", "streams", stream, "records")
-	if err := r.do(c, http.MethodPost, u, b, &o); err != nil {
+	if b, err = r.do(c, http.MethodPost, u, b); err != nil {
 		return 0, err
 	}
 
-	return o.Offset, nil
+	err = decode(b, &o)
+
+	return o.Offset, err
 }
 
 // Read returns records from an offset on. When there are none, it waits up to the given
@@ -130,9 +134,14 @@
 	u := r.base.JoinPath("v1", "streams", stream, "records")
 	u.RawQuery = fmt.Sprintf("from=%d&waitMs=%d", from, wait.Milliseconds())
 
+	a, err := r.do(c, http.MethodGet, u, nil)
+	if err != nil {
+		return Batch{}, err
+	}
+
 	var b Batch
 
-	err := r.do(c, http.MethodGet, u, nil, &b)
+	err = decode(a, &b)
 
 	return b, err
 }
@@ -142,11 +151,17 @@
 	u := r.base.JoinPath("v1", "instances")
 	u.RawQuery = fmt.Sprintf("since=%d", since)
 
-	var l List
+	b, err := r.do(c, http.MethodGet, u, nil)
+	if err != nil {
+		return List{}, err
+	}
 
-	err := r.do(c, http.MethodGet, u, nil, &l)
+	l, err := newListReader(b).read()
+	if err != nil {
+		return List{}, errors.Mark(err, ErrUncertain)
+	}
 
-	return l, err
+	return l, nil
 }
 
 // Register adds an instance to the list. Only the stand-ins use it, in place of the
@@ -157,13 +172,16 @@
 		return errors.Mark(err, ErrAnswer)
 	}
 
-	return r.do(c, http.MethodPut, r.base.JoinPath("v1", "instances"), b, nil)
+	_, err = r.do(c, http.MethodPut, r.base.JoinPath("v1", "instances"), b)
+
+	return err
 }
 
-func (r *Recorder) do(c context.Context, method string, u *url.URL, body []byte, o any) error {
+// do sends a request and returns the body of its answer.
+func (r *Recorder) do(c context.Context, method string, u *url.URL, body []byte) ([]byte, error) {
 	q, err := http.NewRequestWithContext(c, method, u.String(), bytes.NewReader(body))
 	if err != nil {
-		return errors.Mark(err, ErrAnswer)
+		return nil, errors.Mark(err, ErrAnswer)
 	}
 
 	q.Header.Set(dataCentreHeader, r.dataCentre)
@@ -176,7 +194,7 @@
 
 	a, err := r.client.Do(q)
 	if err != nil {
-		return errors.Mark(err, classify(err))
+		return nil, errors.Mark(err, classify(err))
 	}
 
 	defer func() { _ = a.Body.Close() }()
@@ -185,14 +203,14 @@
 	r.bytes.Add(int64(len(b) + len(body)))
 
 	if err != nil {
-		return errors.Mark(err, ErrUncertain)
+		return nil, errors.Mark(err, ErrUncertain)
 	}
 
-	return decode(a.StatusCode, b, o)
+	return b, check(a.StatusCode, b)
 }
 
-// decode decodes an answer into o, unless o is nil or the status is an error.
-func decode(status int, b []byte, o any) error {
+// check returns an error if the status of an answer is one.
+func check(status int, b []byte) error {
 	switch {
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		return errors.Mark(errors.Newf("status %d", status), ErrDown)
@@ -200,10 +218,13 @@
 		return errors.Mark(errors.Newf("status %d", status), ErrUncertain)
 	case status >= http.StatusMultipleChoices:
 		return errors.Mark(errors.Newf("status %d: %s", status, b), ErrAnswer)
-	case o == nil:
+	default:
 		return nil
 	}
+}
 
+// decode decodes an answer.
+func decode(b []byte, o any) error {
 	// The answer may come from a proxy although the service processed the request, so
 	// an unreadable answer leaves the effect unknown.
 	if err := json.Unmarshal(b, o); err != nil {
