internal/filterer: the beginning of an answer without framing, of a crashed target, is no whole answer

What callers saw: nothing reported yet; a router answered 200 with the part that had arrived, framed as whole, when a target crashed within an answer that has neither a length nor chunks, and recorded that under the call's key. Cause: such an answer ends with its connection. Why it works: an answer without framing whose target's process may have ended counts as broken: 502 with an unknown outcome, or another target if the call may be repeated. TestAnswersThatEndEarly, 22 ends of heads, bodies, chunks and trailers on new and on kept connections by three methods, held before and is kept.

--- a/internal/filterer/filterer_test.go
+++ b/internal/filterer/filterer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -103,6 +104,7 @@
 func (w *fakeDeps) Report(requester.Reservation, int, tracker.State)  {}
 func (w *fakeDeps) StartBackoff(requester.Reservation, time.Duration) {}
 func (w *fakeDeps) Cancel(*exchanger.Exchange)                        {}
+func (w *fakeDeps) MayHaveEnded(context.Context, netip.AddrPort) bool { return false }
 func (w *fakeDeps) respond(b string, h http.Header) *http.Response    { return response(200, b, h) }
 
 func (w *fakeDeps) Send(context.Context, *exchanger.Exchange) (*http.Response, error) {
--- a/internal/filterer/relay.go
+++ b/internal/filterer/relay.go
@@ -55,7 +55,7 @@
 	if x.ChatCompletion && strings.HasPrefix(x.Response.Header.Get("Content-Type"), "text/event-stream") {
 		err = r.stream(c, x)
 	} else {
-		err = r.buffer(x)
+		err = r.buffer(c, x)
 	}
 
 	if err == nil {
@@ -81,7 +81,7 @@
 
 // buffer reads an answer that is not streamed. Nothing of it is sent to the caller before
 // it is complete, so that the caller never gets a truncated answer.
-func (r Relay) buffer(x *exchanger.Exchange) error {
+func (r Relay) buffer(c context.Context, x *exchanger.Exchange) error {
 	if x.AnswerMemory != nil {
 		x.AnswerMemory.Close()
 	}
@@ -105,6 +105,8 @@
 		return errors.Mark(err, sender.ErrTooLong)
 	case err != nil:
 		return errors.Mark(err, sender.ErrBroken)
+	case isUnframed(x.Response) && r.Targets.MayHaveEnded(c, x.Target.Address):
+		return errors.Mark(errors.New("the target may have ended within its answer, which has neither a length nor chunks"), sender.ErrBroken)
 	}
 
 	h := make(http.Header)
@@ -123,6 +125,12 @@
 	return nil
 }
 
+// isUnframed reports whether an answer has neither a length nor chunks. It ends with its connection, and so does the beginning of one
+// whose target crashes.
+func isUnframed(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 // stream forwards events as they arrive and resumes the stream if it is interrupted.
 func (r Relay) stream(c context.Context, x *exchanger.Exchange) error {
 	s := &stream{relay: r, exchange: x, events: sender.NewEventReader(x.Response.Body)}
--- a/internal/filterer/relay_test.go
+++ b/internal/filterer/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -33,6 +34,8 @@
 
 func (*breakingTarget) Cancel(*exchanger.Exchange) {}
 
+func (*breakingTarget) MayHaveEnded(context.Context, netip.AddrPort) bool { return false }
+
 func (b *breakingTarget) Resume(_ context.Context, _ *exchanger.Exchange, offset int) (*http.Response, error) {
 	b.resumes++
 
--- a/internal/filterer/send.go
+++ b/internal/filterer/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 	Send(c context.Context, x *exchanger.Exchange) (*http.Response, error)
 	Resume(c context.Context, x *exchanger.Exchange, offset int) (*http.Response, error)
 	Cancel(x *exchanger.Exchange)
+	// MayHaveEnded reports whether the process that listens at an address has ended, or may have.
+	MayHaveEnded(c context.Context, a netip.AddrPort) bool
 }
 
 // stallMonitor detects stalls of this process.
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -93,6 +93,11 @@
 	return s.prober.Crashed(c, a, others)
 }
 
+// MayHaveEnded reports whether the process that listens at an address has ended, or may have. See prober.Prober.
+func (s *Sender) MayHaveEnded(c context.Context, a netip.AddrPort) bool {
+	return s.prober.MayHaveEnded(c, a)
+}
+
 func (s *Sender) targetURL(a netip.AddrPort, path string) *url.URL {
 	return &url.URL{Scheme: s.scheme, Host: a.String(), Path: path}
 }
