internal/replicator: a stored record of 49 days ago no longer quarantines its call as if it were new

What callers saw: nothing reported. A call is refused with 503 for up to its trials after a start, by a record whose instances have been away for 49.7 days or more, or whose time another writer has set to long ago: the age wrapped around 32 bits. Cause: ages in messages have 32 bits of milliseconds, and that of a stored record is computed from a time that may be any. Evidence: three cases of replicator.TestAgesOfStoredRecords failed before. Why it works: ages and their sums stop at the largest that a message holds, which is longer than any retention, so such a record is dropped and deleted from the store. TestOddStoredRecords (13 odd values under a sound key, an odd one and none, beside a sound record) held before.

--- a/internal/replicator/message.go
+++ b/internal/replicator/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"time"
 
@@ -184,9 +185,14 @@
 	return o
 }
 
-// ageMs returns the age of a time in milliseconds, at least zero.
+// ageMs returns the age of a time in milliseconds, from zero to the longest age that a message holds, which is 49 days.
 func ageMs(now, t time.Time) uint32 {
-	return uint32(max(now.Sub(t).Milliseconds(), 0)) //nolint:gosec // Records expire long before the overflow.
+	return uint32(min(max(now.Sub(t).Milliseconds(), 0), math.MaxUint32))
+}
+
+// addAges returns the sum of two ages, at most the longest that a message holds.
+func addAges(a, b uint32) uint32 {
+	return a + min(b, math.MaxUint32-a)
 }
 
 // timeAtAge is the inverse of ageMs.
--- a/internal/replicator/store.go
+++ b/internal/replicator/store.go
@@ -171,10 +171,10 @@
 	}
 
 	d := ageMs(now, time.UnixMilli(h.WrittenMs))
-	s.LastSeenMs += d
+	s.LastSeenMs = addAges(s.LastSeenMs, d)
 
 	for i := range s.Crashes {
-		s.Crashes[i].AgeMs += d
+		s.Crashes[i].AgeMs = addAges(s.Crashes[i].AgeMs, d)
 	}
 
 	return s, nil
--- a/internal/replicator/store_test.go
+++ b/internal/replicator/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -249,3 +250,89 @@
 }
 
 var _ replicator.Store = (*memoryStore)(nil)
+
+// stored returns a stored record of a call that has crashed three targets, written some time ago.
+func stored(t *testing.T, d digester.Digest, lastSeenMs uint32, written time.Time) []byte {
+	t.Helper()
+
+	b, err := (&wire.QuarantineRecord{
+		WrittenMs: written.UnixMilli(),
+		Suspect: wire.Suspect{Call: uint64(d), LastSeenMs: lastSeenMs, Crashes: []wire.SuspectCrash{
+			{Target: 1, AgeMs: lastSeenMs}, {Target: 2, AgeMs: lastSeenMs}, {Target: 3, AgeMs: lastSeenMs},
+		}},
+	}).MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return b
+}
+
+// Guards against an odd record of another writer that ends an instance, or hides the record of a quarantined call.
+func TestOddStoredRecords(t *testing.T) {
+	for name, value := range map[string]string{
+		"empty array":        "\x90",
+		"text":               "null",
+		"open":               "\x92\x93",
+		"deeply nested":      strings.Repeat("\x91", 200_000),
+		"deeply nested maps": strings.Repeat("\x81\x01", 200_000),
+		"four billion calls": "\x92\x93\x01\x01\xdd\xff\xff\xff\xff",
+		"65536 crashes":      "\x92\x93\x01\x01\xdd\x00\x01\x00\x00",
+		"negative call":      "\x92\x93\xff\x01\x90\x01",
+		"age beyond 32 bits": "\x92\x93\x01\xcf\xff\xff\xff\xff\xff\xff\xff\xff\x90\x01",
+		"float":              "\x92\xcb\x7f\xf8\x00\x00\x00\x00\x00\x00\x01",
+		"NUL":                "\x00",
+		"never used":         "\xc1",
+		"other call":         "\x92\x93\x02\x01\x90\x01",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				s := newMemoryStore()
+				s.records[call.String()] = stored(t, call, 1000, time.Now())
+				s.records[digester.Digest(1).String()] = []byte(value)
+				s.records["odd"] = []byte(value)
+				s.records[""] = []byte(value)
+
+				f := startWith(t, 2, s)
+				time.Sleep(bound)
+				i.Equal(f.quarantined(), 2)
+			})
+		})
+	}
+}
+
+// Guards against a call that is quarantined by a record of long ago, whose age does not fit a message.
+func TestAgesOfStoredRecords(t *testing.T) {
+	const days = 24 * time.Hour
+
+	for name, x := range map[string]struct {
+		lastSeenMs  uint32
+		age         time.Duration
+		quarantined bool
+	}{
+		"just written":         {0, 0, true},
+		"before the retention": {0, 3 * time.Hour, true},
+		"after the retention":  {0, 5 * time.Hour, false},
+		"49 days":              {0, 49 * days, false},
+		"2^32 ms":              {0, 1 << 32 * time.Millisecond, false},
+		"2^32 ms and a second": {0, 1<<32*time.Millisecond + time.Second, false},
+		"centuries":            {0, 100_000 * days, false},
+		"largest age":          {1<<32 - 1, 0, false},
+		"largest age, later":   {1<<32 - 1, time.Second, false},
+		"in the future":        {0, -100_000 * days, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := is.New(t)
+				s := newMemoryStore()
+				s.records[call.String()] = stored(t, call, x.lastSeenMs, time.Now().Add(-x.age))
+
+				f := startWith(t, 1, s)
+				time.Sleep(bound)
+				i.Equal(f.quarantined() == 1, x.quarantined)
+				i.Equal(s.keys() == 1, x.quarantined)
+			})
+		})
+	}
+}
