--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -124,3 +124,55 @@
 	waiter.Until(t, "the revision", func() bool { return g.Revision() == f.Revision() })
 	i.Equal(g.Config().State.Document.Customers["c"].Weight, 3.0)
 }
+
+// Guards against an odd record of another writer that ends a router, or hides the changes after it.
+func TestOddRecordsHideNoChanges(t *testing.T) {
+	const target = `{"id":"x","base":1,"change":{"setTargets":{"t":{"address":%s,"kind":"engine","region":"r","dataCentre":"d","capacity":%s}}}}`
+
+	for name, record := range map[string]string{
+		"deeply nested":             strings.Repeat("[", 100_000),
+		"deeply nested, closed":     strings.Repeat(`{"change":`, 20_000) + "1" + strings.Repeat("}", 20_000),
+		"not UTF-8":                 "\xff\xfe",
+		"NUL":                       "\x00",
+		"empty":                     "",
+		"null":                      "null",
+		"array":                     "[]",
+		"base beyond float64":       `{"base":1e400,"change":{}}`,
+		"base of 2^64-1":            `{"base":18446744073709551615,"change":{}}`,
+		"base of 2^64":              `{"base":18446744073709551616,"change":{}}`,
+		"checkpoint of 2^64-1":      `{"checkpoint":{"revision":18446744073709551615,"document":{}},"next":18446744073709551615}`,
+		"checkpoint of 2^64-1, own": `{"checkpoint":{"revision":18446744073709551615,"document":{}}}`,
+		"checkpoint of era 2^63":    `{"checkpoint":{"revision":1,"era":9223372036854775808,"document":{}},"next":1}`,
+		"time of another type":      `{"time":5}`,
+		"port too large":            fmt.Sprintf(target, `"10.0.0.1:65536"`, "8"),
+		"negative port":             fmt.Sprintf(target, `"10.0.0.1:-1"`, "8"),
+		"capacity of 2^62":          fmt.Sprintf(target, `"10.0.0.1:80"`, "4611686018427387904"),
+		"capacity beyond float64":   fmt.Sprintf(target, `"10.0.0.1:80"`, "1e400"),
+		"negative capacity":         fmt.Sprintf(target, `"10.0.0.1:80"`, "-1"),
+		"capacity of zero":          fmt.Sprintf(target, `"10.0.0.1:80"`, "0"),
+		"weight beyond float64":     `{"id":"x","base":1,"change":{"setCustomers":{"c":{"weight":1e400}}}}`,
+		"negative weight":           `{"id":"x","base":1,"change":{"setCustomers":{"c":{"weight":-1}}}}`,
+		"load factor of 1e300":      `{"id":"x","base":1,"change":{"limits":{"maxLoadFactor":1e300}}}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			_, r := newLog(t, time.Hour)
+			publish(t, r, 0, 1)
+
+			f, reverts := start(t, r, false)
+			waiter.Until(t, "the revision", func() bool { return f.Revision() == 1 })
+
+			_, err := r.Append(t.Context(), follower.Stream, [][]byte{[]byte(record)})
+			i.NoErr(err)
+			publish(t, r, 1, 2)
+			waiter.Until(t, "the revision", func() bool { return f.Revision() == 3 })
+			i.Equal(f.Config().State.Document.Customers["c"].Weight, 2.0)
+			i.Equal(len(f.Config().State.Document.Targets), 0)
+			i.Equal(reverts.Load(), int64(0))
+
+			// A router that starts now reads the same.
+			g, _ := start(t, r, true)
+			waiter.Until(t, "the revision", func() bool { return g.Revision() == 3 })
+		})
+	}
+}
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -254,6 +254,27 @@
 	}
 }
 
+// registerRaw registers an entry that another writer has made in the platform's list.
+func (f *fleet) registerRaw(entry string) {
+	f.t.Helper()
+
+	q, err := http.NewRequestWithContext(f.t.Context(), http.MethodPut, "http://"+f.address.String()+"/v1/instances", strings.NewReader(entry))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+
+	_ = r.Body.Close()
+
+	if r.StatusCode >= http.StatusMultipleChoices {
+		f.t.Fatalf("registering %s: status %d", entry, r.StatusCode)
+	}
+}
+
 func (n *instance) metric(x counter.Name) int64 { return n.router.Counter().Get(x) }
 
 // response is an answer as received by its caller. The field err is set if the connection
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -344,6 +344,14 @@
 		"platform list": func(f *fleet) {
 			f.registerInstance(recorder.Instance{Name: "e0", Role: "target", Incarnation: f.engines[0].Incarnation(), Leaving: true})
 		},
+		"platform list beside odd entries": func(f *fleet) {
+			for n, x := range []string{"10.0.0.1:65536", "10.0.0.1:-1", "10.0.0.1", "nobody"} {
+				f.registerRaw(fmt.Sprintf(`{"name":"odd-%d","address":%q,"role":"router"}`, n, x))
+			}
+
+			f.registerRaw(`{"name":"odd","address":"10.0.0.1:0","role":"router"}`)
+			f.registerInstance(recorder.Instance{Name: "e0", Role: "target", Incarnation: f.engines[0].Incarnation(), Leaving: true})
+		},
 		"configuration": func(f *fleet) {
 			x, _ := f.targets["e0"].(map[string]any)
 			x["drain"] = true
