--- a/internal/forwarder/cut_test.go
+++ b/internal/forwarder/cut_test.go
@@ -4,11 +4,15 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/delegator"
+	"github.com/auburntray/auburntray/internal/negotiator"
 )
 
 // cutHeads returns the beginnings of answers whose targets stop within the head, by name.
@@ -235,3 +239,69 @@
 		}
 	}
 }
+
+// leavingOut are delegates of which those that don't answer are not used again, as by a negotiator.Negotiator.
+type leavingOut struct{ *delegates }
+
+// Acquire returns the first instance that is left: those that were tried in vain are not.
+func (d leavingOut) Acquire(q delegator.Query) (delegator.Delegate, bool) {
+	q.Tried = nil
+
+	return d.delegates.Acquire(q)
+}
+
+func (d leavingOut) Finish(id uint64, group string, r negotiator.Result) {
+	d.delegates.Finish(id, group, r)
+
+	if r == negotiator.Silent {
+		d.list = d.list[1:]
+	}
+}
+
+// Guards against an answer that looks whole since the instance through which the call was sent ended within it, and against a call that
+// is sent again though it may have run.
+func TestDelegatesThatEndEarly(t *testing.T) {
+	begins := cutHeads()
+	for n, b := range begins {
+		begins[n] = strings.Replace(b, "Seal: x", "Seal: x\r\nDelegation-Result: answered", 1)
+	}
+
+	const head = "HTTP/1.1 200 OK\r\nId: call-1\r\nSeal: x\r\nDelegation-Result: answered\r\n"
+
+	begins["before the body"] = head + "Content-Length: 9\r\n\r\n"
+	begins["no last chunk"] = head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"
+	begins["half of the last chunk"] = head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n"
+
+	for name, begin := range begins {
+		for path, status := range map[string]int{"/once/": http.StatusBadGateway, "/stream/": http.StatusBadGateway, "/idempotent/": http.StatusOK, "/resumable/": http.StatusOK} {
+			t.Run(name+path, func(t *testing.T) {
+				i := is.New(t)
+				a, b := &target{answer: answerOK}, &target{answer: answerOK}
+
+				if path == "/resumable/" {
+					a.answer, b.answer = answerEvents(3), answerEvents(3)
+				}
+
+				g, d, _ := newDelegatingGateway(t, a, b)
+				x := &target{}
+				x.answer = cutAfter(x, 0, begin, func(n net.Conn) { x.refuseConnections(); closeConn(n) })
+				d.list = append([]netip.AddrPort{x.listen(t)}, d.list...)
+				g.forwarder.SetDelegates(leavingOut{d})
+
+				o := g.call(t, http.MethodPost, path, "x")
+				i.NoErr(o.err)
+				i.Equal(o.status, status)
+
+				switch {
+				case status != http.StatusOK:
+					i.Equal(o.header.Get("Seal"), "")
+					i.Equal(a.count()+b.count(), 0)
+				case path == "/resumable/":
+					i.Equal(o.body, events(1, 3))
+				default:
+					i.True(strings.HasPrefix(o.body, "from t"))
+				}
+			})
+		}
+	}
+}
