--- a/internal/binder/marks_test.go
+++ b/internal/binder/marks_test.go
@@ -354,3 +354,42 @@
 		is.Equal(p.wrong.Load(), int64(0))
 	})
 }
+
+// Guards against streams that are refused, though targets of their version serve: they began at an instance that was lost while one version
+// served, and a second one has appeared since.
+func TestStreamsBegunAndLostBeforeSecondVersion(t *testing.T) {
+	// minFound is the part of the streams that go on if a target of their version serves. The users' bound is half.
+	const minFound = 0.95
+
+	for name, run := range map[string]func(p *play){
+		"one instance is killed before it appears": func(p *play) {
+			p.stop(1)
+			time.Sleep(awayTime)
+			p.start(1)
+			p.list("v1", "v2")
+		},
+		"it appears while all are away": func(p *play) { p.kill("v1", "v2") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				p := newPlay(t)
+				p.list("v1")
+				time.Sleep(time.Minute)
+
+				for range 40 {
+					p.begin(1)
+					time.Sleep(30 * time.Millisecond)
+				}
+
+				time.Sleep(firstEvent)
+				run(p)
+				p.resume()
+
+				t.Logf("%d of %d found, %d wrong", p.found.Load(), p.owed.Load(), p.wrong.Load())
+				is.Equal(p.wrong.Load(), int64(0))
+				is.True(float64(p.found.Load()) >= minFound*float64(p.owed.Load()))
+			})
+		})
+	}
+}
