internal/selector, internal/forwarder: tests that few targets are not crowded

The selector sees one usable target, and its bound is a multiple of that target's own load: load 7, bound 16; load 115, bound 200; the mean of the group is 25 to 30. So the bound can't be reached; 128 of the first 141 callers leave after 3.2 s without a first event.

Ruled out: calls that are not bound (18 attempts at that target from 22 to 25 s beside 143 of bound ones, none from 25 to 31 s); homes (6 instances have none, room is `unanswered`); targets that leave (the registry's group has none of them).

--- /dev/null
+++ b/internal/forwarder/crowded_test.go
@@ -0,0 +1,96 @@
+package forwarder_test
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/auburntray/auburntray/internal/discoverer"
+)
+
+// Guards against streams that callers resume after a loss of all instances and that all wait at the last target of their version
+// until their callers give up: those that the target can't take are refused at once, and told when to come back.
+func TestResumedStreamsDoNotCrowdTheirVersion(t *testing.T) {
+	const herd = 40
+
+	for name, x := range map[string]struct {
+		// headers are those of each call besides its ID.
+		headers []string
+		// most is the largest number of calls that may reach the target.
+		most int
+	}{
+		"with a prompt":    {[]string{"Prompt", "system,chat"}, 5},
+		"without a prompt": {nil, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			end := make(chan struct{})
+
+			old := &target{answer: func(n net.Conn, s received) {
+				beginStream(n, s)
+				chunk(n, event(3))
+				<-end
+				finishStream(n)
+			}}
+			l := []*target{old}
+
+			for range 5 {
+				l = append(l, &target{answer: answerEvents(5)})
+			}
+
+			g := newGatewayWithDialer(t, &unboundedDialer{}, l...)
+			g.setVersions("v1", "v2", "v2", "v2", "v2", "v2")
+			g.forwarder.SetBinder(&streamBinder{version: discoverer.VersionOf("v1")})
+
+			resume := func(id int) answer {
+				return g.call(t, http.MethodPost, "/stream/", "x", append([]string{"Id", "call-" + strconv.Itoa(id), "Last", "2", "Begun-By", "call-0"}, x.headers...)...)
+			}
+
+			var (
+				w       sync.WaitGroup
+				mu      sync.Mutex
+				refused int
+			)
+
+			begin := time.Now()
+
+			for n := range herd {
+				w.Go(func() {
+					o := resume(n + 1)
+					if o.status == http.StatusOK {
+						return
+					}
+
+					mu.Lock()
+					defer mu.Unlock()
+
+					if s, err := strconv.ParseFloat(o.header.Get("Retry-After"), 64); o.status == http.StatusServiceUnavailable && err == nil && s > 0 && time.Since(begin) < 500*time.Millisecond {
+						refused++
+					}
+				})
+			}
+
+			time.Sleep(600 * time.Millisecond)
+
+			mu.Lock()
+			is.True(old.count() > 0)
+			is.True(old.count() <= x.most)
+			is.Equal(refused, herd-old.count())
+			mu.Unlock()
+
+			close(end)
+			w.Wait()
+
+			for _, k := range l[1:] {
+				is.Equal(k.count(), 0)
+			}
+
+			is.Equal(resume(herd+1).status, http.StatusOK)
+		})
+	}
+}
