internal/selector, internal/searcher, internal/forwarder: one load bound for all calls of a group

A call that only a part of a group may run (a version's targets, a data centre, a shard) had a bound derived from the mean load of that part. With one target left it is 1.7 times that target's own load, so it is never reached: load 115, bound 200, where the mean of the group is 25 to 30. And where no target was within the bound, the least loaded one was taken.

The bound is now a multiple of the mean load of the group whatever a call may use of it, and no more than the slots unless the whole group is as full. A call that exceeds it everywhere it may run is refused at once. A slot is requested from the target's home in small fleets too: six instances that see the same load would each fill the room. The home is told of the calls that it does not count. Calls without a prompt that are not bound to a version are selected as before.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -186,6 +186,8 @@
 		return refuse(http.StatusServiceUnavailable, TargetsBackingOff, withJitterMargin(backoff), "all targets have asked for rest")
 	case x.fullTargets > 0:
 		return refuse(http.StatusServiceUnavailable, Overload, noTargetWait, "%d targets are brittle and have no room", x.fullTargets)
+	case x.crowdedTargets > 0:
+		return refuse(http.StatusServiceUnavailable, Overload, noTargetWait, "the %d targets that may run the call have no room", x.crowdedTargets)
 	case x.coldTargets > 0:
 		return refuse(http.StatusServiceUnavailable, TargetsCold, noTargetWait, "%d targets are cold and bear no more calls now", x.coldTargets)
 	default:
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -86,6 +86,8 @@
 	coldTargets int
 	// fullTargets is how many targets the last selection skipped because they are brittle and have no room.
 	fullTargets int
+	// crowdedTargets is how many targets have no room within the bound, while others of the group may not run the call.
+	crowdedTargets int
 	// backingOff is how many targets the last selection skipped because they requested a backoff.
 	backingOff int
 	// reply is the reply of the last target.
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -92,6 +92,7 @@
 
 		// A brittle target must not get more calls than it accepts, also if it has the prompt cached.
 		s.Prompt = s.Prompt && t.MaxCalls == 0
+		s.Bounded = t.Narrowed
 
 		f.reserve(c, x, t, &s)
 
@@ -149,7 +150,7 @@
 	q.Declined, q.Sharded, q.Uncounted = declined, x.sharded, x.uncounted
 
 	t, ok := f.chooseTarget(n, l, x, q)
-	x.coldTargets, x.backingOff, x.fullTargets = t.Cold, t.BackingOff, t.Full
+	x.coldTargets, x.backingOff, x.fullTargets, x.crowdedTargets = t.Cold, t.BackingOff, t.Full, t.Crowded
 
 	if ok {
 		f.selector.StartChoice(n, t)
@@ -173,10 +174,15 @@
 	}
 
 	x.reservation.verdict, x.reservation.release = f.reserver.Reserve(c, t.Target, aggregator.Request{
-		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(), Exact: t.MaxCalls > 0,
+		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(), Exact: t.MaxCalls > 0 || t.Narrowed,
 	})
 	f.meter.Reservation(x.group, x.reservation.verdict.Outcome.String())
 
+	// In a small fleet the home counts only the calls with slots, until it is told of the others.
+	if t.Narrowed {
+		f.correctHome(x, t.Target, int(t.Load))
+	}
+
 	if p := x.reservation.verdict.Latency; p > 0 {
 		f.mu.Lock()
 		f.selector.ReportLatency(t.Target, p)
@@ -215,7 +221,12 @@
 	f.selector.ReportLoad(time.Now(), t, selector.Load{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
 	f.mu.Unlock()
 
-	if n := p.Running + p.Waiting; x.reservation.verdict.Outcome == aggregator.Granted && n > x.reservation.verdict.Calls+maxCountDrift {
-		f.reserver.Report(t, n)
+	f.correctHome(x, t, p.Running+p.Waiting)
+}
+
+// correctHome reports the number of calls at a target to its home node if that has granted a slot and counts too few.
+func (f *Forwarder) correctHome(x *exchange, t *discoverer.Target, calls int) {
+	if x.reservation.verdict.Outcome == aggregator.Granted && calls > x.reservation.verdict.Calls+maxCountDrift {
+		f.reserver.Report(t, calls)
 	}
 }
--- a/internal/searcher/searcher.go
+++ b/internal/searcher/searcher.go
@@ -43,7 +43,10 @@
 type Searcher struct {
 	// Prompt reports that the call has a prompt. Engines order their queues by priority, and
 	// the admission to these queues has been decided before, so such calls are not refused.
-	Prompt         bool
+	Prompt bool
+	// Bounded reports that the bound must not be exceeded, with a prompt or without one, since the targets that may run the
+	// call are few.
+	Bounded        bool
 	full, excluded int
 }
 
@@ -54,7 +57,7 @@
 // number of calls that the target runs concurrently. After maxRequests requests, a service may
 // have queueFactor times as many.
 func (s *Searcher) MaxCalls(bound float64) int {
-	if s.limitReached() && !s.Prompt {
+	if s.limitReached() && !s.Prompt && !s.Bounded {
 		bound *= queueFactor
 	}
 
@@ -82,7 +85,7 @@
 	switch {
 	case !last && (!s.Prompt || !s.limitReached()):
 		return TryNext
-	case s.Prompt || o == aggregator.Excluded:
+	case s.Prompt && !s.Bounded || o == aggregator.Excluded:
 		// The call must be sent to some target, and a target may accept more calls than its
 		// bound.
 		return Send
--- a/internal/searcher/searcher_test.go
+++ b/internal/searcher/searcher_test.go
@@ -21,36 +21,47 @@
 		// maxCalls and allowExcluded are the parameters of the last request, with a bound of six.
 		maxCalls      int
 		allowExcluded bool
+		bounded       bool
 	}{
 		"free slot": {
-			false, []aggregator.Outcome{aggregator.Granted}, []searcher.Step{searcher.Send}, 6, false,
+			false, []aggregator.Outcome{aggregator.Granted}, []searcher.Step{searcher.Send}, 6, false, false,
 		},
 		"home does not answer": {
-			false, []aggregator.Outcome{full, aggregator.Unanswered}, []searcher.Step{searcher.TryNext, searcher.Send}, 6, false,
+			false, []aggregator.Outcome{full, aggregator.Unanswered}, []searcher.Step{searcher.TryNext, searcher.Send}, 6, false, false,
 		},
 		// Guards against an endless search when a newer release reports an unknown outcome.
 		"unknown outcome": {
-			false, []aggregator.Outcome{full, 99}, []searcher.Step{searcher.TryNext, searcher.Send}, 6, false,
+			false, []aggregator.Outcome{full, 99}, []searcher.Step{searcher.TryNext, searcher.Send}, 6, false, false,
 		},
 		"all targets full": {
 			false, []aggregator.Outcome{full, full, full, full, full, full},
-			[]searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Refuse}, 12, false,
+			[]searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Refuse}, 12, false, false,
 		},
 		"all targets full, short queue permitted": {
 			false, []aggregator.Outcome{full, full, full, full, full, aggregator.Granted},
-			[]searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Send}, 12, false,
+			[]searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Send}, 12, false, false,
 		},
 		"all targets full, with a prompt": {
 			true, []aggregator.Outcome{full, full, full, full, full},
-			[]searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Send}, 6, false,
+			[]searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Send}, 6, false, false,
+		},
+		"all targets full, with a prompt, few may run the call": {
+			prompt: true, outcomes: []aggregator.Outcome{full, full, full, full, full, full},
+			want:     []searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Refuse, searcher.Refuse},
+			maxCalls: 6, bounded: true,
+		},
+		"all targets full, few may run the call": {
+			outcomes: []aggregator.Outcome{full, full, full, full, full, full},
+			want:     []searcher.Step{searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.TryNext, searcher.Refuse},
+			maxCalls: 6, bounded: true,
 		},
 		"two targets excluded": {
-			false, []aggregator.Outcome{excluded, excluded, aggregator.Granted}, []searcher.Step{searcher.TryNext, searcher.TryNext, searcher.Send}, 6, true,
+			false, []aggregator.Outcome{excluded, excluded, aggregator.Granted}, []searcher.Step{searcher.TryNext, searcher.TryNext, searcher.Send}, 6, true, false,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			s := searcher.Searcher{Prompt: tc.prompt}
+			s := searcher.Searcher{Prompt: tc.prompt, Bounded: tc.bounded}
 
 			var (
 				maxCalls      int
--- a/internal/selector/narrow_replay_test.go
+++ b/internal/selector/narrow_replay_test.go
@@ -84,10 +84,16 @@
 			return x, id, true
 		}
 
+		h.Bounded = x.Narrowed
 		v := r.homes.Reserve(r.now, aggregator.Request{
 			ID: id, Target: x.Target.Key().Name(), MaxCalls: h.MaxCalls(x.Bound), Deadline: r.now.Add(time.Minute),
 		})
 
+		// As in a small fleet, the home counts the calls with slots until it is told of the others.
+		if n := int(x.Load); x.Narrowed && v.Outcome == aggregator.Granted && n > v.Calls+2 {
+			r.homes.Report(r.now, x.Target.Key().Name(), n)
+		}
+
 		switch h.Next(v.Outcome) {
 		case searcher.Send:
 			return x, id, true
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -97,6 +97,10 @@
 	Centres map[string]bool
 	// Version is the software version of the targets that the call may be sent to; zero permits all.
 	Version discoverer.Version
+	// Held is for how many other calls room is left at the targets of a call that is bound to a version.
+	Held int
+	// Leave are the versions whose targets are left to the calls that are bound to them, while other targets have room.
+	Leave []discoverer.Version
 	// ColdRate is how many calls a second a cold target of the group can serve; zero means no bound. ColdFor
 	// is how long a target is cold after its start.
 	ColdRate float64
@@ -143,6 +147,11 @@
 	Throttled bool
 	// BackingOff is the number of targets that were skipped because they are in a backoff.
 	BackingOff int
+	// Narrowed reports that the call may be sent to a part of the group only. The other targets can't take what exceeds
+	// Bound there, so it must not be exceeded.
+	Narrowed bool
+	// Crowded is the number of targets at which the call would exceed Bound, if there is no Target for that reason.
+	Crowded int
 	// Unreached reports, if there is no Target, that this instance reaches none of the group. The call may be served
 	// through another instance.
 	Unreached bool
@@ -222,57 +231,91 @@
 	all := s.candidates(now, r, g, &q)
 	ready, _ := s.withoutBackoff(now, all)
 	open := s.admissible(now, ready, &q)
-	backingOff, cold := len(all)-len(ready), len(ready)-len(open)
+	o := Choice{Route: q.Route, BackingOff: len(all) - len(ready), Cold: len(ready) - len(open)}
 
 	if q.Route == Proven && s.health.groupUnreached(now, group, r.Groups[group]) {
-		return Choice{Cold: cold, BackingOff: backingOff, Unreached: true}, false
+		o.Unreached = true
+
+		return o, false
 	}
 
 	l, u, median := s.health.usable(now, group, open, q.Route)
 	u = filterOrAll(u, func(x candidate) bool { return !x.shed })
+	o.MedianLatency = median
 
 	if len(u) == 0 {
-		return Choice{Cold: cold, BackingOff: backingOff, Unreached: q.Route == Proven && len(open) > 0}, false
+		o.Unreached = q.Route == Proven && len(open) > 0
+
+		return o, false
 	}
 
-	full := len(u)
+	n := len(u)
 	if u = s.withRoom(now, group, u, &q); len(u) == 0 {
-		return Choice{Cold: cold, BackingOff: backingOff, Full: full}, false
+		o.Full = n
+
+		return o, false
 	}
 
-	if len(open) < len(all) {
+	o.Narrowed = (len(q.Prefixes) > 0 || q.Version != 0) && q.narrows(g, r.Groups[group])
+
+	switch {
+	case o.Narrowed:
+		l = s.loadBaseline(now, l, s.candidates(now, r, r.Groups[group], &Query{}), &q)
+	case len(open) < len(all):
 		l = s.loadBaseline(now, l, all, &q)
 	}
 
+	o.Bound = s.settings.bound(l, s.candidates(now, r, r.Evacuated[group], &Query{}))
+
+	if o.Narrowed {
+		n, o.Bound = len(u), q.narrowBound(o.Bound, l, u)
+
+		if u = filter(u, func(x candidate) bool { return x.load+1 <= o.Bound }); len(u) == 0 {
+			o.Crowded = n
+
+			return o, false
+		}
+	}
+
+	s.pick(now, r, q.withoutLeft(u, o.Bound), &q, &o)
+
+	return o, true
+}
+
+// pick selects one of the usable candidates for a call, completes the choice and records the call where it has to be counted.
+func (s *Selector) pick(now time.Time, r *discoverer.Registry, usable []candidate, q *Query, o *Choice) {
+	var (
+		x candidate
+		h []discoverer.Key
+	)
+
 	if len(q.Prefixes) == 0 {
-		x := pickLeastLoaded(u, q.DataCentre, s.settings.RemotePenalty, q.Draw)
-		s.recordSent(now, x)
+		x = pickLeastLoaded(usable, q.DataCentre, s.settings.RemotePenalty, q.Draw)
 
-		return Choice{
-			Target: x.target, Route: q.Route, Load: x.load, Bound: float64(x.target.Slots), Usable: len(u), MedianLatency: median,
-			Cold: cold, Throttled: x.cold, BackingOff: backingOff, MaxCalls: x.maxCalls, Explores: x.explores, NeedsCount: x.needsCount,
-		}, true
+		if !o.Narrowed {
+			o.Bound = float64(x.target.Slots)
+		}
+	} else {
+		h = s.placements.holders(now, q.Prefixes[0].Key)
+		x = pickForPrompt(usable, o.Bound, h, *q)
 	}
 
-	h := s.placements.holders(now, q.Prefixes[0].Key)
-	bound := s.settings.bound(l, s.candidates(now, r, r.Evacuated[group], &Query{}))
-	x := pickForPrompt(u, bound, h, q)
-	n := x.target.Key()
+	o.Target, o.Load, o.Usable, o.Throttled = x.target, x.load, len(usable), x.cold
+	o.MaxCalls, o.Explores, o.NeedsCount = x.maxCalls, x.explores, x.needsCount
 	s.recordSent(now, x)
 
-	o := Choice{
-		Target: x.target, Route: q.Route, FetchFrom: s.fetchSource(now, r, u, n, h, &q),
-		Load: x.load, Bound: bound, Usable: len(u), Cached: slices.Contains(h, n), MedianLatency: median, Cold: cold, Throttled: x.cold,
-		BackingOff: backingOff, MaxCalls: x.maxCalls, Explores: x.explores, NeedsCount: x.needsCount, prefixes: q.Prefixes,
+	if len(q.Prefixes) == 0 {
+		return
 	}
 
+	n := x.target.Key()
+	o.FetchFrom, o.Cached, o.prefixes = s.fetchSource(now, r, usable, n, h, q), slices.Contains(h, n), q.Prefixes
+
 	for _, p := range q.Prefixes {
 		if s.placements.recordUse(now, p.Key, n) {
 			o.fresh = append(o.fresh, p.Key)
 		}
 	}
-
-	return o, true
 }
 
 // fetchSource returns a target from which the selected one may fetch the prompt, or its longest prefix cached
