internal/admitter, internal/forwarder, internal/selector: places among the calls that only one version may run

After the bound a herd of resumed streams still fared badly: 47 began at once at the last target of their version, waited for each other's prompts (first events after up to 3.2 s, when callers leave), and the refused ones returned within a second, to be refused until they had no tries left.

Now the number of such calls that wait to begin is a window: at first a quarter of the targets' slots for all instances, one more for each that begins within half of the time after which callers leave, half after a late one. Places go to the customers by turns: one with more calls than its share yields to others that are expected about now. A refused call is told when its turn comes, from the times that calls took to begin and to end, and keeps the turn if it returns early. Other calls leave the targets of a version whose calls are expected, as long as others have room.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -187,7 +187,7 @@
 	case x.fullTargets > 0:
 		return refuse(http.StatusServiceUnavailable, Overload, noTargetWait, "%d targets are brittle and have no room", x.fullTargets)
 	case x.crowdedTargets > 0:
-		return refuse(http.StatusServiceUnavailable, Overload, noTargetWait, "the %d targets that may run the call have no room", x.crowdedTargets)
+		return refuse(http.StatusServiceUnavailable, Overload, f.returnTime(x), "the %d targets that may run the call have no room", x.crowdedTargets)
 	case x.coldTargets > 0:
 		return refuse(http.StatusServiceUnavailable, TargetsCold, noTargetWait, "%d targets are cold and bear no more calls now", x.coldTargets)
 	default:
@@ -258,6 +258,7 @@
 
 	f.meter.Attempt(x.group, r.outcome.String())
 
+	f.endPlace(x)
 	f.reportHealth(f.finishAttempt(t, r, x.relayed), logrus.Fields{"id": x.call.ID, "error": r.err})
 	x.reservation.end(f.evidence(x, t, r.outcome))
 
@@ -359,12 +360,14 @@
 	}
 }
 
-// confirmPlacements records that a target has processed the call's prompt and now caches it.
-func (f *Forwarder) confirmPlacements(t selector.Choice) {
+// confirmPlacements records that a target has processed the call's prompt, so that it now caches it and the answer has begun.
+func (f *Forwarder) confirmPlacements(x *exchange, t selector.Choice) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.selector.ConfirmPlacements(time.Now(), t)
+	n := time.Now()
+	f.selector.ConfirmPlacements(n, t)
+	x.place.Begin(n)
 }
 
 // recordFirstPart records the times from the start of the call and of the attempt until the answer
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -88,6 +88,10 @@
 	fullTargets int
 	// crowdedTargets is how many targets have no room within the bound, while others of the group may not run the call.
 	crowdedTargets int
+	// place is the call's place among those that only targets of one software version may run; nil if it needs none. room is what
+	// these targets could take at the last selection.
+	place *admitter.Place
+	room  admitter.Room
 	// backingOff is how many targets the last selection skipped because they requested a backoff.
 	backingOff int
 	// reply is the reply of the last target.
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -110,10 +110,12 @@
 			return t, true
 		}
 
-		f.decline(t, x.reservation.verdict)
+		f.decline(x, t, x.reservation.verdict)
 
 		if n == searcher.Refuse {
-			x.targetsFull = true
+			if x.crowdedTargets = t.Usable; !t.Narrowed {
+				x.targetsFull = true
+			}
 
 			return t, false
 		}
@@ -149,7 +151,16 @@
 	q := x.query(f.settings, r)
 	q.Declined, q.Sharded, q.Uncounted = declined, x.sharded, x.uncounted
 
+	// The targets of versions whose calls were refused are left to these.
+	if x.version == 0 {
+		q.Leave = f.narrow.Wanted(n, x.group)
+	}
+
 	t, ok := f.chooseTarget(n, l, x, q)
+	if !f.takePlace(n, x, t) {
+		t, ok = selector.Choice{Narrowed: true, Crowded: t.Usable, Cold: t.Cold, BackingOff: t.BackingOff}, false
+	}
+
 	x.coldTargets, x.backingOff, x.fullTargets, x.crowdedTargets = t.Cold, t.BackingOff, t.Full, t.Crowded
 
 	if ok {
@@ -198,14 +209,16 @@
 	defer f.mu.Unlock()
 
 	f.selector.Withdraw(time.Now(), t)
+	x.place.Cancel(time.Now())
 }
 
 // decline records that the home node of a target reported it as full or excluded.
-func (f *Forwarder) decline(t selector.Choice, v aggregator.Verdict) {
+func (f *Forwarder) decline(x *exchange, t selector.Choice, v aggregator.Verdict) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	n := time.Now()
+	x.place.Cancel(n)
 
 	if v.Outcome == aggregator.Excluded {
 		f.selector.DeclineUnhealthy(n, t)
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -64,7 +64,7 @@
 		}
 
 		if first {
-			f.confirmPlacements(t)
+			f.confirmPlacements(x, t)
 		}
 
 		if !x.relayed {
--- a/internal/selector/narrow.go
+++ b/internal/selector/narrow.go
@@ -16,9 +16,9 @@
 }
 
 // narrowBound returns the bound for a call that narrows its choice to the given candidates, from that for all calls of the group.
-// The calls for which room is left are spread over the candidates. A target whose slots are taken serves the call only
+// A target whose slots are taken serves the call only
 // after others have ended, which is as good as elsewhere only if the average target of the group is as full.
-func (q *Query) narrowBound(bound float64, group, l []candidate) float64 {
+func narrowBound(bound float64, group, l []candidate) float64 {
 	n := 0
 	for _, x := range l {
 		n = max(n, x.target.Slots)
@@ -28,7 +28,7 @@
 		bound = min(bound, max(float64(n), minFactor*totalLoad(group)/float64(len(group))+1))
 	}
 
-	return bound - float64(q.Held)/float64(len(l))
+	return bound
 }
 
 // withoutLeft returns the candidates that the call does not leave to calls that are bound to a version. It returns all if no
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -97,8 +97,6 @@
 	Centres map[string]bool
 	// Version is the software version of the targets that the call may be sent to; zero permits all.
 	Version discoverer.Version
-	// Held is for how many other calls room is left at the targets of a call that is bound to a version.
-	Held int
 	// Leave are the versions whose targets are left to the calls that are bound to them, while other targets have room.
 	Leave []discoverer.Version
 	// ColdRate is how many calls a second a cold target of the group can serve; zero means no bound. ColdFor
@@ -268,7 +266,7 @@
 	o.Bound = s.settings.bound(l, s.candidates(now, r, r.Evacuated[group], &Query{}))
 
 	if o.Narrowed {
-		n, o.Bound = len(u), q.narrowBound(o.Bound, l, u)
+		n, o.Bound = len(u), narrowBound(o.Bound, l, u)
 
 		if u = filter(u, func(x candidate) bool { return x.load+1 <= o.Bound }); len(u) == 0 {
 			o.Crowded = n
