internal/selector: replays of calls that crowd targets for other reasons

What narrows a choice, by name: a version, a data centre of a customer, both, a shard and another instance's links hold the bound (TestFewTargetsAreNotCrowded); targets that rest, are cold or not reached leave the others within it (TestTargetsThatAreLeftAreNotCrowded).

--- a/internal/selector/narrow.go
+++ b/internal/selector/narrow.go
@@ -16,8 +16,8 @@
 }
 
 // narrowBound returns the bound for a call that narrows its choice to the given candidates, from that for all calls of the group.
-// A target whose slots are taken serves the call only
-// after others have ended, which is as good as elsewhere only if the average target of the group is as full.
+// A target whose slots are taken serves the call only after others have ended, which is as good as elsewhere only if the
+// average target of the group is as full.
 func narrowBound(bound float64, group, l []candidate) float64 {
 	n := 0
 	for _, x := range l {
--- a/internal/selector/narrow_replay_test.go
+++ b/internal/selector/narrow_replay_test.go
@@ -25,6 +25,8 @@
 	narrowPerStep = 1
 	narrowStep    = 5 * time.Millisecond
 	narrowMean    = time.Second
+	// narrowSpread is the time over which callers come that use the same part of a prompt.
+	narrowSpread = 300 * time.Millisecond
 	// narrowTries is how often a call that was refused comes again.
 	narrowTries = 3
 )
@@ -65,7 +67,7 @@
 }
 
 // choose selects a target as a forwarder does, with a slot from the target's home where the call must have one.
-func (r *narrowReplay) choose(s *selector.Selector, q selector.Query, counted bool) (selector.Choice, aggregator.ID, bool) {
+func (r *narrowReplay) choose(s *selector.Selector, q selector.Query) (selector.Choice, aggregator.ID, bool) {
 	r.lastID++
 	id := aggregator.ID{Number: r.lastID}
 	h := searcher.Searcher{Prompt: true}
@@ -80,17 +82,17 @@
 
 		s.StartChoice(r.now, x)
 
-		if !counted {
+		if !x.Narrowed {
 			return x, id, true
 		}
 
-		h.Bounded = x.Narrowed
+		h.Bounded = true
 		v := r.homes.Reserve(r.now, aggregator.Request{
 			ID: id, Target: x.Target.Key().Name(), MaxCalls: h.MaxCalls(x.Bound), Deadline: r.now.Add(time.Minute),
 		})
 
 		// As in a small fleet, the home counts the calls with slots until it is told of the others.
-		if n := int(x.Load); x.Narrowed && v.Outcome == aggregator.Granted && n > v.Calls+2 {
+		if n := int(x.Load); v.Outcome == aggregator.Granted && n > v.Calls+2 {
 			r.homes.Report(r.now, x.Target.Key().Name(), n)
 		}
 
@@ -108,10 +110,10 @@
 }
 
 // call sends a call and reports whether a target was found.
-func (r *narrowReplay) call(q selector.Query, counted bool) bool {
+func (r *narrowReplay) call(q selector.Query) bool {
 	s := r.instances[r.random.IntN(len(r.instances))]
 
-	x, id, ok := r.choose(s, q, counted)
+	x, id, ok := r.choose(s, q)
 	if !ok {
 		return false
 	}
@@ -125,7 +127,7 @@
 		at := r.now
 		s.ReportLoad(at, t, selector.Load{Running: n, Slots: t.Slots})
 
-		if counted {
+		if x.Narrowed {
 			r.homes.Report(at, t.Key().Name(), n)
 		}
 
@@ -141,7 +143,7 @@
 		r.load[t.ID]--
 		s.FinishChoice(r.now, x, selector.Answered)
 
-		if counted {
+		if x.Narrowed {
 			r.homes.Release(r.now, t.Key().Name(), id, aggregator.Answered, 0)
 		}
 	})
@@ -169,7 +171,7 @@
 
 // herdCall sends one of the calls that only a few targets may run.
 func (r *narrowReplay) herdCall(q selector.Query, tries int) {
-	if r.call(q, true) {
+	if r.call(q) {
 		r.served++
 
 		return
@@ -182,7 +184,9 @@
 	}
 }
 
-func (r *narrowReplay) run(herd selector.Query) {
+// run lets the herd come two seconds after the instances have started. The function before is called first; the prefixes of the
+// herd's calls are drawn unless it has some. They come within the time spread.
+func (r *narrowReplay) run(herd selector.Query, spread time.Duration, before func(r *narrowReplay)) {
 	for i := range int(6 * time.Second / narrowStep) {
 		r.now = r.begin.Add(time.Duration(i) * narrowStep)
 
@@ -191,14 +195,23 @@
 		}
 
 		for range narrowPerStep {
-			r.call(query(r.random.Uint64()), false)
+			r.call(query(r.random.Uint64()))
 		}
 
 		if r.now.Sub(r.begin) == 2*time.Second {
+			before(r)
+
 			for range narrowHerd {
 				q := herd
-				q.Prefixes = query(r.random.Uint64()).Prefixes
-				r.herdCall(q, narrowTries)
+				if len(q.Prefixes) == 0 {
+					q.Prefixes = query(r.random.Uint64()).Prefixes
+				}
+
+				if spread == 0 {
+					r.herdCall(q, narrowTries)
+				} else {
+					r.after(time.Duration(r.random.Int64N(int64(spread))), func() { r.herdCall(q, narrowTries) })
+				}
 			}
 		}
 	}
@@ -245,7 +258,52 @@
 				i := is.New(t)
 				r := newNarrowReplay(seed, narrowRegistry(x.old))
 				x.herd.DataCentre = "a"
-				r.run(x.herd)
+				r.run(x.herd, 0, func(*narrowReplay) {})
+
+				t.Logf("%d of %d arrivals crowd a target, %d of the herd served, %d refusals", r.crowded, r.arrivals, r.served, r.refused)
+				i.True(r.crowded <= max(20, 3*r.arrivals/100))
+				i.True(r.served > 0)
+			})
+		}
+	}
+}
+
+// narrowCase is a reason why calls go to a few targets though others of the group may run them.
+type narrowCase struct {
+	herd   selector.Query
+	before func(r *narrowReplay)
+}
+
+// everywhere calls a function for each instance and each target of a data centre.
+func (r *narrowReplay) everywhere(centre string, f func(s *selector.Selector, t *discoverer.Target)) {
+	for _, s := range r.instances {
+		for _, t := range r.registry.Groups[group] {
+			if t.DataCentre == centre {
+				f(s, t)
+			}
+		}
+	}
+}
+
+// cache records at all instances that targets have prefixes cached.
+func (r *narrowReplay) cache(l map[uint64]string) {
+	for _, s := range r.instances {
+		for k, t := range l {
+			s.ApplyUpdate(r.now, r.registry, selector.Update{Placements: []selector.Placement{{Key: k, Target: r.registry.Known[t].Key().Name()}}})
+		}
+	}
+}
+
+func testNarrowCases(t *testing.T, l map[string]narrowCase) {
+	t.Helper()
+
+	for name, x := range l {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				i := is.New(t)
+				r := newNarrowReplay(seed, narrowRegistry(0))
+				x.herd.DataCentre = "a"
+				r.run(x.herd, narrowSpread, x.before)
 
 				t.Logf("%d of %d arrivals crowd a target, %d of the herd served, %d refusals", r.crowded, r.arrivals, r.served, r.refused)
 				i.True(r.crowded <= max(20, 3*r.arrivals/100))
@@ -254,3 +312,41 @@
 		}
 	}
 }
+
+// Guards against calls that crowd the targets that are left, since the others are avoided.
+func TestTargetsThatAreLeftAreNotCrowded(t *testing.T) {
+	testNarrowCases(t, map[string]narrowCase{
+		"a data centre whose targets rest": {selector.Query{}, func(r *narrowReplay) {
+			r.everywhere("b", func(s *selector.Selector, t *discoverer.Target) { s.StartBackoff(r.now, t, 2*time.Second) })
+		}},
+		"a data centre that is not reached": {selector.Query{}, func(r *narrowReplay) {
+			r.everywhere("b", func(s *selector.Selector, t *discoverer.Target) {
+				s.Start(r.now, t)
+				s.Finish(r.now, t, selector.Unreachable)
+			})
+		}},
+		"a data centre whose targets are cold": {selector.Query{ColdRate: 5, ColdFor: 3 * time.Second}, func(r *narrowReplay) {
+			o := *r.registry
+			o.Reopened = map[string]time.Time{"b": r.now}
+			r.registry = &o
+		}},
+		"through another instance": {selector.Query{Route: selector.Delegated}, func(*narrowReplay) {}},
+	})
+}
+
+// Guards against callers that return at once after a loss of all instances and crowd the target that holds their part, or the
+// targets outside an evacuated data centre, before the instances know of each other's calls.
+func TestHerdIsSpreadWithinTheBound(t *testing.T) {
+	testNarrowCases(t, map[string]narrowCase{
+		"the only holder of a part": {selector.Query{Prefixes: query(5).Prefixes}, func(r *narrowReplay) {
+			r.cache(map[uint64]string{5: "t7"})
+		}},
+		"a part of which no holder is known": {selector.Query{Prefixes: query(5).Prefixes}, func(*narrowReplay) {}},
+		"a resumed chat": {selector.Query{Prefixes: []selector.Prefix{{Key: 5, Tokens: 9000}, {Key: 6, Tokens: 300}}}, func(r *narrowReplay) {
+			r.cache(map[uint64]string{5: "t7", 6: "t9"})
+		}},
+		"an evacuated data centre": {selector.Query{}, func(r *narrowReplay) {
+			r.registry = r.registry.WithEvacuated(func(c string) bool { return c == "b" }, nil)
+		}},
+	})
+}
