--- a/internal/admitter/narrow.go
+++ b/internal/admitter/narrow.go
@@ -30,17 +30,17 @@
 	nearReturn = 250 * time.Millisecond
 	// maxWaiting bounds the calls of a customer that are expected to return.
 	maxWaiting = 1000
-	// narrowTTL is how long the state of a part of a group is kept without calls.
+	// narrowTTL is how long the state of a scope is kept without calls.
 	narrowTTL = 10 * time.Second
 )
 
-// Part identifies the targets of one software version in a group.
-type Part struct {
+// Scope identifies the targets of one software version in a group.
+type Scope struct {
 	Group   string
 	Version discoverer.Version
 }
 
-// Room describes what a part of a group can take.
+// Room describes what the targets of a scope can take.
 type Room struct {
 	// Targets is the number of targets that a call may be sent to, Slots the number of calls that one of them runs
 	// concurrently, and Places the number of calls that they may have together.
@@ -52,22 +52,22 @@
 	Within time.Duration
 }
 
-// Narrow admits the calls that only a part of a group may run, and tells the others when to return. After a loss of all
+// Narrow admits the calls that only the targets of a scope may run, and tells the others when to return. After a loss of all
 // instances all callers of a version return at once, and few of its targets are left. The number of calls that wait to
 // begin there is a window that grows while they begin in time. The places that become free are divided
 // between the customers by turns. Narrow is not safe for concurrent use.
 type Narrow struct {
-	parts map[Part]*part
+	scopes map[Scope]*scope
 }
 
 // NewNarrow returns a Narrow without calls.
 func NewNarrow() *Narrow {
-	return &Narrow{parts: make(map[Part]*part)}
+	return &Narrow{scopes: make(map[Scope]*scope)}
 }
 
 // Place is the place of a call that was admitted. Its methods do nothing on a nil place.
 type Place struct {
-	part     *part
+	scope    *scope
 	customer uint32
 	at       time.Time
 	within   time.Duration
@@ -82,8 +82,8 @@
 	due, until time.Time
 }
 
-// part is the state of a Part.
-type part struct {
+// scope is the state of a Scope.
+type scope struct {
 	// window is how many calls may wait to begin; zero before the first call. Those that do are pending.
 	window  float64
 	pending int
@@ -101,8 +101,8 @@
 
 // Admit admits a call of the customer, unless too many calls wait to begin or a place is left to others. It returns nil if the
 // call is not admitted.
-func (n *Narrow) Admit(now time.Time, k Part, customer uint32, call uint64, r Room) *Place {
-	p := n.part(now, k)
+func (n *Narrow) Admit(now time.Time, k Scope, customer uint32, call uint64, r Room) *Place {
+	p := n.scope(now, k)
 
 	if p.window == 0 {
 		p.window = float64(r.Targets) * beginFraction * float64(r.Slots) / float64(max(r.Instances, 1))
@@ -130,13 +130,13 @@
 
 	p.drop(customer, func(w waiting) bool { return w.call == call })
 
-	return &Place{part: p, customer: customer, at: now, within: r.Within, round: p.rounds}
+	return &Place{scope: p, customer: customer, at: now, within: r.Within, round: p.rounds}
 }
 
 // Refuse records that a call of the customer was refused, and returns the time after which it should return. A call that
 // returns too early keeps its turn.
-func (n *Narrow) Refuse(now time.Time, k Part, customer uint32, call uint64, r Room) time.Duration {
-	p := n.part(now, k)
+func (n *Narrow) Refuse(now time.Time, k Scope, customer uint32, call uint64, r Room) time.Duration {
+	p := n.scope(now, k)
 	l := p.waiting[customer]
 	i := slices.IndexFunc(l, func(w waiting) bool { return w.call == call })
 
@@ -165,9 +165,9 @@
 func (n *Narrow) Wanted(now time.Time, group string) []discoverer.Version {
 	var o []discoverer.Version
 
-	for k, p := range n.parts {
+	for k, p := range n.scopes {
 		if p.expire(now); now.Sub(p.usedAt) >= narrowTTL && p.all == 0 && len(p.waiting) == 0 {
-			delete(n.parts, k)
+			delete(n.scopes, k)
 
 			continue
 		}
@@ -187,8 +187,8 @@
 	}
 
 	p.begun = true
-	p.part.pending--
-	p.part.first = average(p.part.first, now.Sub(p.at))
+	p.scope.pending--
+	p.scope.first = average(p.scope.first, now.Sub(p.at))
 	p.adjust(now)
 }
 
@@ -199,7 +199,7 @@
 	}
 
 	if p.begun {
-		p.part.duration = average(p.part.duration, now.Sub(p.at))
+		p.scope.duration = average(p.scope.duration, now.Sub(p.at))
 	}
 
 	p.free(now)
@@ -219,22 +219,22 @@
 // free takes the call out of the counts.
 func (p *Place) free(now time.Time) {
 	p.done = true
-	p.part.usedAt = now
-	p.part.all--
+	p.scope.usedAt = now
+	p.scope.all--
 
 	if !p.begun {
-		p.part.pending--
+		p.scope.pending--
 	}
 
-	if p.part.running[p.customer]--; p.part.running[p.customer] <= 0 {
-		delete(p.part.running, p.customer)
+	if p.scope.running[p.customer]--; p.scope.running[p.customer] <= 0 {
+		delete(p.scope.running, p.customer)
 	}
 }
 
 // adjust raises the window after a call that has begun in time, and lowers it after one that has not. Calls admitted before the
 // last lowering are ignored, since they waited in the earlier window.
 func (p *Place) adjust(now time.Time) {
-	x := p.part
+	x := p.scope
 
 	switch late := now.Sub(p.at) > p.within; {
 	case p.within <= 0 || p.round != x.rounds || !late && !p.begun:
@@ -246,11 +246,11 @@
 	}
 }
 
-func (n *Narrow) part(now time.Time, k Part) *part {
-	p, ok := n.parts[k]
+func (n *Narrow) scope(now time.Time, k Scope) *scope {
+	p, ok := n.scopes[k]
 	if !ok {
-		p = &part{running: make(map[uint32]int), waiting: make(map[uint32][]waiting)}
-		n.parts[k] = p
+		p = &scope{running: make(map[uint32]int), waiting: make(map[uint32][]waiting)}
+		n.scopes[k] = p
 	}
 
 	p.usedAt = now
@@ -260,14 +260,14 @@
 }
 
 // expire drops the calls that did not return in time.
-func (p *part) expire(now time.Time) {
+func (p *scope) expire(now time.Time) {
 	for c := range p.waiting {
 		p.drop(c, func(w waiting) bool { return now.After(w.until) })
 	}
 }
 
 // drop removes the waiting calls of a customer that satisfy a predicate.
-func (p *part) drop(customer uint32, f func(waiting) bool) {
+func (p *scope) drop(customer uint32, f func(waiting) bool) {
 	l := slices.DeleteFunc(p.waiting[customer], f)
 	if p.waiting[customer] = l; len(l) == 0 {
 		delete(p.waiting, customer)
@@ -275,7 +275,7 @@
 }
 
 // exceedsShare reports whether a customer has more calls running with one more than it would have if all customers had equally many.
-func (p *part) exceedsShare(customer uint32) bool {
+func (p *scope) exceedsShare(customer uint32) bool {
 	n := len(p.running)
 
 	for c := range p.waiting {
@@ -292,7 +292,7 @@
 }
 
 // dueOfOthers counts the calls of other customers, which have fewer running, that are expected to return about now.
-func (p *part) dueOfOthers(now time.Time, customer uint32) int {
+func (p *scope) dueOfOthers(now time.Time, customer uint32) int {
 	n := 0
 
 	for c, l := range p.waiting {
@@ -311,7 +311,7 @@
 }
 
 // interval returns the time between two places that become free for this instance: as calls begin, and as they end.
-func (p *part) interval(r Room) time.Duration {
+func (p *scope) interval(r Room) time.Duration {
 	d := p.duration
 	if d == 0 {
 		d = firstDuration
--- a/internal/admitter/narrow_test.go
+++ b/internal/admitter/narrow_test.go
@@ -13,8 +13,8 @@
 	"github.com/auburntray/auburntray/internal/discoverer"
 )
 
-func narrowPart() admitter.Part {
-	return admitter.Part{Group: "engines", Version: discoverer.VersionOf("v1")}
+func narrowScope() admitter.Scope {
+	return admitter.Scope{Group: "engines", Version: discoverer.VersionOf("v1")}
 }
 
 // Guards against a herd of calls that wait for each other's prompts at the last target of their version until their callers
@@ -48,7 +48,7 @@
 				var o []*admitter.Place
 
 				for c := range uint64(100) {
-					if p := n.Admit(now, narrowPart(), uint32(c), c+1, x.room); p != nil {
+					if p := n.Admit(now, narrowScope(), uint32(c), c+1, x.room); p != nil {
 						o = append(o, p)
 					}
 				}
@@ -91,36 +91,36 @@
 	r := admitter.Room{Targets: 1, Slots: 64, Places: 20, Instances: 5}
 
 	// A call lasts 2 s and 20 places serve five instances: this one has a free place each half second.
-	i.Equal(n.Refuse(now, narrowPart(), 1, 11, r), 500*time.Millisecond)
-	i.Equal(n.Refuse(now, narrowPart(), 1, 12, r), time.Second)
-	i.Equal(n.Refuse(now, narrowPart(), 1, 11, r), 500*time.Millisecond)
+	i.Equal(n.Refuse(now, narrowScope(), 1, 11, r), 500*time.Millisecond)
+	i.Equal(n.Refuse(now, narrowScope(), 1, 12, r), time.Second)
+	i.Equal(n.Refuse(now, narrowScope(), 1, 11, r), 500*time.Millisecond)
 
 	// Customers take turns.
-	i.Equal(n.Refuse(now, narrowPart(), 2, 21, r), time.Second)
-	i.Equal(n.Refuse(now, narrowPart(), 2, 22, r), 2*time.Second)
+	i.Equal(n.Refuse(now, narrowScope(), 2, 21, r), time.Second)
+	i.Equal(n.Refuse(now, narrowScope(), 2, 22, r), 2*time.Second)
 
-	i.Equal(n.Wanted(now, "engines"), []discoverer.Version{narrowPart().Version})
+	i.Equal(n.Wanted(now, "engines"), []discoverer.Version{narrowScope().Version})
 	i.Equal(len(n.Wanted(now, "others")), 0)
 
 	// A call that was admitted no longer counts.
-	p := n.Admit(now, narrowPart(), 1, 11, r)
+	p := n.Admit(now, narrowScope(), 1, 11, r)
 	i.True(p != nil)
-	i.Equal(n.Refuse(now, narrowPart(), 1, 12, r), time.Second)
+	i.Equal(n.Refuse(now, narrowScope(), 1, 12, r), time.Second)
 
 	// Calls that do not return are forgotten.
 	p.End(now)
 
 	now = now.Add(time.Minute)
 	i.Equal(len(n.Wanted(now, "engines")), 0)
-	i.Equal(n.Refuse(now, narrowPart(), 3, 31, r), 500*time.Millisecond)
+	i.Equal(n.Refuse(now, narrowScope(), 3, 31, r), 500*time.Millisecond)
 
 	// The time is bounded, and at least that of a full target.
 	for c := range uint64(2000) {
-		i.True(n.Refuse(now, narrowPart(), 4, c+1, r) <= 10*time.Second)
+		i.True(n.Refuse(now, narrowScope(), 4, c+1, r) <= 10*time.Second)
 	}
 
 	r.Places = 10000
-	i.Equal(n.Refuse(now, narrowPart(), 3, 31, r), 250*time.Millisecond)
+	i.Equal(n.Refuse(now, narrowScope(), 3, 31, r), 250*time.Millisecond)
 }
 
 // narrowCustomer is a customer of the replay. Each of its calls comes until it was admitted, at most maxNarrowTries times.
@@ -182,11 +182,11 @@
 
 				// The target's places are counted elsewhere.
 				if running < int(r.Places) {
-					p = n.Admit(now, narrowPart(), uint32(e.customer), e.call, r)
+					p = n.Admit(now, narrowScope(), uint32(e.customer), e.call, r)
 				}
 
 				if p == nil {
-					w := n.Refuse(now, narrowPart(), uint32(e.customer), e.call, r)
+					w := n.Refuse(now, narrowScope(), uint32(e.customer), e.call, r)
 
 					if e.try++; e.try < maxNarrowTries {
 						e.at += time.Duration((0.75 + x.Float64()/2) * float64(w))
--- a/internal/forwarder/narrow.go
+++ b/internal/forwarder/narrow.go
@@ -8,9 +8,9 @@
 	"github.com/auburntray/auburntray/internal/selector"
 )
 
-// part identifies the targets that may run a call that is bound to a software version.
-func (x *exchange) part() admitter.Part {
-	return admitter.Part{Group: x.group, Version: x.version}
+// scope identifies the targets that may run a call that is bound to a software version.
+func (x *exchange) scope() admitter.Scope {
+	return admitter.Scope{Group: x.group, Version: x.version}
 }
 
 // waitingID identifies a call that is bound to a software version whenever it comes: by the stream that it resumes or, if it
@@ -37,7 +37,7 @@
 
 	x.room.Slots = t.Target.Slots
 
-	if x.place = f.narrow.Admit(now, x.part(), hasher.Name(x.customer), x.waitingID(), x.room); x.place == nil {
+	if x.place = f.narrow.Admit(now, x.scope(), hasher.Name(x.customer), x.waitingID(), x.room); x.place == nil {
 		f.selector.StartChoice(now, t)
 		f.selector.Withdraw(now, t)
 
@@ -64,5 +64,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	return f.narrow.Refuse(time.Now(), x.part(), hasher.Name(x.customer), x.waitingID(), x.room)
+	return f.narrow.Refuse(time.Now(), x.scope(), hasher.Name(x.customer), x.waitingID(), x.room)
 }
--- a/internal/selector/narrow.go
+++ b/internal/selector/narrow.go
@@ -6,10 +6,10 @@
 	"github.com/auburntray/auburntray/internal/discoverer"
 )
 
-// narrows reports whether a call may be sent to a part of a group only: the targets of a version, of a customer's shard, or in some
+// narrows reports whether a call may be sent to some targets of a group only: the targets of a version, of a customer's shard, or in some
 // data centres. The parameter l lists the targets of the group that the version and the shard permit.
 //
-// The mean load of such a part is no measure of what its targets may have. It rises with each call that they get, so the bound
+// The mean load of these targets is no measure of what they may have. It rises with each call that they get, so the bound
 // derived from it would never be reached, and all calls of a version that has one target left would wait there.
 func (q *Query) narrows(l, group []*discoverer.Target) bool {
 	return len(l) < len(group) || slices.ContainsFunc(l, func(t *discoverer.Target) bool { return !q.allows(t) })
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -145,7 +145,7 @@
 	Throttled bool
 	// BackingOff is the number of targets that were skipped because they are in a backoff.
 	BackingOff int
-	// Narrowed reports that the call may be sent to a part of the group only. The other targets can't take what exceeds
+	// Narrowed reports that the call may be sent to some targets of the group only. The other targets can't take what exceeds
 	// Bound there, so it must not be exceeded.
 	Narrowed bool
 	// Crowded is the number of targets at which the call would exceed Bound, if there is no Target for that reason.
