internal/admitter: one call a target waits to begin while the instances are not known

The instances had started at 22.3 s and counted 0 of them until 23.1 s (budgetSharedBy), so each of the six took the first window of all.

--- a/internal/admitter/narrow.go
+++ b/internal/admitter/narrow.go
@@ -46,12 +46,22 @@
 	// concurrently, and Places the number of calls that they may have together.
 	Targets, Slots int
 	Places         float64
-	// Instances is the number of instances that send calls there.
+	// Instances is the number of instances that send calls there; zero if it is not known yet.
 	Instances int
 	// Within is the time within which a call should begin; zero if there is none.
 	Within time.Duration
 }
 
+// firstWindow returns how many calls of this instance may wait to begin at first. An instance that has just started does not know
+// how many others there are: all of them have, after a loss of all.
+func (r *Room) firstWindow() float64 {
+	if r.Instances == 0 {
+		return float64(r.Targets)
+	}
+
+	return float64(r.Targets) * beginFraction * float64(r.Slots) / float64(r.Instances)
+}
+
 // Narrow admits the calls that only the targets of a scope may run, and tells the others when to return. After a loss of all
 // instances all callers of a version return at once, and few of its targets are left. The number of calls that wait to
 // begin there is a window that grows while they begin in time. The places that become free are divided
@@ -105,7 +115,7 @@
 	p := n.scope(now, k)
 
 	if p.window == 0 {
-		p.window = float64(r.Targets) * beginFraction * float64(r.Slots) / float64(max(r.Instances, 1))
+		p.window = r.firstWindow()
 	}
 
 	// Where the calls that wait to begin are not limited, the places that this instance may take still are.
