internal/forwarder: a stream begun again may leave the version at which it began in vain

A retry prefers the version of the attempt before. Since the bound that came with such a choice counted as narrowed, so with the homes of five targets full the call ended with 502, where it was sent before that. The test fails without the line.

--- a/internal/forwarder/crowded_test.go
+++ b/internal/forwarder/crowded_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/auburntray/auburntray/internal/aggregator"
 	"github.com/auburntray/auburntray/internal/discoverer"
 )
 
@@ -94,3 +96,37 @@
 		})
 	}
 }
+
+// Guards against a stream that is refused because all homes are full when it is begun again: it prefers the version at which it
+// began in vain, but may begin at any, so it is sent like other calls with a prompt.
+func TestStreamBegunAgainIsNotConfinedToItsVersion(t *testing.T) {
+	is := is.New(t)
+
+	var (
+		l     []*target
+		calls atomic.Int64
+	)
+
+	full := make(map[string]aggregator.Verdict)
+
+	for n := range 6 {
+		l = append(l, &target{answer: func(n net.Conn, s received) {
+			if calls.Add(1) == 1 {
+				reset(n)
+			} else {
+				answerEvents(5)(n, s)
+			}
+		}})
+		full["t"+strconv.Itoa(n)] = aggregator.Verdict{Outcome: aggregator.Full, Calls: 8}
+	}
+
+	g := newGatewayWithDialer(t, &unboundedDialer{}, l...)
+	g.setVersions("v1", "v1", "v1", "v1", "v1", "v2")
+	g.forwarder.SetBinder(&streamBinder{})
+	g.forwarder.SetReserver(&fakeReserver{verdicts: full, reports: make(map[string]int)})
+
+	for n := range 5 {
+		calls.Store(0)
+		is.Equal(g.call(t, http.MethodPost, "/resumable/", "x", "Id", "call-"+strconv.Itoa(n), "Prompt", "system,chat"+strconv.Itoa(n)).status, http.StatusOK)
+	}
+}
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -130,6 +130,8 @@
 		s.Version = x.begunAt
 
 		if t, ok := f.selector.Choose(now, r, x.group, s); ok {
+			t.Narrowed = false // Others may run it too.
+
 			return t, true
 		}
 	}
