--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -92,6 +92,7 @@
 
 		// A brittle target must not get more calls than it accepts, also if it has the prompt cached.
 		s.Prompt = s.Prompt && t.MaxCalls == 0
+		s.Bounded = t.Narrowed
 
 		f.reserve(c, x, t, &s)
 
@@ -109,10 +110,12 @@
 			return t, true
 		}
 
-		f.decline(t, x.reservation.verdict)
+		f.decline(x, t, x.reservation.verdict)
 
 		if n == searcher.Refuse {
-			x.targetsFull = true
+			if x.crowdedTargets = t.Usable; !t.Narrowed {
+				x.targetsFull = true
+			}
 
 			return t, false
 		}
@@ -127,6 +130,8 @@
 		s.Version = x.begunAt
 
 		if t, ok := f.selector.Choose(now, r, x.group, s); ok {
+			t.Narrowed = false // Others may run it too.
+
 			return t, true
 		}
 	}
@@ -148,8 +153,17 @@
 	q := x.query(f.settings, r)
 	q.Declined, q.Sharded, q.Uncounted = declined, x.sharded, x.uncounted
 
+	// The targets of versions whose calls were refused are left to these.
+	if x.version == 0 {
+		q.Leave = f.narrow.Wanted(n, x.group)
+	}
+
 	t, ok := f.chooseTarget(n, l, x, q)
-	x.coldTargets, x.backingOff, x.fullTargets = t.Cold, t.BackingOff, t.Full
+	if !f.takePlace(n, x, t) {
+		t, ok = selector.Choice{Narrowed: true, Crowded: t.Usable, Cold: t.Cold, BackingOff: t.BackingOff}, false
+	}
+
+	x.coldTargets, x.backingOff, x.fullTargets, x.crowdedTargets = t.Cold, t.BackingOff, t.Full, t.Crowded
 
 	if ok {
 		f.selector.StartChoice(n, t)
@@ -173,10 +187,15 @@
 	}
 
 	x.reservation.verdict, x.reservation.release = f.reserver.Reserve(c, t.Target, aggregator.Request{
-		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(), Exact: t.MaxCalls > 0,
+		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(), Exact: t.MaxCalls > 0 || t.Narrowed,
 	})
 	f.meter.Reservation(x.group, x.reservation.verdict.Outcome.String())
 
+	// In a small fleet the home counts only the calls with slots, until it is told of the others.
+	if t.Narrowed {
+		f.correctHome(x, t.Target, int(t.Load))
+	}
+
 	if p := x.reservation.verdict.Latency; p > 0 {
 		f.mu.Lock()
 		f.selector.ReportLatency(t.Target, p)
@@ -192,14 +211,16 @@
 	defer f.mu.Unlock()
 
 	f.selector.Withdraw(time.Now(), t)
+	x.place.Cancel(time.Now())
 }
 
 // decline records that the home node of a target reported it as full or excluded.
-func (f *Forwarder) decline(t selector.Choice, v aggregator.Verdict) {
+func (f *Forwarder) decline(x *exchange, t selector.Choice, v aggregator.Verdict) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
 	n := time.Now()
+	x.place.Cancel(n)
 
 	if v.Outcome == aggregator.Excluded {
 		f.selector.DeclineUnhealthy(n, t)
@@ -215,7 +236,12 @@
 	f.selector.ReportLoad(time.Now(), t, selector.Load{Running: p.Running, Waiting: p.Waiting, Slots: p.Slots})
 	f.mu.Unlock()
 
-	if n := p.Running + p.Waiting; x.reservation.verdict.Outcome == aggregator.Granted && n > x.reservation.verdict.Calls+maxCountDrift {
-		f.reserver.Report(t, n)
+	f.correctHome(x, t, p.Running+p.Waiting)
+}
+
+// correctHome reports the number of calls at a target to its home node if that has granted a slot and counts too few.
+func (f *Forwarder) correctHome(x *exchange, t *discoverer.Target, calls int) {
+	if x.reservation.verdict.Outcome == aggregator.Granted && calls > x.reservation.verdict.Calls+maxCountDrift {
+		f.reserver.Report(t, calls)
 	}
 }
