--- a/internal/binder/record.go
+++ b/internal/binder/record.go
@@ -74,7 +74,7 @@
 // number.
 func slotAfter(key, prefix string) int {
 	n, err := strconv.Atoi(strings.TrimPrefix(key, prefix))
-	if err != nil || n < 0 {
+	if err != nil || n < 0 || n >= slots {
 		return 0
 	}
 
