--- a/internal/selector/narrow.go
+++ b/internal/selector/narrow.go
@@ -6,8 +6,9 @@
 	"github.com/auburntray/auburntray/internal/discoverer"
 )
 
-// narrows reports whether a call may be sent to some targets of a group only: the targets of a version, of a customer's shard, or in some
-// data centres. The parameter l lists the targets of the group that the version and the shard permit.
+// narrows reports whether a call may be sent to some targets of a group only: the targets of a version, or in some data centres. The
+// parameter l lists the targets of the group that the version permits. A customer's shard is no such case: it exists while
+// targets crash, and its customer is served as long as one of them runs.
 //
 // The mean load of these targets is no measure of what they may have. It rises with each call that they get, so the bound
 // derived from it would never be reached, and all calls of a version that has one target left would wait there.
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -221,7 +221,9 @@
 // Choose selects a target of a group for a call and counts the call at throttled or recovering targets. It
 // returns false if the group has no target that may be used.
 func (s *Selector) Choose(now time.Time, r *discoverer.Registry, group string, q Query) (Choice, bool) {
-	g := q.ofVersion(r.Groups[group])
+	v := q.ofVersion(r.Groups[group])
+	g := v
+
 	if q.Sharded {
 		g = sharder.Shard(q.Customer, g)
 	}
@@ -254,7 +256,7 @@
 		return o, false
 	}
 
-	o.Narrowed = (len(q.Prefixes) > 0 || q.Version != 0) && q.narrows(g, r.Groups[group])
+	o.Narrowed = (len(q.Prefixes) > 0 || q.Version != 0) && q.narrows(v, r.Groups[group])
 
 	switch {
 	case o.Narrowed:
