--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -91,7 +91,9 @@
 	// place is the call's place among those that only targets of one software version may run; nil if it needs none. room is what
 	// these targets could take at the last selection.
 	place *admitter.Place
-	room  admitter.Room
+	// noPlace reports that the last selection found no place.
+	noPlace bool
+	room    admitter.Room
 	// backingOff is how many targets the last selection skipped because they requested a backoff.
 	backingOff int
 	// reply is the reply of the last target.
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -9,6 +9,7 @@
 	"github.com/auburntray/auburntray/internal/reserver"
 	"github.com/auburntray/auburntray/internal/searcher"
 	"github.com/auburntray/auburntray/internal/selector"
+	"github.com/auburntray/auburntray/internal/sleeper"
 )
 
 // maxCountDrift is by how many calls the load that a target reports may exceed its home node's
@@ -21,6 +22,13 @@
 // would grant the slot again at once, for another refusal.
 const refusedHold = 200 * time.Millisecond
 
+// placeWait is how long a call that is bound to a software version waits for a place before it is refused, and placeInterval the time
+// between two attempts to take one. Calls that wait to begin mostly do so within that.
+const (
+	placeWait     = 300 * time.Millisecond
+	placeInterval = 20 * time.Millisecond
+)
+
 // SlotReserver reserves slots for calls at targets. The home node of a target, the one instance
 // responsible for it, counts the calls of all instances. It is implemented by reserver.Reserver.
 type SlotReserver interface {
@@ -83,9 +91,16 @@
 // or excluded, choose records this and another target is selected.
 func (f *Forwarder) choose(c context.Context, x *exchange) (selector.Choice, bool) {
 	s := searcher.Searcher{Prompt: len(x.sharedPrefixes) > 0}
+	b := time.Now()
 
 	for {
 		t, ok := f.pick(c, x, s.FullCount())
+		if !ok && x.noPlace && time.Since(b) < placeWait && c.Err() == nil {
+			sleeper.Sleep(c, placeInterval)
+
+			continue
+		}
+
 		if !ok {
 			return t, false
 		}
@@ -159,7 +174,7 @@
 	}
 
 	t, ok := f.chooseTarget(n, l, x, q)
-	if !f.takePlace(n, x, t) {
+	if x.noPlace = !f.takePlace(n, x, t); x.noPlace {
 		t, ok = selector.Choice{Narrowed: true, Crowded: t.Usable, Cold: t.Cold, BackingOff: t.BackingOff}, false
 	}
 
