internal/standin/porter: free ports are not those that systems choose for connections

The port was taken from the range of connections, closed, and bound by another process's connection before the test listened. Ports are now drawn below that range.

--- a/internal/standin/porter/porter.go
+++ b/internal/standin/porter/porter.go
@@ -2,32 +2,47 @@
 package porter
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"syscall"
 	"testing"
 )
 
+const (
+	// firstPort and portCount are the ports that Free returns. They are below those that systems choose for connections, one of
+	// which could be bound between the search and the use.
+	firstPort = 20000
+	portCount = 10000
+	// maxTries is the number of ports that are tried.
+	maxTries = 100
+)
+
 // Free returns a loopback address on which no process listens. Another process may bind
 // its port before the test does.
 func Free(t testing.TB) netip.AddrPort { //nolint:thelper // One letter, as in all code here.
 	t.Helper()
 
-	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // Closed at once.
-	if err != nil {
-		t.Fatal(err)
-	}
+	var err error
 
-	a, err := netip.ParseAddrPort(l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	for range maxTries {
+		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+rand.IntN(portCount))) //nolint:gosec // A port.
 
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
+		var l net.Listener
+		if l, err = net.Listen("tcp", a.String()); err != nil { //nolint:noctx // Closed at once.
+			continue
+		}
+
+		if err := l.Close(); err != nil {
+			t.Fatal(err)
+		}
+
+		return a
 	}
 
-	return a
+	t.Fatal(err)
+
+	return netip.AddrPort{}
 }
 
 // Refusing returns a loopback address that refuses connections until the test ends: its port
