internal/forwarder: a call without a place is not held until its deadline, and few wait at a time

What callers saw: a call bound to a version whose deadline comes within the 0.3 s that it may wait for a place was held until the deadline, and told nothing of use. Each waiting call selects a target 50 times a second, without bound. Change: a call whose deadline comes first is refused at once, with its turn, and at most 32 wait at a time at an instance.

--- a/internal/forwarder/crowded_test.go
+++ b/internal/forwarder/crowded_test.go
@@ -130,3 +130,47 @@
 		is.Equal(g.call(t, http.MethodPost, "/resumable/", "x", "Id", "call-"+strconv.Itoa(n), "Prompt", "system,chat"+strconv.Itoa(n)).status, http.StatusOK)
 	}
 }
+
+// Guards against a call that finds no place at the targets of its version and is held until its deadline in place of being refused at once.
+func TestCallWithoutPlaceIsNotHeldUntilItsDeadline(t *testing.T) {
+	const herd = 40
+
+	is := is.New(t)
+	end := make(chan struct{})
+	old := &target{answer: func(n net.Conn, s received) {
+		<-end
+		beginStream(n, s)
+		finishStream(n)
+	}}
+	g := newGatewayWithDialer(t, &unboundedDialer{}, old, &target{answer: answerEvents(5)}, &target{answer: answerEvents(5)})
+	g.setVersions("v1", "v2", "v2")
+	g.forwarder.SetBinder(&streamBinder{version: discoverer.VersionOf("v1")})
+
+	var (
+		w    sync.WaitGroup
+		mu   sync.Mutex
+		late int
+	)
+
+	for n := range herd {
+		w.Go(func() {
+			b := time.Now()
+			o := g.call(t, http.MethodPost, "/resumable/", "x", "Id", "call-"+strconv.Itoa(n), "Last", "2", "Begun-By", "call-0", "Prompt", "system,chat", "Patience-Ms", "280")
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			if o.status != http.StatusOK && time.Since(b) >= 250*time.Millisecond {
+				late++
+			}
+		})
+	}
+
+	time.Sleep(400 * time.Millisecond)
+	close(end)
+	w.Wait()
+
+	t.Logf("%d calls reached the target, %d were answered as their deadline came", old.count(), late)
+	is.True(old.count() < herd)
+	is.True(late <= old.count())
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -77,6 +77,8 @@
 	admitter *admitter.Admitter
 	// narrow admits the calls that only targets of one software version may run.
 	narrow *admitter.Narrow
+	// awaiting has an element for each call that waits for a place among these.
+	awaiting chan struct{}
 	// sharder decides when the customers of a group are limited to their shards of its targets.
 	// The map sharded is true for the groups in which customers are currently limited.
 	sharder *sharder.Sharder
@@ -141,7 +143,7 @@
 	k := newClient(x)
 
 	return &Forwarder{
-		settings: s, dialect: d, state: f, tracer: t, client: k, selector: c, budgeter: b, admitter: admitter.New(), narrow: admitter.NewNarrow(), notifyGone: func(discoverer.Process) {}, notifyLeaving: func(discoverer.Process) {}, notifyRefusal: func(selector.Refusal) {},
+		settings: s, dialect: d, state: f, tracer: t, client: k, selector: c, budgeter: b, admitter: admitter.New(), narrow: admitter.NewNarrow(), awaiting: make(chan struct{}, maxAwaiting), notifyGone: func(discoverer.Process) {}, notifyLeaving: func(discoverer.Process) {}, notifyRefusal: func(selector.Refusal) {},
 		sharder: sharder.New(), sharded: make(map[string]bool), memory: accountant.New(0),
 		meter: m, servedLogs: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
 		rejectedLogs: rate.NewLimiter(rejectedLogsPerSecond, rejectedLogsPerSecond), stopping: make(chan struct{}),
--- a/internal/forwarder/narrow.go
+++ b/internal/forwarder/narrow.go
@@ -1,11 +1,22 @@
 package forwarder
 
 import (
+	"context"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/admitter"
 	"github.com/auburntray/auburntray/internal/hasher"
 	"github.com/auburntray/auburntray/internal/selector"
+	"github.com/auburntray/auburntray/internal/sleeper"
+)
+
+const (
+	// placeWait is how long a call that is bound to a software version waits for a place before it is refused, and placeInterval the
+	// time between two attempts to take one. Most calls that wait to begin do so within that.
+	placeWait     = 300 * time.Millisecond
+	placeInterval = 20 * time.Millisecond
+	// maxAwaiting is the largest number of calls that wait for a place at a time. Each attempt selects a target again.
+	maxAwaiting = 32
 )
 
 // scope identifies the targets that may run a call that is bound to a software version.
@@ -47,6 +58,25 @@
 	return true
 }
 
+// awaitPlace waits until a call for which there was no place may try again, and reports whether it should. A call whose deadline comes
+// first is refused at once: it would be held until then.
+func (f *Forwarder) awaitPlace(c context.Context, x *exchange, since time.Time) bool {
+	if !x.noPlace || time.Since(since) >= placeWait || time.Until(x.deadline) < placeWait {
+		return false
+	}
+
+	select {
+	case f.awaiting <- struct{}{}:
+		defer func() { <-f.awaiting }()
+	default:
+		return false
+	}
+
+	sleeper.Sleep(c, placeInterval)
+
+	return c.Err() == nil
+}
+
 // endPlace records that an attempt of a call is over.
 func (f *Forwarder) endPlace(x *exchange) {
 	f.mu.Lock()
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -9,7 +9,6 @@
 	"github.com/auburntray/auburntray/internal/reserver"
 	"github.com/auburntray/auburntray/internal/searcher"
 	"github.com/auburntray/auburntray/internal/selector"
-	"github.com/auburntray/auburntray/internal/sleeper"
 )
 
 // maxCountDrift is by how many calls the load that a target reports may exceed its home node's
@@ -22,13 +21,6 @@
 // would grant the slot again at once, for another refusal.
 const refusedHold = 200 * time.Millisecond
 
-// placeWait is how long a call that is bound to a software version waits for a place before it is refused, and placeInterval the time
-// between two attempts to take one. Calls that wait to begin mostly do so within that.
-const (
-	placeWait     = 300 * time.Millisecond
-	placeInterval = 20 * time.Millisecond
-)
-
 // SlotReserver reserves slots for calls at targets. The home node of a target, the one instance
 // responsible for it, counts the calls of all instances. It is implemented by reserver.Reserver.
 type SlotReserver interface {
@@ -95,13 +87,11 @@
 
 	for {
 		t, ok := f.pick(c, x, s.FullCount())
-		if !ok && x.noPlace && time.Since(b) < placeWait && c.Err() == nil {
-			sleeper.Sleep(c, placeInterval)
 
+		switch {
+		case !ok && f.awaitPlace(c, x, b):
 			continue
-		}
-
-		if !ok {
+		case !ok:
 			return t, false
 		}
 
