--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -2,10 +2,12 @@
 // recorders, before a stream begins, and asks them when a caller resumes it here. The recorders write what they are told to a
 // log outside of the instances, so that it is known when all instances have been killed.
 //
-// Recorders need no consensus: each writes its own records, and a stream of which nothing is known does not go on. Instances
-// are told only while several versions of a group are in use, and all streams begun shortly before when a second one appears.
-// The versions in use are always in the log, also one alone: a process that starts and is listed another one knows that it does
-// not know which of them began a stream.
+// Recorders need no consensus: each writes its own records, and a stream of which nothing is known does not go on. They are told
+// where streams begin while several versions of a group are in use, and of all streams begun shortly before when a second one appears.
+//
+// The versions in use of each group are in the log always, also one alone. A process that starts reads them, or asks a recorder for
+// them, and tells the recorders where streams begin until it knows them. If another version is listed, or nothing is recorded, it does not take the
+// version that is listed for the one that began a stream.
 package binder
 
 import (
@@ -80,7 +82,7 @@
 
 	mu     sync.Mutex
 	pinner *pinner.Pinner
-	// startedAt is when this process started.
+	// startedAt is when this process started. See startTime.
 	startedAt time.Time
 	// recorders were selected at selectedAt.
 	recorders  *pinner.Recorders
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -601,7 +601,7 @@
 }
 
 // StreamVersionReply is the reply to a VersionRequest of KindStreamVersion, as VersionReply. Complete reports that Versions
-// contains all that were in use for as long as any stream lasts.
+// contains all that were in use for as long as any stream lasts. An instance that reads the log, and may know more soon, has none.
 type StreamVersionReply struct {
 	Found    bool
 	Complete bool
