--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 SHELL := /bin/bash
 
-.PHONY: build test demo failures soak bench slopes lint generate fuzz
+.PHONY: build test demo failures soak release-days bench slopes lint generate fuzz
 
 build:
 	go build -o bin/ ./cmd/...
@@ -24,6 +24,11 @@
 soak:
 	go test -count=1 -timeout 2h -v -run TestSoak ./platform/soak -soak.seeds $${SEEDS:-5} -soak.first $${FIRST:-0} -soak.keep $${KEEP:-}
 
+# Drawn days with a release of a newer version beside other troubles, on the users' platform's bench:
+# FLEETBENCH=program SITE=file COUNT=16 FIRST=0 make release-days
+release-days:
+	./scripts/release-days.sh "$${SITE:?is a site file}" $${COUNT:-16} $${FIRST:-0}
+
 # The policy and its baselines at the users' sizes and the design size.
 bench: build
 	./bin/auburntray bench
--- a/scripts/release-days.sh
+++ b/scripts/release-days.sh
@@ -4,15 +4,19 @@
 # of the platform's bench. KEEP is a folder for the days that break a rule and their reports, WITHOUT is a list of
 # kinds of entries that are left out, parted by commas. The bench writes an entry in journal/ for each day.
 set -euo pipefail
-cd "$(dirname "$0")/.."
 
 if [ $# -ne 3 ]; then
   echo "usage: FLEETBENCH=program $0 SITE COUNT FIRST" >&2
   exit 2
 fi
-site=$1 count=$2 first=$3
-bench=${FLEETBENCH:?is the path of the bench of the users\' platform}
-[ -z "${KEEP:-}" ] || mkdir -p "$KEEP"
+site=$(realpath -e "$1") count=$2 first=$3
+bench=$(realpath -e "${FLEETBENCH:?holds the path of the platform bench}")
+keep=
+if [ -n "${KEEP:-}" ]; then
+  mkdir -p "$KEEP"
+  keep=$(realpath "$KEEP")
+fi
+cd "$(dirname "$0")/.."
 
 work=$(mktemp -d)
 trap 'rm -rf "$work"' EXIT
@@ -36,9 +40,9 @@
   fi
   if [ -n "$rules" ] || [ -z "$line" ]; then
     [ -z "$rules" ] || broken=$((broken + 1))
-    if [ -n "${KEEP:-}" ]; then
-      cp "$work/day.toml" "$KEEP/$name.toml"
-      cp "$work/report" "$KEEP/$name.txt"
+    if [ -n "$keep" ]; then
+      cp "$work/day.toml" "$keep/$name.toml"
+      cp "$work/report" "$keep/$name.txt"
     fi
   fi
 done
