internal/acceptor, internal/gatekeeper: one rule for what a connection may hold, at each listener of a gateway

Cause: the bounds were those of one path. After a refusal before the body was read nobody ended the connection: the server read on, and the reaper had let go of it. A parsed field takes some ten to forty times its bytes, of which nothing was reserved, and the catalog's limit applied after 256 KB were parsed. Only the callers' listener had a bound of connections. Writes had no deadline.

Change: what a connection may hold does not hang on its listener. At any moment either it waits for its client or its client waits for the process. One that waits has a limit: idle, head, a body or an answer of which no byte moves. Heads are reserved as they arrive, 256 bytes a field and 64 a part between commas beyond the usual, and refused above the catalog's limit and 12 KB for the request line (431, or 503 with a time to come back for want of memory; before, a head without memory was answered 400). A request that is answered before its body was read ends its connection unless the rest has arrived within 50 ms; the rest is read for a second at most, so that a client which still sends gets its refusal. When there is no room those give way that have waited the longest; at readiness, metrics and control a new connection replaces the oldest one, so that a check finds room. The descriptors are divided among the listeners. Reaper and shedder are kept as they were and used by it.

Tests changed: shedder's New takes functions, its checks are the same.

--- /dev/null
+++ b/internal/acceptor/acceptor.go
@@ -0,0 +1,333 @@
+// Package acceptor accepts connections and bounds what each of them may hold at any moment of its life.
+//
+// Load pattern: a crowd of clients sends requests of legal size that never end, heads of very many short fields, or requests whose
+// answers it does not read, at any listener of the process. All listeners share the process's memory and descriptors, so one rule
+// applies to all of them. At any moment either the connection waits for its client or the client waits for the process. A connection
+// that waits has a time limit, what arrives is reserved before it is parsed, and the connections that have waited the longest give way
+// when there is no room.
+package acceptor
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/auburntray/auburntray/internal/accountant"
+	"github.com/auburntray/auburntray/internal/reaper"
+	"github.com/auburntray/auburntray/internal/shedder"
+)
+
+const (
+	// DefaultHeadTimeout is the longest time that the head of a request may take, where Limits has zero.
+	DefaultHeadTimeout = 10 * time.Second
+	// DefaultIdleTimeout is the longest time between two requests, where Limits has zero.
+	DefaultIdleTimeout = time.Minute
+	// DefaultMaxHead is the length of the longest head, in bytes, where Limits has zero.
+	DefaultMaxHead = 16 << 10
+	// SweepInterval is how often Sweep is to be called. It is the largest delay in ending a connection.
+	SweepInterval = time.Second
+
+	// minWait is how long a connection must have waited for its client to be ended for the sake of others.
+	minWait = time.Second
+	// roomInterval is the least time between two searches for connections to end.
+	roomInterval = 200 * time.Millisecond
+	// roomDivisor is the part of the connections that one search ends at the most.
+	roomDivisor = 8
+	// connectionBytes is what a connection without a call takes: a goroutine and buffers.
+	connectionBytes = 16 << 10
+)
+
+// Limits bounds what a connection may take. A zero field stands for the default.
+type Limits struct {
+	// IdleTimeout is the longest time between two requests, and the longest time in which no byte of a body arrives, or none of an answer
+	// is taken.
+	IdleTimeout time.Duration
+	// HeadTimeout is the longest time that the head of a request may take after its first byte.
+	HeadTimeout time.Duration
+	// MaxHead is the length of the longest head, in bytes, without its request line.
+	MaxHead int64
+}
+
+func (l Limits) withDefaults() Limits {
+	return Limits{
+		IdleTimeout: cmp.Or(l.IdleTimeout, DefaultIdleTimeout),
+		HeadTimeout: cmp.Or(l.HeadTimeout, DefaultHeadTimeout),
+		MaxHead:     cmp.Or(l.MaxHead, DefaultMaxHead),
+	}
+}
+
+// Settings configures an Acceptor.
+type Settings struct {
+	// Most returns how many connections may be open at a time.
+	Most func() int
+	// Replace makes a new connection beyond Most replace the one that has waited for its client the longest. Without it the new one is
+	// closed unread, and those that have waited for long are ended so that later ones have room.
+	Replace bool
+	// Messages means that the connections carry messages in place of HTTP. They have no time limits here.
+	Messages bool
+	// Encrypted means that the connections carry TLS, so that nothing readable can be written to them here.
+	Encrypted bool
+	// Limits returns the limits in force, which may change at any time.
+	Limits func() Limits
+	// Memory counts what the connections hold; nil sets no bound.
+	Memory *accountant.Accountant
+	// Shed is called for each connection that is closed unread, and Ended with the number of connections that were ended to make room.
+	// Both may be nil.
+	Shed  func()
+	Ended func(n int)
+}
+
+// Acceptor accepts the connections of one listener. It is safe for concurrent use.
+type Acceptor struct {
+	settings Settings
+	reaper   *reaper.Reaper
+
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	freedAt time.Time
+}
+
+// New returns an Acceptor without a listener.
+func New(s Settings) *Acceptor {
+	if s.Shed == nil {
+		s.Shed = func() {}
+	}
+
+	if s.Ended == nil {
+		s.Ended = func(int) {}
+	}
+
+	a := &Acceptor{settings: s, conns: make(map[*conn]struct{})}
+	a.reaper = reaper.New(func() reaper.Limits {
+		l := a.limits()
+
+		return reaper.Limits{IdleTimeout: l.IdleTimeout, HeaderTimeout: l.HeadTimeout}
+	})
+
+	return a
+}
+
+func (a *Acceptor) limits() Limits {
+	return a.settings.Limits().withDefaults()
+}
+
+// Open returns the number of open connections.
+func (a *Acceptor) Open() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return len(a.conns)
+}
+
+// Listen returns a listener that accepts the connections of l.
+func (a *Acceptor) Listen(l net.Listener) net.Listener {
+	return &listener{acceptor: a, Listener: shedder.New(l, a.settings.Most, a.free, a.settings.Shed, func(n int) {
+		if a.settings.Memory != nil {
+			a.settings.Memory.Charge(accountant.Connection, int64(n)*connectionBytes)
+		}
+	})}
+}
+
+// Serve makes a server serve the connections of Listen's listener. It must be called before the server serves.
+func (a *Acceptor) Serve(s *http.Server) {
+	s.ConnState = a.track
+	s.ConnContext = func(x context.Context, n net.Conn) context.Context {
+		c, _ := unwrap(n)
+
+		return a.reaper.Context(x, c)
+	}
+	s.Handler = a.handler(s.Handler)
+
+	if s.ReadHeaderTimeout == 0 {
+		s.ReadHeaderTimeout = DefaultHeadTimeout
+	}
+}
+
+// Sweep ends the connections that have waited for their clients for longer than their limits.
+func (a *Acceptor) Sweep() {
+	if a.settings.Messages {
+		return
+	}
+
+	a.reaper.Sweep()
+
+	d := a.limits().IdleTimeout
+
+	for _, c := range a.list() {
+		if w, ok := c.waits(); ok && time.Since(w.progress) >= d {
+			c.interrupt()
+		}
+	}
+}
+
+// MakeRoom ends connections that have waited for their clients for long, and returns how many. It is for the time when the process has
+// too little memory or too many connections. Idle connections are ended first; of the others those that have waited the longest, at
+// most an eighth of the connections at a time.
+func (a *Acceptor) MakeRoom() int {
+	a.mu.Lock()
+
+	n := time.Now()
+	if n.Sub(a.freedAt) < roomInterval {
+		a.mu.Unlock()
+
+		return 0
+	}
+
+	a.freedAt = n
+	a.mu.Unlock()
+
+	k := a.reaper.Expire(minWait)
+
+	for _, c := range a.longestWaiting(max(a.settings.Most()/roomDivisor, 1)) {
+		c.interrupt()
+
+		k++
+	}
+
+	if k > 0 {
+		a.settings.Ended(k)
+	}
+
+	return k
+}
+
+// longestWaiting returns the connections that have waited for their clients the longest within a request: first those whose request has
+// been refused already, at most k.
+func (a *Acceptor) longestWaiting(k int) []*conn {
+	type waiting struct {
+		conn *conn
+		wait wait
+	}
+
+	var o []waiting
+
+	for _, c := range a.list() {
+		if w, ok := c.waits(); ok && (w.stage == refused || time.Since(w.since) >= minWait) {
+			o = append(o, waiting{c, w})
+		}
+	}
+
+	slices.SortFunc(o, func(x, y waiting) int {
+		return cmp.Or(-cmp.Compare(x.wait.stage, y.wait.stage), x.wait.since.Compare(y.wait.since))
+	})
+
+	l := make([]*conn, 0, k)
+	for _, x := range o[:min(k, len(o))] {
+		l = append(l, x.conn)
+	}
+
+	return l
+}
+
+// free makes room for a new connection beyond the bound, and reports whether there is room at once.
+func (a *Acceptor) free() bool {
+	if !a.settings.Replace {
+		a.MakeRoom()
+
+		return false
+	}
+
+	c := a.oldest()
+	if c != nil {
+		_ = c.Close() // It is replaced.
+	}
+
+	return c != nil
+}
+
+// oldest returns the connection that has waited for its client the longest, or nil if none waits.
+func (a *Acceptor) oldest() net.Conn {
+	o, since := a.reaper.Longest()
+
+	for _, c := range a.list() {
+		if w, ok := c.waits(); ok && (o == nil || w.since.Before(since)) {
+			o, since = c, w.since
+		}
+	}
+
+	return o
+}
+
+// list returns the open connections.
+func (a *Acceptor) list() []*conn {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	o := make([]*conn, 0, len(a.conns))
+	for c := range a.conns {
+		o = append(o, c)
+	}
+
+	return o
+}
+
+// track records a change of a connection's state; it is the ConnState of a server.
+func (a *Acceptor) track(n net.Conn, s http.ConnState) {
+	c, ok := unwrap(n)
+	if !ok {
+		return
+	}
+
+	if s == http.StateIdle {
+		c.beginHead()
+	}
+
+	a.reaper.Track(c, s)
+}
+
+// remove forgets a connection that is closed.
+func (a *Acceptor) remove(c *conn) {
+	a.reaper.Track(c, http.StateClosed) // Its server notices that later.
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	delete(a.conns, c)
+}
+
+// connection returns the connection of a request, or nil.
+func connection(c context.Context) *conn {
+	o, _ := unwrap(reaper.Connection(c))
+
+	return o
+}
+
+// unwrap returns the connection that a server knows as n.
+func unwrap(n net.Conn) (*conn, bool) {
+	if t, ok := n.(interface{ NetConn() net.Conn }); ok {
+		n = t.NetConn()
+	}
+
+	c, ok := n.(*conn)
+
+	return c, ok
+}
+
+// listener accepts connections for an Acceptor.
+type listener struct {
+	net.Listener
+
+	acceptor *Acceptor
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	a := l.acceptor
+	c := &conn{Conn: n, acceptor: a, inHead: !a.settings.Messages, wait: wait{progress: time.Now()}, account: a.settings.Memory.Open(accountant.Head, 0)}
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.conns[c] = struct{}{}
+
+	return c, nil
+}
--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -24,13 +24,15 @@
 	Connection
 	// Head is the headers of calls beyond their usual length.
 	Head
+	// Message is the long messages of other instances.
+	Message
 
 	kinds
 )
 
 // String returns the kind's name in metrics.
 func (k Kind) String() string {
-	return [kinds]string{"call", "body", "answer", "connection", "head"}[k]
+	return [kinds]string{"call", "body", "answer", "connection", "head", "message"}[k]
 }
 
 const (
@@ -89,6 +91,8 @@
 	held   [kinds]int64
 	total  int64
 	peak   int64
+	// exhausted is called when a reservation fails; it may be nil.
+	exhausted func()
 }
 
 // New returns an Accountant for a process that may use the given number of bytes; zero sets no bound.
@@ -104,6 +108,12 @@
 	a.budget = Budget(process)
 }
 
+// OnExhausted sets the function that is called each time a reservation fails. It must not block, and must be set before the first
+// reservation.
+func (a *Accountant) OnExhausted(f func()) {
+	a.exhausted = f
+}
+
 // Budget returns the number of bytes that may be held, or math.MaxInt64 if there is no bound.
 func (a *Accountant) Budget() int64 {
 	a.mu.Lock()
@@ -114,7 +124,7 @@
 
 // Kinds returns all kinds.
 func Kinds() []Kind {
-	return []Kind{Call, Body, Answer, Connection, Head}
+	return []Kind{Call, Body, Answer, Connection, Head, Message}
 }
 
 // Held returns the number of bytes of a kind that are held.
@@ -196,6 +206,10 @@
 // Reserve reports whether n more bytes may be held, and counts them if so.
 func (a *Account) Reserve(n int64) bool {
 	if a.accountant != nil && !a.accountant.reserve(a, n) {
+		if f := a.accountant.exhausted; f != nil {
+			f()
+		}
+
 		return false
 	}
 
--- a/internal/gatekeeper/delegates.go
+++ b/internal/gatekeeper/delegates.go
@@ -23,7 +23,7 @@
 		var l net.Listener
 
 		a := netip.AddrPortFrom(g.settings.Peers.Addr(), uint16(n)) //nolint:gosec // At most the larger of two ports.
-		if l, err = (&net.ListenConfig{}).Listen(c, "tcp", a.String()); err == nil {
+		if l, err = listen(c, a.String(), g.acceptors.delegates); err == nil {
 			return l, nil
 		}
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -18,7 +18,6 @@
 	"github.com/auburntray/auburntray/internal/joiner"
 	"github.com/auburntray/auburntray/internal/messenger"
 	"github.com/auburntray/auburntray/internal/negotiator"
-	"github.com/auburntray/auburntray/internal/reaper"
 	"github.com/auburntray/auburntray/internal/replicator"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
@@ -43,7 +42,7 @@
 	negotiator    *negotiator.Negotiator
 	memory        *accountant.Accountant
 	watchers      []*watcher.Watcher
-	reaper        *reaper.Reaper
+	acceptors     acceptors
 	overload      *overload
 	callerServer  *http.Server
 	readyServer   *http.Server
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -202,7 +202,7 @@
 	x.OnRefusal(i.NotifyRefusal)
 
 	g := &Gatekeeper{
-		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, binder: p.Binder, negotiator: p.Negotiator, memory: p.Accountant, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, binder: p.Binder, negotiator: p.Negotiator, memory: p.Accountant, overload: &overload{}, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, handlers{
 				newEraHandler(func() {
@@ -226,6 +226,7 @@
 	m.Handle(wire.KindEvacuations, g.evacuations.HandleRequest)
 	g.stopTimeout.Store(int64(s.StopTimeout))
 	g.createServers(w.ReadyPath, p.Meter)
+	m.Accept(g.acceptors.peers.Listen)
 	g.registerMetrics(p.Meter)
 	p.Meter.RegisterGauge("streams_bound", func() float64 { return float64(p.Binder.Len()) })
 
--- a/internal/gatekeeper/run.go
+++ b/internal/gatekeeper/run.go
@@ -10,9 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
-	"github.com/auburntray/auburntray/internal/accountant"
+	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/detector"
-	"github.com/auburntray/auburntray/internal/shedder"
 )
 
 const (
@@ -21,8 +20,6 @@
 	// partitionCheckInterval is the largest delay in detecting the start or end of a network
 	// partition. The balancer checks readiness once a second and acts on two equal answers.
 	partitionCheckInterval = 300 * time.Millisecond
-	// idleSweepInterval is the largest delay in closing an idle connection.
-	idleSweepInterval = time.Second
 )
 
 // Start serves callers, and follows the streams in the background. It fails with ErrStart when an
@@ -41,7 +38,7 @@
 	g.runInBackground(func() { runEvery(x, expireInterval, g.evacuations.reportEmptied) })
 	g.runInBackground(func() { runEvery(x, partitionCheckInterval, func() { g.forwarder.CheckConnectivity(x) }) })
 	g.runInBackground(func() { runEvery(x, detector.TickInterval, g.state.recordTick) })
-	g.runInBackground(func() { runEvery(x, idleSweepInterval, func() { g.reaper.Sweep() }) })
+	g.runInBackground(func() { runEvery(x, acceptor.SweepInterval, g.acceptors.sweep) })
 	g.runInBackground(func() { runEvery(x, fleetInterval, g.fleet.observe) })
 	g.messenger.Serve()
 	g.runInBackground(func() { g.joiner.Run(x) })
@@ -67,14 +64,19 @@
 	listeners := make(map[*http.Server]net.Listener)
 
 	for _, s := range []struct {
-		server  *http.Server
-		address netip.AddrPort
-	}{{g.callerServer, g.settings.Callers}, {g.readyServer, g.settings.Ready}, {g.metricsServer, g.settings.Metrics}} {
+		server   *http.Server
+		address  netip.AddrPort
+		acceptor *acceptor.Acceptor
+	}{
+		{g.callerServer, g.settings.Callers, g.acceptors.callers},
+		{g.readyServer, g.settings.Ready, g.acceptors.ready},
+		{g.metricsServer, g.settings.Metrics, g.acceptors.metrics},
+	} {
 		if !s.address.IsValid() {
 			continue
 		}
 
-		l, err := (&net.ListenConfig{}).Listen(c, "tcp", s.address.String())
+		l, err := listen(c, s.address.String(), s.acceptor)
 		if err != nil {
 			for _, x := range listeners {
 				_ = x.Close() // No call was served yet.
@@ -86,12 +88,6 @@
 		listeners[s.server] = l
 	}
 
-	if l, ok := listeners[g.callerServer]; ok {
-		listeners[g.callerServer] = connectionListener{memory: g.memory, firstByte: g.reaper.RecordFirstByte, Listener: shedder.New(l, g.maxConnections(), g.overload.closeIdle, g.overload.recordShed, func(n int) {
-			g.memory.Charge(accountant.Connection, int64(n)*connectionBytes)
-		})}
-	}
-
 	for s, l := range listeners {
 		g.runInBackground(func() {
 			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -103,20 +99,6 @@
 	return nil
 }
 
-const (
-	// connectionBytes is what a caller's connection without a call takes: a goroutine and buffers.
-	connectionBytes = 16 << 10
-	// connectionsDivisor is the part of the memory for calls that connections may take.
-	connectionsDivisor = 2
-)
-
-// maxConnections returns how many connections of callers may be open.
-func (g *Gatekeeper) maxConnections() int {
-	m := max(g.memory.Budget()/connectionsDivisor/connectionBytes, 1)
-
-	return int(min(int64(shedder.Bound(g.settings.descriptors())), m))
-}
-
 func (g *Gatekeeper) runInBackground(f func()) {
 	g.background.Add(1)
 
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -8,7 +8,6 @@
 
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/meter"
-	"github.com/auburntray/auburntray/internal/reaper"
 	"github.com/auburntray/auburntray/internal/recoverer"
 )
 
@@ -36,12 +35,7 @@
 	r := gin.New()
 	r.GET(readyPath, g.answerReady)
 
-	g.reaper = reaper.New(g.connectionLimits)
-	g.overload = newOverload(g.reaper)
-	g.callerServer = &http.Server{
-		Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: g.trackConnection, ConnContext: g.reaper.Context,
-	}
+	g.callerServer = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 	g.readyServer = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
 
 	d := gin.New()
@@ -56,22 +50,17 @@
 	x.GET(metricsPath, gin.WrapH(m.Handler()))
 
 	g.metricsServer = &http.Server{Handler: x, ReadHeaderTimeout: headerTimeout}
-}
 
-// connectionLimits returns how long a caller's connection may remain without a call.
-func (g *Gatekeeper) connectionLimits() reaper.Limits {
-	c := g.state.Catalog()
-	if c == nil {
-		return reaper.Limits{}
-	}
-
-	return reaper.Limits{IdleTimeout: c.Limits.IdleTimeout, HeaderTimeout: c.Limits.HeaderTimeout}
+	g.acceptors = g.newAcceptors()
+	g.acceptors.callers.Serve(g.callerServer)
+	g.acceptors.ready.Serve(g.readyServer)
+	g.acceptors.delegates.Serve(g.delegateServer)
+	g.acceptors.metrics.Serve(g.metricsServer)
+	g.memory.OnExhausted(func() { go g.acceptors.makeRoom() })
 }
 
 // serve counts a call as running while it is handled, so that a stop waits for it.
 func (g *Gatekeeper) serve(w http.ResponseWriter, r *http.Request) {
-	g.recordHeaders(r.Context())
-
 	if p, ok := g.drainer.Enter(time.Now()); !ok {
 		w.Header().Set("Connection", "close")
 		g.forwarder.Reject(w, r, p >= drainer.Refusing)
--- a/internal/gatekeeper/settings.go
+++ b/internal/gatekeeper/settings.go
@@ -1,10 +1,8 @@
 package gatekeeper
 
 import (
-	"math"
 	"net"
 	"net/netip"
-	"syscall"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/binder"
@@ -72,25 +70,6 @@
 	return s.LinkRate
 }
 
-// defaultDescriptors applies if the limit of the process can't be read.
-const defaultDescriptors = 1024
-
-// descriptors returns the number of descriptors that the process may have open.
-func (s Settings) descriptors() int {
-	n := defaultDescriptors
-
-	var l syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err == nil {
-		n = int(min(l.Cur, math.MaxInt32))
-	}
-
-	if s.MaxDescriptors > 0 {
-		n = min(n, s.MaxDescriptors)
-	}
-
-	return n
-}
-
 func (s Settings) applyWithin() time.Duration {
 	if s.ApplyWithin == 0 {
 		return DefaultApplyWithin
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
@@ -46,6 +47,7 @@
 	handlers map[wire.Kind]Handler
 	listener net.Listener
 	address  netip.AddrPort
+	memory   *accountant.Accountant
 	done     chan struct{}
 	once     sync.Once
 
@@ -74,9 +76,6 @@
 	}
 
 	x, _ := l.Addr().(*net.TCPAddr)
-	if s != nil {
-		l = tls.NewListener(l, s)
-	}
 
 	m := &Messenger{
 		id:       id,
@@ -109,9 +108,23 @@
 	m.handlers[k] = h
 }
 
+// Accept sets the function that returns the listener which accepts connections from the Messenger's own. It must be called before Serve.
+func (m *Messenger) Accept(f func(l net.Listener) net.Listener) {
+	m.listener = f(m.listener)
+}
+
+// SetMemory sets the bound on what long messages of peers may take. It must be called before Serve.
+func (m *Messenger) SetMemory(a *accountant.Accountant) {
+	m.memory = a
+}
+
 // Serve starts to accept connections and handle their messages in the background, until
 // Close.
 func (m *Messenger) Serve() {
+	if m.tls != nil {
+		m.listener = tls.NewListener(m.listener, m.tls)
+	}
+
 	m.group.Add(1)
 
 	go func() {
--- a/internal/reaper/reaper.go
+++ b/internal/reaper/reaper.go
@@ -86,6 +86,25 @@
 	return i.expire(func(p phase) bool { return !p.header && time.Since(p.since) >= idle })
 }
 
+// Longest returns the connection that has waited the longest for a call, or for the rest of its headers, and since when; nil if none waits.
+func (i *Reaper) Longest() (net.Conn, time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+
+	var (
+		o net.Conn
+		s time.Time
+	)
+
+	for c, p := range i.waiting {
+		if o == nil || p.since.Before(s) {
+			o, s = c, p.since
+		}
+	}
+
+	return o, s
+}
+
 type connKey struct{}
 
 // Context is the ConnContext of an http.Server. It stores the connection in the contexts
--- a/internal/shedder/shedder.go
+++ b/internal/shedder/shedder.go
@@ -25,8 +25,8 @@
 type Listener struct {
 	net.Listener
 
-	limit int
-	free  func()
+	limit func() int
+	free  func() bool
 	shed  func()
 	// count is called with 1 for each connection that is accepted, and with -1 when it is closed.
 	count func(n int)
@@ -35,9 +35,10 @@
 	open int
 }
 
-// New returns a Listener that accepts at most limit open connections from l. It calls free when it has that many, to have idle
-// ones closed, shed for each connection that it closes, and count with each change of the number of open connections.
-func New(l net.Listener, limit int, free, shed func(), count func(n int)) *Listener {
+// New returns a Listener that accepts at most limit open connections from l, which is asked anew for each. It calls free when it has that
+// many, to have others closed; free reports whether there is room at once. It calls shed for each connection that it closes, and count
+// with each change of the number of open connections.
+func New(l net.Listener, limit func() int, free func() bool, shed func(), count func(n int)) *Listener {
 	return &Listener{Listener: l, limit: limit, free: free, shed: shed, count: count}
 }
 
@@ -49,23 +50,24 @@
 			return nil, err
 		}
 
-		if l.enter() {
+		if l.enter() || l.free() && l.enter() {
 			return &conn{Conn: c, leave: sync.OnceFunc(l.leave)}, nil
 		}
 
 		_ = c.Close() // Nothing was read or written.
 
-		l.free()
 		l.shed()
 	}
 }
 
 // enter counts a connection and reports whether it is within the bound.
 func (l *Listener) enter() bool {
+	n := l.limit()
+
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.open >= l.limit {
+	if l.open >= n {
 		return false
 	}
 
@@ -97,3 +99,12 @@
 
 	return c.Conn.Close()
 }
+
+// CloseWrite closes the direction to the caller, if the connection has two.
+func (c *conn) CloseWrite() error {
+	if x, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return x.CloseWrite()
+	}
+
+	return nil
+}
--- a/internal/shedder/shedder_test.go
+++ b/internal/shedder/shedder_test.go
@@ -31,7 +31,7 @@
 	i.NoErr(err)
 
 	shed := make(chan struct{}, 2)
-	l := shedder.New(x, 1, func() {}, func() { shed <- struct{}{} }, func(int) {})
+	l := shedder.New(x, func() int { return 1 }, func() bool { return false }, func() { shed <- struct{}{} }, func(int) {})
 	accepted := make(chan net.Conn, 2)
 
 	go func() {
