internal/messenger: what strangers send as messages is reserved, and replies that nobody takes end their connection

Cause: a frame was held without a reservation, grew by copies, and its sender could take any time; requests that are handled beside others had no bound; a reply that was not taken failed after two seconds, and the connection went on to the next.

A hello has at most 1 KB. A peer has 10 s for each further 16 KB of a frame, any time between two. A request that is handled beside others takes 16 KB and is answered with an error beyond the memory. A reply that can't be written closes the connection, since a part of it may have been written. Replies to our own calls are not bounded.

--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -227,6 +227,7 @@
 	g.stopTimeout.Store(int64(s.StopTimeout))
 	g.createServers(w.ReadyPath, p.Meter)
 	m.Accept(g.acceptors.peers.Listen)
+	m.SetMemory(p.Accountant)
 	g.registerMetrics(p.Meter)
 	p.Meter.RegisterGauge("streams_bound", func() float64 { return float64(p.Binder.Len()) })
 
--- a/internal/messenger/connection.go
+++ b/internal/messenger/connection.go
@@ -149,22 +149,27 @@
 func (x *connection) read() {
 	defer x.close()
 
-	r := bufio.NewReader(activityReader{connection: x})
+	d := &decoder{reader: bufio.NewReader(activityReader{connection: x}), most: MaxFrame, progress: x.extendWaiting}
 
 	for {
-		f, n, err := decode(r, x.extendWaiting)
+		f, n, release, err := d.decode()
 		if err != nil {
 			return
 		}
 
+		release() // Replies are not counted.
 		x.traffic.in(n)
 		x.deliver(f)
 	}
 }
 
 // extendWaiting extends the deadlines of all waiting calls while a long frame arrives, since it is the reply to one of
-// them and delays the replies to the others.
-func (x *connection) extendWaiting() {
+// them and delays the replies to the others. The first chunk of a frame extends none.
+func (x *connection) extendWaiting(arrived int) {
+	if arrived == 0 {
+		return
+	}
+
 	x.mu.Lock()
 
 	l := make([]context.Context, 0, len(x.waiting))
--- a/internal/messenger/export_test.go
+++ b/internal/messenger/export_test.go
@@ -11,5 +11,10 @@
 
 // Decode exports decode for tests.
 func Decode(r *bufio.Reader) (wire.Frame, int, error) {
-	return decode(r, nil)
+	f, n, release, err := (&decoder{reader: r, most: MaxFrame}).decode()
+	if err == nil {
+		release()
+	}
+
+	return f, n, err
 }
--- a/internal/messenger/serve.go
+++ b/internal/messenger/serve.go
@@ -3,15 +3,37 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/wire"
 )
 
-// helloTimeout is how long a peer may take to send its Hello.
-const helloTimeout = 5 * time.Second
+const (
+	// helloTimeout is how long a peer may take to send its Hello, of at most maxHello bytes.
+	helloTimeout = 5 * time.Second
+	maxHello     = 1 << 10
+	// frameTimeout is how long a peer may take to send the next chunk of a frame.
+	frameTimeout = 10 * time.Second
+	// handlerBytes is what a request takes that is handled beside others.
+	handlerBytes = 16 << 10
+)
+
+// serverConn is an incoming connection.
+type serverConn struct {
+	messenger *Messenger
+	conn      net.Conn
+	decoder   *decoder
+	// from is the ID of the peer.
+	from uint64
+	// writing is held while a reply is written.
+	writing sync.Mutex
+}
 
 // serveConn handles the messages of one incoming connection until it breaks.
 func (m *Messenger) serveConn(c net.Conn) {
@@ -25,85 +47,118 @@
 	x, stop := context.WithCancel(context.Background())
 	defer stop()
 
-	var w sync.Mutex
-
-	r := bufio.NewReader(c)
+	s := &serverConn{messenger: m, conn: c, decoder: &decoder{reader: bufio.NewReader(c), most: maxHello, memory: m.memory}}
 
 	// A peer that connects and sends nothing must not occupy a connection without bound.
 	_ = c.SetReadDeadline(time.Now().Add(helloTimeout))
 
-	from, err := m.readHello(r)
-	if err != nil {
+	if err := s.readHello(); err != nil {
 		return
 	}
 
-	_ = c.SetReadDeadline(time.Time{})
+	s.decoder.most = MaxFrame
+	s.decoder.progress = func(int) { _ = c.SetReadDeadline(time.Now().Add(frameTimeout)) }
 
-	for {
-		f, n, err := decode(r, nil)
-		if err != nil {
-			return
-		}
+	for s.serveNext(x) {
+	}
+}
 
-		m.traffic.in(n)
+// readHello reads the first frame of a connection, which must be a Hello.
+func (s *serverConn) readHello() error {
+	f, n, release, err := s.decoder.decode()
+	if err != nil {
+		return err
+	}
+	defer release()
 
-		h, ok := m.handlers[f.Kind]
-		if !ok {
-			continue
-		}
+	s.messenger.traffic.in(n)
 
-		// The handlers of these kinds wait for reads or writes of a log, or for another instance.
-		// Handling them in order would delay the requests behind them on the same connection.
-		if f.Kind == wire.KindClaim || f.Kind == wire.KindSettle || f.Kind == wire.KindStream || f.Kind == wire.KindProbe || f.Kind == wire.KindStreamVersion {
-			go m.handle(x, c, &w, from, h, f)
+	var h wire.Hello
+	if _, err := h.UnmarshalMsg(f.Body); err != nil || f.Kind != wire.KindHello {
+		return ErrFrame
+	}
 
-			continue
-		}
+	s.from = h.From
 
-		m.handle(x, c, &w, from, h, f)
-	}
+	return nil
 }
 
-// readHello reads the first frame of a connection, which must be a Hello, and returns the
-// ID of the peer.
-func (m *Messenger) readHello(r *bufio.Reader) (uint64, error) {
-	f, n, err := decode(r, nil)
+// serveNext handles the next message, and reports whether the connection is still usable.
+func (s *serverConn) serveNext(c context.Context) bool {
+	// Between two messages a peer may be silent for any time.
+	_ = s.conn.SetReadDeadline(time.Time{})
+
+	f, n, release, err := s.decoder.decode()
 	if err != nil {
-		return 0, err
+		return false
 	}
 
-	m.traffic.in(n)
+	s.messenger.traffic.in(n)
 
-	var h wire.Hello
-	if _, err := h.UnmarshalMsg(f.Body); err != nil || f.Kind != wire.KindHello {
-		return 0, ErrFrame
+	h, ok := s.messenger.handlers[f.Kind]
+	if !ok {
+		release()
+
+		return true
 	}
 
-	return h.From, nil
-}
+	// The handlers of these kinds wait for reads or writes of a log, or for another instance.
+	// Handling them in order would delay the requests behind them on the same connection.
+	if f.Kind != wire.KindClaim && f.Kind != wire.KindSettle && f.Kind != wire.KindStream && f.Kind != wire.KindProbe && f.Kind != wire.KindStreamVersion {
+		defer release()
 
-// handle passes a message to its handler and sends the reply, or KindError if there is
-// none. Messages with the ID zero get no reply.
-func (m *Messenger) handle(x context.Context, c net.Conn, w *sync.Mutex, from uint64, h Handler, f wire.Frame) {
-	r, err := h(x, from, f.Body)
-	if f.ID == 0 {
-		return
+		return s.handle(c, h, f) == nil
+	}
+
+	a := s.messenger.memory.Open(accountant.Message, math.MaxInt64)
+	if !a.Reserve(handlerBytes) {
+		defer release()
+
+		return s.reply(f.ID, wire.KindError, nil) == nil
 	}
 
-	k := wire.KindReply
+	go func() {
+		defer a.Close()
+		defer release()
+
+		_ = s.handle(c, h, f) // The connection is closed.
+	}()
+
+	return true
+}
+
+// handle passes a message to its handler and sends the reply, or KindError if there is none.
+func (s *serverConn) handle(c context.Context, h Handler, f wire.Frame) error {
+	r, err := h(c, s.from, f.Body)
 	if err != nil || r == nil {
-		k, r = wire.KindError, nil
+		return s.reply(f.ID, wire.KindError, nil)
+	}
+
+	return s.reply(f.ID, wire.KindReply, r)
+}
+
+// reply sends the reply to the message with an ID. Messages with the ID zero get none. It closes the connection and fails if the peer does
+// not take the reply.
+func (s *serverConn) reply(id uint32, k wire.Kind, r msgp.Marshaler) error {
+	if id == 0 {
+		return nil
 	}
 
-	b, err := encode(k, f.ID, r)
+	b, err := encode(k, id, r)
 	if err != nil {
-		return
+		return nil //nolint:nilerr // The request times out at the peer; the connection is sound.
 	}
 
-	w.Lock()
-	defer w.Unlock()
+	s.writing.Lock()
+	defer s.writing.Unlock()
+
+	if err := writeAll(s.conn, k, b, &s.messenger.traffic); err != nil {
+		_ = s.conn.Close() // A part of a reply may have been written.
+
+		return err
+	}
 
-	_ = writeAll(c, k, b, &m.traffic)
+	return nil
 }
 
 // track registers a connection to be closed by Close. It returns false after Close.
