internal/router, internal/filterer: the rule for connections holds at a router's listeners too

Cause: no bound of connections, no deadline of a body's reading, nothing that gives way; the debug address had no bound at all.

--- /dev/null
+++ b/internal/router/acceptors.go
@@ -0,0 +1,56 @@
+package router
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/auburntray/auburntray/internal/acceptor"
+	"github.com/auburntray/auburntray/internal/accountant"
+	"github.com/auburntray/auburntray/internal/resolver"
+)
+
+// acceptors accept the connections at all addresses of a router.
+type acceptors struct {
+	callers, debug, peers *acceptor.Acceptor
+}
+
+func newAcceptors(s resolver.Router, m *accountant.Accountant) acceptors {
+	d := acceptor.ProcessDescriptors(0)
+
+	var a acceptors
+
+	with := func(most func() int, replace, messages, encrypted bool) *acceptor.Acceptor {
+		return acceptor.New(acceptor.Settings{
+			Most: most, Replace: replace, Messages: messages, Encrypted: encrypted, Memory: m,
+			Limits: func() acceptor.Limits {
+				return acceptor.Limits{IdleTimeout: s.IdleTimeout, HeadTimeout: headerTimeout, MaxHead: int64(s.MaxHeader)}
+			},
+			Ended: func(n int) {
+				logrus.WithFields(logrus.Fields{"event": "connectionsEnded", "connections": n}).Info()
+			},
+		})
+	}
+
+	a.debug = with(d.Metrics, true, false, false)
+	a.peers = with(d.Peers, true, true, s.PeerCert != "")
+	a.callers = with(func() int { return d.Callers(a.debug.Open()+a.peers.Open(), m.Budget()) }, false, false, s.CallerCert != "")
+
+	return a
+}
+
+// sweep ends the connections that exceed their limits until done is closed.
+func (a acceptors) sweep(done <-chan struct{}) {
+	t := time.NewTicker(acceptor.SweepInterval)
+	defer t.Stop()
+
+	for {
+		select {
+		case <-t.C:
+			a.callers.Sweep()
+			a.debug.Sweep()
+		case <-done:
+			return
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,10 +56,11 @@
 	stalls     *stallMonitor
 	memory     *accountant.Accountant
 
-	server   *http.Server
-	listener net.Listener
-	group    sync.WaitGroup
-	stop     context.CancelFunc
+	acceptors acceptors
+	server    *http.Server
+	listener  net.Listener
+	group     sync.WaitGroup
+	stop      context.CancelFunc
 }
 
 // Options returns the fx options of a router with the given settings. Stopping the
@@ -187,7 +188,7 @@
 	i := filterer.RefuseQuarantined{Quarantine: q, Targets: x}
 
 	return filterer.New(d, g, n, t,
-		filterer.Accept{MaxBody: int64(s.MaxBody), Memory: m},
+		filterer.Accept{MaxBody: int64(s.MaxBody), Timeout: s.MaxDeadline, Memory: m},
 		filterer.Identify{Deadline: s.Deadline, MaxDeadline: s.MaxDeadline},
 		filterer.Match{Config: f.Config},
 		i,
@@ -227,10 +228,14 @@
 		return nil, errors.Mark(errors.Wrap(err, "listening for callers"), ErrStart)
 	}
 
+	a := newAcceptors(i.Settings, i.Memory)
+	i.Messenger.Accept(a.peers.Listen)
+	i.Messenger.SetMemory(i.Memory)
+
 	r := &Router{
 		settings: i.Settings, follower: i.Follower, joiner: i.Joiner, supervisor: i.Supervisor, requester: i.Requester,
 		reconciler: i.Reconciler, messenger: i.Messenger, recorder: i.Recorder, pipeline: i.Pipeline, replicator: i.Replicator, drainer: i.Drainer,
-		counter: i.Counter, stalls: i.Stalls, memory: i.Memory, listener: l,
+		counter: i.Counter, stalls: i.Stalls, memory: i.Memory, acceptors: a, listener: a.callers.Listen(l),
 	}
 	r.registerHandlers(i.Registrar)
 	r.registerGauges()
@@ -241,6 +246,8 @@
 		IdleTimeout:       i.Settings.IdleTimeout,
 		MaxHeaderBytes:    i.Settings.MaxHeader,
 	}
+	a.callers.Serve(r.server)
+	i.Memory.OnExhausted(func() { go a.callers.MakeRoom() })
 
 	return r, nil
 }
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/tinylib/msgp/msgp"
 
@@ -66,6 +67,7 @@
 	r.background(func() { r.replicator.Run(c) })
 	r.background(func() { r.supervisor.Run(c, r.home) })
 	r.background(func() { r.reconciler.Run(c, r.follower.Config, r.isHome) })
+	r.background(func() { r.acceptors.sweep(c.Done()) })
 	r.background(r.serve)
 
 	if r.settings.Debug.IsValid() {
@@ -162,11 +164,17 @@
 	m.HandleFunc("/debug/pprof/", pprof.Index)
 	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
 
-	s := &http.Server{Addr: r.settings.Debug.String(), Handler: m, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}
+	r.acceptors.debug.Serve(s)
 
 	context.AfterFunc(c, func() { _ = s.Close() })
 
-	if err := s.ListenAndServe(); err != http.ErrServerClosed {
+	l, err := (&net.ListenConfig{}).Listen(c, "tcp", r.settings.Debug.String())
+	if err == nil {
+		err = s.Serve(r.acceptors.debug.Listen(l))
+	}
+
+	if !errors.Is(err, http.ErrServerClosed) {
 		logrus.WithFields(logrus.Fields{"event": "debugFailed", "error": err}).Error()
 	}
 }
