internal/forwarder: lines of log about calls that are refused before their bodies are read are limited

Anybody may send calls without a rule or a key, and each had a line (TestLinesOfCallsWithoutRuleAreLimited: 10,000 lines of 10,000 calls before).

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -68,7 +68,7 @@
 	meter    Meter
 	// servedLogs limits the rate of log lines about served calls.
 	servedLogs *rate.Limiter
-	// rejectedLogs limits the rate of log lines about calls rejected before they were processed.
+	// rejectedLogs limits the rate of log lines about calls that were refused before their bodies were read.
 	rejectedLogs *rate.Limiter
 
 	mu       sync.Mutex
@@ -223,9 +223,13 @@
 	case errors.As(err, &r) && !x.relayed:
 		o = meter.Refused
 
-		l.WithFields(logrus.Fields{
-			"event": "callRefused", "status": r.Status, "wait": r.Wait, "reason": r.Reason, "detail": r.Message,
-		}).Info()
+		// Anybody may send calls that are refused before their bodies are read, so their lines are limited.
+		if x.digest != 0 || f.rejectedLogs.Allow() {
+			l.WithFields(logrus.Fields{
+				"event": "callRefused", "status": r.Status, "wait": r.Wait, "reason": r.Reason, "detail": r.Message,
+			}).Info()
+		}
+
 		f.meter.Refusal(string(r.Reason))
 		r.write(x.writer)
 	default:
--- a/internal/forwarder/reject_test.go
+++ b/internal/forwarder/reject_test.go
@@ -50,3 +50,24 @@
 		})
 	}
 }
+
+// Guards against a log without bound: each call without a rule, which anybody may send, had a line of its own.
+func TestLinesOfCallsWithoutRuleAreLimited(t *testing.T) {
+	const calls, maxLines = 10_000, 1000
+
+	i := is.New(t)
+	g := newGateway(t)
+	h := collector.New(t)
+
+	for range calls {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/nowhere", http.NoBody)
+		w := httptest.NewRecorder()
+		g.forwarder.ServeHTTP(w, r)
+		i.True(w.Code >= http.StatusBadRequest)
+	}
+
+	l := h.AllEntries()
+	i.True(len(l) >= 1)
+	i.True(len(l) <= maxLines)
+	i.Equal(l[0].Data["event"], "callRefused")
+}
