internal/acceptor: a lack of memory ends no idle connections, and bodies that go on to arrive only after ten seconds

Cause, found by reading: each failed reservation ended bodies and answers that had taken a second, and idle connections. Now a lack of memory ends requests that were refused already, of which no byte has moved for two seconds, or whose body, or part of an answer, has taken ten; only a lack of connections ends idle ones, as before.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -31,8 +31,12 @@
 	// SweepInterval is how often Sweep is to be called. It is the largest delay in ending a connection.
 	SweepInterval = time.Second
 
-	// minWait is how long a connection must have waited for its client to be ended for the sake of others.
-	minWait = time.Second
+	// minIdle is how long a connection must have been idle, and minStall how long no byte must have moved within a request, for the
+	// connection to be ended for the sake of others. Links may be down for a moment.
+	minIdle  = time.Second
+	minStall = 2 * time.Second
+	// maxBesideOthers is how long a body, or a part of an answer, may take although bytes move, while others find no room.
+	maxBesideOthers = 10 * time.Second
 	// roomInterval is the least time between two searches for connections to end.
 	roomInterval = 200 * time.Millisecond
 	// roomDivisor is the part of the connections that one search ends at the most.
@@ -164,39 +168,58 @@
 	}
 }
 
-// MakeRoom ends connections that have waited for their clients for long, and returns how many. It is for the time when the process has
-// too little memory or too many connections. Idle connections are ended first; of the others those that have waited the longest, at
-// most an eighth of the connections at a time.
+// MakeRoom ends connections that wait for their clients since there are too many, and returns how many: all that are idle, and those that
+// FreeMemory ends.
 func (a *Acceptor) MakeRoom() int {
+	if !a.mayEnd() {
+		return 0
+	}
+
+	return a.end(a.reaper.Expire(minIdle))
+}
+
+// FreeMemory ends connections that wait for their clients within a request since the process has too little memory, and returns how many.
+// Those end whose request was refused already, of which no byte moves, or which have taken very long; at most an eighth of the
+// connections at a time, the longest waiting first.
+func (a *Acceptor) FreeMemory() int {
+	if !a.mayEnd() {
+		return 0
+	}
+
+	return a.end(0)
+}
+
+// mayEnd reports whether the last search for connections to end was long enough ago.
+func (a *Acceptor) mayEnd() bool {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 
 	n := time.Now()
 	if n.Sub(a.freedAt) < roomInterval {
-		a.mu.Unlock()
-
-		return 0
+		return false
 	}
 
 	a.freedAt = n
-	a.mu.Unlock()
 
-	k := a.reaper.Expire(minWait)
+	return true
+}
 
-	for _, c := range a.longestWaiting(max(a.settings.Most()/roomDivisor, 1)) {
+// end ends the connections that have waited the longest within a request. It returns their number and that of those ended before.
+func (a *Acceptor) end(before int) int {
+	l := a.longestWaiting(max(a.settings.Most()/roomDivisor, 1))
+	for _, c := range l {
 		c.interrupt()
-
-		k++
 	}
 
-	if k > 0 {
-		a.settings.Ended(k)
+	n := before + len(l)
+	if n > 0 {
+		a.settings.Ended(n)
 	}
 
-	return k
+	return n
 }
 
-// longestWaiting returns the connections that have waited for their clients the longest within a request: first those whose request has
-// been refused already, at most k.
+// longestWaiting returns the connections that FreeMemory ends, at most k.
 func (a *Acceptor) longestWaiting(k int) []*conn {
 	type waiting struct {
 		conn *conn
@@ -206,7 +229,7 @@
 	var o []waiting
 
 	for _, c := range a.list() {
-		if w, ok := c.waits(); ok && (w.stage == refused || time.Since(w.since) >= minWait) {
+		if w, ok := c.waits(); ok && (w.stage == refused || time.Since(w.progress) >= minStall || time.Since(w.since) >= maxBesideOthers) {
 			o = append(o, waiting{c, w})
 		}
 	}
--- a/internal/gatekeeper/acceptors.go
+++ b/internal/gatekeeper/acceptors.go
@@ -54,10 +54,10 @@
 	}
 }
 
-// makeRoom ends connections that have waited for their clients for long, as the memory does not suffice.
-func (a acceptors) makeRoom() {
+// freeMemory ends connections that hold memory while they wait for their clients.
+func (a acceptors) freeMemory() {
 	for _, x := range a.list() {
-		x.MakeRoom()
+		x.FreeMemory()
 	}
 }
 
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -56,7 +56,7 @@
 	g.acceptors.ready.Serve(g.readyServer)
 	g.acceptors.delegates.Serve(g.delegateServer)
 	g.acceptors.metrics.Serve(g.metricsServer)
-	g.memory.OnExhausted(func() { go g.acceptors.makeRoom() })
+	g.memory.OnExhausted(func() { go g.acceptors.freeMemory() })
 }
 
 // serve counts a call as running while it is handled, so that a stop waits for it.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -247,7 +247,7 @@
 		MaxHeaderBytes:    i.Settings.MaxHeader,
 	}
 	a.callers.Serve(r.server)
-	i.Memory.OnExhausted(func() { go a.callers.MakeRoom() })
+	i.Memory.OnExhausted(func() { go a.callers.FreeMemory() })
 
 	return r, nil
 }
