internal/acceptor: a refusal is complete before the rest of its request is read

Cause, found by reading: the rest was read within the handler, so that the end of the refusal came after it, up to a second late; a call that can't be served is to be rejected at once. Now the server completes the answer, and the connection reads the rest as it is closed. A connection that is replaced, or closed a second time, ends at once.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -254,12 +254,12 @@
 		return false
 	}
 
-	c := a.oldest()
-	if c != nil {
-		_ = c.Close() // It is replaced.
+	c, ok := a.oldest().(*conn)
+	if ok {
+		_ = c.abort() // It is replaced.
 	}
 
-	return c != nil
+	return ok
 }
 
 // oldest returns the connection that has waited for its client the longest, or nil if none waits.
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -79,7 +79,8 @@
 	// then fails at once.
 	readDeadline time.Time
 	interrupted  bool
-	closed       bool
+	// closing is set once Close was called, and closed once the connection is closed.
+	closing, closed bool
 }
 
 // Read implements net.Conn. A head that is too long, or for which there is no memory, is refused.
@@ -156,19 +157,33 @@
 		_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\n%sConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status), retry) // The client may have left.
 	}
 
-	if x, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = x.CloseWrite() // The client may have left.
-	}
-
-	c.linger(c.Conn)
+	c.refuse()
+	c.linger()
 }
 
-// linger reads the rest of a request that was refused, within its limits.
-func (c *conn) linger(r io.Reader) {
+// refuse records that the request is refused before it was read whole, so that Close reads its rest. Until then nothing more of it is read.
+func (c *conn) refuse() {
 	c.begin(refused, time.Now())
+	c.setReadDeadline(past)
+}
+
+// linger reads the rest of a request that was refused, within its limits, once its answer was written.
+func (c *conn) linger() {
+	_ = c.CloseWrite() // The client may have left.
 	c.setReadDeadline(time.Now().Add(lingerTime))
 
-	_, _ = io.CopyN(io.Discard, r, lingerBytes) // Whatever ends it, the connection is closed.
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // Whatever ends it, the connection is closed.
+}
+
+// lingers reports whether a connection that is about to be closed is to read the rest of its request, once.
+func (c *conn) lingers() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	o := c.wait.stage == refused && !c.closing && !c.interrupted
+	c.closing = true
+
+	return o
 }
 
 // Write implements net.Conn. It fails if the client takes nothing for too long.
@@ -189,8 +204,17 @@
 	}
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It reads the rest of a request that was refused before. A second call closes the connection at once.
 func (c *conn) Close() error {
+	if c.lingers() {
+		c.linger()
+	}
+
+	return c.abort()
+}
+
+// abort closes the connection at once.
+func (c *conn) abort() error {
 	c.mu.Lock()
 	c.closed = true
 	c.account.Close()
@@ -275,15 +299,13 @@
 	c.inHead = false
 }
 
-// begin records that the connection waits for its client, and returns what it did before. A refused request remains refused.
+// begin records that the connection waits for its client, and returns what it did before.
 func (c *conn) begin(s stage, since time.Time) wait {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	p := c.wait
-	if p.stage != refused {
-		c.wait = wait{stage: s, since: since, progress: time.Now()}
-	}
+	c.wait = wait{stage: s, since: since, progress: time.Now()}
 
 	return p
 }
@@ -294,10 +316,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if c.wait.stage == refused {
-		return
-	}
-
 	c.wait = w
 
 	if c.interrupted && !c.closed {
--- a/internal/acceptor/request.go
+++ b/internal/acceptor/request.go
@@ -153,10 +153,7 @@
 		x.WriteHeader(http.StatusOK)
 	}
 
-	if x.whole || !x.returned {
-		return
+	if !x.whole && x.returned {
+		x.conn.refuse()
 	}
-
-	x.Flush()
-	x.conn.linger(x.body)
 }
