--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -35,6 +35,8 @@
 	// connection to be ended for the sake of others. Links may be down for a moment.
 	minIdle  = time.Second
 	minStall = 2 * time.Second
+	// minRefused is how long the client of a refused request has at least to get the refusal.
+	minRefused = 200 * time.Millisecond
 	// maxBesideOthers is how long a body, or a part of an answer, may take although bytes move, while others find no room.
 	maxBesideOthers = 10 * time.Second
 	// roomInterval is the least time between two searches for connections to end.
@@ -229,7 +231,7 @@
 	var o []waiting
 
 	for _, c := range a.list() {
-		if w, ok := c.waits(); ok && (w.stage == refused || time.Since(w.progress) >= minStall || time.Since(w.since) >= maxBesideOthers) {
+		if w, ok := c.waits(); ok && w.givesWay(time.Now()) {
 			o = append(o, waiting{c, w})
 		}
 	}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -63,6 +63,15 @@
 	progress time.Time
 }
 
+// givesWay reports whether the connection may be ended for the sake of others.
+func (w wait) givesWay(now time.Time) bool {
+	if w.stage == refused {
+		return now.Sub(w.since) >= minRefused
+	}
+
+	return now.Sub(w.progress) >= minStall || now.Sub(w.since) >= maxBesideOthers
+}
+
 // conn is a connection. It reserves the memory for the heads of requests as they arrive, and records what it waits for.
 type conn struct {
 	net.Conn
@@ -144,7 +153,7 @@
 	return max(c.cost-usualHeadBytes-usualHeadFields*fieldBytes, 0)
 }
 
-// refuseHead answers a head that has not been read whole, and reads on until the client has had the time to get the answer.
+// refuseHead answers a head that has not been read whole.
 func (c *conn) refuseHead(status int) {
 	retry := ""
 	if status == http.StatusServiceUnavailable {
@@ -158,7 +167,6 @@
 	}
 
 	c.refuse()
-	c.linger()
 }
 
 // refuse records that the request is refused before it was read whole, so that Close reads its rest. Until then nothing more of it is read.
