internal/acceptor: a client in the middle of a long upload gets its refusal

What callers saw: an upload inside the limits that takes 4 s, refused as it began, lost its refusal; a closed channel promises nothing, so that a call which must not be repeated is not sent again.

Now the rest is read as long as it goes on to arrive: pauses of 1 s, 30 s and 16 MB in all.

--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -26,11 +25,13 @@
 	// writeBytes is how much of an answer is written at a time. A client that takes less within the time limit takes nothing.
 	writeBytes = 16 << 10
 
-	// lingerTime is how long the rest of a refused request is read, so that its client gets the refusal: a connection that is closed with
-	// unread bytes is reset, and what was written to it is lost.
-	lingerTime = time.Second
-	// lingerBytes is how much of the rest is read at the most.
+	// lingerTime is how long the rest of a refused request is read, lingerPause how long it may pause, and lingerBytes how much of it is
+	// read at the most. A connection that is closed with unread bytes is reset, and a client that still sends loses the refusal.
+	lingerTime  = 30 * time.Second
+	lingerPause = time.Second
 	lingerBytes = 16 << 20
+	// lingerBuffer is how much of it is read at a time.
+	lingerBuffer = 4 << 10
 	// refusalTimeout is how long the refusal of a head may take to be written.
 	refusalTimeout = time.Second
 	// memoryWait is the Retry-After, in seconds, of a head for which there is no memory.
@@ -175,12 +176,25 @@
 	c.setReadDeadline(past)
 }
 
-// linger reads the rest of a request that was refused, within its limits, once its answer was written.
+// linger reads the rest of a request that was refused, within its limits, once its answer was written. Whatever ends it, the connection
+// is closed next.
 func (c *conn) linger() {
 	_ = c.CloseWrite() // The client may have left.
-	c.setReadDeadline(time.Now().Add(lingerTime))
 
-	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // Whatever ends it, the connection is closed.
+	b, end := make([]byte, lingerBuffer), time.Now().Add(lingerTime)
+
+	for n := 0; n < lingerBytes && time.Now().Before(end); {
+		c.setReadDeadline(time.Now().Add(lingerPause))
+
+		k, err := c.Conn.Read(b)
+		n += k
+
+		if err != nil {
+			return
+		}
+
+		c.advance()
+	}
 }
 
 // lingers reports whether a connection that is about to be closed is to read the rest of its request, once.
