internal/acceptor: heads that arrive with the request before them, and heads of HTTP/2, are reserved

Found by reading: up to 4 KB of a head may arrive with the request before it, and were counted for nobody; a process with 1,700 connections could hold some 300 MB of such heads. Heads of HTTP/2, which arrive encrypted and beside each other, were not counted at all, and what followed an idle moment on such a connection was counted as a head of HTTP/1, so that a long upload could be refused as one (not shown by a test).

Cause: heads were counted only as they arrive on the connection. Now the difference to what the parsed head takes is reserved before its request is handled; without memory it is answered 503 with a time to come back. Connections of HTTP/2 are known by their protocol.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -297,7 +298,10 @@
 		return
 	}
 
-	if s == http.StateIdle {
+	switch {
+	case isShared(n):
+		c.leaveHead()
+	case s == http.StateIdle:
 		c.beginHead()
 	}
 
@@ -332,6 +336,13 @@
 	return c, ok
 }
 
+// isShared reports whether a connection carries HTTP/2, whose requests arrive beside each other.
+func isShared(n net.Conn) bool {
+	t, ok := n.(*tls.Conn)
+
+	return ok && t.ConnectionState().NegotiatedProtocol == "h2"
+}
+
 // listener accepts connections for an Acceptor.
 type listener struct {
 	net.Listener
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -395,6 +397,158 @@
 	waiter.Until(t, "the end of the connection", func() bool { return a.Open() == 0 })
 }
 
+// Guards against heads whose memory nobody counts, as they arrive with the request before them.
+func TestHeadBehindRequestIsReserved(t *testing.T) {
+	// usualFields are no more than the fields that take what every head may take.
+	const fieldCount, fieldBytes, usualFields = 700, 256, 140
+
+	i := is.New(t)
+	m := accountant.New(128 << 20)
+	release := make(chan struct{})
+	s := start(t, acceptor.Settings{Memory: m}, func(_ http.ResponseWriter, r *http.Request) {
+		if len(r.Header) > 0 {
+			<-release
+		}
+	})
+	c := s.send("GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a:b\r\n", fieldCount) + "\r\n")
+	waiter.Until(t, "the reservation", func() bool { return m.Held(accountant.Head) > (fieldCount-usualFields)*fieldBytes })
+	close(release)
+
+	b := bufio.NewReader(c)
+	for range 2 {
+		r, err := http.ReadResponse(b, nil)
+		i.NoErr(err)
+		i.Equal(r.StatusCode, http.StatusOK)
+	}
+
+	waiter.Until(t, "the release", func() bool { return m.Held(accountant.Head) == 0 })
+}
+
+// Guards against HTTP/2 whose heads nobody counts, and whose uploads are taken for heads that are too long.
+func TestSharedConnections(t *testing.T) {
+	// usualFields are no more than the fields that take what every head may take.
+	const requests, fieldCount, fieldBytes, usualFields = 20, 300, 256, 140
+
+	i := is.New(t)
+	m := accountant.New(128 << 20)
+	release := make(chan struct{})
+	x := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Upload") == "" {
+			<-release
+		}
+
+		n, err := io.Copy(io.Discard, r.Body)
+		if err != nil || r.ProtoMajor != 2 {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+
+		_, _ = fmt.Fprint(w, n)
+	}))
+	a := acceptor.New(acceptor.Settings{
+		Most: func() int { return 10 }, Encrypted: true, Memory: m, Limits: func() acceptor.Limits { return acceptor.Limits{} },
+	})
+	x.Config.ReadHeaderTimeout = testTimeout
+	x.Listener = a.Listen(x.Listener)
+	a.Serve(x.Config)
+	x.EnableHTTP2 = true
+	x.StartTLS()
+	t.Cleanup(x.Close)
+
+	post := func(h http.Header, length int) string {
+		q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, x.URL, strings.NewReader(strings.Repeat("x", length)))
+		if err != nil {
+			return err.Error()
+		}
+
+		q.Header = h
+
+		r, err := x.Client().Do(q)
+		if err != nil {
+			return err.Error()
+		}
+		defer r.Body.Close() //nolint:errcheck // It was read.
+
+		b, _ := io.ReadAll(r.Body) // What is missing shows in the result.
+
+		return fmt.Sprint(r.StatusCode, " ", string(b))
+	}
+
+	for range 3 {
+		i.Equal(post(http.Header{"Upload": {"x"}}, longBody), fmt.Sprint("200 ", longBody))
+	}
+
+	h := make(http.Header)
+	for n := range fieldCount {
+		h[fmt.Sprintf("A%x", n)] = []string{"b"}
+	}
+
+	var g sync.WaitGroup
+	for range requests {
+		g.Go(func() {
+			if o := post(h.Clone(), 0); o != "200 0" {
+				t.Error(o)
+			}
+		})
+	}
+
+	waiter.Until(t, "the reservations", func() bool {
+		return m.Held(accountant.Head) >= requests*(fieldCount-usualFields)*fieldBytes
+	})
+	close(release)
+	g.Wait()
+	waiter.Until(t, "the release", func() bool { return m.Held(accountant.Head) == 0 })
+}
+
+// Guards against a reservation that is less than what a field takes: in the parsed head, and in the copy that is forwarded.
+func TestFieldsTakeNoMoreThanReserved(t *testing.T) {
+	const heads, fieldCount, fieldBytes = 50, 4000, 256
+
+	for name, field := range map[string]func(n int) string{
+		"names of their own": func(n int) string { return fmt.Sprintf("a%x:b\r\n", n) },
+		"one name":           func(int) string { return "a:b\r\n" },
+		"no value":           func(n int) string { return fmt.Sprintf("a%x:\r\n", n) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+
+			var b strings.Builder
+
+			b.WriteString("GET / HTTP/1.1\r\nHost: x\r\n")
+
+			for n := range fieldCount {
+				b.WriteString(field(n))
+			}
+
+			b.WriteString("\r\n")
+
+			held := make([]http.Header, 0, 2*heads)
+			before := heapBytes()
+
+			for range heads {
+				r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(b.String())))
+				i.NoErr(err)
+
+				held = append(held, r.Header, r.Header.Clone())
+			}
+
+			n := (heapBytes() - before) / (heads * fieldCount)
+			t.Logf("%d bytes a field", n)
+			i.True(n <= fieldBytes)
+			runtime.KeepAlive(held)
+		})
+	}
+}
+
+// heapBytes returns the memory of the objects that are in use.
+func heapBytes() int64 {
+	var m runtime.MemStats
+
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+
+	return int64(m.HeapAlloc) //nolint:gosec // Far below 2^63.
+}
+
 // Guards against shares of the descriptors that together exceed them, and against a fleet whose instances can't all connect.
 func TestDescriptors(t *testing.T) {
 	for name, x := range map[string]struct {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -14,12 +14,6 @@
 )
 
 const (
-	// usualHeadBytes and usualHeadFields are what a head may have without a reservation beyond that of its call.
-	usualHeadBytes  = 16 << 10
-	usualHeadFields = 64
-	// fieldBytes is what a header field takes besides its bytes, and partBytes what a part of a value takes that commas separate.
-	fieldBytes = 256
-	partBytes  = 64
 	// lineBytes is the length of the longest request line, and of what a server reads at a time beyond a head.
 	lineBytes = 8<<10 + 4<<10
 	// writeBytes is how much of an answer is written at a time. A client that takes less within the time limit takes nothing.
@@ -34,8 +28,6 @@
 	lingerBuffer = 4 << 10
 	// refusalTimeout is how long the refusal of a head may take to be written.
 	refusalTimeout = time.Second
-	// memoryWait is the Retry-After, in seconds, of a head for which there is no memory.
-	memoryWait = "0.25"
 )
 
 var errRefused = errors.New("the head of the request was refused")
@@ -81,10 +73,10 @@
 
 	mu      sync.Mutex
 	account *accountant.Account
-	// inHead is set while the head of a request may arrive; head is its bytes so far, and cost what it takes.
-	inHead     bool
-	head, cost int64
-	wait       wait
+	// inHead is set while the head of a request may arrive; head is what has arrived of it.
+	inHead bool
+	head   headSize
+	wait   wait
 	// readDeadline is the deadline of reading that was set last. It does not apply while interrupted is set: what the connection waits for
 	// then fails at once.
 	readDeadline time.Time
@@ -127,33 +119,29 @@
 		return 0, false
 	}
 
-	first = c.head == 0
+	first = c.head.bytes == 0
 
 	// What follows the head belongs to a body or to the next head.
 	if i := bytes.Index(b, []byte("\r\n\r\n")); i >= 0 {
 		b = b[:i]
 	}
 
-	c.head += int64(len(b))
-	if c.head > c.acceptor.limits().MaxHead+lineBytes {
+	before := c.head.beyondUsual()
+	c.head.bytes += int64(len(b))
+	c.head.fields += int64(bytes.Count(b, []byte("\n")))
+	c.head.parts += int64(bytes.Count(b, []byte(",")))
+
+	if c.head.bytes > c.acceptor.limits().MaxHead+lineBytes {
 		return http.StatusRequestHeaderFieldsTooLarge, first
 	}
 
-	before := c.unusual()
-	c.cost += int64(len(b) + fieldBytes*bytes.Count(b, []byte("\n")) + partBytes*bytes.Count(b, []byte(",")))
-
-	if n := c.unusual() - before; n > 0 && !c.account.Reserve(n) {
+	if !c.account.Reserve(c.head.beyondUsual() - before) {
 		return http.StatusServiceUnavailable, first
 	}
 
 	return 0, first
 }
 
-// unusual returns what the head takes beyond the usual. Requires mu to be held.
-func (c *conn) unusual() int64 {
-	return max(c.cost-usualHeadBytes-usualHeadFields*fieldBytes, 0)
-}
-
 // refuseHead answers a head that has not been read whole.
 func (c *conn) refuseHead(status int) {
 	retry := ""
@@ -308,13 +296,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.inHead, c.head, c.cost = true, 0, 0
+	c.inHead, c.head = true, headSize{}
 	c.wait = wait{}
 	c.account.Close()
 }
 
-// endHead records that the head of a request has arrived.
-func (c *conn) endHead() {
+// endHead records that the head of a request has arrived, and reports whether there is memory for it. A part of it may have arrived with
+// the request before it, and was not counted as it did.
+func (c *conn) endHead(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.inHead = false
+
+	return c.account.Reserve(max(sizeOf(r).beyondUsual()-c.head.beyondUsual(), 0))
+}
+
+// leaveHead records that what arrives from now on is no head of HTTP/1.
+func (c *conn) leaveHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
--- a/internal/acceptor/request.go
+++ b/internal/acceptor/request.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/auburntray/auburntray/internal/accountant"
 )
 
 const (
@@ -28,11 +30,20 @@
 		}
 
 		a.reaper.RecordHeaders(r.Context())
-		c.endHead()
 
-		// The requests of HTTP/2 share a connection.
-		if r.ProtoMajor != 1 || r.Body == nil || r.Body == http.NoBody {
-			h.ServeHTTP(w, r)
+		if r.ProtoMajor != 1 {
+			a.serveShared(h, w, r)
+
+			return
+		}
+
+		next := h
+		if !c.endHead(r) {
+			next = http.HandlerFunc(refuseForMemory)
+		}
+
+		if r.Body == nil || r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
 
 			return
 		}
@@ -43,12 +54,32 @@
 
 		defer x.end()
 
-		h.ServeHTTP(x, &q)
+		next.ServeHTTP(x, &q)
 
 		x.returned = true
 	})
 }
 
+// serveShared serves a request of HTTP/2, whose connection serves others at the same time. The server ends what it refuses.
+func (a *Acceptor) serveShared(h http.Handler, w http.ResponseWriter, r *http.Request) {
+	k := a.settings.Memory.Open(accountant.Head, 0)
+	defer k.Close()
+
+	if !k.Reserve(sizeOf(r).beyondUsual()) {
+		refuseForMemory(w, r)
+
+		return
+	}
+
+	h.ServeHTTP(w, r)
+}
+
+// refuseForMemory refuses a request for whose head there is no memory.
+func refuseForMemory(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", memoryWait)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // request is a request with a body, and its answer. It is used by one goroutine at a time.
 type request struct {
 	http.ResponseWriter
--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -203,8 +203,12 @@
 	held       int64
 }
 
-// Reserve reports whether n more bytes may be held, and counts them if so.
+// Reserve reports whether n more bytes may be held, and counts them if so. None may always be.
 func (a *Account) Reserve(n int64) bool {
+	if n == 0 {
+		return true
+	}
+
 	if a.accountant != nil && !a.accountant.reserve(a, n) {
 		if f := a.accountant.exhausted; f != nil {
 			f()
