internal/acceptor: what is closed or ended is counted and logged with its reason

Cause: connections that were ended, replaced, or whose heads were refused had a log line without a reason or none, no metric, and the lines of replaced ones would have had no bound; gateway and router counted apart.

It replaces gatekeeper's overload and the router's line. The time-out of heads has one default, that of the acceptor.

TestEndedConnectionsAreReported: 198 replaced connections, at most 50 lines, exact counts; before, nothing could be asked. Tests of the package, messenger and router pass with the race detector.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -82,10 +82,8 @@
 	Limits func() Limits
 	// Memory counts what the connections hold; nil sets no bound.
 	Memory *accountant.Accountant
-	// Shed is called for each connection that is closed unread, and Ended with the number of connections that were ended to make room.
-	// Both may be nil.
-	Shed  func()
-	Ended func(n int)
+	// Reporter counts what is closed or ended; nil counts nothing.
+	Reporter *Reporter
 }
 
 // Acceptor accepts the connections of one listener. It is safe for concurrent use.
@@ -100,14 +98,6 @@
 
 // New returns an Acceptor without a listener.
 func New(s Settings) *Acceptor {
-	if s.Shed == nil {
-		s.Shed = func() {}
-	}
-
-	if s.Ended == nil {
-		s.Ended = func(int) {}
-	}
-
 	a := &Acceptor{settings: s, conns: make(map[*conn]struct{})}
 	a.reaper = reaper.New(func() reaper.Limits {
 		l := a.limits()
@@ -132,7 +122,7 @@
 
 // Listen returns a listener that accepts the connections of l.
 func (a *Acceptor) Listen(l net.Listener) net.Listener {
-	return &listener{acceptor: a, Listener: shedder.New(l, a.settings.Most, a.free, a.settings.Shed, func(n int) {
+	return &listener{acceptor: a, Listener: shedder.New(l, a.settings.Most, a.free, func() { a.settings.Reporter.report(Shed, 1) }, func(n int) {
 		if a.settings.Memory != nil {
 			a.settings.Memory.Charge(accountant.Connection, int64(n)*connectionBytes)
 		}
@@ -148,10 +138,6 @@
 		return a.reaper.Context(x, c)
 	}
 	s.Handler = a.handler(s.Handler)
-
-	if s.ReadHeaderTimeout == 0 {
-		s.ReadHeaderTimeout = DefaultHeadTimeout
-	}
 }
 
 // Sweep ends the connections that have waited for their clients for longer than their limits.
@@ -164,11 +150,17 @@
 
 	d := a.limits().IdleTimeout
 
+	n := 0
+
 	for _, c := range a.list() {
 		if w, ok := c.waits(); ok && time.Since(w.progress) >= d {
 			c.interrupt()
+
+			n++
 		}
 	}
+
+	a.settings.Reporter.report(Stalled, n)
 }
 
 // MakeRoom ends connections that wait for their clients since there are too many, and returns how many: all that are idle, and those that
@@ -178,7 +170,10 @@
 		return 0
 	}
 
-	return a.end(a.reaper.Expire(minIdle))
+	n := a.reaper.Expire(minIdle) + a.endLongestWaiting()
+	a.settings.Reporter.report(Room, n)
+
+	return n
 }
 
 // FreeMemory ends connections that wait for their clients within a request since the process has too little memory, and returns how many.
@@ -189,7 +184,10 @@
 		return 0
 	}
 
-	return a.end(0)
+	n := a.endLongestWaiting()
+	a.settings.Reporter.report(Memory, n)
+
+	return n
 }
 
 // mayEnd reports whether the last search for connections to end was long enough ago.
@@ -207,22 +205,17 @@
 	return true
 }
 
-// end ends the connections that have waited the longest within a request. It returns their number and that of those ended before.
-func (a *Acceptor) end(before int) int {
+// endLongestWaiting ends the connections that have waited the longest within a request, and returns how many.
+func (a *Acceptor) endLongestWaiting() int {
 	l := a.longestWaiting(max(a.settings.Most()/roomDivisor, 1))
 	for _, c := range l {
 		c.interrupt()
 	}
 
-	n := before + len(l)
-	if n > 0 {
-		a.settings.Ended(n)
-	}
-
-	return n
+	return len(l)
 }
 
-// longestWaiting returns the connections that FreeMemory ends, at most k.
+// longestWaiting returns the connections that give way to others, at most k.
 func (a *Acceptor) longestWaiting(k int) []*conn {
 	type waiting struct {
 		conn *conn
@@ -259,7 +252,9 @@
 
 	c, ok := a.oldest().(*conn)
 	if ok {
-		_ = c.abort() // It is replaced.
+		_ = c.abort() // Its client may have left.
+
+		a.settings.Reporter.report(Replaced, 1)
 	}
 
 	return ok
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/accountant"
+	"github.com/auburntray/auburntray/internal/standin/collector"
 	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
@@ -213,6 +214,31 @@
 	i.Equal(answer(t, s.send(sent+"\r\n")).StatusCode, http.StatusNotFound) // A single one of them is served.
 }
 
+// Guards against a log without bound, and against connections that end for no reason that an operator can see.
+func TestEndedConnectionsAreReported(t *testing.T) {
+	const conns, most, maxLines = 200, 2, 50
+
+	i := is.New(t)
+	h := collector.New(t)
+	o := acceptor.NewReporter()
+	s := start(t, acceptor.Settings{Most: func() int { return most }, Replace: true, Reporter: o}, refuse)
+
+	for range conns {
+		s.dial()
+	}
+
+	waiter.Until(t, "the connections", func() bool { return o.Count(acceptor.Replaced) == conns-most })
+
+	l := h.AllEntries()
+	i.True(len(l) >= 1)
+	i.True(len(l) <= maxLines)
+	i.Equal(l[0].Data["event"], "connectionsEnded")
+	i.Equal(l[0].Data["reason"], acceptor.Replaced)
+
+	i.Equal(answer(t, s.send(head+strings.Repeat("a:b\r\n", 10_000))).StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+	i.Equal(o.Count(acceptor.LongHead), 1)
+}
+
 // Guards against heads that hold memory after their calls.
 func TestHeadsAreReleased(t *testing.T) {
 	i := is.New(t)
@@ -338,7 +364,8 @@
 func TestRoomIsMadeByThoseThatWait(t *testing.T) {
 	i := is.New(t)
 	release := make(chan struct{})
-	s := start(t, acceptor.Settings{}, func(w http.ResponseWriter, r *http.Request) {
+	o := acceptor.NewReporter()
+	s := start(t, acceptor.Settings{Reporter: o}, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
 			<-release
 		} else if _, err := io.ReadAll(r.Body); err != nil {
@@ -361,6 +388,8 @@
 	waiter.Until(t, "the end of the refused request", func() bool { return s.Open() == 2 })
 	time.Sleep(wait / 10)
 	i.Equal(s.MakeRoom(), 1)
+	i.Equal(o.Count(acceptor.Memory), 1)
+	i.Equal(o.Count(acceptor.Room), 1)
 	i.True(isEnded(idle))
 	i.Equal(s.MakeRoom(), 0)
 	close(release)
@@ -546,7 +575,7 @@
 	runtime.GC()
 	runtime.ReadMemStats(&m)
 
-	return int64(m.HeapAlloc) //nolint:gosec // Far below 2^63.
+	return int64(m.HeapAlloc)
 }
 
 // Guards against shares of the descriptors that together exceed them, and against a fleet whose instances can't all connect.
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -144,11 +144,13 @@
 
 // refuseHead answers a head that has not been read whole.
 func (c *conn) refuseHead(status int) {
-	retry := ""
+	retry, reason := "", LongHead
 	if status == http.StatusServiceUnavailable {
-		retry = "Retry-After: " + memoryWait + "\r\n"
+		retry, reason = "Retry-After: "+memoryWait+"\r\n", HeadMemory
 	}
 
+	c.acceptor.settings.Reporter.report(reason, 1)
+
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // Fails only if the connection is closed.
 
 	if !c.acceptor.settings.Encrypted {
--- a/internal/acceptor/request.go
+++ b/internal/acceptor/request.go
@@ -39,7 +39,7 @@
 
 		next := h
 		if !c.endHead(r) {
-			next = http.HandlerFunc(refuseForMemory)
+			next = http.HandlerFunc(a.refuseForMemory)
 		}
 
 		if r.Body == nil || r.Body == http.NoBody {
@@ -66,7 +66,7 @@
 	defer k.Close()
 
 	if !k.Reserve(sizeOf(r).beyondUsual()) {
-		refuseForMemory(w, r)
+		a.refuseForMemory(w, r)
 
 		return
 	}
@@ -75,7 +75,8 @@
 }
 
 // refuseForMemory refuses a request for whose head there is no memory.
-func refuseForMemory(w http.ResponseWriter, _ *http.Request) {
+func (a *Acceptor) refuseForMemory(w http.ResponseWriter, _ *http.Request) {
+	a.settings.Reporter.report(HeadMemory, 1)
 	w.Header().Set("Retry-After", memoryWait)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -39,6 +39,8 @@
 	MemoryHeld          Name = "memoryHeldBytes"
 	Placements          Name = "placesRemembered"
 	Commands            Name = "orders"
+	ConnectionsShed     Name = "connectionsShed"
+	ConnectionsEnded    Name = "connectionsEnded"
 )
 
 // Counter holds the metrics of one router. It is safe for concurrent use. It is not published under a
--- a/internal/gatekeeper/acceptors.go
+++ b/internal/gatekeeper/acceptors.go
@@ -14,7 +14,7 @@
 
 func (g *Gatekeeper) newAcceptors() acceptors {
 	d := acceptor.ProcessDescriptors(g.settings.MaxDescriptors)
-	s := acceptor.Settings{Limits: g.connectionLimits, Memory: g.memory, Shed: g.overload.recordShed, Ended: logEnded}
+	s := acceptor.Settings{Limits: g.connectionLimits, Memory: g.memory, Reporter: g.connections}
 
 	var a acceptors
 
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/advertiser"
 	"github.com/auburntray/auburntray/internal/binder"
@@ -43,7 +44,7 @@
 	memory        *accountant.Accountant
 	watchers      []*watcher.Watcher
 	acceptors     acceptors
-	overload      *overload
+	connections   *acceptor.Reporter
 	callerServer  *http.Server
 	readyServer   *http.Server
 	metricsServer *http.Server
--- a/internal/gatekeeper/metrics.go
+++ b/internal/gatekeeper/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/meter"
 )
@@ -38,7 +39,14 @@
 	m.RegisterGauge("instances", func() float64 { return float64(g.state.Instances()) })
 	m.RegisterGauge("groups_unreached", func() float64 { return float64(len(g.forwarder.Unreached())) })
 	m.RegisterGauge("calls_running", func() float64 { return float64(g.drainer.Running()) })
-	m.RegisterGauge("connections_shed", func() float64 { return float64(g.overload.count()) })
+	m.RegisterGauge("connections_shed", func() float64 { return float64(g.connections.Count(acceptor.Shed)) })
+
+	for _, k := range acceptor.Reasons() {
+		if k != acceptor.Shed {
+			m.RegisterGauge(`connections_ended{reason="`+string(k)+`"}`, func() float64 { return float64(g.connections.Count(k)) })
+		}
+	}
+
 	m.RegisterGauge("control_bytes_sent", func() float64 { s, _ := g.messenger.Traffic().Bytes(); return float64(s) })
 	m.SetLoads(func() []meter.Load {
 		var o []meter.Load
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/advertiser"
 	"github.com/auburntray/auburntray/internal/binder"
@@ -202,7 +203,7 @@
 	x.OnRefusal(i.NotifyRefusal)
 
 	g := &Gatekeeper{
-		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, binder: p.Binder, negotiator: p.Negotiator, memory: p.Accountant, overload: &overload{}, delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
+		settings: s, state: f, forwarder: x, evacuations: newEvacuationReporter(f, x), messenger: m, joiner: j, fleet: p.Fleet, advertiser: i, replicator: p.Replicator, binder: p.Binder, negotiator: p.Negotiator, memory: p.Accountant, connections: acceptor.NewReporter(), delegated: drainer.New(0, maxDelegated), drainer: drainer.New(drainNotice, maxCalls),
 		watchers: []*watcher.Watcher{
 			watcher.New(config, c, handlers{
 				newEraHandler(func() {
--- a/internal/gatekeeper/servers.go
+++ b/internal/gatekeeper/servers.go
@@ -6,15 +6,13 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/meter"
 	"github.com/auburntray/auburntray/internal/recoverer"
 )
 
 const (
-	// headerTimeout is how long a caller may take to send its headers, which usually fit into one
-	// or two packets. The catalog may set a lower limit.
-	headerTimeout = 10 * time.Second
 	// maxHeaderBytes and maxBodyBytes limit the requests of callers, whatever the catalog sets.
 	maxHeaderBytes = 256 << 10
 	maxBodyBytes   = 16 << 20
@@ -35,8 +33,8 @@
 	r := gin.New()
 	r.GET(readyPath, g.answerReady)
 
-	g.callerServer = &http.Server{Handler: c, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
-	g.readyServer = &http.Server{Handler: r, ReadHeaderTimeout: headerTimeout}
+	g.callerServer = &http.Server{Handler: c, ReadHeaderTimeout: acceptor.DefaultHeadTimeout, MaxHeaderBytes: maxHeaderBytes}
+	g.readyServer = &http.Server{Handler: r, ReadHeaderTimeout: acceptor.DefaultHeadTimeout}
 
 	d := gin.New()
 	d.Use(recoverer.New(func(c *gin.Context) { c.AbortWithStatus(http.StatusInternalServerError) }))
@@ -44,12 +42,12 @@
 	d.RemoveExtraSlash = false
 	d.RedirectTrailingSlash = false
 
-	g.delegateServer = &http.Server{Handler: d, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	g.delegateServer = &http.Server{Handler: d, ReadHeaderTimeout: acceptor.DefaultHeadTimeout, MaxHeaderBytes: maxHeaderBytes}
 
 	x := gin.New()
 	x.GET(metricsPath, gin.WrapH(m.Handler()))
 
-	g.metricsServer = &http.Server{Handler: x, ReadHeaderTimeout: headerTimeout}
+	g.metricsServer = &http.Server{Handler: x, ReadHeaderTimeout: acceptor.DefaultHeadTimeout}
 
 	g.acceptors = g.newAcceptors()
 	g.acceptors.callers.Serve(g.callerServer)
--- a/internal/router/acceptors.go
+++ b/internal/router/acceptors.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/resolver"
@@ -13,22 +11,21 @@
 // acceptors accept the connections at all addresses of a router.
 type acceptors struct {
 	callers, debug, peers *acceptor.Acceptor
+	reporter              *acceptor.Reporter
 }
 
+// newAcceptors returns the acceptors of a router.
 func newAcceptors(s resolver.Router, m *accountant.Accountant) acceptors {
 	d := acceptor.ProcessDescriptors(0)
-
-	var a acceptors
+	a := acceptors{reporter: acceptor.NewReporter()}
 
 	with := func(most func() int, replace, messages, encrypted bool) *acceptor.Acceptor {
 		return acceptor.New(acceptor.Settings{
 			Most: most, Replace: replace, Messages: messages, Encrypted: encrypted, Memory: m,
 			Limits: func() acceptor.Limits {
-				return acceptor.Limits{IdleTimeout: s.IdleTimeout, HeadTimeout: headerTimeout, MaxHead: int64(s.MaxHeader)}
-			},
-			Ended: func(n int) {
-				logrus.WithFields(logrus.Fields{"event": "connectionsEnded", "connections": n}).Info()
+				return acceptor.Limits{IdleTimeout: s.IdleTimeout, MaxHead: int64(s.MaxHeader)}
 			},
+			Reporter: a.reporter,
 		})
 	}
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,6 +16,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/drainer"
@@ -242,7 +243,7 @@
 
 	r.server = &http.Server{
 		Handler:           r.handler(),
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: acceptor.DefaultHeadTimeout,
 		IdleTimeout:       i.Settings.IdleTimeout,
 		MaxHeaderBytes:    i.Settings.MaxHeader,
 	}
@@ -252,9 +253,6 @@
 	return r, nil
 }
 
-// headerTimeout limits the time in which a client must send the header of a request.
-const headerTimeout = 10 * time.Second
-
 // handler returns the handler for callers: the health endpoints and, for all other paths,
 // the pipeline.
 func (r *Router) handler() http.Handler {
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/auburntray/auburntray/internal/acceptor"
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/drainer"
 	"github.com/auburntray/auburntray/internal/matcher"
@@ -47,6 +48,15 @@
 	n.RegisterGauge(counter.LiveRouters, func() int64 { return int64(len(r.joiner.Live())) })
 	n.RegisterGauge(counter.InFlight, func() int64 { return int64(r.drainer.Running()) })
 	n.RegisterGauge(counter.MemoryHeld, r.memory.Total)
+	n.RegisterGauge(counter.ConnectionsShed, func() int64 { return int64(r.acceptors.reporter.Count(acceptor.Shed)) })
+	n.RegisterGauge(counter.ConnectionsEnded, func() int64 {
+		o := 0
+		for _, k := range acceptor.Reasons() {
+			o += r.acceptors.reporter.Count(k)
+		}
+
+		return int64(o - r.acceptors.reporter.Count(acceptor.Shed))
+	})
 	n.RegisterGauge(counter.Placements, func() int64 { return int64(r.supervisor.PlacementCount()) })
 	n.RegisterGauge(counter.PlatformBytes, r.recorder.Bytes)
 	n.RegisterGauge(counter.ControlSent, func() int64 { s, _ := r.messenger.Traffic().Bytes(); return s })
@@ -164,7 +174,7 @@
 	m.HandleFunc("/debug/pprof/", pprof.Index)
 	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
 
-	s := &http.Server{Handler: m, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{Handler: m, ReadHeaderTimeout: acceptor.DefaultHeadTimeout}
 	r.acceptors.debug.Serve(s)
 
 	context.AfterFunc(c, func() { _ = s.Close() })
