internal/messenger: the connections that an instance opens to others count among its descriptors

Cause, by reading: callers could take what connections to other instances need; in a fleet of 986 these are more than the eighth that was left over. Now callers' connections are bounded by what the incoming and the outgoing ones of others leave.

messenger.TestBytesAreCountedByKind asks for the count of one.

--- a/internal/gatekeeper/acceptors.go
+++ b/internal/gatekeeper/acceptors.go
@@ -31,7 +31,7 @@
 	a.peers = with(d.Peers, true, true)
 	a.delegates = with(d.Delegates, false, false)
 	a.callers = with(func() int {
-		return d.Callers(a.ready.Open()+a.metrics.Open()+a.peers.Open()+a.delegates.Open(), g.memory.Budget())
+		return d.Callers(a.ready.Open()+a.metrics.Open()+a.peers.Open()+a.delegates.Open()+g.messenger.Outgoing(), g.memory.Budget())
 	}, false, false)
 
 	return a
--- a/internal/messenger/connection.go
+++ b/internal/messenger/connection.go
@@ -46,6 +46,8 @@
 func newConnection(c net.Conn, t *Traffic) *connection {
 	x := &connection{conn: c, traffic: t, waiting: make(map[uint32]waiter)}
 
+	t.outgoing.Add(1)
+
 	go x.read()
 
 	return x
@@ -232,6 +234,7 @@
 	}
 
 	x.broken = true
+	x.traffic.outgoing.Add(-1)
 	_ = x.conn.Close()
 
 	for id, w := range x.waiting {
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -102,6 +102,11 @@
 	return &m.traffic
 }
 
+// Outgoing returns the number of open connections to peers that the Messenger has made.
+func (m *Messenger) Outgoing() int {
+	return int(m.traffic.outgoing.Load())
+}
+
 // Handle sets the handler for a kind of message. It must be called before Serve. Messages
 // of a kind without a handler are skipped.
 func (m *Messenger) Handle(k wire.Kind, h Handler) {
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -256,6 +256,7 @@
 		return f.SentOf(wire.KindReply) == int64(messenger.Size(wire.KindReply, 1, r))
 	})
 	is.Equal(f.SentOf(wire.KindUpdate), int64(0))
+	is.Equal(x.Outgoing(), 1)
 
 	n, _ := f.Bytes()
 	is.Equal(n, f.SentOf(wire.KindSlotRequest)+f.SentOf(wire.KindReply)+f.SentOf(wire.KindHello))
--- a/internal/messenger/traffic.go
+++ b/internal/messenger/traffic.go
@@ -11,6 +11,8 @@
 	sent, received atomic.Int64
 	// kinds counts the bytes sent, for each kind of message.
 	kinds [wire.Kinds]atomic.Int64
+	// outgoing is the number of open connections to peers.
+	outgoing atomic.Int64
 }
 
 // Bytes returns the numbers of bytes sent and received so far.
--- a/internal/router/acceptors.go
+++ b/internal/router/acceptors.go
@@ -14,8 +14,8 @@
 	reporter              *acceptor.Reporter
 }
 
-// newAcceptors returns the acceptors of a router.
-func newAcceptors(s resolver.Router, m *accountant.Accountant) acceptors {
+// newAcceptors returns the acceptors of a router that has opened a number of connections to others.
+func newAcceptors(s resolver.Router, m *accountant.Accountant, outgoing func() int) acceptors {
 	d := acceptor.ProcessDescriptors(0)
 	a := acceptors{reporter: acceptor.NewReporter()}
 
@@ -31,7 +31,7 @@
 
 	a.debug = with(d.Metrics, true, false, false)
 	a.peers = with(d.Peers, true, true, s.PeerCert != "")
-	a.callers = with(func() int { return d.Callers(a.debug.Open()+a.peers.Open(), m.Budget()) }, false, false, s.CallerCert != "")
+	a.callers = with(func() int { return d.Callers(a.debug.Open()+a.peers.Open()+outgoing(), m.Budget()) }, false, false, s.CallerCert != "")
 
 	return a
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -229,7 +229,7 @@
 		return nil, errors.Mark(errors.Wrap(err, "listening for callers"), ErrStart)
 	}
 
-	a := newAcceptors(i.Settings, i.Memory)
+	a := newAcceptors(i.Settings, i.Memory, i.Messenger.Outgoing)
 	i.Messenger.Accept(a.peers.Listen)
 	i.Messenger.SetMemory(i.Memory)
 
