internal/gatekeeper: without a limit in the configuration heads are bound by their memory only

Cause: the acceptor's own default, meant for readiness and metrics, was taken for the callers' too. Now theirs is the longest head that any configuration permits; what it takes in memory is reserved as before. Settings of an Acceptor are made by name in place of three booleans.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -86,6 +86,27 @@
 	Reporter *Reporter
 }
 
+// WithMost returns the settings with another bound of connections.
+func (s Settings) WithMost(most func() int) Settings {
+	s.Most = most
+
+	return s
+}
+
+// Replacing returns the settings with Replace set.
+func (s Settings) Replacing() Settings {
+	s.Replace = true
+
+	return s
+}
+
+// ForMessages returns the settings for connections that carry messages of other instances.
+func (s Settings) ForMessages() Settings {
+	s.Replace, s.Messages = true, true
+
+	return s
+}
+
 // Acceptor accepts the connections of one listener. It is safe for concurrent use.
 type Acceptor struct {
 	settings Settings
--- a/internal/gatekeeper/acceptors.go
+++ b/internal/gatekeeper/acceptors.go
@@ -14,37 +14,44 @@
 
 func (g *Gatekeeper) newAcceptors() acceptors {
 	d := acceptor.ProcessDescriptors(g.settings.MaxDescriptors)
-	s := acceptor.Settings{Limits: g.connectionLimits, Memory: g.memory, Reporter: g.connections}
+	s := acceptor.Settings{Limits: g.checkLimits, Memory: g.memory, Reporter: g.connections}
 
 	var a acceptors
 
-	with := func(most func() int, replace, messages bool) *acceptor.Acceptor {
-		s := s
-		s.Most, s.Replace, s.Messages = most, replace, messages
-
-		return acceptor.New(s)
-	}
-
 	// The balancer's check is served also if strangers hold all other connections there: it replaces one of them.
-	a.ready = with(d.Checks, true, false)
-	a.metrics = with(d.Metrics, true, false)
-	a.peers = with(d.Peers, true, true)
-	a.delegates = with(d.Delegates, false, false)
-	a.callers = with(func() int {
+	a.ready = acceptor.New(s.WithMost(d.Checks).Replacing())
+	a.metrics = acceptor.New(s.WithMost(d.Metrics).Replacing())
+	a.peers = acceptor.New(s.WithMost(d.Peers).ForMessages())
+
+	s.Limits = g.callLimits
+	a.delegates = acceptor.New(s.WithMost(d.Delegates))
+	a.callers = acceptor.New(s.WithMost(func() int {
 		return d.Callers(a.ready.Open()+a.metrics.Open()+a.peers.Open()+a.delegates.Open()+g.messenger.Outgoing(), g.memory.Budget())
-	}, false, false)
+	}))
 
 	return a
 }
 
-// connectionLimits returns what a connection may take, by the catalog in force.
-func (g *Gatekeeper) connectionLimits() acceptor.Limits {
+// checkLimits returns what a connection without calls may take, by the catalog in force.
+func (g *Gatekeeper) checkLimits() acceptor.Limits {
 	c := g.state.Catalog()
 	if c == nil {
 		return acceptor.Limits{}
 	}
 
-	return acceptor.Limits{IdleTimeout: c.Limits.IdleTimeout, HeadTimeout: c.Limits.HeaderTimeout, MaxHead: c.Limits.MaxHeader}
+	return acceptor.Limits{IdleTimeout: c.Limits.IdleTimeout, HeadTimeout: c.Limits.HeaderTimeout}
+}
+
+// callLimits returns what a connection with calls may take. As long as no catalog limits the headers, only their memory does.
+func (g *Gatekeeper) callLimits() acceptor.Limits {
+	l := g.checkLimits()
+
+	l.MaxHead = maxHeaderBytes
+	if c := g.state.Catalog(); c != nil && c.Limits.MaxHeader > 0 {
+		l.MaxHead = c.Limits.MaxHeader
+	}
+
+	return l
 }
 
 // sweep ends the connections that exceed their limits.
--- a/internal/router/acceptors.go
+++ b/internal/router/acceptors.go
@@ -19,19 +19,17 @@
 	d := acceptor.ProcessDescriptors(0)
 	a := acceptors{reporter: acceptor.NewReporter()}
 
-	with := func(most func() int, replace, messages, encrypted bool) *acceptor.Acceptor {
-		return acceptor.New(acceptor.Settings{
-			Most: most, Replace: replace, Messages: messages, Encrypted: encrypted, Memory: m,
-			Limits: func() acceptor.Limits {
-				return acceptor.Limits{IdleTimeout: s.IdleTimeout, MaxHead: int64(s.MaxHeader)}
-			},
-			Reporter: a.reporter,
-		})
+	x := acceptor.Settings{
+		Memory: m, Reporter: a.reporter,
+		Limits: func() acceptor.Limits {
+			return acceptor.Limits{IdleTimeout: s.IdleTimeout, MaxHead: int64(s.MaxHeader)}
+		},
 	}
+	a.debug = acceptor.New(x.WithMost(d.Metrics).Replacing())
+	a.peers = acceptor.New(x.WithMost(d.Peers).ForMessages())
 
-	a.debug = with(d.Metrics, true, false, false)
-	a.peers = with(d.Peers, true, true, s.PeerCert != "")
-	a.callers = with(func() int { return d.Callers(a.debug.Open()+a.peers.Open()+outgoing(), m.Budget()) }, false, false, s.CallerCert != "")
+	x.Encrypted = s.CallerCert != ""
+	a.callers = acceptor.New(x.WithMost(func() int { return d.Callers(a.debug.Open()+a.peers.Open()+outgoing(), m.Budget()) }))
 
 	return a
 }
