--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 # Days of random troubles on real gateway processes; a fresh seed each time.
 # SEEDS=50 FIRST=1 make soak plays fifty known ones.
 soak:
-	go test -count=1 -timeout 2h -v -run TestSoak ./platform/soak -soak.seeds $${SEEDS:-5} -soak.first $${FIRST:-0} -soak.keep $${KEEP:-}
+	go test -count=1 -timeout 2h -v -run TestSoak ./platform/soak -soak.seeds $${SEEDS:-5} -soak.first $${FIRST:-0} $${KEEP:+-soak.keep $$KEEP}
 
 # Drawn days with a release of a newer version beside other troubles, on the users' platform's bench:
 # FLEETBENCH=program SITE=file COUNT=16 FIRST=0 make release-days
