internal/verifier: an answer whose status is none reaches nobody

Callers got answers of servers in trouble with status 000 as answers. A gateway and a router passed them on: gin ignores a status of zero, so the caller got the one that was set before, 404, with the body of the server, and an answer with "+20" or 099 was begun and then lost with the caller's connection, as net/http panics for such a status. Nobody else was tried, and the target counted as sound. 101, 600 and 999 were passed on as they are.

Cause: net/http takes any three characters that are a number which isn't negative for a status, and any version. Nothing looked at it again.

A final status outside 200 to 599 or another major version than 1 fails with ErrInvalid, as an answer that is missing: a call that may be sent again goes to another target, any other is answered 502, which doesn't claim that it wasn't run.

--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -16,6 +16,7 @@
 	"github.com/auburntray/auburntray/internal/accountant"
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/prober"
+	"github.com/auburntray/auburntray/internal/verifier"
 )
 
 var (
@@ -41,9 +42,9 @@
 	dial dial
 	// pool reuses connections; singleUse makes a new connection for each call.
 	pool      *connPool
-	singleUse *http.Transport
+	singleUse *verifier.Verifier
 	// delegates reuses connections to other instances; singleUseDelegates makes a new one for each call.
-	delegates, singleUseDelegates *http.Transport
+	delegates, singleUseDelegates *verifier.Verifier
 	// prober finds out whether the process of a target has crashed.
 	prober *prober.Prober
 }
@@ -61,22 +62,26 @@
 		// A target may close a pooled connection just as a call is sent on it, and it is then
 		// unknown whether the call ran. A call that must run at most once is therefore sent on a
 		// connection of its own.
-		singleUse: newSingleUse(f),
-		delegates: &http.Transport{
-			DialContext: p, DisableCompression: true, IdleConnTimeout: idleTimeout,
-			MaxIdleConnsPerHost: idlePerTarget, ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
-			MaxResponseHeaderBytes: maxAnswerHead,
-		},
+		singleUse:          newSingleUse(f),
+		delegates:          newReused(p),
 		singleUseDelegates: newSingleUse(p),
 	}
 }
 
+// newReused returns a transport that reuses connections.
+func newReused(d dial) *verifier.Verifier {
+	return verifier.New(&http.Transport{
+		DialContext: d, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerTarget,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: maxAnswerHead,
+	})
+}
+
 // newSingleUse returns a transport that makes a new connection for each call.
-func newSingleUse(d dial) *http.Transport {
-	return &http.Transport{
+func newSingleUse(d dial) *verifier.Verifier {
+	return verifier.New(&http.Transport{
 		DialContext: d, DisableCompression: true, DisableKeepAlives: true,
 		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: maxAnswerHead,
-	}
+	})
 }
 
 // newDial returns a dial with a dialer.
--- a/internal/forwarder/pool.go
+++ b/internal/forwarder/pool.go
@@ -1,11 +1,11 @@
 package forwarder
 
 import (
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/verifier"
 )
 
 const (
@@ -27,28 +27,24 @@
 	dial dial
 
 	mu         sync.Mutex
-	transports map[discoverer.Key]*http.Transport
+	transports map[discoverer.Key]*verifier.Verifier
 }
 
 func newConnPool(d dial) *connPool {
-	return &connPool{dial: d, transports: make(map[discoverer.Key]*http.Transport)}
+	return &connPool{dial: d, transports: make(map[discoverer.Key]*verifier.Verifier)}
 }
 
 // transport returns the transport with the pooled connections to a target's process. A call whose
 // target was selected just before its process was pruned creates the transport again. The
 // connections of that transport are closed after idleTimeout, as are those to an earlier address of
 // a process.
-func (k *connPool) transport(t *discoverer.Target) *http.Transport {
+func (k *connPool) transport(t *discoverer.Target) *verifier.Verifier {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 
 	r, ok := k.transports[t.Key()]
 	if !ok {
-		r = &http.Transport{
-			DialContext: k.dial, DisableCompression: true, IdleConnTimeout: idleTimeout,
-			MaxIdleConnsPerHost: idlePerTarget, ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer,
-			MaxResponseHeaderBytes: maxAnswerHead,
-		}
+		r = newReused(k.dial)
 		k.transports[t.Key()] = r
 	}
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburntray/auburntray/internal/accountant"
+	"github.com/auburntray/auburntray/internal/verifier"
 )
 
 const (
@@ -84,11 +85,11 @@
 // dataCentre is the data centre that this process runs in; it is sent to the platform with
 // each request.
 func New(a netip.AddrPort, dataCentre string) (*Recorder, func()) {
-	t := &http.Transport{
+	t := verifier.New(&http.Transport{
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConns:    8,
 		IdleConnTimeout: time.Minute,
-	}
+	})
 	r := &Recorder{
 		base:       url.URL{Scheme: "http", Host: a.String()},
 		dataCentre: dataCentre,
--- a/internal/sender/sender.go
+++ b/internal/sender/sender.go
@@ -16,6 +16,7 @@
 
 	"github.com/auburntray/auburntray/internal/certifier"
 	"github.com/auburntray/auburntray/internal/prober"
+	"github.com/auburntray/auburntray/internal/verifier"
 )
 
 const (
@@ -40,8 +41,8 @@
 type Sender struct {
 	scheme string
 	// reused reuses connections; fresh opens a new connection for each request.
-	reused *http.Transport
-	fresh  *http.Transport
+	reused *verifier.Verifier
+	fresh  *verifier.Verifier
 	prober *prober.Prober
 }
 
@@ -73,16 +74,16 @@
 		return d.DialContext(x, network, address)
 	}
 	s.prober = prober.New(f)
-	s.reused = &http.Transport{
+	s.reused = verifier.New(&http.Transport{
 		DialContext: f, TLSClientConfig: c, IdleConnTimeout: idleTimeout,
 		MaxIdleConnsPerHost: maxIdleConnsPerTarget, DisableCompression: true,
-	}
+	})
 	// http.Transport retries a request by itself when a reused connection breaks.
 	// For a call that may not be repeated this would be a second execution, so such
 	// calls use a new connection each, on which http.Transport does not retry.
-	s.fresh = &http.Transport{
+	s.fresh = verifier.New(&http.Transport{
 		DialContext: f, TLSClientConfig: c, DisableKeepAlives: true, DisableCompression: true,
-	}
+	})
 
 	return s, s.reused.CloseIdleConnections, nil
 }
@@ -104,7 +105,7 @@
 
 // do sends a request. It fails with ErrNeverSent when it obtained no connection, because the
 // dial, the handshake or the wait for a connection failed, and with ErrBroken otherwise.
-func do(t *http.Transport, q *http.Request) (*http.Response, error) {
+func do(t *verifier.Verifier, q *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
 
 	q = q.WithContext(httptrace.WithClientTrace(q.Context(), &httptrace.ClientTrace{
