internal/verifier: an answer with a name that is none reaches nobody

Callers got answers in whose heads the name of a field held a blank, without that line; with "Content-Length : 3" or "Transfer-Encoding : chunked" they got another body than the server had sent: what follows the length, or the chunks with their sizes, under a 200. A list of the platform's store with "Store-Era : 2" counted as one of era 0.

Cause: net/http accepts a blank in a name, keeps the name as it is, so that it isn't that of the length, and leaves such fields out when it writes a head. Control bytes, tabs and bytes beyond ASCII are errors already; they are in the table so that they remain so.

verifier.Verifier refuses a head with a name that isn't a token (httpguts.ValidHeaderFieldName; golang.org/x/net was an indirect requirement before).

--- a/internal/forwarder/invalid_test.go
+++ b/internal/forwarder/invalid_test.go
@@ -18,6 +18,11 @@
 	checkGarbled(t, garbler.Statuses)
 }
 
+// Guards against an answer with a name in its head that is not valid, and that a caller gets without that line, or with a body that is not the target's.
+func TestInvalidNames(t *testing.T) {
+	checkGarbled(t, garbler.Names)
+}
+
 // checkGarbled checks that no caller gets any of the answers: calls that may be sent again are answered by another target, others get
 // a refusal that does not claim that they were not run.
 func checkGarbled(t *testing.T, answers func(fields string) map[string]string) {
--- a/internal/router/invalid_test.go
+++ b/internal/router/invalid_test.go
@@ -15,6 +15,11 @@
 	checkGarbled(t, garbler.Statuses)
 }
 
+// Guards against an answer with a name in its head that is not valid, and that a caller gets without that line, or with a body that is not the target's.
+func TestInvalidNames(t *testing.T) {
+	checkGarbled(t, garbler.Names)
+}
+
 // checkGarbled checks that a router passes on none of the answers, and that they do not count as not run.
 func checkGarbled(t *testing.T, answers func(fields string) map[string]string) {
 	t.Helper()
--- a/internal/standin/garbler/garbler.go
+++ b/internal/standin/garbler/garbler.go
@@ -27,6 +27,31 @@
 	return o
 }
 
+// Names returns answers by name in whose heads a name is not valid, with further header fields, each with its line break. Without the
+// lines with these names, some have other bodies than those that were sent.
+func Names(fields string) map[string]string {
+	o := make(map[string]string)
+
+	for kind, name := range map[string]string{
+		"blank": "Odd Name", "blank at the end": "Odd ", "tab": "Odd\tName", "control byte": "Odd\x01Name", "carriage return": "Odd\rName",
+		"zero byte": "Odd\x00Name", "byte of 255": "Odd\xffName", "empty": "", "bracket": "Odd(Name",
+	} {
+		o[kind] = "HTTP/1.1 200 OK\r\n" + fields + name + ": 1\r\n" + length
+	}
+
+	for _, s := range []string{"404 Not Found", "503 Service Unavailable"} {
+		o["blank, status "+s] = "HTTP/1.1 " + s + "\r\n" + fields + "Odd : 1\r\n" + length
+	}
+
+	o["blank in the first name"] = "HTTP/1.1 200 OK\r\nOdd : 1\r\n" + fields + length
+	o["blank in the last name"] = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\nOdd : 1\r\n\r\n" + Body
+	o["blank after the length's name"] = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 3\r\n\r\nodd and more"
+	o["blank after the coding's name"] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n4\r\n" + Body + "\r\n0\r\n\r\n"
+	o["blank after the coding's name, with a length"] = "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\n" + Body + "\r\n0\r\n\r\n"
+
+	return o
+}
+
 // Serve returns a handler that answers each request with the bytes that answer returns for it, and closes the connection.
 func Serve(answer func(r *http.Request) string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid marks answers that are not valid HTTP.
@@ -61,5 +62,13 @@
 		return errors.Newf("answer of version %q", a.Proto)
 	}
 
+	// net/http accepts names with blanks, does not take them for the names without, and leaves them out when it writes a head: an
+	// answer with "Content-Length : 4" would be passed on with another body.
+	for n := range a.Header {
+		if !httpguts.ValidHeaderFieldName(n) {
+			return errors.Newf("answer with a field named %q", n)
+		}
+	}
+
 	return nil
 }
