internal/verifier: a part of an answer is not whole because the upload hit the reset first

A server answered a long upload at once with a 200 that had neither a length nor chunks, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a complete answer.

Cause: the system reports a reset once. If the write that is in progress takes it, the next read returns the end of the stream, as after an orderly close, and such an answer ends there. That the target's process runs, which checkUnframed asks, is true and no proof. A server that closes its own direction, or the whole connection, before it has read the call looks the same.

Now an answer without framing is whole only if its request has been sent: verifier.Verifier counts what the transport reads of the body and remembers a write that failed, and the body fails with ErrInvalid in place of its end. A write in progress is waited for, as the read may return first; the transport closes the connection at the end of such a body, which ends the write. It holds wherever answers are read: targets, other instances, the router's targets, the platform.

--- a/internal/filterer/relay.go
+++ b/internal/filterer/relay.go
@@ -15,6 +15,7 @@
 	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/sender"
+	"github.com/auburntray/auburntray/internal/verifier"
 )
 
 const (
@@ -105,7 +106,7 @@
 		return errors.Mark(err, sender.ErrTooLong)
 	case err != nil:
 		return errors.Mark(err, sender.ErrBroken)
-	case isUnframed(x.Response) && r.Targets.MayHaveEnded(c, x.Target.Address):
+	case verifier.IsUnframed(x.Response) && r.Targets.MayHaveEnded(c, x.Target.Address):
 		return errors.Mark(errors.New("the target may have ended within its answer, which has neither a length nor chunks"), sender.ErrBroken)
 	}
 
@@ -125,12 +126,6 @@
 	return nil
 }
 
-// isUnframed reports whether an answer has neither a length nor chunks. It ends with its connection, and so does the beginning of one
-// whose target crashes.
-func isUnframed(r *http.Response) bool {
-	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
-}
-
 // stream forwards events as they arrive and resumes the stream if it is interrupted.
 func (r Relay) stream(c context.Context, x *exchanger.Exchange) error {
 	s := &stream{relay: r, exchange: x, events: sender.NewEventReader(x.Response.Body)}
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -4,11 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -71,7 +69,7 @@
 // newReused returns a transport that reuses connections.
 func newReused(d dial) *verifier.Verifier {
 	return verifier.New(&http.Transport{
-		DialContext: d, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerTarget,
+		DialContext: verifier.Watch(verifier.Dial(d)), DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerTarget,
 		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: maxAnswerHead,
 	})
 }
@@ -79,7 +77,7 @@
 // newSingleUse returns a transport that makes a new connection for each call.
 func newSingleUse(d dial) *verifier.Verifier {
 	return verifier.New(&http.Transport{
-		DialContext: d, DisableCompression: true, DisableKeepAlives: true,
+		DialContext: verifier.Watch(verifier.Dial(d)), DisableCompression: true, DisableKeepAlives: true,
 		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: maxAnswerHead,
 	})
 }
@@ -90,12 +88,7 @@
 		x, stop := context.WithTimeout(c, dialTimeout)
 		defer stop()
 
-		n, err := d.DialContext(x, network, address)
-		if err != nil {
-			return nil, err
-		}
-
-		return &countingConn{Conn: n}, nil
+		return d.DialContext(x, network, address)
 	}
 }
 
@@ -150,10 +143,6 @@
 	u.Scheme = "http"
 	u.Host = a.String()
 
-	var n *countingConn
-
-	var before int64
-
 	q := &http.Request{
 		Method: o.method, URL: u, Host: o.host, Header: o.header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -161,37 +150,15 @@
 		// set. http.Transport never resends a request whose body can be read only once.
 		Body: o.body.NewReader(), ContentLength: o.body.Len(),
 	}
-	q = q.WithContext(httptrace.WithClientTrace(c, &httptrace.ClientTrace{
-		GotConn: func(i httptrace.GotConnInfo) {
-			n, _ = i.Conn.(*countingConn)
-			if n != nil {
-				before = n.written.Load()
-			}
-		},
-	}))
-
-	w, err := r.RoundTrip(q)
-	if err == nil {
-		return w, nil
-	}
 
-	if n == nil || n.written.Load() == before {
+	w, err := r.RoundTrip(q.WithContext(c))
+
+	switch {
+	case err == nil:
+		return w, nil
+	case errors.Is(err, verifier.ErrNotSent):
 		return nil, errors.Mark(err, errNotSent)
+	default:
+		return nil, errors.Mark(err, errBroken)
 	}
-
-	return nil, errors.Mark(err, errBroken)
-}
-
-// countingConn counts the bytes written to a connection.
-type countingConn struct {
-	net.Conn
-
-	written atomic.Int64
-}
-
-// Write implements net.Conn.
-func (n *countingConn) Write(b []byte) (int, error) {
-	n.written.Add(int64(len(b)))
-
-	return n.Conn.Write(b)
 }
--- a/internal/forwarder/fake_test.go
+++ b/internal/forwarder/fake_test.go
@@ -95,6 +95,8 @@
 type target struct {
 	id     string
 	answer func(n net.Conn, s received)
+	// early is called in place of answer, if it is set, as soon as the head of a call has arrived. The connection is closed after it.
+	early func(n net.Conn, s received)
 
 	listener net.Listener
 
@@ -143,16 +145,22 @@
 			return
 		}
 
+		s := received{at: time.Now(), target: x.id, path: q.RequestURI, header: q.Header, closed: make(chan struct{})}
+
+		if x.early != nil {
+			x.record(s)
+			x.early(n, s)
+
+			return
+		}
+
 		b, err := io.ReadAll(q.Body)
 		if err != nil {
 			return
 		}
 
-		s := received{at: time.Now(), target: x.id, path: q.RequestURI, header: q.Header, body: string(b), closed: make(chan struct{})}
-
-		x.mu.Lock()
-		x.calls = append(x.calls, s)
-		x.mu.Unlock()
+		s.body = string(b)
+		x.record(s)
 
 		done := make(chan struct{})
 
@@ -171,6 +179,13 @@
 	}
 }
 
+func (x *target) record(s received) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	x.calls = append(x.calls, s)
+}
+
 func (x *target) count() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/forwarder/unframed.go
+++ b/internal/forwarder/unframed.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/auburntray/auburntray/internal/discoverer"
+	"github.com/auburntray/auburntray/internal/verifier"
 )
 
 // errUnframed marks an answer whose end can't be told from the end of the target's process.
@@ -18,7 +19,7 @@
 // Whether others of the data centre refuse connections too makes no difference, unlike for a crash that counts against the call: if all
 // of them have crashed, an answer that can't be told to be whole must not look complete.
 func (f *Forwarder) checkUnframed(c context.Context, a *http.Response, t *discoverer.Target) error {
-	if a.ContentLength >= 0 || len(a.TransferEncoding) > 0 || a.Body == http.NoBody || !f.client.prober.MayHaveEnded(c, t.Address) {
+	if !verifier.IsUnframed(a) || !f.client.prober.MayHaveEnded(c, t.Address) {
 		return nil
 	}
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -86,7 +86,7 @@
 // each request.
 func New(a netip.AddrPort, dataCentre string) (*Recorder, func()) {
 	t := verifier.New(&http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     verifier.Watch((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConns:    8,
 		IdleConnTimeout: time.Minute,
 	})
--- a/internal/router/invalid_test.go
+++ b/internal/router/invalid_test.go
@@ -1,9 +1,14 @@
 package router_test
 
 import (
+	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/exchanger"
@@ -41,3 +46,39 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that looks whole since its target ended the connection while the call was still being sent.
+func TestUnframedAnswerDuringUpload(t *testing.T) {
+	const length = 7 << 20
+
+	for name, end := range map[string]func(n *net.TCPConn) error{
+		"reset": func(n *net.TCPConn) error { return errors.Join(n.SetLinger(0), n.Close()) },
+		"own direction closed": func(n *net.TCPConn) error {
+			time.Sleep(time.Millisecond)
+
+			return n.CloseWrite()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			f := newFleet(t, 0, 0)
+			f.addTarget("s0", "service", f.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				n, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					panic(err)
+				}
+
+				t.Cleanup(func() { _ = n.Close() })
+
+				_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\n\r\npart") // The router may have left.
+				_ = end(n.(*net.TCPConn))
+			})))
+			f.publish(1)
+
+			r := f.add("dc-1").do(t.Context(), http.MethodPost, "/x", "k", strings.Repeat("x", length))
+			i.NoErr(r.err)
+			i.Equal(r.status, http.StatusBadGateway)
+			i.Equal(r.outcome(), string(exchanger.Unknown))
+		})
+	}
+}
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -9,8 +9,12 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrInvalid marks answers that are not valid HTTP.
-var ErrInvalid = errors.New("the answer is not valid HTTP")
+var (
+	// ErrInvalid marks answers that are not valid HTTP, or that are not known to be whole.
+	ErrInvalid = errors.New("the answer is not valid HTTP")
+	// ErrNotSent marks requests of which certainly nothing was sent.
+	ErrNotSent = errors.New("the request was not sent")
+)
 
 // The range of valid statuses of final answers. See RFC 9110, section 15.
 const (
@@ -23,24 +27,38 @@
 	transport http.RoundTripper
 }
 
-// New returns a Verifier of the answers to what it sends through a transport.
+// New returns a Verifier of the answers to what it sends through a transport. The transport's connections should be made by the Dial
+// that Watch returns: without it, each failure counts as one before anything was sent.
 func New(t http.RoundTripper) *Verifier {
 	return &Verifier{transport: t}
 }
 
-// RoundTrip implements http.RoundTripper. It fails with ErrInvalid if the head of the answer is not valid, and as the transport does.
+// RoundTrip implements http.RoundTripper. It fails with ErrInvalid if the head of the answer is not valid, and as the transport does,
+// also with ErrNotSent if nothing was sent. Reading the body fails with ErrInvalid if its end can't be that of the answer.
 func (v *Verifier) RoundTrip(q *http.Request) (*http.Response, error) {
-	a, err := v.transport.RoundTrip(q)
-	if err != nil {
+	s := &sending{}
+
+	a, err := v.transport.RoundTrip(s.watch(q))
+
+	switch {
+	case err != nil && s.begun():
 		return nil, err
+	case err != nil:
+		return nil, errors.Mark(err, ErrNotSent)
 	}
 
+	a.Request = q
+
 	if err := checkHead(a); err != nil {
 		_ = a.Body.Close() // Nothing of the answer is used.
 
 		return nil, errors.Mark(err, ErrInvalid)
 	}
 
+	if IsUnframed(a) {
+		a.Body = &unframedBody{ReadCloser: a.Body, request: s}
+	}
+
 	return a, nil
 }
 
@@ -51,6 +69,12 @@
 	}
 }
 
+// IsUnframed reports whether an answer has neither a length nor chunks. It ends with its connection, and so does the beginning of one
+// whose server crashes.
+func IsUnframed(a *http.Response) bool {
+	return a.ContentLength < 0 && len(a.TransferEncoding) == 0 && a.Body != http.NoBody
+}
+
 // checkHead fails if the head of an answer is not valid.
 func checkHead(a *http.Response) error {
 	// 101 is none either, since no request asks for another protocol. net/http consumes all other interim answers.
