internal/forwarder: what has been relayed of an answer is not held while the rest is

A faulty server sent bytes without end in answers, and the gateway that had called it used more than its memory: killed, with the calls of all others.

Cause: an answer that doesn't fit into memory is relayed as it arrives. The account of its first part is closed then, but the part stayed referred to for its length until the rest had ended, up to the deadline. Others were given the memory a second time.

The length is taken before the account is closed. Test: processes.TestUnrulyServersOfGateway, a real process of 128 MB, 60 callers of a server that sends one of 22 things without end, by three kinds of route. Before: 7 of 22 used 129 to 138 MB and were killed (events of three sorts, one endless event, comments, empty lines, a refusal).

--- a/internal/forwarder/memory.go
+++ b/internal/forwarder/memory.go
@@ -124,12 +124,15 @@
 		return result{err: errors.Mark(err, errCallerLeft), outcome: selector.Inconclusive}
 	}
 
+	// The rest may take until the deadline, so nothing may refer to the part from here on.
+	left := maxAnswerBytes - b.Len()
+
 	x.dropAnswer()
 
 	w := &callerWriter{writer: x.writer}
 
-	n, err := io.Copy(w, io.LimitReader(a.Body, maxAnswerBytes-b.Len()+1))
-	if err == nil && b.Len()+n > maxAnswerBytes {
+	n, err := io.Copy(w, io.LimitReader(a.Body, left+1))
+	if err == nil && n > left {
 		err = accountant.ErrTooLong
 	}
 
