internal/splitter: events of a stream share a buffer

The buffer of an event is used for the next one; an event is valid until the next call, and is written before.

--- a/internal/splitter/splitter.go
+++ b/internal/splitter/splitter.go
@@ -29,20 +29,24 @@
 	reserve func(bytes int64) bool
 	// reserved is the length up to which an event needs no further reservation.
 	reserved int
+	// event is the buffer of the current event.
+	event []byte
 }
 
 // New returns a Splitter over a stream. It calls reserve before it holds more bytes of an event than of any before, beyond 16 KiB,
-// with the number of further bytes; the result reports whether they may be held. They remain reserved.
+// with the number of further bytes; the result reports whether they may be held. They remain reserved. With a nil reserve they
+// always may.
 func New(r io.Reader, reserve func(bytes int64) bool) *Splitter {
 	return &Splitter{reader: bufio.NewReaderSize(r, bufferBytes), reserve: reserve, reserved: usualBytes}
 }
 
 // Next returns the next event as received, with the empty line that ends it, and
-// its ID, which is empty when the event has none. It returns io.EOF when the stream
+// its ID, which is empty when the event has none. The event is valid until the next call. It returns io.EOF when the stream
 // ends after a complete event, and fails with ErrBroken when it ends elsewhere or
 // an event is longer than 1 MiB or than the memory that can be reserved.
 func (s *Splitter) Next() (raw []byte, id string, err error) {
 	line := 0 // Where the current line begins.
+	raw = s.event[:0]
 
 	for {
 		l, err := s.reader.ReadSlice('\n')
@@ -63,6 +67,7 @@
 		}
 
 		raw = append(raw, l...)
+		s.event = raw
 
 		if full {
 			continue
@@ -93,7 +98,7 @@
 
 	// The buffer of an event is at most twice as long as the event.
 	to := min(max(n, 2*s.reserved), maxEventBytes)
-	if !s.reserve(2 * int64(to-s.reserved)) {
+	if s.reserve != nil && !s.reserve(2*int64(to-s.reserved)) {
 		return errors.Mark(errors.Newf("no memory for an event of more than %d bytes", s.reserved), ErrBroken)
 	}
 
