internal/filterer, internal/sender: a router keeps no bytes without end

A faulty server sent bytes that were no answer, without end, and the router that had called it kept them and ran out of memory.

Causes: nothing bounded the head of an answer, so net/http read 10 MB of each; of a stream, events without content were kept until its end, without a bound or an account, as were up to 1 MB of each event.

A head may have 64 KB (verifier.MaxHeadBytes), as the gateway's, also those of the platform. Kept events are reserved with the memory of answers, up to 32 MB of one; a stream beyond that isn't resumed. sender.EventReader reads by splitter.Splitter, which reserves long events: the same logic stood twice. FuzzNext and TestNext pass a nil reserve.

Test: processes.TestUnrulyServersOfRouter, a real process of 128 MB, 60 callers of a server and an engine that send one of 22 things without end.

--- a/internal/driver/chat.go
+++ b/internal/driver/chat.go
@@ -103,7 +103,7 @@
 		first time.Time
 	)
 
-	e := sender.NewEventReader(r.Body)
+	e := sender.NewEventReader(r.Body, nil)
 
 	for {
 		v, err := e.Next()
--- a/internal/filterer/relay.go
+++ b/internal/filterer/relay.go
@@ -80,25 +80,32 @@
 	return err
 }
 
-// buffer reads an answer that is not streamed. Nothing of it is sent to the caller before
-// it is complete, so that the caller never gets a truncated answer.
-func (r Relay) buffer(c context.Context, x *exchanger.Exchange) error {
+// openAnswer returns an empty account for the bytes of an answer, and closes that of the one before.
+func (r Relay) openAnswer(x *exchanger.Exchange) *accountant.Account {
 	if x.AnswerMemory != nil {
 		x.AnswerMemory.Close()
 	}
 
 	x.AnswerMemory = r.Memory.Open(accountant.Answer, math.MaxInt64)
 
+	return x.AnswerMemory
+}
+
+// buffer reads an answer that is not streamed. Nothing of it is sent to the caller before
+// it is complete, so that the caller never gets a truncated answer.
+func (r Relay) buffer(c context.Context, x *exchanger.Exchange) error {
+	m := r.openAnswer(x)
+
 	n := x.Response.ContentLength
 	if x.Response.Body == http.NoBody {
 		n = 0 // A length may be stated nevertheless.
 	}
 
-	l, err := x.AnswerMemory.Read(x.Response.Body, n, maxAnswerBytes)
+	l, err := m.Read(x.Response.Body, n, maxAnswerBytes)
 
 	var b []byte
 	if err == nil {
-		b, err = x.AnswerMemory.Join(l)
+		b, err = m.Join(l)
 	}
 
 	switch {
@@ -128,7 +135,8 @@
 
 // stream forwards events as they arrive and resumes the stream if it is interrupted.
 func (r Relay) stream(c context.Context, x *exchanger.Exchange) error {
-	s := &stream{relay: r, exchange: x, events: sender.NewEventReader(x.Response.Body)}
+	s := &stream{relay: r, exchange: x}
+	s.read(x.Response.Body)
 
 	for {
 		err := s.copy()
@@ -136,7 +144,7 @@
 			return nil
 		}
 
-		if c.Err() != nil || s.resumes >= maxResumes || errors.Is(err, errCallerWrite) {
+		if c.Err() != nil || s.resumes >= maxResumes || errors.Is(err, errCallerWrite) || errors.Is(err, sender.ErrTooLong) {
 			return err
 		}
 
--- a/internal/filterer/stream.go
+++ b/internal/filterer/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -29,6 +30,12 @@
 	pending []byte
 }
 
+// read begins to read an answer, from its beginning or from where it broke. Nothing is held of the one before.
+func (s *stream) read(b io.Reader) {
+	m := s.relay.openAnswer(s.exchange)
+	s.events = sender.NewEventReader(b, m.Reserve)
+}
+
 // copy forwards events until the stream is complete or fails.
 func (s *stream) copy() error {
 	for {
@@ -57,11 +64,26 @@
 
 			s.offset++
 		default:
-			s.pending = append(s.pending, e.Raw...)
+			if err := s.keep(e.Raw); err != nil {
+				return err
+			}
 		}
 	}
 }
 
+// keep keeps an event until the end of the stream. It fails with sender.ErrTooLong if there are too many, as a target that sends such
+// events without end would otherwise use up the memory.
+func (s *stream) keep(b []byte) error {
+	// The buffer is at most twice as long as what it holds.
+	if len(s.pending)+len(b) > maxAnswerBytes || !s.exchange.AnswerMemory.Reserve(2*int64(len(b))) {
+		return errors.Mark(errors.New("too many events other than tokens"), sender.ErrTooLong)
+	}
+
+	s.pending = append(s.pending, b...)
+
+	return nil
+}
+
 // write sends events to the caller. It sends the header before the first event.
 func (s *stream) write(b []byte) error {
 	x := s.exchange
@@ -79,7 +101,7 @@
 	}
 
 	// Events that arrive together are flushed together, as each flush is a system call.
-	if s.events.Buffered() {
+	if s.events.Ready() {
 		return nil
 	}
 
@@ -132,8 +154,8 @@
 
 	context.AfterFunc(c, func() { _ = r.Body.Close() })
 
-	s.events = sender.NewEventReader(r.Body)
 	s.pending = nil
+	s.read(r.Body)
 
 	return nil
 }
--- a/internal/forwarder/client.go
+++ b/internal/forwarder/client.go
@@ -29,10 +29,8 @@
 	// apart, so a target that takes this long is unreachable, and the call still has time to be
 	// sent to another one.
 	dialTimeout = 120 * time.Millisecond
-	// maxAnswerHead bounds the headers of an answer, with those of the interim answers before it, in bytes.
-	maxAnswerHead = 64 << 10
-	readBuffer    = 4 << 10
-	writeBuffer   = 4 << 10
+	readBuffer  = 4 << 10
+	writeBuffer = 4 << 10
 )
 
 // client sends calls to targets. It is safe for concurrent use.
@@ -70,7 +68,7 @@
 func newReused(d dial) *verifier.Verifier {
 	return verifier.New(&http.Transport{
 		DialContext: verifier.Watch(verifier.Dial(d)), DisableCompression: true, IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: idlePerTarget,
-		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: maxAnswerHead,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: verifier.MaxHeadBytes,
 	})
 }
 
@@ -78,7 +76,7 @@
 func newSingleUse(d dial) *verifier.Verifier {
 	return verifier.New(&http.Transport{
 		DialContext: verifier.Watch(verifier.Dial(d)), DisableCompression: true, DisableKeepAlives: true,
-		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: maxAnswerHead,
+		ReadBufferSize: readBuffer, WriteBufferSize: writeBuffer, MaxResponseHeaderBytes: verifier.MaxHeadBytes,
 	})
 }
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -89,6 +89,8 @@
 		DialContext:     verifier.Watch((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConns:    8,
 		IdleConnTimeout: time.Minute,
+
+		MaxResponseHeaderBytes: verifier.MaxHeadBytes,
 	})
 	r := &Recorder{
 		base:       url.URL{Scheme: "http", Host: a.String()},
--- a/internal/sender/event.go
+++ b/internal/sender/event.go
@@ -1,16 +1,14 @@
 package sender
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"io"
 
 	"github.com/cockroachdb/errors"
-)
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+	"github.com/auburntray/auburntray/internal/splitter"
+)
 
 const (
 	dataPrefix = "data: "
@@ -53,55 +51,36 @@
 // EventReader reads the events of a streamed answer. It is not safe for
 // concurrent use.
 type EventReader struct {
-	reader *bufio.Reader
+	events *splitter.Splitter
 }
 
-// NewEventReader returns an EventReader over an answer's body.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReader(r)}
+// NewEventReader returns an EventReader over an answer's body. It calls reserve before it holds a long event, as splitter.New does.
+func NewEventReader(r io.Reader, reserve func(bytes int64) bool) *EventReader {
+	return &EventReader{events: splitter.New(r, reserve)}
 }
 
-// Next returns the next event. It fails with ErrBroken when the body ends before an
-// event is complete, or when an event is longer than 1 MiB.
+// Next returns the next event, which is valid until the next call. It fails with ErrBroken when the body ends before an
+// event is complete, or when an event is longer than 1 MiB or than the memory that can be reserved.
 func (e *EventReader) Next() (Event, error) {
-	var o Event
-
-	line := 0 // Where the current line begins.
-
-	for {
-		l, err := e.reader.ReadSlice('\n')
-
-		// A line without end must not be read to its end.
-		full := errors.Is(err, bufio.ErrBufferFull)
-		if err != nil && !full {
-			return o, errors.Mark(err, ErrBroken)
-		}
-
-		o.Raw = append(o.Raw, l...)
-		if len(o.Raw) > maxEventBytes {
-			return o, errors.Mark(errors.New("an event is too long"), ErrBroken)
-		}
-
-		if full {
-			continue
-		}
-
-		l = bytes.TrimRight(o.Raw[line:], "\r\n")
-		line = len(o.Raw)
+	b, _, err := e.events.Next()
+	if err != nil {
+		return Event{}, errors.Mark(err, ErrBroken)
+	}
 
-		if len(l) == 0 {
-			return o, nil
-		}
+	o := Event{Raw: b}
 
-		if d, ok := bytes.CutPrefix(l, []byte(dataPrefix)); ok {
+	for l := range bytes.Lines(b) {
+		if d, ok := bytes.CutPrefix(bytes.TrimRight(l, "\r\n"), []byte(dataPrefix)); ok {
 			o.decode(d)
 		}
 	}
+
+	return o, nil
 }
 
-// Buffered reports whether more of the answer can be read without blocking.
-func (e *EventReader) Buffered() bool {
-	return e.reader.Buffered() > 0
+// Ready reports whether the next event can be read without blocking.
+func (e *EventReader) Ready() bool {
+	return e.events.Ready()
 }
 
 // decode sets the fields of the event from the content of its data field. Content that is not
--- a/internal/sender/sender_test.go
+++ b/internal/sender/sender_test.go
@@ -29,7 +29,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			i := is.New(t)
-			e, err := sender.NewEventReader(strings.NewReader(tc.body)).Next()
+			e, err := sender.NewEventReader(strings.NewReader(tc.body), nil).Next()
 
 			if tc.err {
 				i.True(errors.Is(err, sender.ErrBroken))
@@ -82,7 +82,7 @@
 func FuzzNext(f *testing.F) {
 	f.Add([]byte("data: {\"choices\":[{\"delta\":{\"content\":\"hi\"}}]}\n\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		e := sender.NewEventReader(strings.NewReader(string(b)))
+		e := sender.NewEventReader(strings.NewReader(string(b)), nil)
 		n := 0
 
 		for {
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -16,6 +16,10 @@
 	ErrNotSent = errors.New("the request was not sent")
 )
 
+// MaxHeadBytes bounds the head of an answer, with those of the interim answers before it, in bytes. Transports should set it, since
+// net/http reads heads of 10 MB without it.
+const MaxHeadBytes = 64 << 10
+
 // The range of valid statuses of final answers. See RFC 9110, section 15.
 const (
 	minStatus = 200
