internal/drainer: a short stop takes no calls that it then cuts

In a planned stop, calls that came late in the grace were taken, sent to targets and cut without an answer at its end.

Cause: a stop serves new calls for a notice of 2.5 s, whatever the grace is. With one of 2.8 s or less it took calls until the end. With the eight seconds of the known deployments it refuses them from 2.5 s on, so nothing of this was seen there. The phase also changed only when the stop's own loop ran.

The notice is a third of the stop's time at most, and a call that comes after it is refused whether or not the loop has run.

--- a/internal/drainer/drainer.go
+++ b/internal/drainer/drainer.go
@@ -26,6 +26,8 @@
 	// maxQuietPeriod is the time without new requests that ends a shutdown. A shorter
 	// notice period is used instead.
 	maxQuietPeriod = time.Second
+	// noticeDivisor is the part of a limited shutdown that the notice period may take. Requests that are served until its end need the rest.
+	noticeDivisor = 3
 	// maxLingerPeriods is the number of notice periods after which a shutdown without requests
 	// in progress ends although callers still send requests to the router.
 	maxLingerPeriods = 10
@@ -60,6 +62,8 @@
 
 	d.arrived = now
 
+	d.refuseIfDue(now)
+
 	if d.phase >= Refusing || d.running >= d.limit {
 		return d.phase, false
 	}
@@ -93,13 +97,28 @@
 	return d.running
 }
 
-// StartShutdown starts a shutdown. Further calls have no effect.
-func (d *Drainer) StartShutdown(now time.Time) {
+// StartShutdown starts a shutdown that may take a time, after which requests in progress are interrupted; zero stands for no limit. Further
+// calls have no effect.
+func (d *Drainer) StartShutdown(now time.Time, limit time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.phase == Serving {
-		d.phase = NotReady
+	if d.phase != Serving {
+		return
+	}
+
+	d.phase = NotReady
+	d.since = now
+
+	if limit > 0 {
+		d.notice = min(d.notice, limit/noticeDivisor)
+	}
+}
+
+// refuseIfDue begins to refuse requests at the end of the notice period. d.mu must be held.
+func (d *Drainer) refuseIfDue(now time.Time) {
+	if d.phase == NotReady && now.Sub(d.since) >= d.notice {
+		d.phase = Refusing
 		d.since = now
 	}
 }
@@ -114,10 +133,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.phase == NotReady && now.Sub(d.since) >= d.notice {
-		d.phase = Refusing
-		d.since = now
-	}
+	d.refuseIfDue(now)
 
 	if d.phase == Refusing && d.running == 0 && (d.quiet(now) || now.Sub(d.since) >= maxLingerPeriods*d.notice) {
 		d.phase = Done
--- a/internal/drainer/drainer_test.go
+++ b/internal/drainer/drainer_test.go
@@ -22,7 +22,7 @@
 		_, ok := d.Enter(time.Now())
 		i.True(ok)
 
-		d.StartShutdown(time.Now())
+		d.StartShutdown(time.Now(), 0)
 		i.True(!d.Ready())
 
 		_, ok = d.Enter(time.Now())
@@ -48,7 +48,7 @@
 func TestIdleShutdownEndsAfterNotice(t *testing.T) {
 	i := is.New(t)
 	d := drainer.New(0, 10)
-	d.StartShutdown(time.Unix(0, 0))
+	d.StartShutdown(time.Unix(0, 0), 0)
 	i.Equal(d.Advance(time.Unix(0, 0)), drainer.Done)
 }
 
@@ -69,7 +69,7 @@
 			i := is.New(t)
 			d := drainer.New(3*time.Second, 10)
 			start := time.Unix(1000, 0)
-			d.StartShutdown(start)
+			d.StartShutdown(start, 0)
 
 			now := start
 			for d.Advance(now) != drainer.Done {
@@ -121,9 +121,37 @@
 		})
 	}
 
-	d.StartShutdown(time.Now())
+	d.StartShutdown(time.Now(), 0)
 	d.Advance(time.Now())
 	g.Wait()
 	i.Equal(d.Advance(time.Now()), drainer.Done)
 	i.Equal(d.Running(), 0)
 }
+
+// Guards against requests that are served until the end of a shutdown that takes hardly longer than the notice period, and are then
+// interrupted, and against requests that are served after it since nobody has advanced the shutdown.
+func TestLateRequestsAreRefused(t *testing.T) {
+	for name, x := range map[string]struct {
+		limit, from time.Duration
+	}{
+		"no limit":                 {0, 3 * time.Second},
+		"long limit":               {30 * time.Second, 3 * time.Second},
+		"limit like the notice":    {3 * time.Second, time.Second},
+		"shorter than the notice":  {900 * time.Millisecond, 300 * time.Millisecond},
+		"a little over the notice": {3600 * time.Millisecond, 1200 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+			b := time.Unix(0, 0)
+			d := drainer.New(3*time.Second, 10)
+			d.StartShutdown(b, x.limit)
+
+			_, ok := d.Enter(b.Add(x.from - 1))
+			i.True(ok)
+
+			p, ok := d.Enter(b.Add(x.from))
+			i.True(!ok)
+			i.Equal(p, drainer.Refusing)
+		})
+	}
+}
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -399,6 +399,48 @@
 	is.NoErr(<-stopped)
 }
 
+// Guards against calls that are taken late in a stop, sent to targets, and cut without an answer at its end.
+func TestStopAnswersCallsThatItTakes(t *testing.T) {
+	is := is.New(t)
+	s := startWith(t, func(s *gatekeeper.Settings, _ *gatekeeper.Environment) { s.StopTimeout = 2 * time.Second })
+
+	var ran, answered atomic.Int64
+
+	s.targets.put(t, "t1", target(t, func(w http.ResponseWriter) {
+		ran.Add(1)
+		time.Sleep(400 * time.Millisecond)
+
+		_, _ = fmt.Fprint(w, "complete")
+	}))
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	waiter.Until(t, "status 200", status(t, s.ready+"/ready", http.StatusOK))
+
+	stopped := make(chan error, 1)
+
+	go func() { stopped <- s.app.Stop(context.Background()) }()
+
+	var g sync.WaitGroup
+
+	for over := false; !over; {
+		select {
+		case err := <-stopped:
+			is.NoErr(err)
+
+			over = true
+		case <-time.After(20 * time.Millisecond):
+			g.Go(func() {
+				if n, b, _ := getBy(t, &http.Transport{}, s.callers+"/x/"); n == http.StatusOK && b == "complete" {
+					answered.Add(1)
+				}
+			})
+		}
+	}
+
+	g.Wait()
+	is.True(ran.Load() > 0)
+	is.Equal(answered.Load(), ran.Load())
+}
+
 // Guards against a stop that uses its full time limit with no call running, because callers ignore
 // readiness and keep sending. Each call is answered or refused, and the process exits in time.
 func TestStopCompletesWhileCallersKeepSending(t *testing.T) {
--- a/internal/gatekeeper/stop.go
+++ b/internal/gatekeeper/stop.go
@@ -25,10 +25,12 @@
 // Stop performs a planned stop: it reports not ready, serves calls until the balancer has noticed,
 // and returns when the last call has ended or the time limit is reached.
 func (g *Gatekeeper) Stop(c context.Context) error {
-	c, stop := context.WithTimeout(c, max(time.Duration(g.stopTimeout.Load())-stopMargin, stopMargin))
+	limit := max(time.Duration(g.stopTimeout.Load())-stopMargin, stopMargin)
+
+	c, stop := context.WithTimeout(c, limit)
 	defer stop()
 
-	g.drainer.StartShutdown(time.Now())
+	g.drainer.StartShutdown(time.Now(), limit)
 	g.forwarder.Stop()
 	logrus.WithFields(logrus.Fields{"event": "stopping", "name": g.settings.Name, "running": g.drainer.Running()}).Info()
 
--- a/internal/router/run.go
+++ b/internal/router/run.go
@@ -97,7 +97,7 @@
 // over to other routers and shuts down. It fails if the context ends first, or if connections are
 // not closed within settleTimeout.
 func (r *Router) Stop(c context.Context) error {
-	r.drainer.StartShutdown(time.Now())
+	r.drainer.StartShutdown(time.Now(), 0)
 	logrus.WithFields(logrus.Fields{"event": "stopping", "name": r.settings.Name, "inFlight": r.drainer.Running()}).Info()
 
 	t := time.NewTicker(drainPollInterval)
