internal/gatekeeper: calls that outlast a stop are answered

At the end of the grace of a planned stop, calls that still ran were cut with no answer, among them calls that may not be repeated.

Cause: the stop closed their connections.

They are interrupted first, within the margin that the stop leaves unused: a call whose answer hasn't begun gets 502, as it may have run, or 503 if it certainly hasn't. Its target doesn't count as failed. A stream that has begun breaks off as before.

Failed before: gatekeeper.TestStopAnswersCallsThatLastLonger (no status, 502 now).

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -159,6 +159,10 @@
 		x.relayed = true
 
 		return nil
+	case f.interrupted.Err() != nil && !x.mayHaveRun:
+		return refuse(http.StatusServiceUnavailable, Stopping, rejectWait, "this instance is stopping")
+	case f.interrupted.Err() != nil:
+		return refuse(http.StatusBadGateway, NoAnswer, 0, "this instance stopped before the target had answered")
 	case !x.mayHaveRun && x.targetsFull:
 		return refuse(http.StatusServiceUnavailable, Overload, noTargetWait, "the targets are full, and so are their lines")
 	case !x.mayHaveRun:
@@ -252,7 +256,7 @@
 		x.sent++
 	}
 
-	if x.request.Context().Err() != nil || timedOut(c, r.err) && f.state.Stalled(x.attemptStart) || r.outcome == selector.Failed && f.linksLost(x, t, r.outcome) {
+	if x.request.Context().Err() != nil || f.interrupted.Err() != nil || timedOut(c, r.err) && f.state.Stalled(x.attemptStart) || r.outcome == selector.Failed && f.linksLost(x, t, r.outcome) {
 		r.outcome = selector.Inconclusive
 	}
 
--- a/internal/forwarder/delegate.go
+++ b/internal/forwarder/delegate.go
@@ -205,6 +205,7 @@
 
 	c, stop := context.WithTimeout(x.request.Context(), d.timeout+hangUpMargin)
 	defer stop()
+	defer context.AfterFunc(f.interrupted, stop)()
 
 	f.mu.Lock()
 	f.selector.Start(x.start, t)
@@ -218,7 +219,7 @@
 		r.outcome = selector.Crashed
 	}
 
-	if x.request.Context().Err() != nil || timedOut(c, r.err) && f.state.Stalled(x.start) {
+	if x.request.Context().Err() != nil || f.interrupted.Err() != nil || timedOut(c, r.err) && f.state.Stalled(x.start) {
 		r.outcome = selector.Inconclusive
 	}
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -110,6 +110,9 @@
 
 	stopping chan struct{}
 	stopOnce sync.Once
+	// interrupted ends when Interrupt is called.
+	interrupted context.Context //nolint:containedctx // That of all calls.
+	interrupt   context.CancelFunc
 }
 
 // Meter records metrics. It is implemented by meter.Meter.
@@ -141,13 +144,18 @@
 // targets.
 func New(s Settings, d Dialect, f ClusterState, t trace.Tracer, m Meter, x Dialer, c *selector.Selector, b *budgeter.Budgeter) (*Forwarder, func()) {
 	k := newClient(x)
+	n, interrupt := context.WithCancel(context.Background())
 
 	return &Forwarder{
-		settings: s, dialect: d, state: f, tracer: t, client: k, selector: c, budgeter: b, admitter: admitter.New(), narrow: admitter.NewNarrow(), awaiting: make(chan struct{}, maxAwaiting), notifyGone: func(discoverer.Process) {}, notifyLeaving: func(discoverer.Process) {}, notifyRefusal: func(selector.Refusal) {},
-		sharder: sharder.New(), sharded: make(map[string]bool), memory: accountant.New(0),
-		meter: m, servedLogs: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
-		rejectedLogs: rate.NewLimiter(rejectedLogsPerSecond, rejectedLogsPerSecond), stopping: make(chan struct{}),
-	}, k.close
+			settings: s, dialect: d, state: f, tracer: t, client: k, selector: c, budgeter: b, admitter: admitter.New(), narrow: admitter.NewNarrow(), awaiting: make(chan struct{}, maxAwaiting), notifyGone: func(discoverer.Process) {}, notifyLeaving: func(discoverer.Process) {}, notifyRefusal: func(selector.Refusal) {},
+			sharder: sharder.New(), sharded: make(map[string]bool), memory: accountant.New(0),
+			meter: m, servedLogs: rate.NewLimiter(servedLogsPerSecond, servedLogsPerSecond),
+			rejectedLogs: rate.NewLimiter(rejectedLogsPerSecond, rejectedLogsPerSecond), stopping: make(chan struct{}),
+			interrupted: n, interrupt: interrupt,
+		}, func() {
+			interrupt()
+			k.close()
+		}
 }
 
 // Stop makes each answer from now on close its connection, so that callers continue at other
@@ -156,6 +164,12 @@
 	f.stopOnce.Do(func() { close(f.stopping) })
 }
 
+// Interrupt ends all calls in progress, because the process is about to exit. A call whose answer has not begun is answered, since its
+// caller can't tell a lost connection from a lost call.
+func (f *Forwarder) Interrupt() {
+	f.interrupt()
+}
+
 // ServeHTTP serves one call.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	select {
@@ -198,6 +212,7 @@
 
 	d, stop := context.WithDeadline(c, x.deadline)
 	defer stop()
+	defer context.AfterFunc(f.interrupted, stop)()
 
 	return f.runAttempts(d, x)
 }
--- a/internal/gatekeeper/gatekeeper_test.go
+++ b/internal/gatekeeper/gatekeeper_test.go
@@ -441,6 +441,33 @@
 	is.Equal(answered.Load(), ran.Load())
 }
 
+// Guards against calls that last longer than a stop may and whose connections are closed without an answer.
+func TestStopAnswersCallsThatLastLonger(t *testing.T) {
+	is := is.New(t)
+	s := startWith(t, func(s *gatekeeper.Settings, _ *gatekeeper.Environment) { s.StopTimeout = time.Second })
+	slow, began := make(chan struct{}), make(chan struct{}, 1)
+
+	s.targets.put(t, "t1", target(t, func(http.ResponseWriter) {
+		began <- struct{}{}
+
+		<-slow
+	}))
+	t.Cleanup(func() { close(slow) })
+	s.config.put(t, "config", catalog(1, []string{"k"}, "/x/"))
+	waiter.Until(t, "status 200", status(t, s.ready+"/ready", http.StatusOK))
+
+	answer := make(chan int, 1)
+
+	go func() {
+		n, _, _ := getBy(t, &http.Transport{}, s.callers+"/x/")
+		answer <- n
+	}()
+
+	<-began
+	is.NoErr(s.app.Stop(context.Background()))
+	is.Equal(<-answer, http.StatusBadGateway)
+}
+
 // Guards against a stop that uses its full time limit with no call running, because callers ignore
 // readiness and keep sending. Each call is answered or refused, and the process exits in time.
 func TestStopCompletesWhileCallersKeepSending(t *testing.T) {
--- a/internal/gatekeeper/stop.go
+++ b/internal/gatekeeper/stop.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/auburntray/auburntray/internal/drainer"
+	"github.com/auburntray/auburntray/internal/sleeper"
 )
 
 const (
@@ -15,6 +16,9 @@
 	stopMargin = 300 * time.Millisecond
 	// advanceInterval is the interval of checks whether a stop may proceed.
 	advanceInterval = 50 * time.Millisecond
+	// interruptTimeout is how long a stop that has reached its time limit waits for the answers to the calls that it interrupts. It is
+	// within stopMargin.
+	interruptTimeout = stopMargin / 3
 	// flushTimeout is how long a stop waits for responses that are still being sent to callers
 	// after the last call has ended.
 	flushTimeout = 200 * time.Millisecond
@@ -23,7 +27,7 @@
 )
 
 // Stop performs a planned stop: it reports not ready, serves calls until the balancer has noticed,
-// and returns when the last call has ended or the time limit is reached.
+// and returns when the last call has ended or the time limit is reached. It then interrupts the calls in progress.
 func (g *Gatekeeper) Stop(c context.Context) error {
 	limit := max(time.Duration(g.stopTimeout.Load())-stopMargin, stopMargin)
 
@@ -49,6 +53,15 @@
 
 	n := g.drainer.Running()
 
+	if n > 0 {
+		x, end := context.WithTimeout(context.WithoutCancel(c), interruptTimeout)
+		defer end()
+
+		c = x // The time limit has been reached, and the answers to interrupted calls are still to be sent.
+
+		g.interrupt(c)
+	}
+
 	g.cancel()
 	g.closeServers(c)
 
@@ -61,6 +74,17 @@
 	return nil
 }
 
+// interrupt ends the calls in progress and waits until they have ended, or the context is done.
+func (g *Gatekeeper) interrupt(c context.Context) {
+	const interval = time.Millisecond
+
+	g.forwarder.Interrupt()
+
+	for g.drainer.Running() > 0 && c.Err() == nil {
+		sleeper.Sleep(c, interval)
+	}
+}
+
 // closeServers closes the listeners and the connections.
 //
 // A call counts as ended before the HTTP library has written the last part of its response.
