internal/binder: no stream begins at a version that an instance may not know

During a release an instance that stood still, or was cut off, took up streams that had begun at targets of the new version through others, and had them go on at the old one.

Cause: with one version in its list and the list confirmed less than two seconds ago (the time in which changes apply) an instance asks nobody. The others began streams at a new version as soon as they knew it.

A version that appears beside others is avoided for new resumable streams until no list that is older counts as up to date, and half a second more, if another target takes them; other calls go there at once. It costs no message and no read. Calls bound to a version, and limits, see the group as before.

Left: a new version alone in the list is used at once, as is one that an instance finds beside the other when it starts.

--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -60,8 +60,9 @@
 type Settings struct {
 	// Centres are the data centres of all instances.
 	Centres []string
-	// Fresh reports whether the list of targets is up to date.
-	Fresh func() bool
+	// Fresh reports whether the list of targets is up to date: the platform confirmed it less than FreshTime ago.
+	Fresh     func() bool
+	FreshTime time.Duration
 	// WritesPerSecond is how many requests all instances together may send to the log each second to write; zero means
 	// DefaultWritesPerSecond.
 	WritesPerSecond float64
@@ -150,6 +151,19 @@
 	}
 }
 
+// joinMargin is added to the time for which a version joins: a process may stand still for so long unnoticed.
+const joinMargin = 500 * time.Millisecond
+
+// Joining returns the versions of a group at which no stream should begin yet, if it can begin elsewhere: they have just appeared beside
+// others. An instance that is cut off, or stands still, may not know of them. If its list counted as up to date, it would have such a
+// stream go on at the only version that it knows. After FreshTime and a margin the list of no such instance does.
+func (b *Binder) Joining(group string) []discoverer.Version {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.pinner.Joining(time.Now(), group, b.settings.FreshTime+joinMargin)
+}
+
 // Len returns the number of streams whose version is known.
 func (b *Binder) Len() int {
 	b.mu.Lock()
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -132,7 +132,7 @@
 func (f *Forwarder) chooseTarget(now time.Time, r *discoverer.Registry, x *exchange, q selector.Query) (selector.Choice, bool) {
 	if q.Version == 0 && x.begunAt != 0 {
 		s := q
-		s.Version = x.begunAt
+		s.Version, s.Avoid = x.begunAt, nil
 
 		if t, ok := f.selector.Choose(now, r, x.group, s); ok {
 			t.Narrowed = false // Others may run it too.
@@ -141,12 +141,22 @@
 		}
 	}
 
+	if len(q.Avoid) > 0 {
+		if t, ok := f.selector.Choose(now, r, x.group, q); ok {
+			return t, true
+		}
+
+		q.Avoid = nil
+	}
+
 	return f.selector.Choose(now, r, x.group, q)
 }
 
 // pickOn selects a target on a route by local state and counts the call there. The parameter declined is the number
 // of targets so far whose home nodes reported them as full.
 func (f *Forwarder) pickOn(r selector.Route, x *exchange, declined int) (selector.Choice, bool) {
+	joining := f.joiningVersions(x)
+
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
@@ -157,6 +167,7 @@
 
 	q := x.query(f.settings, r)
 	q.Declined, q.Sharded, q.Uncounted = declined, x.sharded, x.uncounted
+	q.Avoid = joining
 
 	// The targets of versions whose calls were refused are left to these.
 	if x.version == 0 {
--- a/internal/forwarder/version.go
+++ b/internal/forwarder/version.go
@@ -20,6 +20,8 @@
 type StreamBinder interface {
 	// Bind records that a stream of a group is about to begin at a target. It must not block.
 	Bind(group string, n pinner.Note)
+	// Joining returns the versions of a group at which no stream should begin yet, if it can begin elsewhere.
+	Joining(group string) []discoverer.Version
 	// Find returns the version that began a stream, and false if that is not certain.
 	Find(c context.Context, group string, s pinner.Stream) (discoverer.Version, bool)
 }
@@ -75,6 +77,15 @@
 	}
 }
 
+// joiningVersions returns the versions at which the stream of a call should not begin.
+func (f *Forwarder) joiningVersions(x *exchange) []discoverer.Version {
+	if x.stream == 0 || !x.rule.Resumable || x.lastEvent != "" {
+		return nil
+	}
+
+	return f.binder.Joining(x.group)
+}
+
 // mayGoOn reports whether the stream of a call may go on at another target: nothing was relayed, or it is known at
 // which version.
 func (x *exchange) mayGoOn() bool {
--- a/internal/forwarder/version_test.go
+++ b/internal/forwarder/version_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 	// version is that of all streams; zero if it is not known.
 	version discoverer.Version
 	asked   []pinner.Stream
+	// joining are the versions at which no stream should begin.
+	joining []discoverer.Version
 }
 
 func (b *streamBinder) Bind(_ string, n pinner.Note) {
@@ -40,6 +43,14 @@
 	return b.version, b.version != 0
 }
 
+// Joining implements forwarder.StreamBinder.
+func (b *streamBinder) Joining(string) []discoverer.Version {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.joining
+}
+
 // setVersions gives the targets software versions, in the order of their IDs; they are then in one data centre.
 func (g *gateway) setVersions(l ...string) {
 	g.update(func(e *discoverer.Discoverer) {
@@ -226,3 +237,51 @@
 
 	is.True(retries > 0)
 }
+
+// Guards against streams that begin at a version that has just joined: an instance that does not know of it would have them go on at
+// another one.
+func TestStreamsBeginAtKnownVersions(t *testing.T) {
+	for name, x := range map[string]struct {
+		path string
+		// versions are those of the targets, of which v2 has just joined.
+		versions []string
+		refusing bool
+		want     string
+	}{
+		"another version serves":         {"/resumable/", []string{"v2", "v1"}, false, "t1"},
+		"no other version":               {"/resumable/", []string{"v2", "v2"}, false, "t0"},
+		"the other version refuses":      {"/resumable/", []string{"v2", "v1"}, true, "t0"},
+		"a stream that can't be resumed": {"/stream/", []string{"v2", "v1"}, false, "t0"},
+		"no stream":                      {"/idempotent/", []string{"v2", "v1"}, false, "t0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			i := is.New(t)
+
+			var last atomic.Pointer[string]
+
+			serve := func(n net.Conn, s received) {
+				last.Store(&s.target)
+
+				if x.path == "/idempotent/" {
+					answerOK(n, s)
+				} else {
+					answerEvents(2)(n, s)
+				}
+			}
+			a, b := &target{answer: serve}, &target{answer: serve}
+
+			if x.refusing {
+				b.answer = answerWith("503 Service Unavailable", "", "Not-Run: 1")
+			}
+
+			g := newGateway(t, a, b)
+			g.setVersions(x.versions...)
+			g.forwarder.SetBinder(&streamBinder{joining: []discoverer.Version{discoverer.VersionOf("v2")}})
+
+			o := g.call(t, http.MethodPost, x.path+"x", "x")
+			i.NoErr(o.err)
+			i.Equal(o.status, http.StatusOK)
+			i.Equal(*last.Load(), x.want)
+		})
+	}
+}
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -54,6 +54,8 @@
 	listed map[discoverer.Version]bool
 	// gone holds when the last targets of other versions disappeared.
 	gone map[discoverer.Version]time.Time
+	// joined holds when the first targets of versions appeared beside those of others.
+	joined map[discoverer.Version]time.Time
 	// learned reports that another instance or the log has told which versions were in use before this process started.
 	learned bool
 }
@@ -191,7 +193,7 @@
 func (p *Pinner) group(name string) *use {
 	u := p.groups[name]
 	if u == nil {
-		u = &use{gone: make(map[discoverer.Version]time.Time)}
+		u = &use{gone: make(map[discoverer.Version]time.Time), joined: make(map[discoverer.Version]time.Time)}
 		p.groups[name] = u
 	}
 
@@ -212,9 +214,16 @@
 }
 
 func (u *use) replace(now time.Time, listed map[discoverer.Version]bool) {
+	for v := range listed {
+		if u.joins(now, v) {
+			u.joined[v] = now
+		}
+	}
+
 	for v := range u.listed {
 		if !listed[v] {
 			u.gone[v] = now
+			delete(u.joined, v)
 		}
 	}
 
@@ -225,6 +234,33 @@
 	u.listed = listed
 }
 
+// joins reports whether a version that is listed now was not in use before, while others were.
+func (u *use) joins(now time.Time, v discoverer.Version) bool {
+	at, ok := u.gone[v]
+
+	return len(u.listed) > 0 && !u.listed[v] && (!ok || now.Sub(at) >= retention)
+}
+
+// Joining returns the versions of a group that have been in use for less than a time, while others were in use before.
+func (p *Pinner) Joining(now time.Time, group string, d time.Duration) []discoverer.Version {
+	u := p.groups[group]
+	if u == nil {
+		return nil
+	}
+
+	var o []discoverer.Version
+
+	for v, at := range u.joined {
+		if now.Sub(at) < d {
+			o = append(o, v)
+		} else {
+			delete(u.joined, v)
+		}
+	}
+
+	return o
+}
+
 func (p *Pinner) mixedGroups(now time.Time) map[string]bool {
 	o := make(map[string]bool)
 
--- a/internal/pinner/pinner_test.go
+++ b/internal/pinner/pinner_test.go
@@ -269,3 +269,43 @@
 	p.Observe(start, registry("v1"))
 	is.Equal(p.InUse(start), map[string][]discoverer.Version{})
 }
+
+// Guards against streams that begin at a version of which instances do not know that count their lists as up to date.
+func TestJoiningVersions(t *testing.T) {
+	const fresh = 2 * time.Second
+
+	for name, x := range map[string]struct {
+		// registries follow each other every 10 s, the last one at the given time before the question.
+		registries [][]string
+		after      time.Duration
+		want       []string
+	}{
+		"the first list":               {[][]string{{"v1", "v2"}}, 0, nil},
+		"one version":                  {[][]string{{"v1"}, {"v1", "v1"}}, 0, nil},
+		"a second one":                 {[][]string{{"v1"}, {"v1", "v2"}}, fresh - 1, []string{"v2"}},
+		"a second one, later":          {[][]string{{"v1"}, {"v1", "v2"}}, fresh, nil},
+		"two more":                     {[][]string{{"v1"}, {"v1", "v2", "v3"}}, 0, []string{"v2", "v3"}},
+		"in place of the other":        {[][]string{{"v1"}, {"v2"}}, 0, []string{"v2"}},
+		"another target of it":         {[][]string{{"v1"}, {"v1", "v2"}, {"v1", "v2", "v2"}}, 0, nil},
+		"it has gone":                  {[][]string{{"v1"}, {"v1", "v2"}, {"v1"}}, 0, nil},
+		"it is back":                   {[][]string{{"v1"}, {"v1", "v2"}, {"v1"}, {"v1", "v2"}}, 0, nil},
+		"it is back after a minute":    {[][]string{{"v1", "v2"}, {"v1"}, {"v1"}, {"v1"}, {"v1"}, {"v1"}, {"v1"}, {"v1", "v2"}}, 0, []string{"v2"}},
+		"the first targets of a group": {[][]string{{}, {"v1"}}, 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := pinner.New()
+			n := start
+
+			for i, l := range x.registries {
+				n = start.Add(time.Duration(i) * 10 * time.Second)
+				p.Observe(n, registry(l...))
+			}
+
+			o := p.Joining(n.Add(x.after), "g", fresh)
+			slices.Sort(o)
+			is.Equal(o, versions(x.want...))
+			is.Equal(len(p.Joining(n, "another", fresh)), 0)
+		})
+	}
+}
--- a/internal/selector/selector.go
+++ b/internal/selector/selector.go
@@ -97,6 +97,8 @@
 	Centres map[string]bool
 	// Version is the software version of the targets that the call may be sent to; zero permits all.
 	Version discoverer.Version
+	// Avoid are the versions whose targets are ignored, unless the group has no others.
+	Avoid []discoverer.Version
 	// Leave are the versions whose targets are left to the calls that are bound to them, while other targets have room.
 	Leave []discoverer.Version
 	// ColdRate is how many calls a second a cold target of the group can serve; zero means no bound. ColdFor
@@ -125,6 +127,20 @@
 	return slices.DeleteFunc(slices.Clone(l), func(t *discoverer.Target) bool { return t.SoftwareVersion() != q.Version })
 }
 
+// withoutAvoided returns the targets of a group without those that are ignored.
+func (q *Query) withoutAvoided(l []*discoverer.Target) []*discoverer.Target {
+	if len(q.Avoid) == 0 {
+		return l
+	}
+
+	o := slices.DeleteFunc(slices.Clone(l), func(t *discoverer.Target) bool { return slices.Contains(q.Avoid, t.SoftwareVersion()) })
+	if len(o) == 0 {
+		return l
+	}
+
+	return o
+}
+
 // Choice is the target selected for a call.
 type Choice struct {
 	Target *discoverer.Target
@@ -221,7 +237,8 @@
 // Choose selects a target of a group for a call and counts the call at throttled or recovering targets. It
 // returns false if the group has no target that may be used.
 func (s *Selector) Choose(now time.Time, r *discoverer.Registry, group string, q Query) (Choice, bool) {
-	v := q.ofVersion(r.Groups[group])
+	targets := q.withoutAvoided(r.Groups[group])
+	v := q.ofVersion(targets)
 	g := v
 
 	if q.Sharded {
@@ -256,11 +273,11 @@
 		return o, false
 	}
 
-	o.Narrowed = (len(q.Prefixes) > 0 || q.Version != 0) && q.narrows(v, r.Groups[group])
+	o.Narrowed = (len(q.Prefixes) > 0 || q.Version != 0) && q.narrows(v, targets)
 
 	switch {
 	case o.Narrowed:
-		l = s.loadBaseline(now, l, s.candidates(now, r, r.Groups[group], &Query{}), &q)
+		l = s.loadBaseline(now, l, s.candidates(now, r, targets, &Query{}), &q)
 	case len(open) < len(all):
 		l = s.loadBaseline(now, l, all, &q)
 	}
