internal/gatekeeper: just after a stall the list of targets is not up to date

An answer of the platform that waited while the process stood still counted as a confirmation of now, and the list as up to date until the next read, up to some 0.2 s later. A stream that a caller took up then went on at the only version of that list.

Test: TestTargetsAreNotFreshAfterStall, which fails without the change.

--- a/internal/gatekeeper/state.go
+++ b/internal/gatekeeper/state.go
@@ -103,9 +103,10 @@
 	return time.Since(s.lastConfirmed()) < time.Duration(freshFraction*float64(s.applyWithin))
 }
 
-// targetsFresh reports whether the list of targets is up to date.
+// targetsFresh reports whether the list of targets is up to date. Just after a stall it is not: what the platform confirmed meanwhile may
+// have waited here all the time.
 func (s *state) targetsFresh() bool {
-	return time.Since(s.targetsConfirmed()) < s.applyWithin
+	return time.Since(s.targetsConfirmed()) < s.applyWithin && !s.Stalled(time.Now())
 }
 
 // Stalled implements forwarder.ClusterState.
--- a/internal/gatekeeper/state_test.go
+++ b/internal/gatekeeper/state_test.go
@@ -3,10 +3,13 @@
 import (
 	"strconv"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/cataloger"
+	"github.com/auburntray/auburntray/internal/detector"
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/watcher"
 )
@@ -124,3 +127,30 @@
 		return false
 	}
 }
+
+// Guards against a list of targets that counts as up to date since what the platform confirmed long ago is read only after a stall.
+func TestTargetsAreNotFreshAfterStall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newState()
+		f.applyWithin, f.targetsConfirmed = 2*time.Second, time.Now
+
+		run := func(d time.Duration) {
+			for e := time.Now().Add(d); time.Now().Before(e); time.Sleep(detector.TickInterval) {
+				f.recordTick()
+			}
+		}
+
+		run(time.Second)
+		is.True(f.targetsFresh())
+
+		time.Sleep(time.Second) // No tick.
+		is.True(!f.targetsFresh())
+
+		run(2 * detector.TickInterval)
+		is.True(!f.targetsFresh())
+
+		run(time.Second)
+		is.True(f.targetsFresh())
+	})
+}
