internal/router: tests of broken answers wait for their targets

The fleet of the test publishes a first revision without targets and then one with them; the router was only awaited until it had any revision, and the calls came before the second. They wait for the second now; what they check is the same.

--- a/internal/router/invalid_test.go
+++ b/internal/router/invalid_test.go
@@ -11,8 +11,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/auburntray/auburntray/internal/counter"
 	"github.com/auburntray/auburntray/internal/exchanger"
 	"github.com/auburntray/auburntray/internal/standin/garbler"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // Guards against an answer that is not valid HTTP and that a caller gets as an answer, with another status or none.
@@ -35,9 +37,8 @@
 				i := is.New(t)
 				f := newFleet(t, 0, 0)
 				f.addTarget("s0", "service", f.serve(garbler.Serve(func(*http.Request) string { return b })))
-				f.publish(1)
 
-				r := f.add("dc-1").do(t.Context(), method, "/x", "k", "")
+				r := f.addPublished(f.publish(1)).do(t.Context(), method, "/x", "k", "")
 				i.NoErr(r.err)
 				i.True(r.status == http.StatusBadGateway || r.status == http.StatusServiceUnavailable)
 				i.True(r.body != garbler.Body)
@@ -47,6 +48,16 @@
 	}
 }
 
+// addPublished starts a router and waits until it has a revision of the configuration.
+func (f *fleet) addPublished(revision uint64) *instance {
+	f.t.Helper()
+
+	n := f.add("dc-1")
+	waiter.Until(f.t, "the published revision", func() bool { return n.metric(counter.Revision) >= int64(revision) })
+
+	return n
+}
+
 // Guards against a part of an answer that looks whole since its target ended the connection while the call was still being sent.
 func TestUnframedAnswerDuringUpload(t *testing.T) {
 	const length = 7 << 20
@@ -73,9 +84,8 @@
 				_, _ = io.WriteString(n, "HTTP/1.1 200 OK\r\n\r\npart") // The router may have left.
 				_ = end(n.(*net.TCPConn))
 			})))
-			f.publish(1)
 
-			r := f.add("dc-1").do(t.Context(), http.MethodPost, "/x", "k", strings.Repeat("x", length))
+			r := f.addPublished(f.publish(1)).do(t.Context(), http.MethodPost, "/x", "k", strings.Repeat("x", length))
 			i.NoErr(r.err)
 			i.Equal(r.status, http.StatusBadGateway)
 			i.Equal(r.outcome(), string(exchanger.Unknown))
