internal/filterer: a failure that is sent as a stream keeps its status

A router passed on an engine's 404 with content type text/event-stream as a success, 200 with the events of the failure.

Cause: an answer to a chat completion was relayed as a stream by its content type alone, and streams are begun with 200.

Only an answer with status 200 is a stream; any other is buffered and keeps its status. router.TestFailedStreamKeepsItsStatus failed before (200 for 404) and passes.

--- a/internal/filterer/relay.go
+++ b/internal/filterer/relay.go
@@ -53,7 +53,8 @@
 
 	var err error
 
-	if x.ChatCompletion && strings.HasPrefix(x.Response.Header.Get("Content-Type"), "text/event-stream") {
+	// A stream is relayed with status 200. An answer with another status must keep its own.
+	if x.ChatCompletion && x.Response.StatusCode == http.StatusOK && strings.HasPrefix(x.Response.Header.Get("Content-Type"), "text/event-stream") {
 		err = r.stream(c, x)
 	} else {
 		err = r.buffer(c, x)
--- a/internal/router/invalid_test.go
+++ b/internal/router/invalid_test.go
@@ -92,3 +92,17 @@
 		})
 	}
 }
+
+// Guards against a failure that an engine sends as a stream of events, and that a caller gets as a success.
+func TestFailedStreamKeepsItsStatus(t *testing.T) {
+	const failure = "HTTP/1.1 404 Not Found\r\nContent-Type: text/event-stream\r\nConnection: close\r\nContent-Length: 14\r\n\r\ndata: [DONE]\n\n"
+
+	i := is.New(t)
+	f := newFleet(t, 0, 0)
+	f.addTarget("e0", "engine", f.serve(garbler.Serve(func(*http.Request) string { return failure })))
+
+	r := f.addPublished(f.publish(1)).chat(t.Context(), "question", 3, true)
+	i.NoErr(r.err)
+	i.Equal(r.status, http.StatusNotFound)
+	i.Equal(r.body, "data: [DONE]\n\n")
+}
