--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -158,9 +158,7 @@
 	n := r.listeners
 	r.mu.Unlock()
 
-	const first = 100
-
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("%s.%d:0", r.net, first+n))
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", r.host(n)+":0")
 	if err != nil {
 		return "", err
 	}
@@ -177,6 +175,13 @@
 	return l.Addr().String(), nil
 }
 
+// host returns the address of the nth stand-in.
+func (r *rig) host(n int) string {
+	const first = 100
+
+	return fmt.Sprintf("%s.%d", r.net, first+n)
+}
+
 // configure writes a configuration to the store.
 func (r *rig) configure(version int, services []string, routes []map[string]any) error {
 	var l []any
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -56,6 +56,23 @@
 	return s, s.register("ready")
 }
 
+// newServerBehind starts a server behind a path that can be cut, and registers the address of the path.
+func (r *rig) newServerBehind(s *server) (*proxy, error) {
+	a, err := r.serve(s)
+	if err != nil {
+		return nil, err
+	}
+
+	p, err := r.newProxy(a)
+	if err != nil {
+		return nil, err
+	}
+
+	s.rig, s.address = r, p.address
+
+	return p, s.register("ready")
+}
+
 // register writes the server's entry.
 func (s *server) register(state string) error {
 	b, err := json.Marshal(map[string]any{
