--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -42,7 +42,7 @@
 
 // run plays the case that the arguments name, and writes its record to the file that they name.
 func run(args []string) (bool, error) {
-	plays := map[string]play{"pause": playPause, "twice": playTwice, "late": playLate}
+	plays := map[string]play{"pause": playPause, "twice": playTwice, "late": playLate, "versions": playVersions}
 
 	const wanted = 2
 	if len(args) != wanted || plays[args[0]] == nil {
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,6 +25,8 @@
 	zone, address    string
 	slots            int
 	work, eventPause time.Duration
+	// version is that of its software.
+	version string
 	// keeps is set if the server goes on with a request whose channel was closed.
 	keeps bool
 
@@ -76,7 +79,7 @@
 // register writes the server's entry.
 func (s *server) register(state string) error {
 	b, err := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": "1", "slots": s.slots, "state": state,
+		"service": s.service, "address": s.address, "zone": s.zone, "version": cmp.Or(s.version, "v1"), "slots": s.slots, "state": state,
 		"coldRemainingMs": 0, "sequence": 1, "born": s.rig.start.UnixMilli(),
 	})
 	if err != nil {
--- a/review/rig/twice.go
+++ b/review/rig/twice.go
@@ -13,7 +13,7 @@
 	twiceOverlap = 400 * time.Millisecond
 )
 
-// playTwice has a server make no events for 2.4 s. It goes on with a request whose channel is closed, as some servers do. Rule TWICE: no
+// playTwice has a server make no events for 1.4 s. It goes on with a request whose channel is closed, as some servers do. Rule TWICE: no
 // request goes on at another server while the server before still works on it 400 ms later.
 func playTwice(r *rig, trouble bool) (bool, error) {
 	servers, err := r.startPause(pauseSlots, true)
