--- a/review/rig/late.go
+++ b/review/rig/late.go
@@ -72,11 +72,11 @@
 
 	r.logf("the path to server i-1 is cut for %s", lateCut)
 
-	if err := paths[0].cut(lateCut); err != nil {
+	healed, err := paths[0].cut(lateCut)
+	if err != nil {
 		return false, err
 	}
 
-	healed := time.Now()
 	r.logf("the path to server i-1 is open")
 	time.Sleep(lateReport)
 
--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -79,17 +79,18 @@
 	_ = p.listener.Close() // It may be closed.
 }
 
-// cut cuts the path for a time.
-func (p *proxy) cut(d time.Duration) error {
+// cut cuts the path for a time, and returns when it was open again.
+func (p *proxy) cut(d time.Duration) (time.Time, error) {
 	p.mu.Lock()
 	p.cutFrom = time.Now()
 	p.cutTo = p.cutFrom.Add(d)
+	to := p.cutTo
 	p.mu.Unlock()
 
 	p.closeListener()
-	time.Sleep(d)
+	time.Sleep(time.Until(to))
 
-	return p.listen(p.address)
+	return to, p.listen(p.address)
 }
 
 // delay returns how long it takes until what is sent now arrives.
