review/rig: the records say what ran

Cause: the records of two cases had only what the clients saw. Change: they list what reached the servers.

--- a/review/rig/late.go
+++ b/review/rig/late.go
@@ -155,6 +155,7 @@
 		}
 	}
 
+	r.logRuns(l)
 	r.logf("%d requests reached the leaving server too late", late)
 
 	return late > 0
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -51,7 +51,7 @@
 func (r *rig) newServer(s *server) (*server, error) {
 	var err error
 
-	s.rig = r
+	s.rig, s.version = r, cmp.Or(s.version, "v1")
 	if s.address, err = r.serve(s); err != nil {
 		return nil, err
 	}
@@ -71,7 +71,7 @@
 		return nil, err
 	}
 
-	s.rig, s.address = r, p.address
+	s.rig, s.address, s.version = r, p.address, cmp.Or(s.version, "v1")
 
 	return p, s.register("ready")
 }
@@ -79,7 +79,7 @@
 // register writes the server's entry.
 func (s *server) register(state string) error {
 	b, err := json.Marshal(map[string]any{
-		"service": s.service, "address": s.address, "zone": s.zone, "version": cmp.Or(s.version, "v1"), "slots": s.slots, "state": state,
+		"service": s.service, "address": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": state,
 		"coldRemainingMs": 0, "sequence": 1, "born": s.rig.start.UnixMilli(),
 	})
 	if err != nil {
@@ -136,6 +136,15 @@
 	return append([]arrival(nil), s.arrivals...)
 }
 
+// logRuns writes which requests have reached servers.
+func (r *rig) logRuns(l []*server) {
+	for _, s := range l {
+		for _, a := range s.seen() {
+			r.logf("server %s (%s): request %s arrived at %.3f: %s until %.3f", s.id, s.version, a.id, r.since(a.at), a.outcome, r.since(a.ended))
+		}
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	h := w.Header()
--- a/review/rig/versions.go
+++ b/review/rig/versions.go
@@ -60,12 +60,13 @@
 	})
 
 	if trouble {
-		if err := r.freeze(servers); err != nil {
+		if err := v.freeze(servers); err != nil {
 			return false, err
 		}
 	}
 
 	v.running.Wait()
+	r.logRuns(append(servers, v.joined...))
 
 	return v.judge(), nil
 }
@@ -112,7 +113,9 @@
 }
 
 // freeze has the first instance stand still, half of the servers are replaced by those of a newer version, one after the other.
-func (r *rig) freeze(servers []*server) error {
+func (v *versionClients) freeze(servers []*server) error {
+	r := v.rig
+
 	if err := r.signal(r.gateways[0], syscall.SIGSTOP); err != nil {
 		return err
 	}
@@ -126,6 +129,8 @@
 			return err
 		}
 
+		v.joined = append(v.joined, s)
+
 		r.logf("server %s of version v2 is ready", s.id)
 
 		if err := servers[i].register("draining"); err != nil {
@@ -141,7 +146,9 @@
 
 // versionClients are the clients of the case.
 type versionClients struct {
-	rig     *rig
+	rig *rig
+	// joined are the servers of the newer version.
+	joined  []*server
 	running sync.WaitGroup
 
 	mu sync.Mutex
