--- a/review/rig/twice.go
+++ b/review/rig/twice.go
@@ -16,7 +16,7 @@
 // playTwice has a server make no events for 1.4 s. It goes on with a request whose channel is closed, as some servers do. Rule TWICE: no
 // request goes on at another server while the server before still works on it 400 ms later.
 func playTwice(r *rig, trouble bool) (bool, error) {
-	servers, err := r.startPause(pauseSlots, true)
+	servers, err := r.startPause(pauseSlots, 0, true)
 	if err != nil {
 		return false, err
 	}
