internal/forwarder: a call leaves a silent target once another one has taken it

Cause: the attempt at the silent target was ended if there had been another usable target as it began. Only then was one sought, and it refused.

Change: another target with a free slot takes the call first (reservation, quarantine, budget, then the call itself); the attempt before ends when that one answers or has not refused for 0.2 s, and goes on if it refuses or fails or none has room. All paths: within a stream, before its first event, buffered answers, delegated calls, which all go through the same attempt.

--- a/internal/forwarder/attempt.go
+++ b/internal/forwarder/attempt.go
@@ -49,20 +49,23 @@
 	}
 	defer f.releaseTicket(x)
 
-	var last result
+	var (
+		last result
+		next *successor
+	)
 
 	for {
-		t, ok := f.choose(c, x)
+		t, ok := f.nextChoice(c, x, next)
 		if !ok {
 			return f.finalAnswer(c, x, last)
 		}
 
-		last = f.attempt(c, x, t)
+		last, next = f.attempt(c, x, t, next)
 		if last.err == nil {
 			return nil
 		}
 
-		retry := c.Err() == nil && f.mayRetry(x, last)
+		retry := next != nil || c.Err() == nil && f.mayRetry(x, last)
 
 		logrus.WithFields(x.logFields()).WithFields(f.budgetFields(x.group)).WithFields(logrus.Fields{
 			"event": "attemptFailed", "target": t.Target.ID, "address": t.Target.Address, "notRun": last.notRun, "error": last.err,
@@ -75,6 +78,15 @@
 	}
 }
 
+// nextChoice returns the target of a successor or, if there is none, selects one.
+func (f *Forwarder) nextChoice(c context.Context, x *exchange, s *successor) (selector.Choice, bool) {
+	if s != nil {
+		return s.choice, true
+	}
+
+	return f.choose(c, x)
+}
+
 // countCall counts a call of a group towards the retry budget.
 func (f *Forwarder) countCall(group string) {
 	f.mu.Lock()
@@ -123,7 +135,7 @@
 		return false
 	}
 
-	return x.repeatTaken.Swap(false) || f.takeRepeat(x.group)
+	return f.takeRepeat(x.group)
 }
 
 // takeRepeat reports whether the retry budget allows a repeat, and consumes it if so.
@@ -217,29 +229,50 @@
 	return !x.rule.Repeatable() && impliesNotRun(status)
 }
 
-// attempt sends a call to one target and relays the answer.
-func (f *Forwarder) attempt(c context.Context, x *exchange, t selector.Choice) result {
-	c, s := f.tracer.Start(c, "attempt")
+// attempt is one attempt to have a call answered.
+type attempt struct {
+	choice selector.Choice
+	// handover moves the call to another target; nil if it can't be sent again.
+	handover *handover
+	// successor has the answer if the call was sent while an earlier attempt went on; nil otherwise.
+	successor *successor
+}
+
+// attempt sends a call to one target, or takes over what was sent there, and relays the answer. If it fails, it returns the attempt at another
+// target that takes over, if there is one.
+func (f *Forwarder) attempt(call context.Context, x *exchange, t selector.Choice, taken *successor) (result, *successor) {
+	call, s := f.tracer.Start(call, "attempt")
 	defer s.End()
 
-	c, stop := context.WithCancelCause(c)
+	c, stop := context.WithCancelCause(call)
+	if taken != nil {
+		c, stop = taken.context, taken.stop
+	}
 	defer stop(nil)
 
-	var r result
-
 	x.tried = append(x.tried, t.Target.ID)
 	x.choice = t
 	x.delegate = netip.AddrPort{}
 	x.reply = Reply{}
 	x.attemptStart = time.Now()
 
+	if taken != nil {
+		x.attemptStart = taken.start
+	}
+
+	m := attempt{choice: t, handover: f.newHandover(call, x, stop), successor: taken}
+
+	var r result
+
 	if x.rule.Kind == cataloger.Stream {
 		f.bindStream(x, t)
-		r = f.streamAttempt(c, stop, x, t)
+		r = f.streamAttempt(c, x, m)
 	} else {
-		r = f.bufferedAttempt(c, stop, x, t)
+		r = f.bufferedAttempt(c, x, m)
 	}
 
+	next := m.handover.end(x, r.err != nil && call.Err() == nil)
+
 	if f.detectCrash(c, x, t, r) {
 		r.outcome = selector.Crashed
 	}
@@ -266,7 +299,16 @@
 	f.reportHealth(f.finishAttempt(t, r, x.relayed), logrus.Fields{"id": x.call.ID, "error": r.err})
 	x.reservation.end(f.evidence(x, t, r.outcome))
 
-	return r
+	return r, next
+}
+
+// receive returns the answer of a target to a call: that of the successor, or of a call that is sent now.
+func (f *Forwarder) receive(c context.Context, x *exchange, m attempt) (*http.Response, Reply, result) {
+	if m.successor != nil {
+		return x.takeOver(m.successor)
+	}
+
+	return f.send(c, x, m.choice)
 }
 
 // timedOut reports whether an attempt failed because a time-out set by this instance expired.
--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -26,8 +26,6 @@
 	streamWaitFactor = 1.5
 )
 
-var errSlow = errors.New("target too slow; attempt abandoned")
-
 // bufferedAnswer is an answer that was read to its end.
 type bufferedAnswer struct {
 	status int
@@ -51,13 +49,12 @@
 
 // bufferedAttempt makes an attempt whose answer is read completely before any part of it is relayed,
 // so that the call can be sent again if the answer is incomplete.
-func (f *Forwarder) bufferedAttempt(c context.Context, stop context.CancelCauseFunc, x *exchange, t selector.Choice) result {
-	g := newStepTimer(f.slowAttempt(x, t, stop))
-	defer g.stop()
+func (f *Forwarder) bufferedAttempt(c context.Context, x *exchange, m attempt) result {
+	t := m.choice
 
-	g.set(f.firstPartTimeout(x))
+	m.handover.await(f.firstPartTimeout(x))
 
-	a, p, r := f.send(c, x, t)
+	a, p, r := f.receive(c, x, m)
 	if r.err != nil {
 		return r
 	}
@@ -70,7 +67,9 @@
 
 	b, err := f.readAnswer(x, a)
 	if errors.Is(err, accountant.ErrExhausted) && f.mayRelayUnfinished(x, a) {
-		g.stop() // From now on the call can't be sent to another target.
+		if !m.handover.pause() {
+			return result{err: errors.Mark(errSlow, errBroken), outcome: selector.Failed}
+		}
 
 		return f.relayUnfinished(c, x, t, a, b)
 	}
@@ -118,20 +117,6 @@
 	return time.Duration(w * float64(x.rule.Latency))
 }
 
-// slowAttempt returns the function to call when the current attempt takes too long. It cancels the attempt if the call
-// can be sent to another target, and then consumes the retry budget for that. Otherwise it lets the attempt continue, since
-// a late answer is better than none. It may be called in another goroutine than the call's.
-func (f *Forwarder) slowAttempt(x *exchange, t selector.Choice, stop context.CancelCauseFunc) func() {
-	group, taken := x.group, &x.repeatTaken
-
-	return func() {
-		if t.Usable > 1 && f.takeRepeat(group) {
-			taken.Store(true)
-			stop(errSlow)
-		}
-	}
-}
-
 // setLength sets the length that an answer without a body states, if it does.
 func setLength(to, from http.Header) {
 	if l := from.Get("Content-Length"); l != "" {
--- a/internal/forwarder/exchange.go
+++ b/internal/forwarder/exchange.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -20,7 +19,7 @@
 	"github.com/auburntray/auburntray/internal/selector"
 )
 
-// exchange is the state of one call. Only the goroutine that serves the call uses it.
+// exchange is the state of one call. Only the goroutine that serves the call uses it; an attempt that may take over has a copy.
 type exchange struct {
 	writer  http.ResponseWriter
 	request *http.Request
@@ -60,8 +59,6 @@
 	// the call was sent.
 	tried []string
 	sent  int
-	// repeatTaken is set when the retry budget for the next attempt has been consumed.
-	repeatTaken atomic.Bool
 	// excluded are those of tried that are not to be selected again. A target that this instance could not connect to
 	// may be selected for the call to be sent through another instance.
 	excluded []string
--- a/internal/forwarder/reservation.go
+++ b/internal/forwarder/reservation.go
@@ -188,27 +188,41 @@
 	return t, ok
 }
 
-// reserve requests a slot from the home node of a target. No slot is needed at a target that does
-// not report its number of slots, since the home node has no bound to enforce.
+// reserve requests a slot from the home node of a target.
 func (f *Forwarder) reserve(c context.Context, x *exchange, t selector.Choice, s *searcher.Searcher) {
-	x.reservation = reservation{}
-
-	if f.reserver == nil || t.Target.Slots == 0 {
-		return
+	n := s.MaxCalls(t.Bound)
+	if t.MaxCalls > 0 {
+		n = min(n, t.MaxCalls)
 	}
 
-	n := s.MaxCalls(t.Bound)
+	f.requestSlot(c, x, t, aggregator.Request{MaxCalls: n, AllowExcluded: s.AllowExcluded(), Exact: t.MaxCalls > 0 || t.Narrowed})
+}
+
+// reserveExactly requests a slot in which the target runs the call at once.
+func (f *Forwarder) reserveExactly(c context.Context, x *exchange, t selector.Choice) {
+	n := t.Target.Slots
 	if t.MaxCalls > 0 {
 		n = min(n, t.MaxCalls)
 	}
 
-	x.reservation.verdict, x.reservation.release = f.reserver.Reserve(c, t.Target, aggregator.Request{
-		MaxCalls: n, Deadline: x.deadline, MedianLatency: t.MedianLatency, AllowExcluded: s.AllowExcluded(), Exact: t.MaxCalls > 0 || t.Narrowed,
-	})
+	f.requestSlot(c, x, t, aggregator.Request{MaxCalls: n, Exact: true})
+}
+
+// requestSlot requests a slot from the home node of a target, with the bound and the conditions of a request. No slot is needed at a target
+// that does not report its number of slots, since the home node has no bound to enforce.
+func (f *Forwarder) requestSlot(c context.Context, x *exchange, t selector.Choice, q aggregator.Request) {
+	x.reservation = reservation{}
+
+	if f.reserver == nil || t.Target.Slots == 0 {
+		return
+	}
+
+	q.Deadline, q.MedianLatency = x.deadline, t.MedianLatency
+	x.reservation.verdict, x.reservation.release = f.reserver.Reserve(c, t.Target, q)
 	f.meter.Reservation(x.group, x.reservation.verdict.Outcome.String())
 
 	// In a small fleet the home counts only the calls with slots, until it is told of the others.
-	if t.Narrowed {
+	if q.Exact && t.MaxCalls == 0 {
 		f.correctHome(x, t.Target, int(t.Load))
 	}
 
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -25,13 +25,12 @@
 const maxTrialOfStream = time.Second
 
 // streamAttempt makes an attempt whose answer is relayed event by event.
-func (f *Forwarder) streamAttempt(c context.Context, stop context.CancelCauseFunc, x *exchange, t selector.Choice) result {
-	g := newStepTimer(f.slowAttempt(x, t, stop))
-	defer g.stop()
+func (f *Forwarder) streamAttempt(c context.Context, x *exchange, m attempt) result {
+	t := m.choice
 
-	g.set(f.firstPartTimeout(x))
+	m.handover.await(f.firstPartTimeout(x))
 
-	a, p, r := f.send(c, x, t)
+	a, p, r := f.receive(c, x, m)
 	if r.err != nil {
 		return r
 	}
@@ -63,6 +62,10 @@
 			return result{err: errors.Mark(errors.Newf("event %q came after %q", id, x.lastEvent), errBroken), outcome: selector.Failed}
 		}
 
+		if !m.handover.pause() {
+			return result{err: errors.Mark(errSlow, errBroken), outcome: selector.Failed}
+		}
+
 		if first {
 			f.confirmPlacements(x, t)
 		}
@@ -92,7 +95,7 @@
 			_ = http.NewResponseController(x.writer).Flush() // The next write fails if the caller disconnected.
 		}
 
-		g.set(f.eventTimeout(x))
+		m.handover.resume(x, f.eventTimeout(x))
 
 		if !x.trialEndsAt.IsZero() && x.lastRelay.After(x.trialEndsAt) {
 			x.finishTrial()
@@ -169,31 +172,3 @@
 
 	return err == nil && b == a+1
 }
-
-// stepTimer calls a function when the next step of an attempt takes too long.
-type stepTimer struct {
-	expired func()
-	timer   *time.Timer
-}
-
-func newStepTimer(expired func()) *stepTimer {
-	return &stepTimer{expired: expired}
-}
-
-// set bounds the next step; zero removes the bound.
-func (g *stepTimer) set(d time.Duration) {
-	switch {
-	case d <= 0:
-		g.stop()
-	case g.timer == nil:
-		g.timer = time.AfterFunc(d, g.expired)
-	default:
-		g.timer.Reset(d)
-	}
-}
-
-func (g *stepTimer) stop() {
-	if g.timer != nil {
-		g.timer.Stop()
-	}
-}
