internal/binder: recorders are told of each stream, with one version too

Cause: with one version nobody was told where streams begin; when a second one appears each instance told the recorders of its recent streams, which one that stands still can't.

Change: a message of its own, kept in memory, always; what is written to the log stays as it was, and when a second version appears a recorder writes the recent notes of others too. MustTell is MustWrite now.

--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -3,7 +3,8 @@
 // log outside of the instances, so that it is known when all instances have been killed.
 //
 // Recorders need no consensus: each writes its own records, and a stream of which nothing is known does not go on. They are told
-// where streams begin while several versions of a group are in use, and of all streams begun shortly before when a second one appears.
+// where each stream begins, as a second version may appear while the instance that has begun it is gone. They write that to the log while
+// several versions of a group are in use, and all streams begun shortly before when a second one appears.
 //
 // The versions in use of each group are in the log always, also one alone. A process that starts reads them, or asks a recorder for
 // them, and tells the recorders where streams begin until it knows them. If another version is listed, or nothing is recorded, it does not take the
@@ -121,34 +122,48 @@
 	b.tell(l)
 }
 
-// recent returns the notes of the streams of some groups that this instance began not long ago. The mutex must be held.
+// recent returns the notes of the streams of some groups that this instance began not long ago. A recorder writes those of others, whose
+// instances may be gone. The mutex must be held.
 func (b *Binder) recent(now time.Time, groups []string) []pinner.Note {
 	var l []pinner.Note
 	for _, g := range groups {
 		l = append(l, b.pinner.Recent(now, g)...)
 	}
 
+	if len(groups) == 0 || !b.selectRecorders(now).Recording() {
+		return l
+	}
+
+	for _, g := range groups {
+		for _, n := range b.pinner.Told(now, g) {
+			b.archive.add(now, n)
+		}
+	}
+
 	return l
 }
 
-// Bind records that a stream of a group is about to begin at a target with a version, and tells the recorders of the stream
-// if the group has several versions, or may have had. It does not block.
+// Bind records that a stream of a group is about to begin at a target with a version, and tells the recorders of the stream. They write
+// it to the log if the group has several versions, or may have had. It does not block.
 func (b *Binder) Bind(group string, n pinner.Note) {
 	now := time.Now()
 
 	b.mu.Lock()
 	before, ok := b.pinner.Find(now, n.Stream)
 	b.pinner.RecordOwn(now, group, n)
-	must := b.pinner.MustTell(now, group)
+	write := b.pinner.MustWrite(now, group)
 	b.mu.Unlock()
 
 	if ok && before.Version != n.Version {
 		b.archive.hurry()
 	}
 
-	if must {
-		b.tell([]pinner.Note{n})
+	k := wire.KindStreamsBegun
+	if write {
+		k = wire.KindStreamVersions
 	}
+
+	b.send(k, []pinner.Note{n})
 }
 
 // joinMargin is added to the time for which a version joins: a process may stand still for so long unnoticed.
@@ -172,11 +187,21 @@
 	return b.pinner.Len()
 }
 
-// HandleVersions handles notes of another instance.
+// HandleVersions handles notes of another instance. A recorder writes them to the log.
 func (b *Binder) HandleVersions(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
+	return nil, b.record(body, true)
+}
+
+// HandleBegun handles notes of another instance that are kept in memory.
+func (b *Binder) HandleBegun(_ context.Context, _ uint64, body []byte) (msgp.Marshaler, error) {
+	return nil, b.record(body, false)
+}
+
+// record records notes of another instance, and writes them if this one is a recorder and write is set.
+func (b *Binder) record(body []byte, write bool) error {
 	var w wire.StreamVersions
 	if _, err := w.UnmarshalMsg(body); err != nil {
-		return nil, errors.Mark(err, ErrBinding)
+		return errors.Mark(err, ErrBinding)
 	}
 
 	n := time.Now()
@@ -184,23 +209,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	recording := b.selectRecorders(n).Recording()
+	write = write && b.selectRecorders(n).Recording()
 
 	for _, x := range w.Streams {
 		o := noteOf(x)
 		before, ok := b.pinner.Find(n, o.Stream)
 		b.pinner.Record(n, o)
 
-		if recording {
+		if write {
 			b.archive.add(n, o)
 		}
 
-		if recording && ok && before.Version != o.Version {
+		if write && ok && before.Version != o.Version {
 			b.archive.hurry()
 		}
 	}
 
-	return nil, nil //nolint:nilnil // It has no reply.
+	return nil
 }
 
 // selectRecorders returns the present recorders. The mutex must be held.
@@ -212,8 +237,13 @@
 	return b.recorders
 }
 
-// tell sends each note to recorders of its stream.
+// tell sends each note to recorders of its stream, which write it to the log.
 func (b *Binder) tell(l []pinner.Note) {
+	b.send(wire.KindStreamVersions, l)
+}
+
+// send sends each note to recorders of its stream, in messages of a kind.
+func (b *Binder) send(k wire.Kind, l []pinner.Note) {
 	if len(l) == 0 {
 		return
 	}
@@ -226,7 +256,7 @@
 	r := b.selectRecorders(now)
 
 	for _, n := range l {
-		if r.Recording() {
+		if k == wire.KindStreamVersions && r.Recording() {
 			b.archive.add(now, n)
 		}
 
@@ -244,7 +274,7 @@
 	b.mu.Unlock()
 
 	for id, w := range byRecorder {
-		go b.send(members[id], w)
+		go b.sendTo(members[id], k, w)
 	}
 }
 
@@ -253,12 +283,18 @@
 	return uint32(min(max(n.Attempt, 0), math.MaxInt32))
 }
 
-func (b *Binder) send(m gossiper.Member, w *wire.StreamVersions) {
+func (b *Binder) sendTo(m gossiper.Member, k wire.Kind, w *wire.StreamVersions) {
 	c, stop := context.WithTimeout(context.Background(), sendTimeout)
 	defer stop()
 
-	if err := b.messenger.Send(c, m.Address, wire.KindStreamVersions, w); err != nil {
-		logrus.WithFields(logrus.Fields{"event": "streamRecorderNotTold", "peer": m.Address, "error": err}).Debug()
+	err := b.messenger.Send(c, m.Address, k, w)
+	if err == nil {
+		return
+	}
+
+	logrus.WithFields(logrus.Fields{"event": "streamRecorderNotTold", "peer": m.Address, "error": err}).Debug()
+
+	if k == wire.KindStreamVersions {
 		b.archiveAll(w)
 	}
 }
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -104,6 +104,7 @@
 		Centres: slices.Collect(maps.Keys(s.Regions)), Fresh: f.targetsFresh, FreshTime: s.applyWithin(), WritesPerSecond: s.StoreWrites,
 	})
 	m.Handle(wire.KindStreamVersions, b.HandleVersions)
+	m.Handle(wire.KindStreamsBegun, b.HandleBegun)
 	m.Handle(wire.KindVersion, b.HandleEarlierRequest)
 	m.Handle(wire.KindStreamVersion, b.HandleRequest)
 
@@ -237,7 +238,7 @@
 		"reserve": wire.KindReserve, "vacate": wire.KindVacate, "occupancy": wire.KindOccupancy,
 		"suspects": wire.KindSuspects, "suspects_relay": wire.KindSuspectsRelay, "suspects_request": wire.KindSuspectsRequest,
 		"trial": wire.KindTrial, "capacity": wire.KindCapacity, "delegation": wire.KindDelegation,
-		"stream_versions": wire.KindStreamVersions, "version": wire.KindVersion, "stream_version": wire.KindStreamVersion,
+		"stream_versions": wire.KindStreamVersions, "streams_begun": wire.KindStreamsBegun, "version": wire.KindVersion, "stream_version": wire.KindStreamVersion,
 	} {
 		p.Meter.RegisterGauge("control_bytes_sent_"+name, func() float64 { return float64(m.Traffic().SentOf(k)) })
 	}
--- a/internal/pinner/pinner.go
+++ b/internal/pinner/pinner.go
@@ -273,8 +273,7 @@
 	return o
 }
 
-// Mixed reports whether several versions of a group are in use, so that others must be told at which of them a stream
-// begins.
+// Mixed reports whether several versions of a group are in use, so that it must be written at which of them a stream begins.
 func (p *Pinner) Mixed(now time.Time, group string) bool {
 	return len(p.Versions(now, group)) > 1
 }
@@ -289,9 +288,24 @@
 	return o
 }
 
-// MustTell reports whether others must be told at which version a stream of a group begins: several are in use, or
+// Told returns the notes of others on streams that began not long ago at versions of a group that are in use.
+func (p *Pinner) Told(now time.Time, group string) []Note {
+	var o []Note
+
+	l := p.Versions(now, group)
+
+	for _, x := range p.order {
+		if r := p.notes[x.Stream]; !r.own && now.Sub(r.at) < recentTime && slices.Contains(l, r.Version) {
+			o = append(o, r.Note)
+		}
+	}
+
+	return o
+}
+
+// MustWrite reports whether it must be written at which version a stream of a group begins: several are in use, or
 // count as such at instances that have just started, or may be, as this one has.
-func (p *Pinner) MustTell(now time.Time, group string) bool {
+func (p *Pinner) MustWrite(now time.Time, group string) bool {
 	return p.Mixed(now, group) || !p.Complete(now, group) || len(p.groups[group].gone) > 0
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -85,6 +85,9 @@
 	KindProbe
 	// KindStreamVersion requests the software version that began a stream from an instance that writes notes to the log.
 	KindStreamVersion
+	// KindStreamsBegun reports, with a body like that of KindStreamVersions, streams of groups with one software version. They are
+	// kept in memory only.
+	KindStreamsBegun
 	// Kinds is the number of kinds.
 	Kinds
 )
