internal/verifier: a request that was given up is discarded

Cause: an attempt that is given up closes its connection without a reset, and the system sends again what a cut has held up until it arrives.

Change: the connection is closed with a reset if the context of its request has ended before the answer was read to its end. All transports dial through verifier.Watch, so it holds for targets, delegates, the router's targets, and the store too.

--- a/internal/verifier/conn.go
+++ b/internal/verifier/conn.go
@@ -11,7 +11,8 @@
 // Dial makes a connection.
 type Dial func(c context.Context, network, address string) (net.Conn, error)
 
-// Watch returns a Dial that makes the same connections, for the transport of a Verifier. It then knows whether anything was written.
+// Watch returns a Dial that makes the same connections, for the transport of a Verifier. It then knows whether anything was written, and
+// a request that is given up does not arrive later.
 func Watch(d Dial) Dial {
 	return func(c context.Context, network, address string) (net.Conn, error) {
 		n, err := d(c, network, address)
@@ -23,11 +24,13 @@
 	}
 }
 
-// conn is a connection that counts the bytes written and remembers a write that failed.
+// conn is a connection that counts the bytes written, remembers a write that failed, and is reset if its request was given up.
 type conn struct {
 	net.Conn
 
 	written atomic.Int64
+	// current is the request in progress; nil if the last one was answered.
+	current atomic.Pointer[sending]
 	// mu is held during a write, and guards failed.
 	mu     sync.Mutex
 	failed bool
@@ -54,6 +57,23 @@
 	return n.failed
 }
 
+// Close implements net.Conn. After a request that was given up it resets the connection: what a network partition has held up of the request
+// would be sent again by the system, and reach the server long after the request was answered elsewhere.
+func (n *conn) Close() error {
+	if s := n.current.Load(); s != nil && s.givenUp() {
+		n.discard()
+	}
+
+	return n.Conn.Close()
+}
+
+// discard has Close reset the connection, if it can.
+func (n *conn) discard() {
+	if l, ok := n.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // It fails if the connection is closed already.
+	}
+}
+
 // watched returns the connection that Watch has made, below TLS or not, or nil if it has not made it.
 func watched(n net.Conn) *conn {
 	if t, ok := n.(*tls.Conn); ok {
--- a/internal/verifier/sending.go
+++ b/internal/verifier/sending.go
@@ -1,6 +1,7 @@
 package verifier
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -11,6 +12,8 @@
 
 // sending is what is known of the sending of a request. Of the attempts that the transport makes by itself, it is that of the last.
 type sending struct {
+	// context is that of the request.
+	context context.Context //nolint:containedctx // It is that of one request.
 	// body is nil if the request has none.
 	body *sentBody
 	// conn is nil if there was no connection, or Watch has not made it; before is how many bytes had been written to it.
@@ -24,6 +27,7 @@
 		GotConn: func(i httptrace.GotConnInfo) {
 			if s.conn = watched(i.Conn); s.conn != nil {
 				s.before = s.conn.written.Load()
+				s.conn.current.Store(s)
 			}
 		},
 	}))
@@ -54,6 +58,18 @@
 	return s.body
 }
 
+// givenUp reports whether nobody waits for the answer any more.
+func (s *sending) givenUp() bool {
+	return s.context.Err() != nil
+}
+
+// end records that the answer has been read to its end. The connection may carry another request by then.
+func (s *sending) end() {
+	if s.conn != nil {
+		s.conn.current.CompareAndSwap(s, nil)
+	}
+}
+
 // begun reports whether a part of the request may have been written.
 func (s *sending) begun() bool {
 	return s.conn != nil && s.conn.written.Load() != s.before
@@ -64,6 +80,23 @@
 	return (s.body == nil || s.body.wasRead()) && (s.conn == nil || !s.conn.writeFailed())
 }
 
+// answerBody is the body of an answer.
+type answerBody struct {
+	io.ReadCloser
+
+	request *sending
+}
+
+// Read implements io.Reader.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.request.end()
+	}
+
+	return n, err
+}
+
 // sentBody is the body of a request that counts how much of it the transport has read to send it.
 type sentBody struct {
 	io.ReadCloser
--- a/internal/verifier/verifier.go
+++ b/internal/verifier/verifier.go
@@ -40,7 +40,7 @@
 // RoundTrip implements http.RoundTripper. It fails with ErrInvalid if the head of the answer is not valid, and as the transport does,
 // also with ErrNotSent if nothing was sent. Reading the body fails with ErrInvalid if its end can't be that of the answer.
 func (v *Verifier) RoundTrip(q *http.Request) (*http.Response, error) {
-	s := &sending{}
+	s := &sending{context: q.Context()}
 
 	a, err := v.transport.RoundTrip(s.watch(q))
 
@@ -59,8 +59,13 @@
 		return nil, errors.Mark(err, ErrInvalid)
 	}
 
-	if IsUnframed(a) {
-		a.Body = &unframedBody{ReadCloser: a.Body, request: s}
+	switch {
+	case a.Body == http.NoBody:
+		s.end()
+	case IsUnframed(a):
+		a.Body = &unframedBody{ReadCloser: &answerBody{ReadCloser: a.Body, request: s}, request: s}
+	default:
+		a.Body = &answerBody{ReadCloser: a.Body, request: s}
 	}
 
 	return a, nil
