internal/forwarder: the relay of an event is a function of its own

Cause: the linter found streamAttempt too long after the handover, and a body whose closing it can't follow (bodyclose; who takes over closes it, or finishSuccessor). Measured: lint clean; the streams' tests of internal/forwarder pass with the race detector.

--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -396,7 +396,7 @@
 	go func() {
 		defer close(s.done)
 
-		s.answer, s.reply, s.result = f.send(s.context, x, t)
+		s.answer, s.reply, s.result = f.send(s.context, x, t) //nolint:bodyclose // Who takes over closes it, or finishSuccessor.
 	}()
 
 	return s
--- a/internal/forwarder/stream.go
+++ b/internal/forwarder/stream.go
@@ -78,19 +78,10 @@
 			x.trialEndsAt = time.Now().Add(maxTrialOfStream)
 		}
 
-		f.relayHeaders(x, a)
-		x.recordRelay(time.Now())
-
-		if _, err := x.writer.Write(e); err != nil {
+		if err := f.relayEvent(x, t, a, e, id); err != nil {
 			return result{err: errors.Mark(err, errCallerLeft), outcome: selector.Inconclusive}
 		}
 
-		if x.lastEvent == "" {
-			x.version = t.Target.SoftwareVersion()
-		}
-
-		x.lastEvent = id
-
 		if !s.Ready() {
 			_ = http.NewResponseController(x.writer).Flush() // The next write fails if the caller disconnected.
 		}
@@ -103,6 +94,24 @@
 	}
 }
 
+// relayEvent sends an event of an answer, with its ID, to the caller.
+func (f *Forwarder) relayEvent(x *exchange, t selector.Choice, a *http.Response, event []byte, id string) error {
+	f.relayHeaders(x, a)
+	x.recordRelay(time.Now())
+
+	if _, err := x.writer.Write(event); err != nil {
+		return err
+	}
+
+	if x.lastEvent == "" {
+		x.version = t.Target.SoftwareVersion()
+	}
+
+	x.lastEvent = id
+
+	return nil
+}
+
 // readFailure returns the result of an answer that is not a stream.
 func (f *Forwarder) readFailure(x *exchange, a *http.Response) result {
 	var (
