internal/forwarder: searches for another target grow rarer, and ask no home of a target that is known to be full

Cause: while a whole group is full, each call that waits for its answer searched five times a second and asked up to five homes each time; found in reading the handover. A buffered answer that was being sent to a slow caller could also begin an attempt elsewhere. Change: the interval doubles, three targets a search, the own estimate of the load first; a handover is paused before a whole answer is relayed.

--- a/internal/forwarder/buffered.go
+++ b/internal/forwarder/buffered.go
@@ -92,6 +92,7 @@
 		return result{err: errors.Newf("the target answered with status %d and does not state that it did not run the call", a.StatusCode), answer: o}
 	}
 
+	m.handover.pause() // A whole answer is of use, also if another target has taken the call.
 	f.recordFirstPart(x, t)
 
 	x.relayed = true
--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -19,10 +19,11 @@
 	// takenTime is how long after it was sent a call counts as taken by a target that has not refused it. It is longer than
 	// dialTimeout, and short enough that no call runs at two targets for long.
 	takenTime = 200 * time.Millisecond
-	// searchInterval is the time between two searches for another target with a free slot.
+	// searchInterval is the time from the first search for another target with a free slot to the second. It doubles with each
+	// search: many calls search while a whole group is full.
 	searchInterval = 200 * time.Millisecond
-	// maxFreeRequests bounds the targets from which one search requests a free slot.
-	maxFreeRequests = 5
+	// maxFreeRequests bounds the targets that one search selects.
+	maxFreeRequests = 3
 )
 
 var (
@@ -45,6 +46,8 @@
 	failed     []string
 	mayHaveRun bool
 	timer      *time.Timer
+	// interval is the time to the next search.
+	interval time.Duration
 	// paused is set while a part of the answer is relayed, ended after the attempt, and decided when another target has taken the call.
 	paused, ended, decided bool
 	// cancel ends the search in progress; nil if there is none.
@@ -99,9 +102,16 @@
 	defer h.mu.Unlock()
 
 	h.paused = false
+	h.interval = searchInterval
 	h.schedule(d)
 }
 
+// searchAgain schedules a further search. The mutex must be held.
+func (h *handover) searchAgain() {
+	h.schedule(h.interval)
+	h.interval *= 2
+}
+
 // schedule sets the time until the next search. The mutex must be held.
 func (h *handover) schedule(d time.Duration) {
 	switch {
@@ -254,7 +264,7 @@
 	h.successor = s
 
 	if s == nil {
-		h.schedule(searchInterval)
+		h.searchAgain()
 	}
 
 	return true
@@ -288,7 +298,7 @@
 		h.state.sent++
 	}
 
-	h.schedule(searchInterval)
+	h.searchAgain()
 	h.mu.Unlock()
 
 	h.forwarder.finishSuccessor(s, r)
@@ -368,18 +378,21 @@
 
 // reserveFree reserves a free slot at a target, and reverts its selection if there is none.
 func (f *Forwarder) reserveFree(c context.Context, x *exchange, t selector.Choice) bool {
-	f.reserveExactly(c, x, t)
+	full := t.Target.Slots > 0 && int(t.Load) >= t.Target.Slots
+	if !full {
+		f.reserveExactly(c, x, t)
+	}
 
 	v := x.reservation.verdict
 	uncounted := t.NeedsCount && v.Outcome == aggregator.Unanswered
 	x.uncounted = x.uncounted || uncounted
 
 	switch {
-	case v.Outcome == aggregator.Full || v.Outcome == aggregator.Excluded:
-		f.decline(x, t, v)
-	case uncounted || !f.accepts(t.Target) || t.Target.Slots > 0 && int(t.Load) >= t.Target.Slots:
+	case full || uncounted || !f.accepts(t.Target):
 		f.withdraw(x, t)
 		x.tried, x.excluded = append(x.tried, t.Target.ID), append(x.excluded, t.Target.ID)
+	case v.Outcome == aggregator.Full || v.Outcome == aggregator.Excluded:
+		f.decline(x, t, v)
 	default:
 		return true
 	}
