internal/forwarder: tests of calls that stay with a silent target, on related paths

A call through another instance, one that is quarantined or whose other target leaves meanwhile, and one without retry budget. Measured: on all fail but that without budget, which guards the order of reservation and budget; now all pass, twice with the race detector.

--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -9,7 +9,9 @@
 	"github.com/matryer/is"
 
 	"github.com/auburntray/auburntray/internal/aggregator"
+	"github.com/auburntray/auburntray/internal/budgeter"
 	"github.com/auburntray/auburntray/internal/selector"
+	"github.com/auburntray/auburntray/internal/standin/waiter"
 )
 
 // silences are the times for which a sound target is silent: longer than a call waits for the next part of an answer, and shorter than
@@ -117,6 +119,92 @@
 	}
 }
 
+// Guards against calls that are taken from a silent target though they may not be sent to another one by then.
+func TestCallStaysIfItMayNotBeRepeated(t *testing.T) {
+	for name, forbid := range map[string]func(g *gateway, q *fakeQuarantine) func(){
+		"no retry budget": func(g *gateway, _ *fakeQuarantine) func() {
+			g.forwarder.SetRetryBudget(budgeter.Settings{Window: 10 * time.Second})
+
+			return func() {}
+		},
+		"quarantined meanwhile": func(_ *gateway, q *fakeQuarantine) func() {
+			return func() { q.quarantineAll() }
+		},
+		"the other target leaves meanwhile": func(g *gateway, _ *fakeQuarantine) func() {
+			return func() { g.markLeaving(g.state.Registry().Known["t1"].Process()) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+
+			var meanwhile func()
+
+			a := &target{answer: func(n net.Conn, s received) {
+				beginStream(n, s)
+				chunk(n, events(1, 2))
+				meanwhile()
+				time.Sleep(silenceInStream)
+				chunk(n, events(3, 5))
+				finishStream(n)
+			}}
+			b := &target{answer: answerEvents(5)}
+			g := newGatewayWithDialer(t, &unboundedDialer{}, a, b)
+			q := newQuarantine(1)
+			g.forwarder.SetQuarantine(q)
+			meanwhile = forbid(g, q)
+
+			o := g.call(t, http.MethodPost, "/resumable/", "prompt")
+			is.NoErr(o.err)
+			is.Equal(o.body, events(1, 5))
+			is.Equal(b.count(), 0)
+		})
+	}
+}
+
+// quarantineAll quarantines all subjects that were received.
+func (x *fakeQuarantine) quarantineAll() {
+	x.mu.Lock()
+	l := x.received
+	x.mu.Unlock()
+
+	x.RecordCrash(l, 1)
+}
+
+// Guards against calls through other instances that are taken from a silent target before another one has taken them.
+func TestDelegatedCallStaysUntilAnotherTargetTakesIt(t *testing.T) {
+	refuse := func(n net.Conn, s received) { reply(n, s, "503 Full", "", "Not-Run: 1") }
+
+	for name, x := range map[string]struct {
+		path, body string
+		silent     func(n net.Conn, s received)
+	}{
+		"in a stream":      {"/resumable/", events(1, 5), silentInStream},
+		"before a stream":  {"/resumable/", events(1, 5), silentBeforeStream},
+		"before an answer": {"/idempotent/", "from t0", silentBeforeAnswer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, b := &target{answer: x.silent}, &target{answer: refuse}
+			g, d, _ := newDelegatingGateway(t, a, b)
+
+			o := g.call(t, http.MethodPost, x.path, "prompt")
+			is.NoErr(o.err)
+			is.Equal(o.status, http.StatusOK)
+			is.Equal(o.body, x.body)
+			is.True(a.count() == 1 && b.count() >= 1)
+			waiter.Until(t, "the end of all delegated calls", func() bool { return d.count() == 0 })
+		})
+	}
+}
+
+// count returns the number of calls that run at the instances.
+func (d *delegates) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.running
+}
+
 // Guards against events that are lost or doubled as the first target goes on just when another one takes the stream.
 func TestTargetGoesOnAsAnotherTakesTheStream(t *testing.T) {
 	for _, silence := range []time.Duration{295, 300, 305, 310, 320, 350, 400, 450, 480, 490, 495, 500, 505, 510, 520} {
