internal/forwarder: a target that can't be connected to stays open to a call that leaves a silent one

What callers saw, in a test: a stream is cut at its deadline, as its target is silent and this instance has no links to the others, though another instance has. A fault of the handover, found in reading it again.

Cause: a failed dial counted as a target that was tried, also for the route through another instance, and the next search came only 0.2 s later. Change: as before the handover, it costs no attempt, counts towards the two dials after which a delegate is asked, and the next search follows at once, five targets at most. The outcome of an attempt elsewhere is no evidence while the process is stalled or has lost its links.

Test: TestCallLeavesSilentTargetThroughDelegate fails on (unexpected EOF) and passes 3 of 3 with the race detector; the other tests of the handover, of streams and delegates pass.

--- a/internal/forwarder/handover.go
+++ b/internal/forwarder/handover.go
@@ -42,10 +42,11 @@
 	mu sync.Mutex
 	// state is what the next attempt begins with. Its sent counts the present attempt and those that failed meanwhile.
 	state *exchange
-	// failed are the targets of the latter, and mayHaveRun is set if one of them may have run the call.
-	failed     []string
-	mayHaveRun bool
-	timer      *time.Timer
+	// failed are the targets of the latter, and excluded those of them that this instance could connect to. The flag mayHaveRun is set if
+	// one of them may have run the call.
+	failed, excluded []string
+	mayHaveRun       bool
+	timer            *time.Timer
 	// interval is the time to the next search.
 	interval time.Duration
 	// paused is set while a part of the answer is relayed, ended after the attempt, and decided when another target has taken the call.
@@ -170,7 +171,8 @@
 	s := h.suspend()
 	h.ended = true
 	x.sent = h.state.sent - 1
-	x.tried, x.excluded = append(x.tried, h.failed...), append(x.excluded, h.failed...)
+	x.tried, x.excluded = append(x.tried, h.failed...), append(x.excluded, h.excluded...)
+	x.dialFailures = h.state.dialFailures
 	x.mayHaveRun = x.mayHaveRun || h.mayHaveRun || s != nil && !adopt
 	h.mu.Unlock()
 
@@ -245,7 +247,7 @@
 	h.cancel = stop
 
 	y := *x
-	y.tried, y.excluded = slices.Concat(x.tried, h.failed), slices.Concat(x.excluded, h.failed)
+	y.tried, y.excluded = slices.Concat(x.tried, h.failed), slices.Concat(x.excluded, h.excluded)
 
 	return c, &y, true
 }
@@ -291,17 +293,34 @@
 	}
 
 	h.successor = nil
-	h.failed = append(h.failed, s.choice.Target.ID)
+	h.record(s.choice, r)
+	h.mu.Unlock()
+
+	h.forwarder.finishSuccessor(s, r)
+}
+
+// record records an attempt elsewhere that has failed, and schedules the next search: at once if nothing was sent. The mutex must be held.
+func (h *handover) record(t selector.Choice, r result) {
+	notSent := errors.Is(r.err, errNotSent)
+
+	h.failed = append(h.failed, t.Target.ID)
 	h.mayHaveRun = h.mayHaveRun || !r.notRun
 
-	if !errors.Is(r.err, errNotSent) {
-		h.state.sent++
+	if notSent && t.Route != selector.Delegated {
+		h.state.dialFailures++
+	} else {
+		h.excluded = append(h.excluded, t.Target.ID)
 	}
 
-	h.searchAgain()
-	h.mu.Unlock()
-
-	h.forwarder.finishSuccessor(s, r)
+	switch {
+	case !notSent:
+		h.state.sent++
+		h.searchAgain()
+	case len(h.state.tried)+len(h.failed) < maxTargetsTried:
+		h.schedule(time.Nanosecond)
+	default:
+		h.searchAgain()
+	}
 }
 
 // failure returns the result of an attempt that is known to have failed; its error is nil otherwise.
@@ -460,6 +479,10 @@
 		r.outcome = selector.Crashed
 	}
 
+	if timedOut(s.context, r.err) && f.state.Stalled(s.start) || r.outcome == selector.Failed && f.linksLost(x, s.choice, r.outcome) {
+		r.outcome = selector.Inconclusive
+	}
+
 	s.stop(nil)
 
 	if s.answer != nil {
--- a/internal/forwarder/handover_test.go
+++ b/internal/forwarder/handover_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -197,6 +198,45 @@
 	}
 }
 
+// oneDialer connects to one address only.
+type oneDialer struct {
+	net.Dialer
+
+	address string
+}
+
+func (d *oneDialer) DialContext(c context.Context, network, address string) (net.Conn, error) {
+	if address != d.address {
+		return refusingDialer{}.DialContext(c, network, address)
+	}
+
+	return d.Dialer.DialContext(c, network, address)
+}
+
+// Guards against calls that stay at a silent target since this instance has no links to the others, though another instance has.
+func TestCallLeavesSilentTargetThroughDelegate(t *testing.T) {
+	is := is.New(t)
+	a := &target{answer: func(n net.Conn, s received) {
+		beginStream(n, s)
+		chunk(n, events(1, 2))
+		<-s.closed
+	}}
+	b, c := &target{answer: answerEvents(5)}, &target{answer: answerEvents(5)}
+	x := &oneDialer{}
+	g := newGatewayWithDialer(t, x, a, b, c)
+	x.address = g.state.Registry().Known["t0"].Address.String()
+
+	_, s := newDelegate(t, g.state, &net.Dialer{})
+	d := &delegates{token: token}
+	d.add(s)
+	g.forwarder.SetDelegates(d)
+
+	o := g.call(t, http.MethodPost, "/resumable/", "prompt")
+	is.NoErr(o.err)
+	is.Equal(o.body, events(1, 5))
+	is.Equal(b.count()+c.count(), 1)
+}
+
 // count returns the number of calls that run at the instances.
 func (d *delegates) count() int {
 	d.mu.Lock()
