internal/binder: a process that was stalled catches up before it says where a stream goes on

A cause that fits: a stream that was begun again at another version has two notes, and the instance that wakes has handled only the first one when the caller comes. In the package this gives the wrong version (TestStreamBegunAgainBeforeInstanceWakes, fails without the change). Whether it was the cause is not known.

Change: a lookup waits for up to 0.6 s while the process counts as stalled, 0.3 s after a stall. Measured: that test and TestOneVersion, TestSilentHomesDelayNobodyForLong pass with the race detector, lint clean.

--- a/internal/binder/binder.go
+++ b/internal/binder/binder.go
@@ -64,6 +64,8 @@
 	// Fresh reports whether the list of targets is up to date: the platform confirmed it less than FreshTime ago.
 	Fresh     func() bool
 	FreshTime time.Duration
+	// Stalled reports whether this process was stalled just before: what arrived meanwhile may not have been handled yet.
+	Stalled func() bool
 	// WritesPerSecond is how many requests all instances together may send to the log each second to write; zero means
 	// DefaultWritesPerSecond.
 	WritesPerSecond float64
@@ -96,6 +98,10 @@
 
 // New returns a Binder that knows no streams. With a nil log, what is known of streams is lost when all instances are killed.
 func New(m Messenger, x Members, l Log, t Meter, s Settings) *Binder {
+	if s.Stalled == nil {
+		s.Stalled = func() bool { return false }
+	}
+
 	if s.WritesPerSecond == 0 {
 		s.WritesPerSecond = DefaultWritesPerSecond
 	}
--- a/internal/binder/lookup.go
+++ b/internal/binder/lookup.go
@@ -26,6 +26,10 @@
 	// again each askInterval.
 	readingTimeout = 300 * time.Millisecond
 	askInterval    = 50 * time.Millisecond
+	// stallTimeout bounds how long a stream waits for a process that was stalled to catch up, and stallInterval is the time between two
+	// looks. A process counts as stalled for 0.3 s after a stall.
+	stallTimeout  = 600 * time.Millisecond
+	stallInterval = 20 * time.Millisecond
 	// maxAsking is the largest number of streams about which others are asked at a time. Beyond it a caller that
 	// resumes streams at random would multiply its calls.
 	maxAsking = 64
@@ -42,6 +46,8 @@
 
 // Find returns the version that began a stream of a group, and false if that is not certain.
 func (b *Binder) Find(c context.Context, group string, s pinner.Stream) (discoverer.Version, bool) {
+	b.catchUp(c)
+
 	own := b.view(group, s)
 	if v, ok := b.known(group, own); ok || own.Found {
 		b.meter.StreamLookup(sourceOf(own))
@@ -66,6 +72,17 @@
 	}
 }
 
+// catchUp waits for a short time until this process has handled what arrived during a stall: notes on a stream that was begun again
+// elsewhere, and versions that have appeared.
+func (b *Binder) catchUp(c context.Context) {
+	x, stop := context.WithTimeout(c, stallTimeout)
+	defer stop()
+
+	for x.Err() == nil && b.settings.Stalled() {
+		sleeper.Sleep(x, stallInterval)
+	}
+}
+
 // lookUp finds the version of a stream with the help of the log and other instances. It reports whether it may be known soon,
 // since a recorder that has just started still reads the log.
 func (b *Binder) lookUp(c context.Context, group string, s pinner.Stream) (v discoverer.Version, source string, waiting bool) {
--- a/internal/binder/lost_test.go
+++ b/internal/binder/lost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/auburntray/auburntray/internal/discoverer"
 	"github.com/auburntray/auburntray/internal/pinner"
+	"github.com/auburntray/auburntray/internal/wire"
 )
 
 func newPlayOf(t *testing.T, size int) *play {
@@ -135,6 +137,46 @@
 	}
 }
 
+// Guards against a stream of two versions: it was begun again at another version while an instance stood still, and that one has handled only the
+// note on the first attempt when the caller takes it up there.
+func TestStreamBegunAgainBeforeInstanceWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var stalled atomic.Bool
+
+		f := newFleet(t, 1)
+		f.settings.Stalled = stalled.Load
+		f.start(0)
+		f.observe("v1")
+		time.Sleep(time.Minute)
+		stalled.Store(true)
+
+		b := f.instances[0]
+		handle := func(version string, attempt uint32) {
+			m, err := (&wire.StreamVersions{Streams: []wire.StreamVersion{{Stream: 1, Version: uint64(discoverer.VersionOf(version)), Attempt: attempt}}}).MarshalMsg(nil)
+			is.NoErr(err)
+			_, err = b.HandleVersions(t.Context(), 2, m)
+			is.NoErr(err)
+		}
+
+		handle("v1", 1)
+		time.AfterFunc(50*time.Millisecond, func() { handle("v2", 2) })
+		time.AfterFunc(300*time.Millisecond, func() { stalled.Store(false) })
+
+		v, ok := b.Find(t.Context(), "g", 1)
+		is.True(ok)
+		is.Equal(v, discoverer.VersionOf("v2"))
+
+		// Callers do not wait for long for one that does not catch up.
+		stalled.Store(true)
+
+		n := time.Now()
+		_, ok = b.Find(t.Context(), "g", 1)
+		is.True(ok)
+		is.True(time.Since(n) < time.Second)
+	})
+}
+
 // Guards against notes on streams of one version that take more than a small part of what instances may send each other, or that are
 // written to the log.
 func TestCostOfStreamsWithOneVersion(t *testing.T) {
--- a/internal/gatekeeper/options.go
+++ b/internal/gatekeeper/options.go
@@ -101,7 +101,7 @@
 
 func newBinder(s Settings, w Environment, f *state, t *meter.Meter, m *messenger.Messenger, j *joiner.Joiner) *binder.Binder {
 	b := binder.New(m, j, w.Streams, t, binder.Settings{
-		Centres: slices.Collect(maps.Keys(s.Regions)), Fresh: f.targetsFresh, FreshTime: s.applyWithin(), WritesPerSecond: s.StoreWrites,
+		Centres: slices.Collect(maps.Keys(s.Regions)), Fresh: f.targetsFresh, FreshTime: s.applyWithin(), Stalled: func() bool { return f.Stalled(time.Now()) }, WritesPerSecond: s.StoreWrites,
 	})
 	m.Handle(wire.KindStreamVersions, b.HandleVersions)
 	m.Handle(wire.KindStreamsBegun, b.HandleBegun)
